--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,174 @@
+// Package membership keeps an entry's view of live upstreams and entries.
+//
+// A node is a member while a link to it is open. The platform's instance list lags; it is the seed and a second witness that
+// an instance is leaving.
+package membership
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// Upstream is one upstream as its agent announced it. It is an immutable copy.
+type Upstream struct {
+	Node     message.Hello
+	Announce message.Announce
+	// Conn is the link to the agent.
+	Conn *link.Conn
+	// ListedLeaving tells that the instance list shows the instance as leaving.
+	ListedLeaving bool
+}
+
+// Accepts tells whether the upstream takes new work.
+func (u Upstream) Accepts() bool {
+	return u.Announce.State == message.StateServing && !u.ListedLeaving
+}
+
+// Entry is another entry with an open link.
+type Entry struct {
+	Node    message.Hello
+	Conn    *link.Conn
+	Leaving bool
+	// Revision is the configuration revision that the entry last reported.
+	Revision uint64
+}
+
+// Table is the view of one entry.
+//
+// Invariant: for each node ID the table holds the connection of the highest incarnation, and of equal incarnations the newest.
+type Table struct {
+	// mu guards all fields below.
+	mu        sync.RWMutex
+	upstreams map[string]*Upstream
+	entries   map[string]*Entry
+	leaving   map[string]bool
+	notify    map[chan struct{}]struct{}
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		upstreams: make(map[string]*Upstream),
+		entries:   make(map[string]*Entry),
+		leaving:   make(map[string]bool),
+		notify:    make(map[chan struct{}]struct{}),
+	}
+}
+
+// PutUpstream records an announcement that arrived on conn. It returns false when the node has a newer incarnation.
+func (t *Table) PutUpstream(conn *link.Conn, announce message.Announce) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	node := conn.Peer()
+	old := t.upstreams[node.NodeID]
+	if old != nil && old.Node.Incarnation > node.Incarnation {
+		return false
+	}
+	t.upstreams[node.NodeID] = &Upstream{
+		Node: node, Announce: announce, Conn: conn, ListedLeaving: t.leaving[node.NodeID],
+	}
+	t.changed()
+	return true
+}
+
+// PutEntry records a link to another entry and what its last heartbeat said.
+func (t *Table) PutEntry(conn *link.Conn, heartbeat message.Heartbeat) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	node := conn.Peer()
+	old := t.entries[node.NodeID]
+	if old != nil && old.Node.Incarnation > node.Incarnation {
+		return false
+	}
+	t.entries[node.NodeID] = &Entry{Node: node, Conn: conn, Leaving: heartbeat.Leaving, Revision: heartbeat.Revision}
+	t.changed()
+	return true
+}
+
+// Remove drops the node of a closed connection, unless another connection of the node has replaced it.
+func (t *Table) Remove(conn *link.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	id := conn.Peer().NodeID
+	if u := t.upstreams[id]; u != nil && u.Conn == conn {
+		delete(t.upstreams, id)
+	}
+	if e := t.entries[id]; e != nil && e.Conn == conn {
+		delete(t.entries, id)
+	}
+	t.changed()
+}
+
+// SetListedLeaving replaces the set of instances that the instance list shows as leaving.
+func (t *Table) SetListedLeaving(ids map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = ids
+	for id, u := range t.upstreams {
+		updated := *u
+		updated.ListedLeaving = ids[id]
+		t.upstreams[id] = &updated
+	}
+	t.changed()
+}
+
+// Upstreams returns all upstreams with an open link, by node ID.
+func (t *Table) Upstreams() []Upstream {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]Upstream, 0, len(t.upstreams))
+	for _, u := range t.upstreams {
+		out = append(out, *u)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node.NodeID < out[j].Node.NodeID })
+	return out
+}
+
+// Upstream returns one upstream by node ID.
+func (t *Table) Upstream(id string) (Upstream, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	u, ok := t.upstreams[id]
+	if !ok {
+		return Upstream{}, false
+	}
+	return *u, true
+}
+
+// Entries returns the other entries with an open link, by node ID.
+func (t *Table) Entries() []Entry {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]Entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, *e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node.NodeID < out[j].Node.NodeID })
+	return out
+}
+
+// Subscribe returns a channel that receives after each change, and a function that ends the subscription.
+func (t *Table) Subscribe() (<-chan struct{}, func()) {
+	notify := make(chan struct{}, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.notify[notify] = struct{}{}
+	return notify, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.notify, notify)
+	}
+}
+
+// changed notifies subscribers. The caller holds mu.
+func (t *Table) changed() {
+	for subscriber := range t.notify {
+		select {
+		case subscriber <- struct{}{}:
+		default: // A notification is pending.
+		}
+	}
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,113 @@
+// Package message defines the typed messages that entries and agents exchange over links, and their encoding.
+//
+// Every message is encoded as one type byte followed by the msgpack encoding of its struct. Unknown fields are ignored so
+// that nodes of adjacent releases interoperate.
+package message
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Type is the wire code of a message. Codes are never reused.
+type Type uint8
+
+// Wire codes.
+const (
+	TypeHello Type = iota + 1
+	TypeHeartbeat
+	TypeAnnounce
+	TypePeerView
+	TypeConfigRequest
+	TypeConfigReply
+	TypeSubmit
+	TypeReject
+	TypeResponseHead
+	TypeResponseBody
+	TypeResponseEnd
+	TypeCredit
+	TypeCancel
+	TypeQuery
+	TypeQueryReply
+	TypeCrashReport
+	TypeSwapPermit
+	TypeSwapRevoke
+	TypeManifestRequest
+	TypeManifestReply
+	TypeChunkRequest
+	TypeChunkReply
+	TypeHelloProof
+)
+
+// Errors returned by Decode.
+var (
+	ErrEmpty       = errors.New("message: empty frame")
+	ErrUnknownType = errors.New("message: unknown type")
+	ErrMalformed   = errors.New("message: malformed body")
+)
+
+// Message is implemented by pointers to the structs of this package.
+type Message interface {
+	// MessageType returns the wire code.
+	MessageType() Type
+}
+
+// Encode appends the wire form of m to dst.
+func Encode(dst []byte, m Message) ([]byte, error) {
+	body, err := msgpack.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrapf(err, "message: encode type %d", m.MessageType())
+	}
+	dst = append(dst, byte(m.MessageType()))
+	return append(dst, body...), nil
+}
+
+// Decode parses one frame. It returns ErrEmpty, ErrUnknownType or ErrMalformed, and never panics on any input.
+func Decode(frame []byte) (Message, error) {
+	if len(frame) == 0 {
+		return nil, ErrEmpty
+	}
+	m := newMessage(Type(frame[0]))
+	if m == nil {
+		return nil, errors.Wrapf(ErrUnknownType, "code %d", frame[0])
+	}
+	if err := msgpack.Unmarshal(frame[1:], m); err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "message: decode type %d", frame[0]), ErrMalformed)
+	}
+	return m, nil
+}
+
+// constructors maps each wire code to a constructor of its struct.
+var constructors = map[Type]func() Message{
+	TypeHello:           func() Message { return new(Hello) },
+	TypeHelloProof:      func() Message { return new(HelloProof) },
+	TypeHeartbeat:       func() Message { return new(Heartbeat) },
+	TypeAnnounce:        func() Message { return new(Announce) },
+	TypePeerView:        func() Message { return new(PeerView) },
+	TypeConfigRequest:   func() Message { return new(ConfigRequest) },
+	TypeConfigReply:     func() Message { return new(ConfigReply) },
+	TypeSubmit:          func() Message { return new(Submit) },
+	TypeReject:          func() Message { return new(Reject) },
+	TypeResponseHead:    func() Message { return new(ResponseHead) },
+	TypeResponseBody:    func() Message { return new(ResponseBody) },
+	TypeResponseEnd:     func() Message { return new(ResponseEnd) },
+	TypeCredit:          func() Message { return new(Credit) },
+	TypeCancel:          func() Message { return new(Cancel) },
+	TypeQuery:           func() Message { return new(Query) },
+	TypeQueryReply:      func() Message { return new(QueryReply) },
+	TypeCrashReport:     func() Message { return new(CrashReport) },
+	TypeSwapPermit:      func() Message { return new(SwapPermit) },
+	TypeSwapRevoke:      func() Message { return new(SwapRevoke) },
+	TypeManifestRequest: func() Message { return new(ManifestRequest) },
+	TypeManifestReply:   func() Message { return new(ManifestReply) },
+	TypeChunkRequest:    func() Message { return new(ChunkRequest) },
+	TypeChunkReply:      func() Message { return new(ChunkReply) },
+}
+
+func newMessage(t Type) Message {
+	construct, ok := constructors[t]
+	if !ok {
+		return nil
+	}
+	return construct()
+}
--- /dev/null
+++ b/internal/message/node.go
@@ -0,0 +1,194 @@
+package message
+
+// Role is the role of a node.
+type Role string
+
+// Roles.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// ProtocolVersion is the version of the link protocol. A node refuses a peer that speaks another one.
+const ProtocolVersion = 1
+
+// Hello is the first message in both directions.
+type Hello struct {
+	Protocol   int    `msgpack:"v"`
+	NodeID     string `msgpack:"id"`
+	Role       Role   `msgpack:"role"`
+	DataCentre string `msgpack:"dc"`
+	Region     string `msgpack:"rg"`
+	// Address is the link address at which others reach the node, empty when it accepts no links.
+	Address string `msgpack:"addr"`
+	// Incarnation is the start time of the process in nanoseconds since the epoch. A higher one replaces a lower one.
+	Incarnation uint64 `msgpack:"inc"`
+	Nonce       []byte `msgpack:"n"`
+}
+
+// HelloProof is the second message in both directions. Proof is HMAC-SHA256 over both nonces with the link secret.
+type HelloProof struct {
+	Proof []byte `msgpack:"p"`
+}
+
+// Heartbeat is sent in both directions on every link.
+type Heartbeat struct {
+	// Revision is the configuration revision in force on the sender, 0 for none.
+	Revision uint64 `msgpack:"rev"`
+	// Leaving tells that the sender is shutting down and takes no new work.
+	Leaving bool `msgpack:"l,omitempty"`
+	// Probe asks the peer to answer with a heartbeat at once.
+	Probe bool `msgpack:"p,omitempty"`
+}
+
+// State is the state of an upstream as its agent announces it.
+type State string
+
+// States of an upstream. Only StateServing takes new work.
+const (
+	StateStarting State = "starting"
+	StateServing  State = "serving"
+	StateSwapping State = "swapping"
+	StateLeaving  State = "leaving"
+	// StateDown means that the agent cannot reach its upstream.
+	StateDown State = "down"
+)
+
+// Announce describes an agent and its upstream. It is sent on connect, on each change and with load updates.
+type Announce struct {
+	Pool  string `msgpack:"pool"`
+	Kind  string `msgpack:"kind"` // "model" or "service"
+	State State  `msgpack:"st"`
+	// LoadedVersion is the version digest the engine serves, empty for services and before the first load.
+	LoadedVersion string `msgpack:"lv"`
+	// ReadyVersion is the newest version that is complete and verified in the agent's memory.
+	ReadyVersion string `msgpack:"rv"`
+	// FailedVersion is the version that the engine last failed to load, with LoadError as the reason.
+	FailedVersion string `msgpack:"fv,omitempty"`
+	LoadError     string `msgpack:"le,omitempty"`
+	// Progress is the fraction of the target version held, 0..1.
+	Progress float64 `msgpack:"pg"`
+	// PeerAddress is where other agents fetch chunks.
+	PeerAddress string `msgpack:"pa"`
+	// SwapEpoch is the highest permit epoch the agent has accepted.
+	SwapEpoch uint64 `msgpack:"se"`
+	// Limit, Queued and InFlight are counts of requests.
+	Limit    int `msgpack:"lim"`
+	Queued   int `msgpack:"q"`
+	InFlight int `msgpack:"inf"`
+	// UpstreamIncarnation changes each time the upstream restarts.
+	UpstreamIncarnation uint64 `msgpack:"ui"`
+}
+
+// Peer is one agent in a PeerView.
+type Peer struct {
+	NodeID     string `msgpack:"id"`
+	DataCentre string `msgpack:"dc"`
+	Region     string `msgpack:"rg"`
+	Address    string `msgpack:"a"`
+	// Pool and Model let an agent pick the peers that hold the same model.
+	Pool string `msgpack:"pl"`
+	// Versions lists the complete versions the peer holds.
+	Versions []string `msgpack:"vs"`
+}
+
+// PeerView lists the live agents that an entry knows, of all data centres.
+type PeerView struct {
+	Peers []Peer `msgpack:"p"`
+}
+
+// ConfigRequest asks for the newest configuration.
+type ConfigRequest struct {
+	// Have is the revision the requester holds, 0 for none; HaveDigest is its digest.
+	Have       uint64 `msgpack:"h"`
+	HaveDigest string `msgpack:"hd"`
+}
+
+// ConfigReply carries the newest configuration of the sender. Envelope and Delta are encoded by package config; exactly one
+// is set, and none is set when the sender has nothing newer.
+type ConfigReply struct {
+	Revision uint64 `msgpack:"rev"`
+	Envelope []byte `msgpack:"e,omitempty"`
+	Delta    []byte `msgpack:"d,omitempty"`
+}
+
+// SwapPermit allows an agent to take its upstream out of service and load a version.
+type SwapPermit struct {
+	Epoch   uint64 `msgpack:"ep"`
+	Version string `msgpack:"v"`
+	// LifetimeMillis counts from receipt, so that clocks need not agree.
+	LifetimeMillis int64 `msgpack:"ms"`
+}
+
+// SwapRevoke withdraws a permit. An agent that has already stopped admitting finishes or returns to its old version.
+type SwapRevoke struct {
+	Epoch   uint64 `msgpack:"ep"`
+	Version string `msgpack:"v"`
+}
+
+// ManifestRequest asks a peer for the manifest of a version.
+type ManifestRequest struct {
+	ID      uint64 `msgpack:"i"`
+	Version string `msgpack:"v"`
+}
+
+// ManifestReply carries a manifest in its canonical encoding, or NotFound.
+type ManifestReply struct {
+	ID       uint64 `msgpack:"i"`
+	Manifest []byte `msgpack:"m,omitempty"`
+	NotFound bool   `msgpack:"nf,omitempty"`
+}
+
+// ChunkRequest asks a peer for one chunk.
+type ChunkRequest struct {
+	ID   uint64 `msgpack:"i"`
+	Hash string `msgpack:"h"`
+	// WaitMillis lets the peer hold the request while it is still fetching the chunk.
+	WaitMillis int64 `msgpack:"w"`
+}
+
+// ChunkReply carries the whole chunk, or NotFound.
+type ChunkReply struct {
+	ID       uint64 `msgpack:"i"`
+	Data     []byte `msgpack:"d,omitempty"`
+	NotFound bool   `msgpack:"nf,omitempty"`
+}
+
+// MessageType implements Message.
+func (*Hello) MessageType() Type { return TypeHello }
+
+// MessageType implements Message.
+func (*HelloProof) MessageType() Type { return TypeHelloProof }
+
+// MessageType implements Message.
+func (*Heartbeat) MessageType() Type { return TypeHeartbeat }
+
+// MessageType implements Message.
+func (*Announce) MessageType() Type { return TypeAnnounce }
+
+// MessageType implements Message.
+func (*PeerView) MessageType() Type { return TypePeerView }
+
+// MessageType implements Message.
+func (*ConfigRequest) MessageType() Type { return TypeConfigRequest }
+
+// MessageType implements Message.
+func (*ConfigReply) MessageType() Type { return TypeConfigReply }
+
+// MessageType implements Message.
+func (*SwapPermit) MessageType() Type { return TypeSwapPermit }
+
+// MessageType implements Message.
+func (*SwapRevoke) MessageType() Type { return TypeSwapRevoke }
+
+// MessageType implements Message.
+func (*ManifestRequest) MessageType() Type { return TypeManifestRequest }
+
+// MessageType implements Message.
+func (*ManifestReply) MessageType() Type { return TypeManifestReply }
+
+// MessageType implements Message.
+func (*ChunkRequest) MessageType() Type { return TypeChunkRequest }
+
+// MessageType implements Message.
+func (*ChunkReply) MessageType() Type { return TypeChunkReply }
--- /dev/null
+++ b/internal/telemetry/logger.go
@@ -0,0 +1,27 @@
+// Package telemetry provides structured logs and OpenTelemetry metrics.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+)
+
+// debugVerbosity is the logr verbosity that the slog bridge maps to slog.LevelDebug.
+const debugVerbosity = 4
+
+// NewLogger returns a logger that writes JSON lines to w. level is "debug", "info" or "error".
+func NewLogger(w io.Writer, level string) logr.Logger {
+	threshold := slog.LevelInfo
+	switch level {
+	case "debug":
+		threshold = slog.LevelDebug
+	case "error":
+		threshold = slog.LevelError
+	}
+	return logr.FromSlogHandler(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: threshold}))
+}
+
+// Debug returns the logger for debug lines.
+func Debug(log logr.Logger) logr.Logger { return log.V(debugVerbosity) }
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,41 @@
+package telemetry
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// LatencyBucketsSeconds are the histogram bounds for request latency.
+var LatencyBucketsSeconds = []float64{.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10, 30}
+
+// cardinalityLimit bounds the attribute sets of one instrument; further sets are counted in an overflow set.
+const cardinalityLimit = 500
+
+// Metrics owns the meter provider of a process.
+type Metrics struct {
+	Meter   metric.Meter
+	handler http.Handler
+}
+
+// NewMetrics returns a meter whose instruments are exported by Handler.
+func NewMetrics(scope string) (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, errors.Wrap(err, "telemetry: exporter")
+	}
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter), sdkmetric.WithCardinalityLimit(cardinalityLimit))
+	return &Metrics{
+		Meter:   provider.Meter(scope),
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+	}, nil
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
