Add the entry process

The entry role had no code: callers, agents and other entries could not connect.

Adds routing, retry, quarantine, filter, dispatch and entry, and the entry role, -version, -help and exit codes of pimentoheadd. Package dispatch is new beside the designed ones: it holds attempts, answers, recovery after lost links, and forwarded requests. Peer gains Accepting, and PeerView is also sent between entries.

--- a/cmd/pimentoheadd/main.go
+++ b/cmd/pimentoheadd/main.go
@@ -2,35 +2,100 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/settings"
+	"github.com/pimentohead/pimentohead/internal/telemetry"
 )
 
 // Exit codes.
 const (
 	exitOK       = 0
+	exitFailure  = 1
 	exitUsage    = 2
 	exitSettings = 3
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+// version is set by the linker with -ldflags "-X main.version=...".
+var version = "dev"
+
+const help = `pimentoheadd serves the entry or the agent role of a fleet, as its settings say.
+
+Usage:
+  pimentoheadd -config FILE [-check]
+
+Examples:
+  pimentoheadd -config entry-1.toml          run until SIGTERM or SIGINT, then shut down gracefully
+  pimentoheadd -config entry-1.toml -check   check the settings and exit
+  pimentoheadd -version
+
+Exit codes:
+  0  clean stop
+  1  runtime failure
+  2  usage
+  3  settings refused
+
+Flags:
+`
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run(args []string) int {
+func run(args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("pimentoheadd", flag.ContinueOnError)
+	flags.SetOutput(stderr)
 	path := flags.String("config", "", "settings `file` (TOML)")
 	check := flags.Bool("check", false, "check the settings and exit")
-	if err := flags.Parse(args); err != nil {
+	showVersion := flags.Bool("version", false, "print the version and exit")
+	flags.Usage = func() {
+		_, _ = fmt.Fprint(flags.Output(), help)
+		flags.PrintDefaults()
+	}
+	switch err := flags.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case err != nil:
+		return exitUsage
+	case *showVersion:
+		_, _ = fmt.Fprintln(stdout, "pimentoheadd", version)
+		return exitOK
+	case *path == "" || flags.NArg() > 0:
+		_, _ = fmt.Fprintln(stderr, "exactly one settings file is required: pimentoheadd -config FILE")
 		return exitUsage
 	}
-	if _, err := settings.Load(*path); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+	s, err := settings.Load(*path)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
 	if *check {
-		fmt.Println("settings are valid")
+		_, _ = fmt.Fprintln(stdout, "settings are valid")
+		return exitOK
+	}
+	return serve(s, telemetry.NewLogger(stderr, s.LogLevel))
+}
+
+// serve runs the role until SIGTERM or SIGINT. A second signal ends the process at once.
+func serve(s *settings.Settings, log logr.Logger) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	runRole := runEntry
+	if s.Role == message.RoleAgent {
+		runRole = runAgent
+	}
+	if err := runRole(ctx, s, log); err != nil {
+		log.Error(err, "stopped with a failure", "role", s.Role, "id", s.ID)
+		return exitFailure
 	}
 	return exitOK
 }
--- /dev/null
+++ b/internal/dispatch/submit.go
@@ -0,0 +1,32 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/filter"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// newSubmit builds the message of one attempt.
+func newSubmit(x *filter.Exchange, number int, forwarded bool) *message.Submit {
+	submit := &message.Submit{
+		Attempt: message.Attempt{RequestID: x.ID, Number: number},
+		Caller:  x.Caller.Name, Weight: max(x.Caller.Weight, 1), Priority: x.Priority, Pool: x.Pool.Name,
+		DeadlineMillis: max(time.Until(x.Deadline).Milliseconds(), 1),
+		Idempotent:     x.Route.Idempotent, OrderKey: x.OrderKey, Fingerprint: x.Fingerprint, Suspect: x.Suspect, Cost: x.Cost,
+		Forwarded: forwarded, Stream: x.Stream,
+		Method: x.Request.Method, Path: x.Request.URL.RequestURI(), Body: x.Body,
+	}
+	if !x.Target.IsZero() {
+		submit.TargetMillis = max(time.Until(x.Target).Milliseconds(), 1)
+	}
+	for name, values := range x.Request.Header {
+		if !passed(name) {
+			continue
+		}
+		for _, value := range values {
+			submit.Header = append(submit.Header, message.HeaderField{Name: name, Value: value})
+		}
+	}
+	return submit
+}
--- /dev/null
+++ b/internal/entry/outcome_test.go
@@ -0,0 +1,147 @@
+package entry_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+func TestWholeAnswerReachesTheCaller(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	newAgent(t, "agent-1", "a", "desk", 1).connect(e, echo(t))
+	r := call(e, "POST", orders, "two bolts")
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(r.status).To(Equal(200))
+	g.Expect(r.body).To(Equal("two bolts"))
+	g.Expect(r.header.Get("Content-Length")).To(Equal("9"))
+	g.Expect(r.header.Get("Pimentohead-Request-Id")).NotTo(BeEmpty())
+	g.Expect(r.outcome()).To(BeEmpty())
+}
+
+// Guards against outcomes that claim more than is known, and against orders that are sent twice.
+func TestOutcomesOfOrders(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		respond func(*testing.T) func(*link.Conn, *message.Submit)
+		status  int
+		outcome string
+	}{
+		{"rejected", func(t *testing.T) func(*link.Conn, *message.Submit) { return reject(t, message.ReasonQueueFull) }, 503, "not-run"},
+		{"key pending", func(t *testing.T) func(*link.Conn, *message.Submit) { return reject(t, message.ReasonKeyPending) }, 409, "unknown"},
+		{"key conflict", func(t *testing.T) func(*link.Conn, *message.Submit) { return reject(t, message.ReasonKeyConflict) }, 422, "not-run"},
+		{"failed", func(t *testing.T) func(*link.Conn, *message.Submit) { return fail(t, message.ReasonUpstreamError, 0) }, 502, "failed"},
+		{"gap", func(t *testing.T) func(*link.Conn, *message.Submit) {
+			return func(c *link.Conn, s *message.Submit) {
+				send(t, c, &message.ResponseHead{Attempt: s.Attempt, Status: 200}, &message.ResponseBody{Attempt: s.Attempt, Offset: 5, Data: []byte("x")})
+			}
+		}, 502, "unknown"},
+		{"short", func(t *testing.T) func(*link.Conn, *message.Submit) {
+			return func(c *link.Conn, s *message.Submit) {
+				send(t, c, &message.ResponseHead{Attempt: s.Attempt, Status: 200}, &message.ResponseBody{Attempt: s.Attempt, Data: []byte("x")},
+					&message.ResponseEnd{Attempt: s.Attempt, Outcome: message.OutcomeOK, Length: 2})
+			}
+		}, 502, "unknown"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			e, _ := startEntry(t, "entry-1", "a")
+			agent := newAgent(t, "agent-1", "a", "desk", 1)
+			agent.connect(e, tc.respond(t))
+			other := newAgent(t, "agent-2", "a", "desk", 1)
+			other.connect(e, tc.respond(t))
+			r := call(e, "POST", orders, "bolt")
+			g.Expect(r.status).To(Equal(tc.status))
+			g.Expect(r.outcome()).To(Equal(tc.outcome))
+			g.Expect(r.body).To(ContainSubstring(`"outcome":"` + tc.outcome + `"`))
+			g.Expect(agent.runs.Load() + other.runs.Load()).To(Equal(int32(1)))
+		})
+	}
+}
+
+// Guards against a false not-run: the first attempt may have run although the later ones were rejected.
+func TestEarlierAttemptIsRemembered(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	agent.connect(e, func(c *link.Conn, s *message.Submit) {
+		if s.Attempt.Number == 1 {
+			fail(t, message.ReasonUpstreamError, 0)(c, s)
+			return
+		}
+		reject(t, message.ReasonQueueFull)(c, s)
+	})
+	r := call(e, "GET", "/stock/bolt", "")
+	g.Expect(r.status).To(Equal(502))
+	g.Expect(r.outcome()).To(Equal("failed"))
+	g.Expect(agent.runs.Load()).To(Equal(int32(3)))
+}
+
+// Guards against answers of an earlier attempt that are mixed into a later one.
+func TestLateAnswerOfEarlierAttemptIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	agent.connect(e, nil)
+	done := start(e, "GET", "/stock/bolt", "")
+	conn, first := agent.nextSubmit()
+	send(t, conn, &message.ResponseHead{Attempt: first.Attempt, Status: 200}, &message.ResponseBody{Attempt: first.Attempt, Data: []byte("old")})
+	send(t, conn, &message.ResponseEnd{Attempt: first.Attempt, Outcome: message.OutcomeFailed})
+	conn, second := agent.nextSubmit()
+	g.Expect(second.Attempt.Number).To(Equal(2))
+	send(t, conn, answer(first.Attempt, "late")...)
+	send(t, conn, answer(second.Attempt, "new")...)
+	g.Expect((<-done).body).To(Equal("new"))
+}
+
+// Guards against answers that reach the wrong caller when they arrive crossed.
+func TestCrossedAnswers(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	agent.connect(e, nil)
+	a, b := start(e, "POST", orders, "A"), start(e, "POST", orders, "B")
+	conn, first := agent.nextSubmit()
+	_, second := agent.nextSubmit()
+	x, y := answer(first.Attempt, "for "+string(first.Body)), answer(second.Attempt, "for "+string(second.Body))
+	send(t, conn, y[0], x[0], x[1], y[1], y[2], x[2])
+	g.Expect((<-a).body).To(Equal("for A"))
+	g.Expect((<-b).body).To(Equal("for B"))
+}
+
+// Guards against a wrong outcome after the link was lost with an order in flight.
+func TestLostLink(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		known       message.Known
+		incarnation uint64
+		outcome     string
+	}{
+		{"revoked", message.KnownRevoked, 1, "not-run"},
+		{"running", message.KnownRunning, 1, "unknown"},
+		{"done", message.KnownDone, 1, "unknown"},
+		{"agent restarted", message.KnownRevoked, 2, "unknown"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			e, _ := startEntry(t, "entry-1", "a")
+			agent := newAgent(t, "agent-1", "a", "desk", 1)
+			agent.connect(e, nil)
+			done := start(e, "POST", orders, "bolt")
+			conn, submit := agent.nextSubmit()
+			conn.Close()
+			again := newAgent(t, "agent-1", "a", "desk", tc.incarnation)
+			again.connect(e, nil)
+			if tc.incarnation == 1 {
+				r := again.next()
+				g.Expect(r.m).To(Equal(&message.Query{Attempt: submit.Attempt, AgentIncarnation: 1}))
+				send(t, r.conn, &message.QueryReply{Attempt: submit.Attempt, Known: tc.known, Outcome: message.OutcomeOK})
+			}
+			g.Expect((<-done).outcome()).To(Equal(tc.outcome))
+			g.Expect(agent.runs.Load() + again.runs.Load()).To(Equal(int32(1)))
+		})
+	}
+}
--- /dev/null
+++ b/internal/filter/classify.go
@@ -0,0 +1,117 @@
+package filter
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+)
+
+const (
+	headerPriority        = "Pimentohead-Priority"
+	headerOrderKey        = "Idempotency-Key"
+	maxOrderKeyBytes      = 255
+	defaultRequestTimeout = 30 * time.Second
+)
+
+// Classify finds the route and sets pool, priority, order key, cost and deadline.
+type Classify struct{}
+
+// Apply implements Filter.
+func (f Classify) Apply(ctx context.Context, x *Exchange, next Handler) error {
+	cfg := x.Active.Config
+	route, ok := findRoute(cfg.Routes, x.Request.URL.Path)
+	if !ok {
+		return refuse(http.StatusNotFound, "no-route", "no route for this path")
+	}
+	methods := route.Methods
+	if len(methods) == 0 {
+		methods = []string{http.MethodGet, http.MethodPost}
+	}
+	if !slices.Contains(methods, x.Request.Method) {
+		failure := refuse(http.StatusMethodNotAllowed, "method-not-allowed", "the route does not allow this method")
+		failure.Allow = strings.Join(methods, ", ")
+		return failure
+	}
+	x.Route = route
+	for _, pool := range cfg.Pools {
+		if pool.Name == route.Pool {
+			x.Pool = pool
+		}
+	}
+	if err := setPriority(x, cfg); err != nil {
+		return err
+	}
+	if err := setOrderKey(x); err != nil {
+		return err
+	}
+	inspectBody(x)
+	timeout := orDefault(cfg.Limits.RequestTimeout.Std(), defaultRequestTimeout)
+	x.Deadline = x.Start.Add(timeout)
+	return next(ctx, x)
+}
+
+// findRoute prefers an exact path, then the longest prefix.
+func findRoute(routes []config.Route, path string) (config.Route, bool) {
+	best, found := config.Route{}, false
+	for _, route := range routes {
+		if route.Path == path {
+			return route, true
+		}
+		prefix := strings.HasSuffix(route.Path, "/") && strings.HasPrefix(path, route.Path)
+		if prefix && len(route.Path) > len(best.Path) {
+			best, found = route, true
+		}
+	}
+	return best, found
+}
+
+// setPriority takes the priority that the caller asks for, or the route's default. A caller that may not use the default gets
+// the least urgent one it is allowed.
+func setPriority(x *Exchange, cfg *config.Config) error {
+	name, asked := x.Route.Priority, x.Request.Header.Get(headerPriority)
+	allowed := x.Caller.Priorities
+	if asked != "" {
+		name = asked
+	}
+	if len(allowed) > 0 && !slices.Contains(allowed, name) {
+		if asked != "" {
+			return refuse(http.StatusForbidden, "priority-not-allowed", "the caller may not use this priority")
+		}
+		name = leastUrgent(cfg.Priorities, allowed)
+	}
+	for i, priority := range cfg.Priorities {
+		if priority.Name == name {
+			x.Priority, x.PriorityName = i, name
+			if target := priority.Target.Std(); target > 0 {
+				x.Target = x.Start.Add(target)
+			}
+			return nil
+		}
+	}
+	return refuse(http.StatusBadRequest, "unknown-priority", "the priority is not known")
+}
+
+func leastUrgent(priorities []config.Priority, allowed []string) string {
+	for _, priority := range slices.Backward(priorities) {
+		if slices.Contains(allowed, priority.Name) {
+			return priority.Name
+		}
+	}
+	return ""
+}
+
+// setOrderKey takes the key of a request that must not be repeated; idempotent routes need none.
+func setOrderKey(x *Exchange) error {
+	key := x.Request.Header.Get(headerOrderKey)
+	if len(key) > maxOrderKeyBytes {
+		return refuse(http.StatusBadRequest, "key-too-long", "Idempotency-Key has more than 255 bytes")
+	}
+	if !x.Route.Idempotent {
+		x.OrderKey = key
+	}
+	return nil
+}
--- a/internal/message/node.go
+++ b/internal/message/node.go
@@ -90,9 +90,12 @@
 	Pool string `msgpack:"pl"`
 	// Versions lists the complete versions the peer holds.
 	Versions []string `msgpack:"vs"`
+	// Accepting tells that the peer's upstream takes new work. Entries use it to forward requests to another data centre.
+	Accepting bool `msgpack:"ac,omitempty"`
 }
 
-// PeerView lists the live agents that an entry knows, of all data centres.
+// PeerView lists live agents. Towards an agent it lists those of all data centres that the entry knows; towards another entry
+// only those with a link to the sender, so that views are not passed on in circles.
 type PeerView struct {
 	Peers []Peer `msgpack:"p"`
 }
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,121 @@
+// Package quarantine keeps fingerprints of requests that were in progress on upstreams that crashed.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// Parameters of the list.
+const (
+	// Retention is how long a crash counts.
+	Retention = 10 * time.Minute
+	// refuseAfter is the number of distinct upstream incarnations that crashed before a request is refused.
+	refuseAfter = 2
+	// maxFingerprints bounds the table; the least recently used fingerprint is dropped.
+	maxFingerprints = 10000
+	// maxCrashes bounds the crashes kept per fingerprint.
+	maxCrashes = 4
+)
+
+// Level is how far a request is suspected.
+type Level int
+
+// Levels.
+const (
+	Clear Level = iota
+	// Suspect means that one upstream crashed while it ran the request.
+	Suspect
+	// Refused means that the request is not run any more.
+	Refused
+)
+
+// Crash names one upstream process that crashed.
+type Crash struct {
+	AgentID     string
+	Incarnation uint64
+}
+
+// List is the bounded table of suspects. It is safe for concurrent use.
+type List struct {
+	now func() time.Time
+	// mu guards table and the maps in it.
+	mu    sync.Mutex
+	table *lru.Cache[string, map[Crash]time.Time]
+}
+
+// New returns an empty list. now is the clock; nil selects time.Now.
+func New(now func() time.Time) *List {
+	if now == nil {
+		now = time.Now
+	}
+	table, err := lru.New[string, map[Crash]time.Time](maxFingerprints)
+	if err != nil {
+		panic(err) // The size is a positive constant.
+	}
+	return &List{now: now, table: table}
+}
+
+// Record adds a crash that happened age ago and returns true when it was not known yet.
+func (l *List) Record(fingerprint string, crash Crash, age time.Duration) bool {
+	if fingerprint == "" || age >= Retention {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	crashes, ok := l.table.Get(fingerprint)
+	if !ok {
+		crashes = make(map[Crash]time.Time)
+		l.table.Add(fingerprint, crashes)
+	}
+	l.expire(crashes)
+	if _, known := crashes[crash]; known || len(crashes) >= maxCrashes {
+		return false
+	}
+	crashes[crash] = l.now().Add(-max(age, 0))
+	return true
+}
+
+// Level returns how far the fingerprint is suspected.
+func (l *List) Level(fingerprint string) Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	crashes, ok := l.table.Get(fingerprint)
+	if !ok {
+		return Clear
+	}
+	l.expire(crashes)
+	switch n := len(crashes); {
+	case n >= refuseAfter:
+		return Refused
+	case n == 1:
+		return Suspect
+	default:
+		l.table.Remove(fingerprint)
+		return Clear
+	}
+}
+
+// expire drops crashes older than Retention. The caller holds mu.
+func (l *List) expire(crashes map[Crash]time.Time) {
+	for crash, at := range crashes {
+		if l.now().Sub(at) >= Retention {
+			delete(crashes, crash)
+		}
+	}
+}
+
+// Fingerprint identifies equal requests of a caller.
+func Fingerprint(caller, path string, body []byte) string {
+	hash := sha256.New()
+	_, _ = hash.Write([]byte(caller))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(path))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write(body)
+	return hex.EncodeToString(hash.Sum(nil)[:16])
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,92 @@
+// Package routing selects the upstream of a request. Each policy has its own file.
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/membership"
+)
+
+// ErrNoUpstream means that no upstream of the pool accepts work here.
+var ErrNoUpstream = errors.New("routing: no upstream accepts work")
+
+// Request is what the policies look at.
+type Request struct {
+	Pool string
+	Kind config.PoolKind
+	// Prefix is the leading part of the prompt; empty selects by load only.
+	Prefix []byte
+	// OrderKey is the caller's key of an order; it selects the key's upstream.
+	OrderKey string
+	// Avoid lists upstreams that have rejected or failed this request. They are used only when there is no other.
+	Avoid map[string]bool
+}
+
+// Router selects upstreams from a membership table. It is safe for concurrent use.
+type Router struct {
+	dataCentre string
+	table      *membership.Table
+	holder     *config.Holder
+	outliers   *Outliers
+
+	// mu guards sent.
+	mu sync.Mutex
+	// sent counts the attempts sent to each upstream since its last announcement.
+	sent map[string]int
+}
+
+// New returns a router for an entry in dataCentre. now is the clock; nil selects time.Now.
+func New(dataCentre string, table *membership.Table, holder *config.Holder, now func() time.Time) *Router {
+	return &Router{
+		dataCentre: dataCentre, table: table, holder: holder, outliers: NewOutliers(now), sent: make(map[string]int),
+	}
+}
+
+// Outliers returns the ejection policy, which is told the results of attempts.
+func (r *Router) Outliers() *Outliers { return r.outliers }
+
+// Pick selects an upstream and counts the attempt as sent to it. It returns ErrNoUpstream.
+func (r *Router) Pick(request Request) (membership.Upstream, error) {
+	candidates := r.eligible(request)
+	if len(candidates) == 0 {
+		return membership.Upstream{}, errors.Wrapf(ErrNoUpstream, "pool %s", request.Pool)
+	}
+	if request.OrderKey == "" {
+		candidates = r.outliers.Filter(candidates)
+	}
+	candidates = withoutAvoided(candidates, request.Avoid)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	picked := r.choose(request, candidates)
+	r.sent[picked.Node.NodeID]++
+	return picked, nil
+}
+
+// choose applies the policies in order. The caller holds mu.
+func (r *Router) choose(request Request, candidates []membership.Upstream) membership.Upstream {
+	if request.OrderKey != "" {
+		return byKey(request.OrderKey, candidates)
+	}
+	if len(request.Prefix) > 0 {
+		if picked, ok := r.byPrefix(request.Prefix, candidates); ok {
+			return picked
+		}
+	}
+	return r.byLoad(candidates)
+}
+
+// Announced records that the upstream's announcement covers everything sent so far.
+func (r *Router) Announced(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.sent, id)
+}
+
+// Accepting tells whether the pool has an upstream here that accepts work.
+func (r *Router) Accepting(pool string, kind config.PoolKind) bool {
+	return len(r.eligible(Request{Pool: pool, Kind: kind})) > 0
+}
