--- /dev/null
+++ b/cmd/pimentoheadd/main_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const validEntry = `role = "entry"
+id = "entry-1"
+data_centre = "saskatoon"
+region = "prairie"
+[listen]
+caller = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+link = "127.0.0.1:0"
+[link]
+secret = "0123456789abcdef"
+[platform]
+store = "http://127.0.0.1:2379"
+[entry.operator_tokens_sha256]
+ada = "0000000000000000000000000000000000000000000000000000000000000000"
+`
+
+// Guards against exit codes that differ from the documented ones.
+func TestExitCodes(t *testing.T) {
+	g := NewWithT(t)
+	valid := filepath.Join(t.TempDir(), "entry.toml")
+	g.Expect(os.WriteFile(valid, []byte(validEntry), 0o600)).To(Succeed())
+	broken := filepath.Join(t.TempDir(), "broken.toml")
+	g.Expect(os.WriteFile(broken, []byte("role = 1\n"), 0o600)).To(Succeed())
+	for _, tc := range []struct {
+		args []string
+		code int
+		text string
+	}{
+		{[]string{"-version"}, exitOK, "pimentoheadd dev"},
+		{[]string{"-help"}, exitOK, "Exit codes:"},
+		{[]string{"-config", valid, "-check"}, exitOK, "settings are valid"},
+		{nil, exitUsage, "settings file is required"},
+		{[]string{"-nonsense"}, exitUsage, "-nonsense"},
+		{[]string{"-config", broken}, exitSettings, `"role"`},
+		{[]string{"-config", valid + ".missing"}, exitSettings, "no such file"},
+	} {
+		var out bytes.Buffer
+		g.Expect(run(tc.args, &out, &out)).To(Equal(tc.code), "%v", tc.args)
+		g.Expect(out.String()).To(ContainSubstring(tc.text))
+	}
+}
--- /dev/null
+++ b/internal/entry/fleet_test.go
@@ -0,0 +1,188 @@
+package entry_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/entry"
+	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// Guards against a request that crashes one upstream after the other.
+func TestCrashingRequestIsRefusedByAllEntries(t *testing.T) {
+	g := NewWithT(t)
+	one, _ := startEntry(t, "entry-1", "a")
+	two, _ := startEntry(t, "entry-2", "a", one.LinkAddress())
+	linked(g, one, two)
+	var suspects atomic.Int32
+	crash := func(incarnation uint64) func(*link.Conn, *message.Submit) {
+		return func(c *link.Conn, s *message.Submit) {
+			if s.Suspect {
+				suspects.Add(1)
+			}
+			fail(t, message.ReasonUpstreamCrash, incarnation)(c, s)
+		}
+	}
+	a, b := newAgent(t, "agent-1", "a", "desk", 1), newAgent(t, "agent-2", "a", "desk", 1)
+	a.connect(one, crash(1))
+	b.connect(one, crash(1))
+	r := call(one, "GET", "/stock/poison", "")
+	g.Expect(r.status).To(Equal(503))
+	g.Expect(r.outcome()).To(Equal("failed"))
+	g.Expect(a.runs.Load() + b.runs.Load()).To(Equal(int32(2)))
+	g.Expect(suspects.Load()).To(Equal(int32(1)))
+	r = call(one, "GET", "/stock/poison", "")
+	g.Expect(r.outcome()).To(Equal("not-run"))
+	g.Expect(r.header.Get("Retry-After")).To(Equal("600"))
+	healthy := newAgent(t, "agent-3", "a", "desk", 1)
+	healthy.connect(two, echo(t))
+	g.Eventually(func() string { return call(two, "GET", "/stock/poison", "").body }, waitFor).
+		Should(ContainSubstring(`"code":"quarantined"`))
+	g.Expect(call(two, "GET", "/stock/bolt", "").status).To(Equal(200))
+}
+
+// linked waits until the entries know each other.
+func linked(g *WithT, entries ...*entry.Entry) {
+	for _, e := range entries {
+		g.Eventually(func() int { return len(e.Table().Entries()) }, waitFor).Should(Equal(len(entries) - 1))
+	}
+}
+
+// Guards against requests that fail although another data centre can serve them, and against answers that are damaged on
+// the way through two entries.
+func TestForwardToAnotherDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	one, _ := startEntry(t, "entry-1", "a")
+	two, _ := startEntry(t, "entry-2", "b", one.LinkAddress())
+	linked(g, one, two)
+	agent := newAgent(t, "agent-1", "b", "desk", 1)
+	agent.connect(two, nil)
+	g.Eventually(func() int { return len(one.Accepting("desk", config.KindService)) }, waitFor).Should(Equal(1))
+	done := start(one, "GET", "/stock/large", "")
+	conn, submit := agent.nextSubmit()
+	g.Expect(submit.Forwarded).To(BeTrue())
+	const size = 1 << 20
+	sendLarge(t, agent, conn, submit.Attempt, size)
+	r := <-done
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(r.body).To(HaveLen(size))
+
+	rejected := start(one, "POST", orders, "bolt")
+	conn, submit = agent.nextSubmit()
+	send(t, conn, &message.Reject{Attempt: submit.Attempt, Reason: message.ReasonStoreDown})
+	g.Expect((<-rejected).outcome()).To(Equal("not-run"))
+}
+
+// Guards against new work on upstreams that leave, drain, swap or have no version.
+func TestUpstreamsThatTakeNoWork(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	conn := agent.connect(e, echo(t))
+	status := func() int { return call(e, "POST", orders, "bolt").status }
+	g.Expect(status()).To(Equal(200))
+	apply(g, e, 2, func(c *config.Config) { c.Drains = []config.Drain{{Agent: "agent-1"}} })
+	g.Expect(status()).To(Equal(503))
+	apply(g, e, 3, func(*config.Config) {})
+	g.Expect(status()).To(Equal(200))
+	e.Table().SetListedLeaving(map[string]bool{"agent-1": true})
+	g.Expect(status()).To(Equal(503))
+	e.Table().SetListedLeaving(nil)
+	leaving := agent.announce
+	leaving.State = message.StateLeaving
+	send(t, conn, &leaving)
+	g.Eventually(status, waitFor).Should(Equal(503))
+	unloaded := newAgent(t, "agent-2", "a", "assistant", 1)
+	unloaded.announce.LoadedVersion = ""
+	unloaded.connect(e, echo(t))
+	g.Expect(call(e, "POST", chat, "{}").status).To(Equal(503))
+}
+
+// Guards against a planned stop that cuts off a request in progress or is not announced.
+func TestGracefulShutdown(t *testing.T) {
+	g := NewWithT(t)
+	one, stop := startEntry(t, "entry-1", "a")
+	two, _ := startEntry(t, "entry-2", "a", one.LinkAddress())
+	linked(g, one, two)
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	agent.connect(one, nil)
+	done := start(one, "POST", orders, "bolt")
+	conn, submit := agent.nextSubmit()
+	ready := func() int {
+		r, err := http.Get("http://" + one.AdminAddress() + "/readyz")
+		if err != nil {
+			return 0
+		}
+		_ = r.Body.Close()
+		return r.StatusCode
+	}
+	g.Expect(ready()).To(Equal(200))
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	g.Eventually(func() bool { return two.Table().Entries()[0].Leaving }, waitFor).Should(BeTrue())
+	g.Expect(ready()).To(Equal(503))
+	g.Eventually(func() error {
+		nc, err := net.Dial("tcp", one.CallerAddress())
+		if err == nil {
+			_ = nc.Close()
+		}
+		return err
+	}, waitFor).Should(HaveOccurred())
+	send(t, conn, answer(submit.Attempt, "done")...)
+	g.Expect((<-done).body).To(Equal("done"))
+	g.Expect(<-stopped).To(Succeed())
+}
+
+// Guards against two entries that keep replacing each other's link.
+func TestOneLinkPerPairOfEntries(t *testing.T) {
+	g := NewWithT(t)
+	placeholder, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = placeholder.Close() }()
+	one, _ := startEntry(t, "entry-1", "a", placeholder.Addr().String())
+	two, _ := startEntry(t, "entry-2", "a", one.LinkAddress())
+	linked(g, one, two)
+	// entry-1 dials as well: its own link has the lower dialler and replaces the other on both sides.
+	replaced := one.Table().Entries()[0].Conn
+	conn, err := link.Dial(context.Background(), two.LinkAddress(), one.Hello(), link.Config{Secret: []byte(secret)},
+		func() message.Heartbeat { return message.Heartbeat{} })
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	go func() { _ = conn.Serve(context.Background(), func(*link.Conn, message.Message) {}) }()
+	g.Eventually(replaced.Done(), waitFor).Should(BeClosed())
+	g.Eventually(func() int { return len(two.Table().Entries()) }, waitFor).Should(Equal(1))
+}
+
+// Guards against agents that do not learn from which agents of other data centres they can fetch weights.
+func TestPeerViewCoversAllDataCentres(t *testing.T) {
+	g := NewWithT(t)
+	one, _ := startEntry(t, "entry-1", "a")
+	two, _ := startEntry(t, "entry-2", "b", one.LinkAddress())
+	linked(g, one, two)
+	far := newAgent(t, "agent-2", "b", "assistant", 1)
+	far.announce.PeerAddress, far.announce.ReadyVersion = "127.0.0.1:9", "v2"
+	far.connect(two, nil)
+	views := make(chan *message.PeerView, 100)
+	near := newAgent(t, "agent-1", "a", "assistant", 1)
+	conn, err := link.Dial(context.Background(), one.LinkAddress(), near.hello, link.Config{Secret: []byte(secret)},
+		func() message.Heartbeat { return message.Heartbeat{} })
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	go func() {
+		_ = conn.Serve(context.Background(), func(_ *link.Conn, m message.Message) {
+			if view, ok := m.(*message.PeerView); ok {
+				views <- view
+			}
+		})
+	}()
+	send(t, conn, &near.announce)
+	g.Eventually(views, waitFor).Should(Receive(HaveField("Peers", ContainElement(
+		message.Peer{NodeID: "agent-2", DataCentre: "b", Region: "", Address: "127.0.0.1:9", Pool: "assistant", Versions: []string{"v2"}}))))
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -50,8 +50,9 @@
 	s := &settings.Settings{
 		Role: message.RoleEntry, ID: id, DataCentre: dataCentre, Region: "prairie",
 		Listen: settings.Listen{Caller: "127.0.0.1:0", Admin: "127.0.0.1:0", Link: "127.0.0.1:0"},
-		Link:   settings.Link{Secret: secret},
-		Entry:  settings.Entry{Peers: peers, MaxConnections: 100},
+		// No test waits for the silence timeout: silent links have to be found by probes.
+		Link:  settings.Link{Secret: secret, SilenceTimeout: settings.Duration(time.Minute)},
+		Entry: settings.Entry{Peers: peers, MaxConnections: 100},
 	}
 	s.Shutdown.Timeout = settings.Duration(waitFor)
 	e, err := entry.New(entry.Options{
@@ -84,6 +85,7 @@
 	hello    message.Hello
 	announce message.Announce
 	messages chan received
+	submits  chan received
 	runs     atomic.Int32
 }
 
@@ -97,7 +99,7 @@
 		t:        t,
 		hello:    message.Hello{NodeID: id, Role: message.RoleAgent, DataCentre: dataCentre, Incarnation: incarnation},
 		announce: message.Announce{Pool: pool, Kind: "service", State: message.StateServing, LoadedVersion: "v1", Limit: 10},
-		messages: make(chan received, 1024),
+		messages: make(chan received, 1024), submits: make(chan received, 1024),
 	}
 }
 
@@ -116,8 +118,9 @@
 				a.runs.Add(1)
 				if onSubmit != nil {
 					go onSubmit(c, s)
-					return
 				}
+				a.submits <- received{c, m}
+				return
 			}
 			switch m.(type) {
 			case *message.Heartbeat, *message.PeerView:
@@ -134,11 +137,18 @@
 	return conn
 }
 
-// next returns the next message that is no heartbeat or view.
-func (a *fakeAgent) next() received {
+// next returns the next message that is no submit, heartbeat or view.
+func (a *fakeAgent) next() received { return a.receive(a.messages) }
+
+func (a *fakeAgent) nextSubmit() (*link.Conn, *message.Submit) {
+	r := a.receive(a.submits)
+	return r.conn, r.m.(*message.Submit)
+}
+
+func (a *fakeAgent) receive(from <-chan received) received {
 	a.t.Helper()
 	select {
-	case r := <-a.messages:
+	case r := <-from:
 		return r
 	case <-time.After(waitFor):
 		a.t.Fatal("no message reached the agent")
@@ -146,16 +156,6 @@
 	}
 }
 
-func (a *fakeAgent) nextSubmit() (*link.Conn, *message.Submit) {
-	a.t.Helper()
-	for {
-		r := a.next()
-		if s, ok := r.m.(*message.Submit); ok {
-			return r.conn, s
-		}
-	}
-}
-
 func send(t *testing.T, conn *link.Conn, messages ...message.Message) {
 	t.Helper()
 	for _, m := range messages {
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -145,3 +147,80 @@
 		})
 	}
 }
+
+// Guards against a request that waits on a connection that is open but silent. The agent reads nothing, so that it does not
+// answer probes, and sends no heartbeats.
+func TestSilentLinkIsProbedAndReplaced(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	conn, err := link.Dial(context.Background(), e.LinkAddress(), agent.hello,
+		link.Config{Secret: []byte(secret), HeartbeatInterval: time.Hour, SilenceTimeout: time.Hour},
+		func() message.Heartbeat { return message.Heartbeat{} })
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	release := make(chan struct{})
+	defer close(release)
+	go func() {
+		_ = conn.Serve(context.Background(), func(_ *link.Conn, m message.Message) {
+			if _, ok := m.(*message.Submit); ok {
+				<-release
+			}
+		})
+	}()
+	send(t, conn, &agent.announce)
+	g.Eventually(func() bool { _, ok := e.Table().Upstream("agent-1"); return ok }, waitFor).Should(BeTrue())
+	silent, _ := e.Table().Upstream("agent-1")
+	done := start(e, "POST", orders, "bolt")
+	g.Eventually(silent.Conn.Done(), waitFor).Should(BeClosed())
+	agent.connect(e, nil)
+	query := agent.next()
+	send(t, query.conn, &message.QueryReply{Attempt: query.m.(*message.Query).Attempt, Known: message.KnownRevoked})
+	g.Expect((<-done).outcome()).To(Equal("not-run"))
+}
+
+// Guards against a forwarded attempt that runs after the other entry was told that it was revoked, and against one that runs
+// twice.
+func TestForwardedAttemptIsRevokedOrRunOnce(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	agent.connect(e, echo(t))
+	other := newAgent(t, "entry-9", "b", "", 1)
+	other.hello.Role = message.RoleEntry
+	conn, err := link.Dial(context.Background(), e.LinkAddress(), other.hello, link.Config{Secret: []byte(secret)},
+		func() message.Heartbeat { return message.Heartbeat{} })
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	go func() {
+		_ = conn.Serve(context.Background(), func(c *link.Conn, m message.Message) {
+			switch m.(type) {
+			case *message.Heartbeat, *message.PeerView:
+			default:
+				other.messages <- received{c, m}
+			}
+		})
+	}()
+	submit := func(id string) *message.Submit {
+		return &message.Submit{
+			Attempt: message.Attempt{RequestID: id, Number: 1}, Pool: "desk", DeadlineMillis: 20000, Forwarded: true, Body: []byte("bolt"),
+		}
+	}
+	late := submit("late")
+	query := &message.Query{Attempt: late.Attempt, AgentIncarnation: e.Hello().Incarnation}
+	send(t, conn, query)
+	g.Expect(other.next().m).To(Equal(&message.QueryReply{Attempt: late.Attempt, Known: message.KnownRevoked}))
+	send(t, conn, late)
+	g.Expect(other.next().m).To(Equal(&message.Reject{Attempt: late.Attempt, Reason: message.ReasonRevoked}))
+	once := submit("once")
+	send(t, conn, once)
+	for range 3 {
+		other.next() // The answer: head, body, end.
+	}
+	send(t, conn, once)
+	send(t, conn, &message.Query{Attempt: once.Attempt, AgentIncarnation: e.Hello().Incarnation})
+	g.Expect(other.next().m).To(Equal(&message.QueryReply{Attempt: once.Attempt, Known: message.KnownDone, Outcome: message.OutcomeOK}))
+	send(t, conn, &message.Query{Attempt: once.Attempt, AgentIncarnation: 1})
+	g.Expect(other.next().m).To(Equal(&message.QueryReply{Attempt: once.Attempt, Known: message.KnownUnknown}))
+	g.Expect(agent.runs.Load()).To(Equal(int32(1)))
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,30 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/quarantine"
+)
+
+// Guards against one crash that is counted twice, and against a refusal that never ends.
+func TestTwoDistinctIncarnationsRefuseUntilTheyExpire(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	l := quarantine.New(func() time.Time { return now })
+	a := quarantine.Crash{AgentID: "agent-1", Incarnation: 1}
+	g.Expect(l.Level("f")).To(Equal(quarantine.Clear))
+	g.Expect(l.Record("f", a, time.Minute)).To(BeTrue())
+	g.Expect(l.Record("f", a, 0)).To(BeFalse())
+	g.Expect(l.Level("f")).To(Equal(quarantine.Suspect))
+	a.Incarnation++
+	g.Expect(l.Record("f", a, 0)).To(BeTrue())
+	g.Expect(l.Level("f")).To(Equal(quarantine.Refused))
+	now = now.Add(quarantine.Retention - time.Minute)
+	g.Expect(l.Level("f")).To(Equal(quarantine.Suspect))
+	now = now.Add(time.Minute)
+	g.Expect(l.Level("f")).To(Equal(quarantine.Clear))
+	g.Expect(l.Record("f", a, quarantine.Retention)).To(BeFalse())
+}
