Add the load generator

Change: internal/loadgen sends on an open-loop schedule, counts latency from the scheduled time and classifies outcomes as the caller sees them; a truncated stream counts as broken.

--- /dev/null
+++ b/internal/loadgen/request.go
@@ -0,0 +1,104 @@
+package loadgen
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Header names of the callers' interface.
+const (
+	headerRequestID = "Pimentohead-Request-Id"
+	headerOutcome   = "Pimentohead-Outcome"
+	headerPriority  = "Pimentohead-Priority"
+	headerOrderKey  = "Idempotency-Key"
+	headerVersion   = "X-Model-Version"
+)
+
+// Outcomes that only a caller can observe.
+const (
+	// OutcomeOK is a whole answer with a status below 400.
+	OutcomeOK = "ok"
+	// OutcomeBroken is a connection that ended before the answer was whole.
+	OutcomeBroken = "broken"
+	// OutcomeRefused is a 4xx answer without an outcome header.
+	OutcomeRefused = "refused"
+)
+
+// streamEnd ends a whole server-sent event stream.
+const streamEnd = "data: [DONE]"
+
+// Do sends request n of the stream and reads the whole answer.
+func (c *Client) Do(ctx context.Context, s *Stream, n int, scheduled time.Time) Result {
+	result := Result{N: n, Target: s.Targets[n%len(s.Targets)], Scheduled: scheduled}
+	req, err := c.newRequest(ctx, s, &result)
+	if err != nil {
+		result.Outcome = OutcomeBroken
+		return result
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		result.Outcome, result.Total = OutcomeBroken, time.Since(scheduled)
+		return result
+	}
+	defer func() { _ = resp.Body.Close() }()
+	readAnswer(&result, resp, scheduled)
+	if result.Outcome == OutcomeOK && s.Check != nil {
+		result.Mismatch = !s.Check(n, resp.Header, result.Body)
+	}
+	return result
+}
+
+func (c *Client) newRequest(ctx context.Context, s *Stream, result *Result) (*http.Request, error) {
+	var body io.Reader
+	if s.Body != nil {
+		body = bytes.NewReader(s.Body(result.N))
+	}
+	req, err := http.NewRequestWithContext(ctx, s.Method, result.Target+s.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+s.Key)
+	req.Header.Set("Content-Type", "application/json")
+	if s.Priority != "" {
+		req.Header.Set(headerPriority, s.Priority)
+	}
+	if s.OrderKey != nil {
+		result.OrderKey = s.OrderKey(result.N)
+		req.Header.Set(headerOrderKey, result.OrderKey)
+	}
+	return req, nil
+}
+
+func readAnswer(result *Result, resp *http.Response, scheduled time.Time) {
+	result.Status = resp.StatusCode
+	result.RequestID = resp.Header.Get(headerRequestID)
+	result.Version = resp.Header.Get(headerVersion)
+	reader := bufio.NewReader(resp.Body)
+	_, _ = reader.Peek(1)
+	result.FirstByte = time.Since(scheduled)
+	body, err := io.ReadAll(reader)
+	result.Body = body
+	result.Total = time.Since(scheduled)
+	result.Outcome = outcomeOf(resp, body, err)
+}
+
+func outcomeOf(resp *http.Response, body []byte, readErr error) string {
+	stream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	switch {
+	case resp.Header.Get(headerOutcome) != "":
+		return resp.Header.Get(headerOutcome)
+	case readErr != nil:
+		return OutcomeBroken
+	case resp.StatusCode >= http.StatusBadRequest:
+		return OutcomeRefused
+	case stream && !bytes.HasSuffix(bytes.TrimSpace(body), []byte(streamEnd)):
+		return OutcomeBroken
+	default:
+		return OutcomeOK
+	}
+}
