--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,180 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+)
+
+const hashA = "1a2b3c4d5e6f708192a3b4c5d6e7f8091a2b3c4d5e6f708192a3b4c5d6e7f809"
+
+var valid = `[fleet]
+name = "larkspur"
+[[priority]]
+name = "urgent"
+target = "500ms"
+share = 0.7
+floor = 0.6
+[[priority]]
+name = "quote"
+target = "2s"
+floor = 0.4
+[[model]]
+name = "hemline"
+version = "` + hashA + `"
+[[pool]]
+name = "assistant"
+kind = "model"
+model = "hemline"
+[[route]]
+path = "/v1/chat/completions"
+pool = "assistant"
+priority = "quote"
+[[caller]]
+name = "tailor-row"
+key_sha256 = "` + hashA + `"
+priorities = ["urgent"]
+[[drain]]
+agent = "agent-3"
+`
+
+func TestParseSetsDefaults(t *testing.T) {
+	g := NewWithT(t)
+	cfg, err := config.Parse(valid)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(cfg.Limits.RequestTimeout.Std()).To(Equal(30 * time.Second))
+	g.Expect(cfg.Models[0].Canary).To(Equal(1))
+	g.Expect(cfg.Callers[0].Weight).To(Equal(1))
+}
+
+// Guards against faulty documents that are accepted, or refused without line and key.
+func TestParseNamesLineAndKey(t *testing.T) {
+	for _, tc := range []struct{ name, old, replacement, want string }{
+		{"unknown key", `share = 0.7`, `shre = 0.7`, `line 6: key "priority.shre": unknown key`},
+		{"wrong type", `share = 0.7`, `share = "x"`, `line 6: key "priority.share"`},
+		{"syntax", `name = "urgent"`, `name = `, `line 4`},
+		{"floors above 1", `floor = 0.4`, `floor = 0.5`, `key "priority": floors sum to 1.1`},
+		{"infinite share", `share = 0.7`, `share = nan`, `line 6: key "priority[0].share": must be 0 to 1`},
+		{"negative duration", `"2s"`, `"-2s"`, `line 10: key "priority[1].target": must be a positive duration`},
+		{"explicit zero", `version =`, "canary = 0\nversion =", `line 14: key "model[0].canary": must be 1 to`},
+		{"short version", `version = "1a`, `version = "`, `line 14: key "model[0].version": must be 64`},
+		{"unknown model", `model = "hemline"`, `model = "seam"`, `line 18: key "pool[0].model": there is no model "seam"`},
+		{"unknown pool", `pool = "assistant"`, `pool = "desk"`, `line 21: key "route[0].pool": there is no pool "desk"`},
+		{"unknown priority", `priorities = ["urgent"]`, `priorities = ["soon"]`, `line 26: key "caller[0].priorities": there is no priority "soon"`},
+		{"route twice", `[[drain]]`, "[[route]]\npath = \"/v1/chat/completions\"\npool = \"assistant\"\npriority = \"quote\"\n[[drain]]", `line 28: key "route[1].path": GET /v1/chat/completions is routed twice`},
+		{"key twice", `[[drain]]`, "[[caller]]\nname = \"b\"\nkey_sha256 = \"" + hashA + "\"\n[[drain]]", `line 29: key "caller[1].key_sha256": is used by another caller`},
+		{"too large", `[[drain]]`, strings.Repeat("#", config.MaxDocumentBytes) + "\n[[drain]]", `at most 524288 are allowed`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(valid).To(ContainSubstring(tc.old))
+			_, err := config.Parse(strings.Replace(valid, tc.old, tc.replacement, 1))
+			g.Expect(errors.Is(err, config.ErrInvalid)).To(BeTrue())
+			g.Expect(err.Error()).To(ContainSubstring(tc.want))
+		})
+	}
+}
+
+// Guards against reports that stop at the first fault.
+func TestParseReportsAllFaults(t *testing.T) {
+	g := NewWithT(t)
+	text := strings.NewReplacer(`kind = "model"`, `kind = "x"`, `name = "larkspur"`, `name = ""`, `share`, `shr`).Replace(valid)
+	_, err := config.Parse(text)
+	var faults *config.FaultsError
+	g.Expect(errors.As(err, &faults)).To(BeTrue())
+	g.Expect(faults.Faults).To(HaveLen(3))
+}
+
+func TestDiffNamesItems(t *testing.T) {
+	g := NewWithT(t)
+	old, err := config.Parse(valid)
+	g.Expect(err).NotTo(HaveOccurred())
+	next, err := config.Parse(strings.NewReplacer(`version = "1a2b`, `version = "9f8e`, `agent-3`, `agent-4`).Replace(valid))
+	g.Expect(err).NotTo(HaveOccurred())
+	next.Priorities[0], next.Priorities[1] = next.Priorities[1], next.Priorities[0]
+	var lines []string
+	for _, change := range config.Diff(old, next) {
+		lines = append(lines, change.String())
+	}
+	g.Expect(lines).To(Equal([]string{
+		"priority: order urgent, quote -> quote, urgent",
+		"model hemline: version 1a2b3c4d5e6f... -> 9f8e3c4d5e6f...",
+		"drain agent-4: added", "drain agent-3: removed",
+	}))
+	g.Expect(config.Diff(old, old)).To(BeEmpty())
+}
+
+func envelope(revision uint64, text string) config.Envelope {
+	return config.Envelope{Revision: revision, Base: revision - 1, Digest: config.Digest(text), Text: text,
+		Time: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)}
+}
+
+// Guards against a document in force that is not the approved one.
+func TestNewActiveChecksDigest(t *testing.T) {
+	g := NewWithT(t)
+	changed := envelope(3, valid)
+	changed.Text += "# changed"
+	_, err := config.NewActive(changed)
+	g.Expect(errors.Is(err, config.ErrDigest)).To(BeTrue())
+	data, err := config.EncodeEnvelope(envelope(3, valid))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(config.DecodeEnvelope(data)).To(Equal(envelope(3, valid)))
+}
+
+// Guards against deltas that lead to another text, for any pair of texts.
+func TestDeltaLeadsToTheNewText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching(`[ab]{0,20}`)
+		old, next := envelope(1, text.Draw(t, "old")), envelope(2, text.Draw(t, "next"))
+		got, err := config.ApplyDelta(old, config.MakeDelta(old, next))
+		if err != nil || got != next {
+			t.Fatalf("got %v, %v; want %v", got, err, next)
+		}
+	})
+}
+
+// Guards against deltas as large as the document, and against deltas applied to another text.
+func TestDeltaIsSmallAndBoundToItsBase(t *testing.T) {
+	g := NewWithT(t)
+	old, next := envelope(1, valid), envelope(2, strings.Replace(valid, "agent-3", "agent-4", 1))
+	delta := config.MakeDelta(old, next)
+	g.Expect(len(delta)).To(BeNumerically("<", 400))
+	_, err := config.ApplyDelta(envelope(1, "other"), delta)
+	g.Expect(errors.Is(err, config.ErrBase)).To(BeTrue())
+	forged := old
+	forged.Text = strings.Replace(valid, "larkspur", "larkspun", 1)
+	_, err = config.ApplyDelta(forged, delta)
+	g.Expect(errors.Is(err, config.ErrDigest)).To(BeTrue())
+}
+
+// Guards against a panic on arbitrary text, and against accepted text that a node would then refuse.
+func FuzzParse(f *testing.F) {
+	f.Add(valid)
+	f.Add("model = [{name = 'a', version = ''}]\n[limits]\nmax_body_bytes = -1\n")
+	f.Add("[[caller]]\n[caller.x]\ny = [1, {}]\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		cfg, err := config.Parse(text)
+		if err == nil && (cfg.Validate() != nil || len(config.Diff(cfg, cfg)) > 0) {
+			t.Fatal("accepted configuration does not validate")
+		}
+	})
+}
+
+// Guards against a panic or a text with a wrong digest on arbitrary deltas.
+func FuzzApplyDelta(f *testing.F) {
+	old := envelope(1, valid)
+	f.Add(config.MakeDelta(old, envelope(2, valid+"# x")))
+	f.Add(config.MakeDelta(old, envelope(2, "")))
+	f.Fuzz(func(t *testing.T, delta []byte) {
+		next, err := config.ApplyDelta(old, delta)
+		if err == nil && config.Digest(next.Text) != next.Digest {
+			t.Fatal("accepted a text that does not match its digest")
+		}
+	})
+}
