--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -52,6 +52,24 @@
 	if h.active != nil && next.Envelope.Revision <= h.active.Envelope.Revision {
 		return errors.Wrapf(ErrOlder, "have %d, got %d", h.active.Envelope.Revision, next.Envelope.Revision)
 	}
+	h.put(next)
+	return nil
+}
+
+// Replace puts next in force in place of another document with the same revision, which only the store may overrule. It
+// returns ErrOlder when next has another revision than the one in force.
+func (h *Holder) Replace(next *Active) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.active == nil || next.Envelope.Revision != h.active.Envelope.Revision {
+		return errors.Wrapf(ErrOlder, "revision %d cannot be replaced", next.Envelope.Revision)
+	}
+	h.put(next)
+	return nil
+}
+
+// put stores next and notifies subscribers. The caller holds mu.
+func (h *Holder) put(next *Active) {
 	h.active = next
 	for subscriber := range h.subscribers {
 		select {
@@ -59,7 +77,6 @@
 		default: // The subscriber has a pending notification and will read the newest configuration.
 		}
 	}
-	return nil
 }
 
 // Subscribe returns a channel that receives after each change, and a function that ends the subscription.
