--- /dev/null
+++ b/internal/admin/api.go
@@ -0,0 +1,73 @@
+package admin
+
+import (
+	"net/http"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+)
+
+// Paths of the interface.
+const (
+	PathConfig  = "/v1/config"
+	PathHistory = "/v1/config/history/"
+	PathStatus  = "/v1/status"
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+)
+
+// OutcomeHeader tells with a failed submission whether it took effect.
+const OutcomeHeader = "Pimentohead-Outcome"
+
+// Values of OutcomeHeader.
+const (
+	OutcomeNotRun  = "not-run"
+	OutcomeUnknown = "unknown"
+)
+
+// Code classifies an error for programs.
+type Code string
+
+// Codes of errors.
+const (
+	CodeUnauthenticated Code = "unauthenticated"
+	CodeBadRequest      Code = "bad_request"
+	CodeTooLarge        Code = "too_large"
+	CodeNotFound        Code = "not_found"
+	CodeConflict        Code = "conflict"
+	CodeInvalid         Code = "invalid"
+	CodeUnavailable     Code = "unavailable"
+	CodeOutcomeUnknown  Code = "outcome_unknown"
+	CodeInternal        Code = "internal"
+)
+
+// ErrorBody is the JSON body of every failed answer.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail describes a failure.
+type ErrorDetail struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Outcome is set on answers to submissions: "not-run" or "unknown".
+	Outcome string `json:"outcome,omitempty"`
+	// Faults are the reasons why a document was refused.
+	Faults []config.Fault `json:"faults,omitempty"`
+	// Current is the envelope in force after a lost race, and Difference leads from it to the submitted text.
+	Current    *config.Envelope `json:"current,omitempty"`
+	Difference []config.Change  `json:"difference,omitempty"`
+}
+
+// statusOf maps codes to HTTP status codes.
+var statusOf = map[Code]int{
+	CodeUnauthenticated: http.StatusUnauthorized,
+	CodeBadRequest:      http.StatusBadRequest,
+	CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	CodeNotFound:        http.StatusNotFound,
+	CodeConflict:        http.StatusConflict,
+	CodeInvalid:         http.StatusUnprocessableEntity,
+	CodeUnavailable:     http.StatusServiceUnavailable,
+	CodeOutcomeUnknown:  http.StatusServiceUnavailable,
+	CodeInternal:        http.StatusInternalServerError,
+}
--- /dev/null
+++ b/internal/admin/token.go
@@ -0,0 +1,54 @@
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+)
+
+// operatorToken is the hash of one operator's token.
+type operatorToken struct {
+	operator string
+	hash     []byte
+}
+
+// parseTokens decodes hashes. Settings have checked their form; a hash that is not hex admits nobody.
+func parseTokens(tokens map[string]string) []operatorToken {
+	var parsed []operatorToken
+	for operator, digits := range tokens {
+		if hash, err := hex.DecodeString(digits); err == nil && len(hash) == sha256.Size {
+			parsed = append(parsed, operatorToken{operator: operator, hash: hash})
+		}
+	}
+	return parsed
+}
+
+// operator admits requests that carry an operator's token.
+func (h *handler) operator(next func(w http.ResponseWriter, r *http.Request, operator string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name, ok := h.authenticate(r)
+		if !ok {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			h.fail(w, ErrorDetail{Code: CodeUnauthenticated, Message: "an operator token is required: Authorization: Bearer <token>"})
+			return
+		}
+		next(w, r, name)
+	}
+}
+
+// authenticate compares with every token in constant time, so that timing tells neither a token nor whose it is.
+func (h *handler) authenticate(r *http.Request) (operator string, ok bool) {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return "", false
+	}
+	sum := sha256.Sum256([]byte(token))
+	for _, known := range h.tokens {
+		if subtle.ConstantTimeCompare(sum[:], known.hash) == 1 {
+			operator, ok = known.operator, true
+		}
+	}
+	return operator, ok
+}
--- /dev/null
+++ b/internal/admin/write.go
@@ -0,0 +1,43 @@
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// retryAfterSeconds is sent with answers that may succeed later.
+const retryAfterSeconds = "1"
+
+func (h *handler) fail(w http.ResponseWriter, detail ErrorDetail) {
+	status, known := statusOf[detail.Code]
+	if !known {
+		status = http.StatusInternalServerError
+	}
+	if detail.Outcome != "" {
+		w.Header().Set(OutcomeHeader, detail.Outcome)
+	}
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	h.writeJSON(w, status, ErrorBody{Error: detail})
+}
+
+func (h *handler) writeJSON(w http.ResponseWriter, status int, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		h.cfg.Log.Error(err, "cannot encode an answer")
+		http.Error(w, "cannot encode the answer", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	// The client may have disconnected; there is nobody to tell.
+	_, _ = w.Write(append(encoded, '\n'))
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -41,7 +41,7 @@
 	cfg.setDefaults(positions)
 	var invalid *FaultsError
 	if err := cfg.Validate(); errors.As(err, &invalid) {
-		positions.fill(invalid.Faults)
+		positions.Fill(invalid.Faults)
 		unknown = append(unknown, invalid.Faults...)
 	}
 	if len(unknown) > 0 {
--- a/internal/config/positions.go
+++ b/internal/config/positions.go
@@ -91,8 +91,8 @@
 	return 0
 }
 
-// fill sets the lines of faults that have none yet.
-func (p *Positions) fill(faults []Fault) {
+// Fill sets the lines of faults that have none yet.
+func (p *Positions) Fill(faults []Fault) {
 	for i := range faults {
 		if faults[i].Line == 0 {
 			faults[i].Line = p.Line(faults[i].Key)
--- a/internal/controller/confsync/confsync_test.go
+++ b/internal/controller/confsync/confsync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -255,9 +256,9 @@
 // Guards against full documents where a delta is possible, and against a delta that a node cannot use for ever.
 func TestFetchUsesDeltaAndFallsBackToFull(t *testing.T) {
 	bubble(t, func(t *testing.T, g *WithT) {
-		announced := 0
+		var announced atomic.Int32
 		holder := config.NewHolder()
-		entry := confsync.New(confsync.Config{NodeID: "e", Holder: holder, Store: newStore(), Announce: func() { announced++ }})
+		entry := confsync.New(confsync.Config{NodeID: "e", Holder: holder, Store: newStore(), Announce: func() { announced.Add(1) }})
 		agent, agentHolder := newSyncer("agent", nil)
 		start(t, entry, agent)
 		var forms []string
@@ -283,7 +284,7 @@
 		g.Expect(forms).To(Equal([]string{
 			"delta=false full=true", "delta=true full=false", "delta=true full=false", "delta=false full=true",
 		}))
-		g.Expect(announced).To(Equal(3))
+		g.Expect(announced.Load()).To(BeEquivalentTo(3))
 	})
 }
 
