questionnaire: generate a configuration with reasons from answers

Teams defend every value before a review board, so each generated value needs its reason. Result: both generated examples are accepted by config.Parse in the tests.

--- /dev/null
+++ b/internal/questionnaire/questionnaire_test.go
@@ -0,0 +1,119 @@
+package questionnaire_test
+
+import (
+	"flag"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/questionnaire"
+)
+
+// update rewrites the generated examples: go test ./internal/questionnaire -update.
+var update = flag.Bool("update", false, "rewrite the generated examples")
+
+var teams = []string{"larkspur", "vandhane"}
+
+func read(t testing.TB, team, name string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "..", "examples", team, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// Guards against shipped examples that differ from what their answers lead to, or that nodes refuse.
+func TestExamplesAreGenerated(t *testing.T) {
+	for _, team := range teams {
+		t.Run(team, func(t *testing.T) {
+			g := NewWithT(t)
+			answers, err := questionnaire.Parse(read(t, team, "questionnaire.toml"))
+			g.Expect(err).NotTo(HaveOccurred())
+			result, err := questionnaire.Generate(answers)
+			g.Expect(err).NotTo(HaveOccurred())
+			if *update {
+				g.Expect(os.WriteFile(filepath.Join("..", "..", "examples", team, "fleet.toml"), []byte(result.Text), 0o600)).To(Succeed())
+			}
+			g.Expect(result.Text).To(Equal(read(t, team, "fleet.toml")))
+			cfg, err := config.Parse(result.Text)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(cfg.Fleet.Name).To(Equal(team))
+			shares := 0.0
+			for _, p := range cfg.Priorities {
+				shares += p.Share
+			}
+			g.Expect(math.Abs(shares - 1)).To(BeNumerically("<", 1e-9))
+		})
+	}
+}
+
+// Guards against a generated value without a reason, in the text or in the list.
+func TestEveryValueHasAReason(t *testing.T) {
+	g := NewWithT(t)
+	answers, err := questionnaire.Parse(read(t, "larkspur", "questionnaire.toml"))
+	g.Expect(err).NotTo(HaveOccurred())
+	result, err := questionnaire.Generate(answers)
+	g.Expect(err).NotTo(HaveOccurred())
+	values, previous := 0, ""
+	for line := range strings.Lines(result.Text) {
+		if strings.Contains(line, " = ") && !strings.HasPrefix(line, "#") {
+			g.Expect(previous).To(HavePrefix("# "), line)
+			g.Expect(previous).NotTo(ContainSubstring("%!"))
+			values++
+		}
+		previous = line
+	}
+	g.Expect(result.Reasons).To(HaveLen(values))
+	g.Expect(result.Reasons).To(ContainElement(questionnaire.Reason{
+		Key: "model.hemline.max_unavailable", Value: "2",
+		Reason: "Tolerated out of service: 2. A data centre has 4 replicas; one stays in service where there are several.",
+	}))
+}
+
+// Guards against answers that are half understood.
+func TestParseNamesLineAndKey(t *testing.T) {
+	text := read(t, "larkspur", "questionnaire.toml")
+	for _, tc := range []struct{ name, old, replacement, want string }{
+		{"unknown key", `burst = 3.0`, `bursts = 3.0`, `key "tolerance.bursts": unknown key`},
+		{"missing answer", `longest_answer = "30s"`, ``, `line 7: key "tolerance.longest_answer": must be a positive duration`},
+		{"a key instead of its hash", `key_sha256 = "`, `key_sha256 = "larkspur-demo-`, `key "caller[0].key_sha256": must be 64`},
+		{"unknown priority", `priority = "quote"`, `priority = "soon"`, `key "workload[0].request[0].priority": there is no priority "soon"`},
+		{"path with a quote", `path = "/orders"`, `path = '/or"ders'`, `key "workload[1].request[0].path": must start with`},
+		{"comment with a line break", `"spec sheets"`, `"spec\nsheets"`, `key "priority[2].examples": must be one line`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := questionnaire.Parse(strings.Replace(text, tc.old, tc.replacement, 1))
+			g.Expect(errors.Is(err, config.ErrInvalid)).To(BeTrue())
+			g.Expect(err.Error()).To(ContainSubstring(tc.want))
+		})
+	}
+}
+
+// Guards against a panic on arbitrary answers, and against generated text that nodes refuse without an error here.
+func FuzzGenerate(f *testing.F) {
+	for _, team := range teams {
+		f.Add(read(f, team, "questionnaire.toml"))
+	}
+	f.Add("team = 'a'\npriority = [{name = 'b', worth = 1e-300}]\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		answers, err := questionnaire.Parse(text)
+		if err != nil {
+			return
+		}
+		first, err := questionnaire.Generate(answers)
+		if err != nil {
+			return
+		}
+		if second, _ := questionnaire.Generate(answers); second.Text != first.Text {
+			t.Fatal("generation is not deterministic")
+		}
+	})
+}
