--- /dev/null
+++ b/internal/sched/window.go
@@ -0,0 +1,45 @@
+package sched
+
+import "time"
+
+// Shares are measured over windowBuckets buckets of bucketWidth. A window of one second bounds how long a priority can be
+// served ahead of others to make up for a share it missed.
+const (
+	windowBuckets = 10
+	bucketWidth   = 100 * time.Millisecond
+)
+
+// window sums the cost of finished work over the last second.
+type window struct {
+	buckets [windowBuckets]float64
+	sum     float64
+	current int64
+}
+
+func (w *window) advance(now time.Time) {
+	index := now.UnixNano() / int64(bucketWidth)
+	steps := index - w.current
+	if steps <= 0 {
+		return
+	}
+	if steps >= windowBuckets {
+		w.buckets, w.sum = [windowBuckets]float64{}, 0
+	} else {
+		for i := w.current + 1; i <= index; i++ {
+			w.sum -= w.buckets[i%windowBuckets]
+			w.buckets[i%windowBuckets] = 0
+		}
+	}
+	w.current = index
+}
+
+func (w *window) add(now time.Time, cost float64) {
+	w.advance(now)
+	w.buckets[w.current%windowBuckets] += cost
+	w.sum += cost
+}
+
+func (w *window) total(now time.Time) float64 {
+	w.advance(now)
+	return max(w.sum, 0)
+}
