entry: wire configuration sync and the admin interface

The entry now runs the syncer, hands it configuration messages and heartbeats, and serves admin.NewHandler with the fleet's status. Upstream keeps the reported revision; Peer carries state, version, load error and revision between entries, for the status of other data centres.

A write deadline left on a keep-alive connection by an earlier request is replaced at the start of each request; before, a refusal on such a connection could not have been written. An unknown outcome of an order with a key carries Retry-After.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -93,7 +93,7 @@
 	for number := 1; ; number++ {
 		target, ok := d.pick(x, avoid)
 		if !ok {
-			return failure(Result{Reason: message.ReasonNoUpstream}, history.Outcome())
+			return failure(x, Result{Reason: message.ReasonNoUpstream}, history.Outcome())
 		}
 		result, err := d.attempt(ctx, x, a, target, number)
 		if err != nil || result.Outcome == message.OutcomeOK {
@@ -101,13 +101,13 @@
 		}
 		history.Add(result.Outcome)
 		if a.committed {
-			return a.abort(failure(result, history.Outcome()))
+			return a.abort(failure(x, result, history.Outcome()))
 		}
 		if d.quarantined(x) {
-			return failure(Result{Reason: message.ReasonQuarantined}, history.Outcome())
+			return failure(x, Result{Reason: message.ReasonQuarantined}, history.Outcome())
 		}
 		if !d.mayRetry(ctx, x, result, number) {
-			return failure(result, history.Outcome())
+			return failure(x, result, history.Outcome())
 		}
 		avoid[target.NodeID] = true
 	}
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -13,7 +13,7 @@
 const defaultRetryAfter = time.Second
 
 // failure converts the last result into a failing answer. outcome covers all attempts.
-func failure(result Result, outcome message.Outcome) *filter.Failure {
+func failure(x *filter.Exchange, result Result, outcome message.Outcome) *filter.Failure {
 	f := &filter.Failure{
 		Status: status(result, outcome), Code: string(result.Reason), Outcome: outcome, RetryAfter: result.RetryAfter,
 		Message: describe(outcome),
@@ -21,7 +21,7 @@
 	if f.Code == "" {
 		f.Code = string(outcome)
 	}
-	if f.RetryAfter == 0 && temporary(result, outcome) {
+	if f.RetryAfter == 0 && temporary(x, result, outcome) {
 		f.RetryAfter = defaultRetryAfter
 	}
 	if result.Reason == message.ReasonQuarantined {
@@ -47,11 +47,12 @@
 	return http.StatusBadGateway
 }
 
-func temporary(result Result, outcome message.Outcome) bool {
+func temporary(x *filter.Exchange, result Result, outcome message.Outcome) bool {
 	if result.Reason == message.ReasonKeyConflict {
 		return false
 	}
-	return outcome == message.OutcomeNotRun || result.Reason == message.ReasonKeyPending
+	// With a key it is safe to ask again for an outcome that is not known.
+	return outcome == message.OutcomeNotRun || (outcome == message.OutcomeUnknown && x.OrderKey != "")
 }
 
 func describe(outcome message.Outcome) string {
--- a/internal/entry/adminserver.go
+++ b/internal/entry/adminserver.go
@@ -1,27 +1,37 @@
 package entry
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/admin"
+)
+
+// Reasons why the entry is not ready.
+var (
+	errLeaving  = errors.New("leaving")
+	errNoConfig = errors.New("no configuration yet")
+)
 
 func (e *Entry) adminServer() *http.Server {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", e.serveReady)
-	mux.Handle("GET /metrics", e.telemetry.Handler())
-	if e.hooks.Admin != nil {
-		mux.Handle("/v1/", e.hooks.Admin)
+	handler := admin.NewHandler(admin.Config{
+		Tokens: e.settings.Entry.OperatorTokensSHA256, Configuration: e.syncer, Status: e, Ready: e.ready,
+		Metrics: e.telemetry.Handler(), Log: e.log,
+	})
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: hardHeaderBytes,
 	}
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: hardHeaderBytes}
 }
 
-// serveReady tells the balancer whether to send requests here.
-func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+// ready returns why the balancer should not send requests here, or nil.
+func (e *Entry) ready() error {
 	switch {
 	case e.leaving.Load():
-		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return errLeaving
 	case e.holder.Current() == nil:
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return errNoConfig
 	default:
-		w.WriteHeader(http.StatusOK)
+		return nil
 	}
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -18,6 +18,8 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// failureWriteTimeout bounds the time until a request that is refused here has been read and answered.
+	failureWriteTimeout = 30 * time.Second
 	// hardHeaderBytes bounds what net/http reads; the configuration's lower limit is checked by the size filter.
 	hardHeaderBytes = 64 << 10
 )
@@ -41,6 +43,8 @@
 		// Busy connections end with an answer, so that the server does not close one under a caller's next request.
 		w.Header().Set("Connection", "close")
 	}
+	// A deadline that an earlier request set on the connection still holds; the dispatcher sets its own.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(failureWriteTimeout))
 	x := &filter.Exchange{Start: time.Now(), Writer: w, Request: r}
 	err := e.chain(r.Context(), x)
 	if errors.Is(err, filter.ErrAborted) || errors.Is(err, filter.ErrCallerGone) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,11 +13,13 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/controller/confsync"
 	"github.com/pimentohead/pimentohead/internal/dispatch"
 	"github.com/pimentohead/pimentohead/internal/filter"
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/membership"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/platform/store"
 	"github.com/pimentohead/pimentohead/internal/quarantine"
 	"github.com/pimentohead/pimentohead/internal/routing"
 	"github.com/pimentohead/pimentohead/internal/settings"
@@ -34,6 +36,8 @@
 type Options struct {
 	Settings *settings.Settings
 	Log      logr.Logger
+	// Store is the key-value service; nil learns the configuration from peers only and accepts no submissions.
+	Store store.Store
 	// SettleTime replaces DefaultSettleTime when positive.
 	SettleTime time.Duration
 	// BodyTimeout replaces filter.DefaultBodyTimeout when positive.
@@ -51,6 +55,7 @@
 	leaving  atomic.Bool
 
 	holder     *config.Holder
+	syncer     *confsync.Syncer
 	table      *membership.Table
 	router     *routing.Router
 	quarantine *quarantine.List
@@ -96,6 +101,7 @@
 		NodeID: s.ID, Role: message.RoleEntry, DataCentre: s.DataCentre, Region: s.Region, Address: e.advertised(),
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
+	e.syncer = e.newSyncer(o)
 	e.compose(o)
 	return e, nil
 }
--- a/internal/entry/linkserver.go
+++ b/internal/entry/linkserver.go
@@ -83,9 +83,7 @@
 	case *message.CrashReport:
 		e.handleCrash(conn, m)
 	case *message.ConfigRequest, *message.ConfigReply:
-		if e.hooks.ConfigSync != nil {
-			e.hooks.ConfigSync.HandleMessage(conn, m)
-		}
+		e.handleConfiguration(conn, m)
 	case *message.Submit, *message.Query:
 		// Only entries forward requests; agents are asked, they do not ask.
 		if conn.Peer().Role == message.RoleEntry {
@@ -97,12 +95,14 @@
 }
 
 func (e *Entry) handleHeartbeat(conn *link.Conn, heartbeat message.Heartbeat) {
-	if conn.Peer().Role == message.RoleEntry && e.links.current(conn) {
-		e.table.PutEntry(conn, heartbeat)
-	}
-	if e.hooks.ConfigSync != nil {
-		e.hooks.ConfigSync.HandleHeartbeat(conn, heartbeat)
+	if e.links.current(conn) {
+		if conn.Peer().Role == message.RoleEntry {
+			e.table.PutEntry(conn, heartbeat)
+		} else {
+			e.table.PutRevision(conn, heartbeat.Revision)
+		}
 	}
+	e.syncer.HandleHeartbeat(conn, heartbeat.Revision)
 }
 
 func (e *Entry) handleCrash(conn *link.Conn, m *message.CrashReport) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -56,9 +56,7 @@
 	if e.hooks.LeavingInstances != nil {
 		e.spawn(ctx, "instance list", e.runInstances)
 	}
-	if e.hooks.ConfigSync != nil {
-		e.spawn(ctx, "configuration", e.hooks.ConfigSync.Run)
-	}
+	e.spawn(ctx, "configuration", e.syncer.Run)
 	for _, controller := range e.hooks.Controllers {
 		e.spawn(ctx, "controller", controller.Run)
 	}
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -91,7 +91,8 @@
 	for _, u := range e.table.Upstreams() {
 		p := message.Peer{
 			NodeID: u.Node.NodeID, DataCentre: u.Node.DataCentre, Region: u.Node.Region, Address: u.Announce.PeerAddress,
-			Pool: u.Announce.Pool, Accepting: e.accepting(u),
+			Pool: u.Announce.Pool, Accepting: e.accepting(u), State: u.Announce.State, LoadedVersion: u.Announce.LoadedVersion,
+			LoadError: u.Announce.LoadError, Revision: u.Revision,
 		}
 		if u.Announce.ReadyVersion != "" {
 			p.Versions = []string{u.Announce.ReadyVersion}
@@ -171,7 +172,7 @@
 func forAgents(peers []message.Peer) []message.Peer {
 	out := make([]message.Peer, 0, len(peers))
 	for _, p := range peers {
-		p.Accepting = false
+		p.Accepting, p.State, p.LoadedVersion, p.LoadError, p.Revision = false, "", "", "", 0
 		if strings.TrimSpace(p.Address) != "" {
 			out = append(out, p)
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -20,6 +20,8 @@
 	Conn *link.Conn
 	// ListedLeaving tells that the instance list shows the instance as leaving.
 	ListedLeaving bool
+	// Revision is the configuration revision that the agent last reported.
+	Revision uint64
 }
 
 // Accepts tells whether the upstream takes new work.
@@ -67,13 +69,29 @@
 	if old != nil && old.Node.Incarnation > node.Incarnation {
 		return false
 	}
-	t.upstreams[node.NodeID] = &Upstream{
-		Node: node, Announce: announce, Conn: conn, ListedLeaving: t.leaving[node.NodeID],
+	next := &Upstream{Node: node, Announce: announce, Conn: conn, ListedLeaving: t.leaving[node.NodeID]}
+	if old != nil && old.Conn == conn {
+		next.Revision = old.Revision
 	}
+	t.upstreams[node.NodeID] = next
 	t.changed()
 	return true
 }
 
+// PutRevision records the configuration revision that an agent reported on conn.
+func (t *Table) PutRevision(conn *link.Conn, revision uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[conn.Peer().NodeID]
+	if u == nil || u.Conn != conn || u.Revision == revision {
+		return
+	}
+	updated := *u
+	updated.Revision = revision
+	t.upstreams[conn.Peer().NodeID] = &updated
+	t.changed()
+}
+
 // PutEntry records a link to another entry and what its last heartbeat said.
 func (t *Table) PutEntry(conn *link.Conn, heartbeat message.Heartbeat) bool {
 	t.mu.Lock()
