ctl: add pimentoctl with its subcommands

Operators need to generate, approve and submit configurations, roll out versions and drain upstreams from a command line with clear exit codes. Adds the tool over the admin interface. The generator keeps versions, pauses and drains of a given configuration.

--- /dev/null
+++ b/cmd/pimentoctl/main.go
@@ -0,0 +1,19 @@
+// Command pimentoctl is the operators' tool: it generates, checks and submits fleet configurations and shows the fleet.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pimentohead/pimentohead/internal/ctl"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return ctl.Run(ctx, os.Args[1:], ctl.Environment{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv})
+}
--- a/internal/controller/confsync/confsync_test.go
+++ b/internal/controller/confsync/confsync_test.go
@@ -11,12 +11,20 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/pimentohead/pimentohead/internal/admin"
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
+	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 )
 
+// The packages that use a Syncer and a link depend on these interfaces.
+var (
+	_ admin.Configuration = (*confsync.Syncer)(nil)
+	_ confsync.Link       = (*link.Conn)(nil)
+)
+
 // start runs syncers until the test's bubble ends.
 func start(t *testing.T, syncers ...*confsync.Syncer) {
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,192 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/admin"
+	"github.com/pimentohead/pimentohead/internal/config"
+)
+
+const (
+	// callTimeout bounds one request. An entry gives up a submission after 5 s.
+	callTimeout = 8 * time.Second
+	// maxAnswerBytes bounds answers: two documents with escapes, and a difference.
+	maxAnswerBytes = 8 << 20
+)
+
+// errAnswer marks answers of an entry that no other entry would answer differently.
+var errAnswer = errors.New("refused by the entry")
+
+// errNoConfiguration marks the answer of an entry that has no configuration yet.
+var errNoConfiguration = errors.New("no configuration is in force")
+
+// errNoOutcome marks submissions that may have been accepted.
+var errNoOutcome = errors.New("outcome unknown")
+
+// client talks to the admin interface of several entries and uses the first that answers.
+type client struct {
+	urls    []string
+	token   string
+	timeout time.Duration
+	http    *http.Client
+	// first is the index of the entry that answered last.
+	first int
+}
+
+func newClient(urls []string, token string, timeout time.Duration) *client {
+	return &client{urls: urls, token: token, timeout: timeout, http: &http.Client{
+		Timeout: callTimeout,
+		// A redirect would carry the token to another host.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// call sends one request to one entry. maybeRan is false when the request certainly had no effect. Its error matches errAnswer when asking again is useless.
+func (c *client) call(ctx context.Context, method, url string, body []byte, into any) (maybeRan bool, err error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return false, errors.Mark(err, errAnswer)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		var network *net.OpError
+		notSent := errors.As(err, &network) && network.Op == "dial"
+		return !notSent, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return true, errors.Wrapf(err, "%s", url)
+	}
+	if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusCreated {
+		return true, errors.Wrapf(json.Unmarshal(text, into), "%s: answer", url)
+	}
+	return response.Header.Get(admin.OutcomeHeader) != admin.OutcomeNotRun, answerError(url, response.Status, response.StatusCode, text)
+}
+
+// answerError converts a failed answer.
+func answerError(url, status string, code int, text []byte) error {
+	var body admin.ErrorBody
+	if err := json.Unmarshal(text, &body); err != nil || body.Error.Message == "" {
+		body.Error.Message = "answer " + status
+	}
+	err := errors.Newf("%s: %s", url, body.Error.Message)
+	switch {
+	case code == http.StatusConflict:
+		return errors.Mark(conflict(conflictText(err, body.Error)), errAnswer)
+	case code == http.StatusUnprocessableEntity:
+		return errors.Mark(refused(err), errAnswer)
+	case body.Error.Code == admin.CodeNotFound:
+		return errors.Mark(errors.Mark(err, errNoConfiguration), errAnswer)
+	case code < http.StatusInternalServerError:
+		return errors.Mark(err, errAnswer)
+	default:
+		return err
+	}
+}
+
+// conflictText adds what was accepted first and what the submission would have changed in it.
+func conflictText(err error, detail admin.ErrorDetail) error {
+	if detail.Current == nil {
+		return err
+	}
+	text := ""
+	for _, change := range detail.Difference {
+		text += "\n  " + change.String()
+	}
+	return errors.Newf("%v\nrevision %d by %s has digest %s; from it the submitted text differs in:%s",
+		err, detail.Current.Revision, detail.Current.Author, detail.Current.Digest, text)
+}
+
+// do tries the entries in turn with pauses until one answers or the time is over.
+func (c *client) do(ctx context.Context, method, path string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	maybeRan := false
+	var last error
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		for range c.urls {
+			ran, err := c.call(ctx, method, c.urls[c.first]+path, body, into)
+			maybeRan = maybeRan || ran
+			last = err
+			if err == nil {
+				return struct{}{}, nil
+			}
+			if errors.Is(err, errAnswer) {
+				return struct{}{}, backoff.Permanent(err)
+			}
+			c.first = (c.first + 1) % len(c.urls)
+		}
+		return struct{}{}, last
+	}, backoff.WithMaxElapsedTime(c.timeout))
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(last, errAnswer):
+		return last
+	case last != nil:
+		err = last
+	}
+	if maybeRan && method == http.MethodPost {
+		return errors.Mark(err, errNoOutcome)
+	}
+	return err
+}
+
+// current returns the configuration in force, or errNoConfiguration.
+func (c *client) current(ctx context.Context) (config.Envelope, error) {
+	var e config.Envelope
+	err := c.do(ctx, http.MethodGet, admin.PathConfig, nil, &e)
+	return e, checkEnvelope(e, err)
+}
+
+func (c *client) history(ctx context.Context, revision uint64) (config.Envelope, error) {
+	var e config.Envelope
+	err := c.do(ctx, http.MethodGet, admin.PathHistory+strconv.FormatUint(revision, 10), nil, &e)
+	return e, checkEnvelope(e, err)
+}
+
+func (c *client) status(ctx context.Context) (admin.Status, error) {
+	var s admin.Status
+	err := c.do(ctx, http.MethodGet, admin.PathStatus, nil, &s)
+	return s, err
+}
+
+// submit puts text in force. The submission ID stays the same over all attempts, so that it is accepted at most once.
+func (c *client) submit(ctx context.Context, s config.Submission) (config.Envelope, error) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return config.Envelope{}, errors.Wrap(err, "submission")
+	}
+	var e config.Envelope
+	err = c.do(ctx, http.MethodPost, admin.PathConfig, body, &e)
+	if errors.Is(err, errNoOutcome) {
+		return e, errors.Wrapf(err, "the outcome is unknown; repeat with -id %s -base %d", s.SubmissionID, s.Base)
+	}
+	if err != nil {
+		return e, err
+	}
+	if e.Digest != s.Digest {
+		return e, errors.Newf("the entry accepted digest %s, %s was submitted", e.Digest, s.Digest)
+	}
+	return e, nil
+}
+
+func checkEnvelope(e config.Envelope, err error) error {
+	if err == nil && config.Digest(e.Text) != e.Digest {
+		return errors.Newf("revision %d: the text does not have the digest that the entry names", e.Revision)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/ctl/errors.go
@@ -0,0 +1,50 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitRefused  = 3
+	ExitConflict = 4
+)
+
+// exitError is an error with its exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+func usageError(format string, args ...any) error {
+	return &exitError{code: ExitUsage, err: errors.Newf(format, args...)}
+}
+
+func refused(err error) error  { return &exitError{code: ExitRefused, err: err} }
+func conflict(err error) error { return &exitError{code: ExitConflict, err: err} }
+
+// report prints an error and returns the exit code.
+func report(env Environment, name string, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(env.Stderr, "pimentoctl %s: %v\n", name, err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	if errors.Is(err, config.ErrInvalid) {
+		return ExitRefused
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/internal/ctl/output.go
@@ -0,0 +1,56 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+)
+
+// print writes value as JSON, or the rows as a table whose first row is the heading.
+func (c *call) print(value any, rows func() [][]string) error {
+	asJSON, err := c.json()
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		encoder := json.NewEncoder(c.env.Stdout)
+		encoder.SetIndent("", "  ")
+		return errors.Wrap(encoder.Encode(value), "output")
+	}
+	table := tabwriter.NewWriter(c.env.Stdout, 0, 0, 2, ' ', 0)
+	for _, row := range rows() {
+		_, _ = fmt.Fprintln(table, strings.Join(row, "\t")) // Flush reports the error.
+	}
+	return errors.Wrap(table.Flush(), "output")
+}
+
+// note writes a line for the operator that is not part of the output.
+func (c *call) note(format string, args ...any) {
+	fmt.Fprintf(c.env.Stderr, format+"\n", args...)
+}
+
+func changeRows(changes []config.Change) [][]string {
+	if len(changes) == 0 {
+		return [][]string{{"no difference"}}
+	}
+	rows := make([][]string, 0, len(changes))
+	for _, change := range changes {
+		rows = append(rows, []string{change.String()})
+	}
+	return rows
+}
+
+// shortVersionDigits is the number of digits of a version that tables show.
+const shortVersionDigits = 12
+
+func shortVersion(version string) string {
+	if version == "" {
+		return "-"
+	}
+	return version[:min(len(version), shortVersionDigits)]
+}
--- /dev/null
+++ b/internal/ctl/rollout.go
@@ -0,0 +1,212 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/admin"
+	"github.com/pimentohead/pimentohead/internal/config"
+)
+
+// maxRollbackSearch bounds how many revisions a rollback looks at for an earlier version.
+const maxRollbackSearch = 1000
+
+// rolloutFlags are the flags of the subcommand rollout.
+type rolloutFlags struct {
+	model, version          string
+	pause, resume, rollback bool
+	wait                    bool
+	waitTimeout             time.Duration
+}
+
+func rolloutCommand() command {
+	return command{
+		name: "rollout", arguments: "-model MODEL (-version VERSION | -pause | -resume | -rollback) [-wait]",
+		summary: "sets a model's version in the configuration in force, or pauses, resumes or undoes its rollout",
+		examples: []string{
+			"pimentoctl rollout -model hemline -version 9f8e... -wait", "pimentoctl rollout -model hemline -pause",
+			"pimentoctl rollout -model hemline -rollback -wait",
+		},
+		setup: func(flags *flag.FlagSet, c *call) func(context.Context, []string) error {
+			c.outputFlag(flags)
+			c.adminFlags(flags)
+			f := &rolloutFlags{}
+			flags.StringVar(&f.model, "model", "", "name of the `model`")
+			flags.StringVar(&f.version, "version", "", "`digest` of the manifest to roll out, 64 hex digits")
+			flags.BoolVar(&f.pause, "pause", false, "start no new swaps")
+			flags.BoolVar(&f.resume, "resume", false, "go on after -pause")
+			flags.BoolVar(&f.rollback, "rollback", false, "return to the version before the present one")
+			flags.BoolVar(&f.wait, "wait", false, "wait until every replica serves the version")
+			flags.DurationVar(&f.waitTimeout, "wait-timeout", defaultWaitTimeout, "time after which waiting ends")
+			return func(ctx context.Context, args []string) error {
+				if len(args) > 0 {
+					return usageError("unexpected argument %q", args[0])
+				}
+				if err := f.check(); err != nil {
+					return err
+				}
+				return c.rollout(ctx, f)
+			}
+		},
+	}
+}
+
+func (f *rolloutFlags) check() error {
+	chosen := 0
+	for _, set := range []bool{f.version != "", f.pause, f.resume, f.rollback} {
+		if set {
+			chosen++
+		}
+	}
+	switch {
+	case f.model == "":
+		return usageError("-model is required")
+	case chosen != 1:
+		return usageError("give exactly one of -version, -pause, -resume and -rollback")
+	case f.version != "" && !config.ValidHash(f.version):
+		return usageError("-version must be 64 lower-case hex digits")
+	case f.pause && f.wait:
+		return usageError("-pause and -wait exclude each other: a paused rollout does not finish")
+	}
+	return nil
+}
+
+func (c *call) rollout(ctx context.Context, f *rolloutFlags) error {
+	if _, err := c.json(); err != nil {
+		return err
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	current, err := client.current(ctx)
+	if err != nil {
+		return err
+	}
+	text, err := f.edit(ctx, client, current)
+	if err != nil {
+		return err
+	}
+	accepted, err := c.sendEdit(ctx, client, current, text)
+	if err != nil || !f.wait {
+		return err
+	}
+	cfg, err := config.Parse(text)
+	if err != nil {
+		return err
+	}
+	version := modelVersion(cfg, f.model)
+	return c.waitFor(ctx, client, f.waitTimeout, func(s admin.Status) (string, bool, error) {
+		return rolloutProgress(s, f.model, version, accepted.Revision)
+	})
+}
+
+// edit returns the text with the one changed value.
+func (f *rolloutFlags) edit(ctx context.Context, client *client, current config.Envelope) (string, error) {
+	switch {
+	case f.pause:
+		return setModelValue(current.Text, f.model, "paused", "true")
+	case f.resume:
+		return setModelValue(current.Text, f.model, "paused", "false")
+	case f.rollback:
+		version, err := earlierVersion(ctx, client, current, f.model)
+		if err != nil {
+			return "", err
+		}
+		return setModelValue(current.Text, f.model, "version", `"`+version+`"`)
+	default:
+		return setModelValue(current.Text, f.model, "version", `"`+f.version+`"`)
+	}
+}
+
+// sendEdit submits an edited text and prints the result. A text without a change is not submitted.
+func (c *call) sendEdit(ctx context.Context, client *client, current config.Envelope, text string) (config.Envelope, error) {
+	if text == current.Text {
+		c.note("nothing to change")
+		return current, c.printEnvelope(current, "in force")
+	}
+	old, err := config.Parse(current.Text)
+	if err != nil {
+		return current, err
+	}
+	next, err := config.Parse(text)
+	if err != nil {
+		return current, err
+	}
+	for _, change := range config.Diff(old, next) {
+		c.note("%s", change)
+	}
+	accepted, err := c.send(ctx, client, current.Revision, text, "")
+	if err != nil {
+		return accepted, err
+	}
+	return accepted, c.printEnvelope(accepted, "accepted")
+}
+
+// earlierVersion finds the version of a model before the present one.
+func earlierVersion(ctx context.Context, client *client, current config.Envelope, model string) (string, error) {
+	present := ""
+	e := current
+	for range maxRollbackSearch {
+		cfg, err := config.Parse(e.Text)
+		if err != nil {
+			return "", errors.Wrapf(err, "revision %d", e.Revision)
+		}
+		version := modelVersion(cfg, model)
+		switch {
+		case e.Revision == current.Revision:
+			present = version
+		case version != "" && version != present:
+			return version, nil
+		}
+		if e.Revision <= 1 {
+			break
+		}
+		if e, err = client.history(ctx, e.Revision-1); err != nil {
+			return "", err
+		}
+	}
+	return "", refused(errors.Newf("the history has no earlier version of model %q", model))
+}
+
+func modelVersion(cfg *config.Config, model string) string {
+	for _, m := range cfg.Models {
+		if m.Name == model {
+			return m.Version
+		}
+	}
+	return ""
+}
+
+// rolloutProgress tells how far a rollout is on the data centres that the entry sees.
+func rolloutProgress(s admin.Status, model, version string, revision uint64) (line string, done bool, err error) {
+	if s.Revision < revision {
+		return fmt.Sprintf("entry %s has revision %d, waiting for %d", s.Node, s.Revision, revision), false, nil
+	}
+	parts, seen, finished := []string{}, 0, 0
+	for _, r := range s.Rollouts {
+		if r.Model != model {
+			continue
+		}
+		seen++
+		if r.Version != version {
+			return "", false, conflict(errors.Newf("data centre %s rolls out %s now, not %s", r.DataCentre, shortVersion(r.Version), shortVersion(version)))
+		}
+		if r.State == admin.RolloutStopped {
+			return "", false, errors.Newf("rollout stopped in data centre %s: %s", r.DataCentre, r.Message)
+		}
+		if r.State == admin.RolloutDone {
+			finished++
+		}
+		parts = append(parts, fmt.Sprintf("%s %s %d/%d", r.DataCentre, r.State, r.Loaded, r.Replicas))
+	}
+	if seen == 0 {
+		return "no replicas of the model are visible", false, nil
+	}
+	return strings.Join(parts, ", "), finished == seen, nil
+}
--- a/internal/questionnaire/questionnaire_test.go
+++ b/internal/questionnaire/questionnaire_test.go
@@ -36,7 +36,7 @@
 			g := NewWithT(t)
 			answers, err := questionnaire.Parse(read(t, team, "questionnaire.toml"))
 			g.Expect(err).NotTo(HaveOccurred())
-			result, err := questionnaire.Generate(answers)
+			result, err := questionnaire.Generate(answers, nil)
 			g.Expect(err).NotTo(HaveOccurred())
 			if *update {
 				g.Expect(os.WriteFile(filepath.Join("..", "..", "examples", team, "fleet.toml"), []byte(result.Text), 0o600)).To(Succeed())
@@ -59,7 +59,7 @@
 	g := NewWithT(t)
 	answers, err := questionnaire.Parse(read(t, "larkspur", "questionnaire.toml"))
 	g.Expect(err).NotTo(HaveOccurred())
-	result, err := questionnaire.Generate(answers)
+	result, err := questionnaire.Generate(answers, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	values, previous := 0, ""
 	for line := range strings.Lines(result.Text) {
@@ -77,6 +77,24 @@
 	}))
 }
 
+// Guards against revised answers that undo a rollout or a drain.
+func TestGenerateKeepsVersionsAndDrains(t *testing.T) {
+	g := NewWithT(t)
+	answers, err := questionnaire.Parse(read(t, "larkspur", "questionnaire.toml"))
+	g.Expect(err).NotTo(HaveOccurred())
+	inForce := &config.Config{
+		Models: []config.Model{{Name: "hemline", Version: strings.Repeat("a", 64), Paused: true}},
+		Drains: []config.Drain{{Agent: "agent-3"}},
+	}
+	result, err := questionnaire.Generate(answers, inForce)
+	g.Expect(err).NotTo(HaveOccurred())
+	cfg, err := config.Parse(result.Text)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(cfg.Models[0].Version).To(Equal(inForce.Models[0].Version))
+	g.Expect(cfg.Models[0].Paused).To(BeTrue())
+	g.Expect(cfg.Drains).To(Equal(inForce.Drains))
+}
+
 // Guards against answers that are half understood.
 func TestParseNamesLineAndKey(t *testing.T) {
 	text := read(t, "larkspur", "questionnaire.toml")
@@ -108,11 +126,11 @@
 		if err != nil {
 			return
 		}
-		first, err := questionnaire.Generate(answers)
+		first, err := questionnaire.Generate(answers, nil)
 		if err != nil {
 			return
 		}
-		if second, _ := questionnaire.Generate(answers); second.Text != first.Text {
+		if second, _ := questionnaire.Generate(answers, nil); second.Text != first.Text {
 			t.Fatal("generation is not deterministic")
 		}
 	})
