confsync, questionnaire: name outcomes and shares exactly

A repeated submission whose first attempt was accepted could be reported as without effect when the history was unreachable; it is now reported as unknown. A repeated submission ID is matched by digest only. Diff yields an empty list, not null.

--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -58,7 +58,7 @@
 	if old == nil {
 		old = &Config{}
 	}
-	var changes []Change
+	changes := []Change{}
 	changes = appendFields(changes, "fleet", "", old.Fleet, next.Fleet)
 	changes = appendFields(changes, "limits", "", old.Limits, next.Limits)
 	changes = appendItems(changes, "priority", old.Priorities, next.Priorities, func(p Priority) string { return p.Name })
--- a/internal/controller/confsync/confsync_test.go
+++ b/internal/controller/confsync/confsync_test.go
@@ -108,6 +108,21 @@
 	})
 }
 
+// Guards against "nothing was changed" for a repeated submission whose first attempt was accepted.
+func TestRepeatedSubmissionInAnOutage(t *testing.T) {
+	bubble(t, func(t *testing.T, g *WithT) {
+		s := newStore()
+		a, _ := newSyncer("a", s)
+		_, err := a.Submit(t.Context(), submission(0, "sub-1", "first"))
+		g.Expect(err).NotTo(HaveOccurred())
+		s.getsDown = true
+		b, _ := newSyncer("b", s)
+		_, err = b.Submit(t.Context(), submission(0, "sub-1", "first"))
+		g.Expect(errors.Is(err, config.ErrOutcomeUnknown)).To(BeTrue())
+		g.Expect(errors.Is(err, config.ErrUnavailable)).To(BeFalse())
+	})
+}
+
 // lossyStore goes down with the first write.
 type lossyStore struct{ *fakeStore }
 
--- a/internal/controller/confsync/fakes_test.go
+++ b/internal/controller/confsync/fakes_test.go
@@ -20,7 +20,8 @@
 	mu       sync.Mutex
 	keys     map[string]store.KV
 	revision int64
-	down     bool
+	// down fails all calls, getsDown only Get.
+	down, getsDown bool
 	// loseAnswers is the number of coming writes that take effect without an answer.
 	loseAnswers int
 	// beforeWrite runs before each transaction that writes.
@@ -46,7 +47,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
-	if f.down {
+	if f.down || f.getsDown {
 		return store.KV{}, store.ErrUnavailable
 	}
 	if f.older != nil {
--- a/internal/controller/confsync/submit.go
+++ b/internal/controller/confsync/submit.go
@@ -117,9 +117,10 @@
 // decide returns done when the submission already has a result, and a permanent error when it is refused.
 func (a *submission) decide(ctx context.Context, state stored) (config.Envelope, bool, error) {
 	if state.record != nil {
-		if state.record.Digest != a.sub.Digest || state.record.Base != a.sub.Base {
-			return config.Envelope{}, true, backoff.Permanent(config.Refuse("submission_id", "was used for another submission"))
+		if state.record.Digest != a.sub.Digest {
+			return config.Envelope{}, true, backoff.Permanent(config.Refuse("submission_id", "was used for another text"))
 		}
+		a.sent = true // An earlier attempt took effect, so a failure from here on must not be reported as without effect.
 		first, err := a.s.stored(ctx, state.record.Revision)
 		return first, true, err
 	}
--- a/internal/questionnaire/generate.go
+++ b/internal/questionnaire/generate.go
@@ -1,10 +1,10 @@
 package questionnaire
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
-	"sort"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +15,8 @@
 const (
 	// shareSteps is the number of equal steps into which shares are rounded, so that a board reads 0.7 and not 0.6829.
 	shareSteps = 20
+	// roundingSlack keeps 0.3 / 3 from becoming 0.099.
+	roundingSlack = 1e-9
 	// minInFlight and maxInFlight bound a caller's requests in progress on one entry. The lower bound lets the smallest
 	// caller send a short burst.
 	minInFlight = 8
@@ -66,7 +68,7 @@
 
 func writePriorities(w *writer, a *Answers) {
 	shares := sharesByWorth(a.Priorities)
-	floor := math.Floor(a.Tolerance.KeptInFlood/float64(len(a.Priorities))*1000) / 1000
+	floor := math.Floor(a.Tolerance.KeptInFlood/float64(len(a.Priorities))*1000+roundingSlack) / 1000
 	for i, p := range a.Priorities {
 		w.table("priority", p.Name)
 		reason := "Position %d of %d by urgency."
@@ -75,8 +77,8 @@
 		}
 		w.value("name", p.Name, reason, i+1, len(a.Priorities))
 		w.value("target", p.Target, "Users expect the first byte within this time.")
-		w.value("share", shares[i], "Each priority gets %g; the rest is divided by worth, here %g of %g, in steps of %g.",
-			1.0/shareSteps, p.Worth, totalWorth(a.Priorities), 1.0/shareSteps)
+		w.value("share", shares[i], "Worth %g of %g in total, in steps of %g and at least one step.",
+			p.Worth, totalWorth(a.Priorities), 1.0/shareSteps)
 		w.value("floor", floor, "An equal part of the %g that all priorities together keep in a flood.", a.Tolerance.KeptInFlood)
 	}
 }
@@ -89,23 +91,24 @@
 	return total
 }
 
-// sharesByWorth divides 1 by worth with the largest remainder method. Each priority gets at least one step.
+// sharesByWorth divides 1 by worth with the largest remainder method. Each priority gets at least one step, at the cost of
+// the largest share.
 func sharesByWorth(list []Priority) []float64 {
-	total := totalWorth(list)
-	steps, remainders, left := make([]int, len(list)), make([]float64, len(list)), shareSteps-len(list)
+	total, left := totalWorth(list), shareSteps
+	steps, remainders := make([]int, len(list)), make([]float64, len(list))
 	for i, p := range list {
-		exact := p.Worth / total * float64(shareSteps-len(list))
-		steps[i] = 1 + int(exact)
-		remainders[i] = exact - math.Floor(exact)
-		left -= int(exact)
+		exact := p.Worth / total * shareSteps
+		steps[i] = max(1, int(exact+roundingSlack))
+		remainders[i] = exact - float64(steps[i])
+		left -= steps[i]
 	}
-	order := make([]int, len(list))
-	for i := range order {
-		order[i] = i
-	}
-	sort.SliceStable(order, func(x, y int) bool { return remainders[order[x]] > remainders[order[y]] })
-	for _, i := range order[:max(0, min(left, len(order)))] {
+	for ; left > 0; left-- {
+		i := indexOfMax(remainders)
 		steps[i]++
+		remainders[i]--
+	}
+	for ; left < 0; left++ {
+		steps[indexOfMax(steps)]--
 	}
 	shares := make([]float64, len(list))
 	for i, n := range steps {
@@ -114,6 +117,11 @@
 	return shares
 }
 
+// indexOfMax returns the position of the first largest element.
+func indexOfMax[T cmp.Ordered](list []T) int {
+	return slices.Index(list, slices.Max(list))
+}
+
 // modelServers returns the models in order of first use with the servers that run them.
 func modelServers(list []Workload) (names []string, servers map[string]int) {
 	servers = map[string]int{}
