weights: transfer versions between agents by rendezvous order

Agents need new versions without each reading the origin. Each chunk has a rendezvous order over the live agents; the first of a region reads the origin, the first of each data centre reads from it, and the others read from their data centre. ChunkReply gains Pending, so that a peer that is still fetching is told apart from one that will not have the chunk.

--- a/internal/message/node.go
+++ b/internal/message/node.go
@@ -152,6 +152,8 @@
 	ID       uint64 `msgpack:"i"`
 	Data     []byte `msgpack:"d,omitempty"`
 	NotFound bool   `msgpack:"nf,omitempty"`
+	// Pending tells that the peer is still fetching the chunk and makes progress, so that the requester asks it again.
+	Pending bool `msgpack:"p,omitempty"`
 }
 
 // MessageType implements Message.
--- /dev/null
+++ b/internal/weights/manager.go
@@ -0,0 +1,259 @@
+package weights
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// maxManifests bounds the versions whose manifests are kept.
+const maxManifests = 8
+
+// corruptLimit is the number of corrupt chunks after which a peer is not asked any more.
+const corruptLimit = 3
+
+// Manager holds the weights of one agent and fetches the target version.
+type Manager struct {
+	cfg     Config
+	store   *chunkStore
+	links   *peerLinks
+	up      *limiter
+	down    *limiter
+	metrics *transferMetrics
+	// poke wakes Run after the target changed; views wakes the transfer after the membership changed.
+	poke  chan struct{}
+	views chan struct{}
+
+	// mu guards all fields below.
+	mu        sync.Mutex
+	target    string
+	loaded    string
+	loading   string
+	ready     string
+	lastError string
+	// transfers counts transfers since the process started.
+	transfers int
+	manifests map[string]*Manifest
+	// recent lists the versions of manifests, oldest first.
+	recent []string
+	peers  []message.Peer
+	// generation counts changes of the set of peers.
+	generation uint64
+	// wanted holds the chunks of the current target, reading counts reads from a source that are in progress.
+	wanted  map[string]bool
+	reading map[string]int
+	demand  map[string]int
+	// progressed is the time of the last chunk that was stored, or of the start of the transfer.
+	progressed time.Time
+	corrupt    map[string]int
+	avoidUntil map[string]time.Time
+	received   map[string]int64
+}
+
+// New returns a manager. Run and Serve have to be started by the caller.
+func New(cfg Config) (*Manager, error) {
+	cfg.setDefaults()
+	if cfg.Origin == nil {
+		return nil, errors.New("weights: an origin is required")
+	}
+	metrics, err := newTransferMetrics(cfg.Meter)
+	if err != nil {
+		return nil, errors.Wrap(err, "weights: metrics")
+	}
+	m := &Manager{
+		cfg: cfg, metrics: metrics, store: newChunkStore(cfg.MemoryBytes),
+		up:        newLimiter(cfg.BytesPerSecond, cfg.Floor, cfg.InFlight),
+		down:      newLimiter(cfg.BytesPerSecond, cfg.Floor, cfg.InFlight),
+		poke:      make(chan struct{}, 1),
+		views:     make(chan struct{}, 1),
+		manifests: make(map[string]*Manifest), wanted: make(map[string]bool), reading: make(map[string]int),
+		demand: make(map[string]int), corrupt: make(map[string]int), avoidUntil: make(map[string]time.Time),
+		received: make(map[string]int64),
+	}
+	m.links = newPeerLinks(&m.cfg)
+	return m, nil
+}
+
+// Status describes what the manager holds.
+type Status struct {
+	Target string
+	// Ready is the newest complete and verified version, empty for none.
+	Ready string
+	// Progress is the fraction of the target's bytes held, 0..1.
+	Progress float64
+	// Versions lists the complete versions.
+	Versions []string
+	// ReceivedBytes counts verified bytes by source.
+	ReceivedBytes map[string]int64
+	// LastError is the newest failure of the current transfer, for operators.
+	LastError string
+}
+
+// Status returns the current state.
+func (m *Manager) Status() Status {
+	m.mu.Lock()
+	s := Status{Target: m.target, ReceivedBytes: maps.Clone(m.received), LastError: m.lastError}
+	ready := m.ready
+	target := m.manifests[m.target]
+	var manifests []*Manifest
+	for _, version := range m.recent {
+		manifests = append(manifests, m.manifests[version])
+	}
+	m.mu.Unlock()
+	for _, manifest := range manifests {
+		if !m.complete(manifest) {
+			continue
+		}
+		s.Versions = append(s.Versions, manifest.version)
+		if manifest.version == ready {
+			s.Ready = ready
+		}
+	}
+	s.Progress = m.progress(target)
+	return s
+}
+
+func (m *Manager) progress(target *Manifest) float64 {
+	if target == nil {
+		return 0
+	}
+	var total, missing int64
+	for _, c := range target.unique {
+		total += c.Size
+	}
+	for _, c := range m.store.missing(target.unique) {
+		missing += c.Size
+	}
+	if total == 0 {
+		return 1
+	}
+	return float64(total-missing) / float64(total)
+}
+
+// Holds tells whether version is complete and verified.
+func (m *Manager) Holds(version string) bool {
+	manifest := m.manifest(version)
+	return manifest != nil && m.complete(manifest)
+}
+
+// SetTarget starts the transfer of version. The transfer of another version is abandoned; shared chunks are reused.
+func (m *Manager) SetTarget(version string) {
+	m.mu.Lock()
+	changed := version != m.target
+	m.target = version
+	m.mu.Unlock()
+	if changed {
+		m.updateRanks()
+		notify(m.poke)
+	}
+}
+
+// SetLoaded names the version that the engine serves and the one that it is loading. Their chunks are kept before those of
+// other versions; the version that is being loaded is kept like the target.
+func (m *Manager) SetLoaded(loaded, loading string) {
+	m.mu.Lock()
+	changed := m.loaded != loaded || m.loading != loading
+	m.loaded, m.loading = loaded, loading
+	m.mu.Unlock()
+	if changed {
+		m.updateRanks()
+	}
+}
+
+// SetPeers replaces the view of live agents that hold the same model. The agent itself may be among them.
+func (m *Manager) SetPeers(peers []message.Peer) {
+	m.mu.Lock()
+	changed := !sameMembers(m.peers, peers)
+	m.peers = append([]message.Peer(nil), peers...)
+	if changed {
+		m.generation++
+		m.forgetAbsent()
+	}
+	m.mu.Unlock()
+	if changed {
+		notify(m.views)
+	}
+}
+
+// forgetAbsent drops what is known about peers that are gone. The caller holds mu.
+func (m *Manager) forgetAbsent() {
+	present := make(map[string]bool, len(m.peers))
+	for _, p := range m.peers {
+		present[p.NodeID] = true
+	}
+	maps.DeleteFunc(m.corrupt, func(id string, _ int) bool { return !present[id] })
+	maps.DeleteFunc(m.avoidUntil, func(id string, _ time.Time) bool { return !present[id] })
+}
+
+func sameMembers(a, b []message.Peer) bool {
+	addresses := make(map[string]string, len(a))
+	for _, p := range a {
+		addresses[p.NodeID] = p.Address
+	}
+	for _, p := range b {
+		if address, ok := addresses[p.NodeID]; !ok || address != p.Address {
+			return false
+		}
+	}
+	return len(a) == len(b)
+}
+
+// Run transfers targets until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	defer m.links.wg.Wait()
+	idle := time.NewTicker(m.cfg.IdleTimeout / 2)
+	defer idle.Stop()
+	cancel, done := func() {}, closedChannel()
+	defer func() { cancel(); <-done }()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-idle.C:
+			m.links.expire()
+		case <-m.poke:
+			cancel()
+			<-done
+			cancel, done = m.start(ctx)
+		}
+	}
+}
+
+// start runs the transfer of the current target on its own goroutine.
+func (m *Manager) start(ctx context.Context) (context.CancelFunc, <-chan struct{}) {
+	child, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	m.mu.Lock()
+	version := m.target
+	m.transfers++
+	m.lastError = ""
+	m.progressed = time.Now()
+	t := &transfer{m: m, run: ctx, version: version, late: m.transfers == 1, generation: m.generation,
+		pendingSince: make(map[string]time.Time)}
+	m.mu.Unlock()
+	go func() {
+		defer close(done)
+		if version != "" {
+			t.transferVersion(child)
+		}
+	}()
+	return cancel, done
+}
+
+func closedChannel() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/weights/manifest.go
@@ -0,0 +1,87 @@
+package weights
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeebo/blake3"
+)
+
+// Bounds of a manifest. A chunk has to fit into one link frame with its envelope.
+const (
+	MaxManifestBytes = 8 << 20
+	MaxChunkBytes    = 15 << 20
+	digestHexLength  = 64
+)
+
+// Errors of this package. All are matched with errors.Is.
+var (
+	// ErrCorrupt means that received bytes do not match their digest.
+	ErrCorrupt = errors.New("weights: digest mismatch")
+	// ErrManifest means that a manifest matches its digest but is malformed.
+	ErrManifest = errors.New("weights: malformed manifest")
+	// ErrMemoryBound means that a version does not fit into the memory bound.
+	ErrMemoryBound = errors.New("weights: memory bound reached")
+	// ErrUnavailable means that a source did not supply the object.
+	ErrUnavailable = errors.New("weights: source unavailable")
+)
+
+// ChunkRef names one chunk of a manifest.
+type ChunkRef struct {
+	Hash string `json:"hash"`
+	Size int64  `json:"size"`
+}
+
+// Manifest describes a version.
+type Manifest struct {
+	Model  string     `json:"model"`
+	Chunks []ChunkRef `json:"chunks"`
+
+	version string
+	raw     []byte
+	// unique holds each distinct chunk once, in manifest order.
+	unique []ChunkRef
+}
+
+// ParseManifest checks raw against the version digest and parses it.
+func ParseManifest(version string, raw []byte) (*Manifest, error) {
+	sum := sha256.Sum256(raw)
+	if hex.EncodeToString(sum[:]) != version {
+		return nil, errors.Wrapf(ErrCorrupt, "manifest %s", version)
+	}
+	m := &Manifest{version: version, raw: raw}
+	if err := json.Unmarshal(raw, m); err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "manifest %s", version), ErrManifest)
+	}
+	seen := make(map[string]int64, len(m.Chunks))
+	for _, c := range m.Chunks {
+		if !isDigest(c.Hash) || c.Size < 1 || c.Size > MaxChunkBytes {
+			return nil, errors.Wrapf(ErrManifest, "chunk %q of %d bytes", c.Hash, c.Size)
+		}
+		size, known := seen[c.Hash]
+		if known && size != c.Size {
+			return nil, errors.Wrapf(ErrManifest, "chunk %q has two sizes", c.Hash)
+		}
+		if !known {
+			seen[c.Hash] = c.Size
+			m.unique = append(m.unique, c)
+		}
+	}
+	return m, nil
+}
+
+// verifyChunk checks data against the BLAKE3-256 hash.
+func verifyChunk(hash string, data []byte) error {
+	sum := blake3.Sum256(data)
+	if hex.EncodeToString(sum[:]) != hash {
+		return errors.Wrapf(ErrCorrupt, "chunk %s", hash)
+	}
+	return nil
+}
+
+func isDigest(s string) bool {
+	raw, err := hex.DecodeString(s)
+	return err == nil && len(s) == digestHexLength && hex.EncodeToString(raw) == s
+}
--- /dev/null
+++ b/internal/weights/metrics.go
@@ -0,0 +1,64 @@
+package weights
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// Origins of received bytes, as metric attribute and in Status.
+const (
+	FromOrigin      = "origin"
+	FromWeightStore = "weight-store"
+	FromDataCentre  = "data-centre"
+	FromOtherCentre = "other-data-centre"
+	FromOtherRegion = "other-region"
+)
+
+type transferMetrics struct {
+	receivedBytes metric.Int64Counter
+	sentBytes     metric.Int64Counter
+	corrupt       metric.Int64Counter
+}
+
+func newTransferMetrics(meter metric.Meter) (*transferMetrics, error) {
+	if meter == nil {
+		meter = noop.NewMeterProvider().Meter("weights")
+	}
+	var m transferMetrics
+	var err error
+	if m.receivedBytes, err = meter.Int64Counter("pimentohead_weights_received_bytes", metric.WithUnit("By")); err != nil {
+		return nil, err
+	}
+	if m.sentBytes, err = meter.Int64Counter("pimentohead_weights_sent_bytes", metric.WithUnit("By")); err != nil {
+		return nil, err
+	}
+	m.corrupt, err = meter.Int64Counter("pimentohead_weights_corrupt_chunks")
+	return &m, err
+}
+
+func (t *transferMetrics) received(ctx context.Context, source string, n int) {
+	t.receivedBytes.Add(ctx, int64(n), metric.WithAttributes(attribute.String("source", source)))
+}
+
+func (t *transferMetrics) sent(ctx context.Context, n int) { t.sentBytes.Add(ctx, int64(n)) }
+
+func (t *transferMetrics) corrupted(ctx context.Context, source string) {
+	t.corrupt.Add(ctx, 1, metric.WithAttributes(attribute.String("source", source)))
+}
+
+// sourceOf classifies a peer relative to self.
+func sourceOf(self message.Hello, peer message.Peer) string {
+	switch {
+	case peer.Region != self.Region:
+		return FromOtherRegion
+	case peer.DataCentre != self.DataCentre:
+		return FromOtherCentre
+	default:
+		return FromDataCentre
+	}
+}
--- /dev/null
+++ b/internal/weights/order.go
@@ -0,0 +1,149 @@
+package weights
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// maxFallbacks bounds how many higher-ranked peers an agent waits for before it turns to the origin.
+const maxFallbacks = 6
+
+// maxProbes bounds the peers that are asked without waiting before the origin is read.
+const maxProbes = 6
+
+// weight is the rendezvous weight of a node for a key. It depends on nothing else, so all nodes agree on the order of two
+// peers even when their views differ.
+func weight(key, node string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(node)
+	return d.Sum64()
+}
+
+// outranks tells whether node a comes before node b in the order of key.
+func outranks(key, a, b string) bool {
+	wa, wb := weight(key, a), weight(key, b)
+	return wa > wb || wa == wb && a < b
+}
+
+// plan is the order in which one agent asks for one object.
+//
+// Invariant: every peer in sources outranks the agent, so that agents never wait for each other in a cycle.
+type plan struct {
+	// sources are waited for, in order.
+	sources []message.Peer
+	// probes are asked without waiting before the origin is read: peers that may hold the object already because they
+	// were its readers before the membership changed.
+	probes []message.Peer
+	// remote are peers of other regions, asked without waiting when the origin fails.
+	remote []message.Peer
+}
+
+// reader tells whether the agent reads the object from the origin.
+func (p plan) reader() bool { return len(p.sources) == 0 }
+
+// makePlan computes the order of key for self among peers. version selects peers that announced the complete version.
+func makePlan(key, version string, self message.Peer, peers []message.Peer) plan {
+	ranked := make([]message.Peer, 0, len(peers))
+	for _, p := range peers {
+		if p.NodeID != self.NodeID && p.Address != "" {
+			ranked = append(ranked, p)
+		}
+	}
+	sort.Slice(ranked, func(i, j int) bool { return outranks(key, ranked[i].NodeID, ranked[j].NodeID) })
+	var p plan
+	var regional, holders, others []message.Peer
+	tops := make(map[string]bool)
+	for _, peer := range ranked {
+		above := outranks(key, peer.NodeID, self.NodeID)
+		first := !tops[peer.DataCentre]
+		tops[peer.DataCentre] = true
+		switch {
+		case peer.Region != self.Region:
+			p.remote = append(p.remote, peer)
+		case above && peer.DataCentre == self.DataCentre:
+			p.sources = append(p.sources, peer)
+		case above:
+			regional = append(regional, peer)
+		case holds(peer, version):
+			holders = append(holders, peer)
+		case first || len(others) < 2:
+			others = append(others, peer)
+		}
+	}
+	p.sources = truncate(append(p.sources, regional...), maxFallbacks)
+	p.probes = truncate(append(holders, others...), maxProbes)
+	p.remote = truncate(p.remote, maxProbes)
+	return p
+}
+
+func holds(p message.Peer, version string) bool {
+	for _, v := range p.Versions {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
+
+func truncate(peers []message.Peer, limit int) []message.Peer {
+	return peers[:min(len(peers), limit)]
+}
+
+// Chunk orders of settings.Agent.ChunkOrder.
+const (
+	OrderInOrder    = "in-order"
+	OrderRarest     = "rarest"
+	OrderRendezvous = "rendezvous"
+)
+
+// pipelineOrder sorts refs so that every agent asks for a chunk at about the time its reader reads it: the k-th chunks of all
+// readers come before the k+1-th, and within them the chunks that others wait for this agent to read come first.
+func pipelineOrder(refs []ChunkRef, self message.Peer, peers []message.Peer) []ChunkRef {
+	type entry struct {
+		ref    ChunkRef
+		turn   int
+		source bool
+	}
+	sorted := append([]ChunkRef(nil), refs...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Hash < sorted[j].Hash })
+	turns := make(map[string]int)
+	entries := make([]entry, 0, len(sorted))
+	for _, ref := range sorted {
+		reader, local := topOf(ref.Hash, self, peers)
+		entries = append(entries, entry{ref: ref, turn: turns[reader], source: local == self.NodeID})
+		turns[reader]++
+	}
+	sort.SliceStable(entries, func(i, j int) bool {
+		if entries[i].turn != entries[j].turn {
+			return entries[i].turn < entries[j].turn
+		}
+		return entries[i].source && !entries[j].source
+	})
+	for i, e := range entries {
+		sorted[i] = e.ref
+	}
+	return sorted
+}
+
+// topOf returns the region's reader and the data centre's reader of key.
+func topOf(key string, self message.Peer, peers []message.Peer) (region, centre string) {
+	region, centre = self.NodeID, self.NodeID
+	for _, p := range peers {
+		if p.Region != self.Region {
+			continue
+		}
+		if outranks(key, p.NodeID, region) {
+			region = p.NodeID
+		}
+		if p.DataCentre == self.DataCentre && outranks(key, p.NodeID, centre) {
+			centre = p.NodeID
+		}
+	}
+	return region, centre
+}
--- /dev/null
+++ b/internal/weights/serve.go
@@ -0,0 +1,133 @@
+package weights
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// maxHeldRequests bounds the requests of one peer that are held or being answered.
+const maxHeldRequests = 128
+
+// Serve accepts peers on listener until ctx ends, and closes it.
+func (m *Manager) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		nc, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "weights: accept")
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			m.servePeer(ctx, nc)
+		}()
+	}
+}
+
+func (m *Manager) servePeer(ctx context.Context, nc net.Conn) {
+	conn, err := link.Accept(nc, m.cfg.Self, m.cfg.Link, noStatus)
+	if err != nil {
+		m.cfg.Log.Error(err, "peer refused", "address", nc.RemoteAddr().String())
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	slots := make(chan struct{}, maxHeldRequests)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	_ = conn.Serve(ctx, func(c *link.Conn, request message.Message) {
+		select {
+		case slots <- struct{}{}:
+		default:
+			m.refuse(ctx, c, request)
+			return
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer func() { <-slots }()
+			m.answer(ctx, c, request)
+		}()
+	})
+}
+
+// refuse tells a peer with too many requests to ask again.
+func (m *Manager) refuse(ctx context.Context, c *link.Conn, request message.Message) {
+	if r, ok := request.(*message.ChunkRequest); ok {
+		_ = c.Send(ctx, &message.ChunkReply{ID: r.ID, Pending: true})
+	}
+}
+
+func (m *Manager) answer(ctx context.Context, c *link.Conn, request message.Message) {
+	switch r := request.(type) {
+	case *message.ChunkRequest:
+		m.answerChunk(ctx, c, r)
+	case *message.ManifestRequest:
+		m.answerManifest(ctx, c, r)
+	}
+}
+
+func (m *Manager) answerChunk(ctx context.Context, c *link.Conn, r *message.ChunkRequest) {
+	wait := min(m.cfg.Wait, time.Duration(r.WaitMillis)*time.Millisecond)
+	m.addDemand(r.Hash, 1)
+	held := m.hold(ctx, r.Hash, c.Peer().NodeID, wait, func() bool { return m.store.has(r.Hash) })
+	m.addDemand(r.Hash, -1)
+	data, ok := m.store.get(r.Hash)
+	if !ok {
+		pending := held && m.fetching(r.Hash)
+		_ = c.Send(ctx, &message.ChunkReply{ID: r.ID, Pending: pending, NotFound: !pending})
+		return
+	}
+	if m.up.wait(ctx, len(data)) != nil {
+		return
+	}
+	if c.Send(ctx, &message.ChunkReply{ID: r.ID, Data: data}) == nil {
+		m.metrics.sent(ctx, len(data))
+	}
+}
+
+func (m *Manager) answerManifest(ctx context.Context, c *link.Conn, r *message.ManifestRequest) {
+	m.hold(ctx, r.Version, c.Peer().NodeID, m.cfg.Wait, func() bool { return m.manifest(r.Version) != nil })
+	reply := &message.ManifestReply{ID: r.ID, NotFound: true}
+	if manifest := m.manifest(r.Version); manifest != nil {
+		reply.Manifest, reply.NotFound = manifest.raw, false
+	}
+	_ = c.Send(ctx, reply)
+}
+
+// hold waits until the object is here or wait has passed, and tells whether the peer may wait for this agent at all.
+// A peer that outranks this agent may wait only while this agent reads the object from a source, because otherwise both
+// would wait for each other.
+func (m *Manager) hold(ctx context.Context, key, peer string, wait time.Duration, have func() bool) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		arrival := m.store.arrival(key)
+		if have() {
+			return true
+		}
+		if outranks(key, peer, m.cfg.Self.NodeID) && !m.isReading(key) {
+			return false
+		}
+		select {
+		case <-arrival:
+		case <-timer.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
