--- a/internal/controller/confsync/confsync_test.go
+++ b/internal/controller/confsync/confsync_test.go
@@ -11,12 +11,20 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/pimentohead/pimentohead/internal/admin"
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
+	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 )
 
+// The packages that use a Syncer and a link depend on these interfaces.
+var (
+	_ admin.Configuration = (*confsync.Syncer)(nil)
+	_ confsync.Link       = (*link.Conn)(nil)
+)
+
 // start runs syncers until the test's bubble ends.
 func start(t *testing.T, syncers ...*confsync.Syncer) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,6 +108,21 @@
 	})
 }
 
+// Guards against "nothing was changed" for a repeated submission whose first attempt was accepted.
+func TestRepeatedSubmissionInAnOutage(t *testing.T) {
+	bubble(t, func(t *testing.T, g *WithT) {
+		s := newStore()
+		a, _ := newSyncer("a", s)
+		_, err := a.Submit(t.Context(), submission(0, "sub-1", "first"))
+		g.Expect(err).NotTo(HaveOccurred())
+		s.getsDown = true
+		b, _ := newSyncer("b", s)
+		_, err = b.Submit(t.Context(), submission(0, "sub-1", "first"))
+		g.Expect(errors.Is(err, config.ErrOutcomeUnknown)).To(BeTrue())
+		g.Expect(errors.Is(err, config.ErrUnavailable)).To(BeFalse())
+	})
+}
+
 // lossyStore goes down with the first write.
 type lossyStore struct{ *fakeStore }
 
