dispatch: retry idempotent requests soon after a lost link

An idempotent request waited up to 2 s for a dead agent's next connection before it was sent elsewhere, longer than the target of urgent work. It now waits 100 ms; its last attempt, and requests that must not be repeated, still wait 2 s.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -45,6 +45,8 @@
 type call struct {
 	attempt message.Attempt
 	target  Target
+	// reconnectWait bounds the wait for the node's next connection when the link is lost.
+	reconnectWait time.Duration
 	// wake receives after each change.
 	wake chan struct{}
 	// uncredited counts bytes consumed since the last Credit. Used by the request's goroutine only.
@@ -60,8 +62,13 @@
 	result    *Result
 }
 
-func newCall(attempt message.Attempt, target Target) *call {
-	return &call{attempt: attempt, target: target, wake: make(chan struct{}, 1)}
+// newCall returns a call. repeatable tells that the request may be sent again without knowing what became of this attempt.
+func newCall(attempt message.Attempt, target Target, repeatable bool) *call {
+	c := &call{attempt: attempt, target: target, reconnectWait: reconnectWait, wake: make(chan struct{}, 1)}
+	if repeatable {
+		c.reconnectWait = idempotentReconnectWait
+	}
+	return c
 }
 
 // accept stores a message of this attempt. It does not block.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -153,7 +153,7 @@
 func (d *Dispatcher) attempt(
 	ctx context.Context, x *filter.Exchange, a *answer, target Target, number int,
 ) (Result, error) {
-	c := newCall(message.Attempt{RequestID: x.ID, Number: number}, target)
+	c := newCall(message.Attempt{RequestID: x.ID, Number: number}, target, x.Route.Idempotent && number < retry.MaxAttempts)
 	d.calls.add(c)
 	defer d.calls.remove(c)
 	if !d.submit(ctx, c, newSubmit(x, number, target.Entry)) {
--- a/internal/dispatch/recover.go
+++ b/internal/dispatch/recover.go
@@ -11,6 +11,9 @@
 const (
 	// reconnectWait is how long a lost link's node may take to connect again.
 	reconnectWait = 2 * time.Second
+	// idempotentReconnectWait applies to requests that may be sent to another upstream instead: an urgent one has a target of
+	// about 500 ms, and most nodes whose link is lost are dead.
+	idempotentReconnectWait = 100 * time.Millisecond
 	// queryWait bounds the wait for a QueryReply after that.
 	queryWait = time.Second
 )
@@ -22,7 +25,7 @@
 	if c.started() {
 		return unknown, nil
 	}
-	wait, stop := context.WithTimeout(ctx, reconnectWait)
+	wait, stop := context.WithTimeout(ctx, c.reconnectWait)
 	defer stop()
 	old := c.target.Conn
 	for {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -100,7 +100,7 @@
 		return Result{Outcome: message.OutcomeNotRun, Reason: message.ReasonNoUpstream}
 	}
 	l.agent = u.Node.NodeID
-	c := newCall(l.submit.Attempt, upstreamTarget(u))
+	c := newCall(l.submit.Attempt, upstreamTarget(u), l.submit.Idempotent)
 	d.calls.add(c)
 	defer d.calls.remove(c)
 	submit := *l.submit
--- /dev/null
+++ b/internal/entry/configuration_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+const document = `[fleet]
+name = "larkspur"
+[[priority]]
+name = "urgent"
+target = "500ms"
+share = 0.7
+floor = 0.1
+[[model]]
+name = "hemline"
+version = "0000000000000000000000000000000000000000000000000000000000000001"
+[[pool]]
+name = "assistant"
+kind = "model"
+model = "hemline"
+[[route]]
+path = "/v1/chat/completions"
+pool = "assistant"
+priority = "urgent"
+idempotent = true
+[[caller]]
+name = "tailor-row"
+key_sha256 = "0000000000000000000000000000000000000000000000000000000000000002"
+`
+
+// Guards against messages of the configuration that are not handed to the syncer, and against a status that does not show
+// agents of another data centre.
+func TestConfigurationAndStatusReachOtherEntries(t *testing.T) {
+	g := NewWithT(t)
+	one, _ := startEntry(t, "entry-1", "a")
+	two, _ := startEntry(t, "entry-2", "b", one.LinkAddress())
+	linked(g, one, two)
+	agent := newAgent(t, "agent-1", "b", "assistant", 1)
+	agent.announce.LoadError = "out of memory"
+	agent.connect(two, nil)
+	active, err := config.NewActive(config.Envelope{Revision: 2, Base: 1, Digest: config.Digest(document), Text: document})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(two.Holder().Apply(active)).To(Succeed())
+	g.Eventually(one.Holder().Revision, waitFor).Should(Equal(uint64(2)))
+	g.Eventually(func() []message.State {
+		var states []message.State
+		for _, node := range one.Status().Nodes {
+			if node.ID == "agent-1" {
+				states = append(states, node.State)
+			}
+		}
+		return states
+	}, waitFor).Should(Equal([]message.State{message.StateServing}))
+	rollout := one.Status().Rollouts[0]
+	g.Expect(rollout.DataCentre).To(Equal("b"))
+	g.Expect(rollout.Message).To(Equal("agent-1: out of memory"))
+}
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -224,3 +224,17 @@
 	g.Expect(other.next().m).To(Equal(&message.QueryReply{Attempt: once.Attempt, Known: message.KnownUnknown}))
 	g.Expect(agent.runs.Load()).To(Equal(int32(1)))
 }
+
+// Guards against an idempotent request that is lost with its agent although another one can serve it.
+func TestIdempotentRequestOutlivesItsAgent(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	dying := newAgent(t, "agent-1", "a", "desk", 1)
+	dying.connect(e, nil)
+	done := start(e, "GET", "/stock/bolt", "")
+	conn, _ := dying.nextSubmit()
+	other := newAgent(t, "agent-2", "a", "desk", 1)
+	other.connect(e, func(c *link.Conn, s *message.Submit) { send(t, c, answer(s.Attempt, "7")...) })
+	conn.Close()
+	g.Expect((<-done).body).To(Equal("7"))
+}
