--- a/internal/swap/seam.go
+++ b/internal/swap/seam.go
@@ -21,6 +21,8 @@
 	LoadError     string `json:"load_error"`
 	// Incarnation changes each time the engine process restarts.
 	Incarnation uint64 `json:"incarnation"`
+	// Fence is the highest fencing number that the engine has accepted, 0 when it reports none.
+	Fence uint64 `json:"fence"`
 }
 
 // Engine gives load orders to a model engine. Package engine implements it.
--- a/internal/weights/fetch.go
+++ b/internal/weights/fetch.go
@@ -80,7 +80,7 @@
 		if o.have() {
 			return fetched
 		}
-		err := error(ErrMemoryBound)
+		err := ErrMemoryBound
 		if t.m.store.room(o.key, int64(o.size)) {
 			err = t.tryAll(ctx, o)
 		}
