entry: honour leaving heartbeats and late cancels

An agent's heartbeat with Leaving set was ignored until its announcement changed; Upstream keeps it now and takes no new work. A Cancel that overtook its forwarded Submit was dropped and the request ran for nobody; it now revokes the Submit. Credit and Cancel are taken only from the node that forwarded the request.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -33,12 +33,15 @@
 	case *message.Submit:
 		d.startRelay(conn, m)
 	case *message.Credit:
-		if l := d.relays.find(m.Attempt); l != nil {
+		if l := d.relays.find(m.Attempt); l.servesPeerOf(conn) {
 			l.extend(m.Bytes)
 		}
 	case *message.Cancel:
-		if l := d.relays.find(m.Attempt); l != nil {
+		l := d.relays.find(m.Attempt)
+		if l.servesPeerOf(conn) {
 			l.cancel()
+		} else if l == nil && conn.Peer().Role == message.RoleEntry {
+			d.relays.query(m.Attempt) // Revokes a Submit that the Cancel has overtaken.
 		}
 	case *message.Query:
 		reply := message.QueryReply{Attempt: m.Attempt, Known: message.KnownUnknown}
@@ -52,6 +55,11 @@
 	return true
 }
 
+// servesPeerOf tells whether l was forwarded by the node behind conn. A nil relay serves nobody.
+func (l *relay) servesPeerOf(conn *link.Conn) bool {
+	return l != nil && l.conn.Peer().NodeID == conn.Peer().NodeID
+}
+
 func (d *Dispatcher) startRelay(conn *link.Conn, submit *message.Submit) {
 	timeout := millis(submit.DeadlineMillis) + deadlineGrace
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/internal/entry/linkserver.go
+++ b/internal/entry/linkserver.go
@@ -99,7 +99,7 @@
 		if conn.Peer().Role == message.RoleEntry {
 			e.table.PutEntry(conn, heartbeat)
 		} else {
-			e.table.PutRevision(conn, heartbeat.Revision)
+			e.table.PutHeartbeat(conn, heartbeat)
 		}
 	}
 	e.syncer.HandleHeartbeat(conn, heartbeat.Revision)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -20,13 +20,14 @@
 	Conn *link.Conn
 	// ListedLeaving tells that the instance list shows the instance as leaving.
 	ListedLeaving bool
-	// Revision is the configuration revision that the agent last reported.
+	// Revision is the configuration revision that the agent last reported, Leaving what its last heartbeat said.
 	Revision uint64
+	Leaving  bool
 }
 
 // Accepts tells whether the upstream takes new work.
 func (u Upstream) Accepts() bool {
-	return u.Announce.State == message.StateServing && !u.ListedLeaving
+	return u.Announce.State == message.StateServing && !u.ListedLeaving && !u.Leaving
 }
 
 // Entry is another entry with an open link.
@@ -71,23 +72,23 @@
 	}
 	next := &Upstream{Node: node, Announce: announce, Conn: conn, ListedLeaving: t.leaving[node.NodeID]}
 	if old != nil && old.Conn == conn {
-		next.Revision = old.Revision
+		next.Revision, next.Leaving = old.Revision, old.Leaving
 	}
 	t.upstreams[node.NodeID] = next
 	t.changed()
 	return true
 }
 
-// PutRevision records the configuration revision that an agent reported on conn.
-func (t *Table) PutRevision(conn *link.Conn, revision uint64) {
+// PutHeartbeat records what an agent's heartbeat on conn said. It is ignored before the first announcement.
+func (t *Table) PutHeartbeat(conn *link.Conn, heartbeat message.Heartbeat) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.upstreams[conn.Peer().NodeID]
-	if u == nil || u.Conn != conn || u.Revision == revision {
+	if u == nil || u.Conn != conn || (u.Revision == heartbeat.Revision && u.Leaving == heartbeat.Leaving) {
 		return
 	}
 	updated := *u
-	updated.Revision = revision
+	updated.Revision, updated.Leaving = heartbeat.Revision, heartbeat.Leaving
 	t.upstreams[conn.Peer().NodeID] = &updated
 	t.changed()
 }
