dispatch: apply prefix affinity to forwarded requests

A forwarded chat request went to an upstream by load only, so its prompt prefix was cached nowhere. The receiving entry now reads the prefix from the body.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/filter"
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/quarantine"
@@ -122,6 +123,9 @@
 
 func (l *relay) routing(kind config.PoolKind) routing.Request {
 	request := routing.Request{Pool: l.submit.Pool, Kind: kind}
+	if kind == config.KindModel {
+		request.Prefix = filter.Prefix(l.submit.Body)
+	}
 	if l.submit.OrderKey != "" {
 		request.OrderKey = orderKey(l.submit.Caller, l.submit.OrderKey)
 	}
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -48,6 +48,29 @@
 	g.Expect(call(two, "GET", "/stock/bolt", "").status).To(Equal(200))
 }
 
+// Guards against an entry that sends on a request although an upstream of another data centre has crashed on it.
+func TestCrashBehindAnotherEntryIsCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	one, _ := startEntry(t, "entry-1", "a")
+	two, _ := startEntry(t, "entry-2", "b", one.LinkAddress())
+	linked(g, one, two)
+	var runs, suspects atomic.Int32
+	for _, id := range []string{"agent-1", "agent-2", "agent-3"} {
+		newAgent(t, id, "b", "desk", 1).connect(two, func(c *link.Conn, s *message.Submit) {
+			runs.Add(1)
+			if s.Suspect {
+				suspects.Add(1)
+			}
+			fail(t, message.ReasonUpstreamCrash, uint64(runs.Load()))(c, s)
+		})
+	}
+	g.Eventually(func() int { return len(one.Accepting("desk", config.KindService)) }, waitFor).Should(Equal(1))
+	r := call(one, "GET", "/stock/poison", "")
+	g.Expect(r.outcome()).To(Equal("failed"))
+	g.Expect(r.body).To(ContainSubstring(`"code":"quarantined"`))
+	g.Expect([]int32{runs.Load(), suspects.Load()}).To(Equal([]int32{2, 1}))
+}
+
 // linked waits until the entries know each other.
 func linked(g *WithT, entries ...*entry.Entry) {
 	for _, e := range entries {
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
@@ -238,3 +239,18 @@
 	conn.Close()
 	g.Expect((<-done).body).To(Equal("7"))
 }
+
+// Guards against a request that outlives its deadline, and against a claim that it was not run.
+func TestDeadlineEndsInUnknown(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	apply(g, e, 2, func(c *config.Config) { c.Limits.RequestTimeout = config.Duration(100 * time.Millisecond) })
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	agent.connect(e, nil)
+	r := call(e, "GET", "/stock/bolt", "")
+	g.Expect(r.status).To(Equal(504))
+	g.Expect(r.outcome()).To(Equal("unknown"))
+	_, submit := agent.nextSubmit()
+	g.Expect(agent.next().m).To(Equal(&message.Cancel{Attempt: submit.Attempt}))
+	g.Expect(agent.runs.Load()).To(Equal(int32(1)))
+}
--- a/internal/filter/prompt.go
+++ b/internal/filter/prompt.go
@@ -41,9 +41,22 @@
 	}
 	x.Stream = request.Stream
 	x.Cost += len(x.Body)/bytesPerToken + min(answer, maxAnswerTokens)
-	x.Prefix = request.Messages
-	if len(x.Prefix) == 0 {
-		x.Prefix = request.Prompt
+	x.Prefix = request.prefix()
+}
+
+// Prefix returns the leading part of the prompt in body, or nothing when body is no chat request.
+func Prefix(body []byte) []byte {
+	var request completion
+	if err := json.Unmarshal(body, &request); err != nil {
+		return nil
+	}
+	return request.prefix()
+}
+
+func (c completion) prefix() []byte {
+	prompt := c.Messages
+	if len(prompt) == 0 {
+		prompt = c.Prompt
 	}
-	x.Prefix = x.Prefix[:min(len(x.Prefix), routing.PrefixBytes)]
+	return prompt[:min(len(prompt), routing.PrefixBytes)]
 }
