entry: replace a silent link of another entry at once

A new link from the node with the higher ID was refused while the old one was open, even when it had gone silent, so that the pair stayed apart until the silence timeout of 3 s. A link that has missed a heartbeat is now replaced.

--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -183,6 +184,32 @@
 	g.Eventually(func() int { return len(two.Table().Entries()) }, waitFor).Should(Equal(1))
 }
 
+// Guards against a silent link that keeps a new one of the same node out.
+func TestSilentLinkOfAnEntryIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	// entry-1 dials, so by the rule for pairs its link stays unless it is silent.
+	e, _ := startEntry(t, "entry-1", "a", listener.Addr().String())
+	hello := message.Hello{NodeID: "entry-9", Role: message.RoleEntry, DataCentre: "a", Incarnation: 1, Address: listener.Addr().String()}
+	heartbeat := func() message.Heartbeat { return message.Heartbeat{} }
+	nc, err := listener.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	old, err := link.Accept(nc, hello, link.Config{Secret: []byte(secret), HeartbeatInterval: time.Hour, SilenceTimeout: time.Hour}, heartbeat)
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = old.Serve(context.Background(), func(*link.Conn, message.Message) {}) }()
+	g.Eventually(func() int { return len(e.Table().Entries()) }, waitFor).Should(Equal(1))
+	first := e.Table().Entries()[0].Conn
+	g.Eventually(func() <-chan struct{} {
+		conn, err := link.Dial(context.Background(), e.LinkAddress(), hello, link.Config{Secret: []byte(secret)}, heartbeat)
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(conn.Close)
+		go func() { _ = conn.Serve(context.Background(), func(*link.Conn, message.Message) {}) }()
+		return first.Done()
+	}, waitFor, "200ms").Should(BeClosed())
+}
+
 // Guards against agents that do not learn from which agents of other data centres they can fetch weights.
 func TestPeerViewCoversAllDataCentres(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/entry/linkset.go
+++ b/internal/entry/linkset.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
@@ -16,15 +17,23 @@
 // links keeps one open link per node.
 //
 // Invariant: of two links to the same process, the one dialled by the lower node ID is kept, and of two with the same dialler
-// the newer one, so that both sides decide alike.
+// the newer one, so that both sides decide alike. A link that has missed a heartbeat is replaced by any other: its node may
+// already have given it up.
 type links struct {
 	self string
+	// stale is the silence after which a link has missed a heartbeat.
+	stale time.Duration
 	// mu guards open.
 	mu   sync.Mutex
 	open map[string]openLink
 }
 
-func newLinks(self string) *links { return &links{self: self, open: make(map[string]openLink)} }
+func newLinks(self string, heartbeat time.Duration) *links {
+	if heartbeat <= 0 {
+		heartbeat = link.DefaultHeartbeatInterval
+	}
+	return &links{self: self, stale: heartbeat * 3 / 2, open: make(map[string]openLink)}
+}
 
 // admit makes conn the link of its node and closes the one it replaces. It returns false when another link is kept.
 func (l *links) admit(conn *link.Conn, dialled bool) bool {
@@ -35,7 +44,7 @@
 	}
 	l.mu.Lock()
 	old, ok := l.open[peer.NodeID]
-	if ok && old.conn.Err() == nil && !replaces(next, old) {
+	if ok && old.conn.Err() == nil && old.conn.SilentFor() < l.stale && !replaces(next, old) {
 		l.mu.Unlock()
 		return false
 	}
