dispatch: drop headers of the caller's connection

Fields that the Connection header names were passed on to upstreams. Forwarded idempotent requests whose entry is gone were also run to their end; they are cancelled now once they have bytes to send.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// body sends bytes as credit allows. When the link is lost the bytes are dropped, so that the upstream can finish and the
-// outcome is known here.
+// body sends bytes as credit allows. When the link is lost, an idempotent request is given up, as the other entry repeats it.
+// For another one the bytes are dropped, so that the upstream can finish and the outcome is known here.
 func (l *relay) body(ctx context.Context, data []byte) error {
 	for len(data) > 0 {
 		n := l.take(len(data))
@@ -168,7 +168,7 @@
 			case <-l.more:
 				continue
 			case <-l.conn.Done():
-				return nil
+				return l.linkLost()
 			case <-ctx.Done():
 				return ctx.Err()
 			}
@@ -180,6 +180,13 @@
 	return nil
 }
 
+func (l *relay) linkLost() error {
+	if l.submit.Idempotent {
+		return l.conn.Err()
+	}
+	return nil
+}
+
 // take uses up to n bytes of credit.
 func (l *relay) take(n int) int {
 	l.mu.Lock()
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/filter"
@@ -20,8 +22,9 @@
 	if !x.Target.IsZero() {
 		submit.TargetMillis = max(time.Until(x.Target).Milliseconds(), 1)
 	}
+	perConnection := connectionHeaders(x.Request.Header)
 	for name, values := range x.Request.Header {
-		if !passed(name) {
+		if !passed(name) || perConnection[name] {
 			continue
 		}
 		for _, value := range values {
@@ -30,3 +33,17 @@
 	}
 	return submit
 }
+
+// connectionHeaders returns the names that the Connection header limits to the caller's connection.
+func connectionHeaders(header http.Header) map[string]bool {
+	var names map[string]bool
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			if names == nil {
+				names = make(map[string]bool)
+			}
+			names[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return names
+}
