--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -93,7 +93,7 @@
 	for number := 1; ; number++ {
 		target, ok := d.pick(x, avoid)
 		if !ok {
-			return failure(Result{Reason: message.ReasonNoUpstream}, history.Outcome())
+			return failure(x, Result{Reason: message.ReasonNoUpstream}, history.Outcome())
 		}
 		result, err := d.attempt(ctx, x, a, target, number)
 		if err != nil || result.Outcome == message.OutcomeOK {
@@ -101,13 +101,13 @@
 		}
 		history.Add(result.Outcome)
 		if a.committed {
-			return a.abort(failure(result, history.Outcome()))
+			return a.abort(failure(x, result, history.Outcome()))
 		}
 		if d.quarantined(x) {
-			return failure(Result{Reason: message.ReasonQuarantined}, history.Outcome())
+			return failure(x, Result{Reason: message.ReasonQuarantined}, history.Outcome())
 		}
 		if !d.mayRetry(ctx, x, result, number) {
-			return failure(result, history.Outcome())
+			return failure(x, result, history.Outcome())
 		}
 		avoid[target.NodeID] = true
 	}
@@ -153,7 +153,7 @@
 func (d *Dispatcher) attempt(
 	ctx context.Context, x *filter.Exchange, a *answer, target Target, number int,
 ) (Result, error) {
-	c := newCall(message.Attempt{RequestID: x.ID, Number: number}, target)
+	c := newCall(message.Attempt{RequestID: x.ID, Number: number}, target, x.Route.Idempotent && number < retry.MaxAttempts)
 	d.calls.add(c)
 	defer d.calls.remove(c)
 	if !d.submit(ctx, c, newSubmit(x, number, target.Entry)) {
