entry: run the rollout controller

Entries have to grant the swap permits of their data centre. The controller runs when a store is configured; the status shows its holder, epoch and the reason of a halt (admin.Rollout gains holder and epoch).

Measured: tests of internal/entry, internal/admin and internal/ctl pass; no test runs the controller inside an entry yet.

--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -58,4 +58,7 @@
 	Replicas int `json:"replicas"`
 	// Message gives the reason for RolloutStopped.
 	Message string `json:"message,omitempty"`
+	// Holder is the entry that grants swap permits and Epoch its epoch, as far as the answering entry knows.
+	Holder string `json:"holder,omitempty"`
+	Epoch  uint64 `json:"epoch,omitempty"`
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
+	"github.com/pimentohead/pimentohead/internal/controller/rollout"
 	"github.com/pimentohead/pimentohead/internal/dispatch"
 	"github.com/pimentohead/pimentohead/internal/filter"
 	"github.com/pimentohead/pimentohead/internal/link"
@@ -56,6 +57,7 @@
 
 	holder     *config.Holder
 	syncer     *confsync.Syncer
+	rollout    *rollout.Controller
 	table      *membership.Table
 	router     *routing.Router
 	quarantine *quarantine.List
@@ -102,6 +104,7 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
 	e.syncer = e.newSyncer(o)
+	e.rollout = e.newRollout(o)
 	e.compose(o)
 	return e, nil
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -57,6 +57,7 @@
 		e.spawn(ctx, "instance list", e.runInstances)
 	}
 	e.spawn(ctx, "configuration", e.syncer.Run)
+	e.spawn(ctx, "rollout", e.runRollout)
 	for _, controller := range e.hooks.Controllers {
 		e.spawn(ctx, "controller", controller.Run)
 	}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -25,6 +25,7 @@
 			status.Rollouts = append(status.Rollouts, rollouts(model, status.Nodes)...)
 		}
 	}
+	e.addRolloutState(status.Rollouts)
 	return status
 }
 
