Add store client and stand-in store

Entries and agents need the key-value service and tests need one that fails on demand. The client speaks the etcd v3 JSON gateway under a call budget and tells calls without effect from those with unknown outcome. The stand-in has compare-and-swap, nested transactions, leases, watches, rate limits and faults.

Measured: go test -race -count=3 ./internal/platform/... passes.

--- /dev/null
+++ b/internal/fake/store.go
@@ -0,0 +1,151 @@
+package fake
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/pimentohead/pimentohead/internal/platform/store/etcdjson"
+)
+
+// Limits of the store.
+const (
+	maxStoreValueBytes = 1 << 20
+	// maxTxnOps is the service's default limit of operations in one list of a transaction.
+	maxTxnOps = 128
+	// maxStoreHistory is the number of events kept for watches; older ones are compacted.
+	maxStoreHistory = 10000
+	// storeBurstSeconds is the burst of the rate limits in seconds.
+	storeBurstSeconds = 0.25
+)
+
+// StoreConfig holds the parameters of a Store.
+type StoreConfig struct {
+	// WritesPerSecond and ReadsPerSecond limit calls; calls over the limit get 429. 0 is unlimited.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+}
+
+// StoreStats counts calls since the start.
+type StoreStats struct {
+	Writes  uint64 `json:"writes"`
+	Reads   uint64 `json:"reads"`
+	Limited uint64 `json:"limited"`
+	Watches uint64 `json:"watches"`
+}
+
+// Store is the key-value service.
+type Store struct {
+	mux    *http.ServeMux
+	faults *faultSwitch
+	writes *rate.Limiter
+	reads  *rate.Limiter
+
+	writeCount, readCount, limitedCount, watchCount atomic.Uint64
+
+	// mu guards all fields below.
+	mu        sync.Mutex
+	revision  int64
+	compacted int64
+	keys      map[string]etcdjson.KeyValue
+	history   []etcdjson.Event
+	leases    map[int64]*lease
+	nextLease int64
+	// committed is closed and replaced on each new revision.
+	committed chan struct{}
+}
+
+// lease owns keys until its timer expires.
+type lease struct {
+	id    int64
+	ttl   int64
+	timer *time.Timer
+}
+
+// NewStore returns an empty store at revision 1.
+func NewStore(config StoreConfig) *Store {
+	s := &Store{
+		mux: http.NewServeMux(), faults: newFaultSwitch(),
+		writes: callLimiter(config.WritesPerSecond), reads: callLimiter(config.ReadsPerSecond),
+		revision: 1, nextLease: 1,
+		keys: make(map[string]etcdjson.KeyValue), leases: make(map[int64]*lease), committed: make(chan struct{}),
+	}
+	s.mux.HandleFunc("POST "+etcdjson.PathRange, s.faults.wrap(s.handleRange))
+	s.mux.HandleFunc("POST "+etcdjson.PathTxn, s.faults.wrap(s.handleTxn))
+	s.mux.HandleFunc("POST "+etcdjson.PathGrant, s.faults.wrap(s.handleGrant))
+	s.mux.HandleFunc("POST "+etcdjson.PathKeepAlive, s.faults.wrap(s.handleKeepAlive))
+	s.mux.HandleFunc("POST "+etcdjson.PathRevoke, s.faults.wrap(s.handleRevoke))
+	s.mux.HandleFunc("POST "+etcdjson.PathWatch, s.faults.wrap(s.handleWatch))
+	s.mux.Handle("POST /fake/fault", s.faults)
+	s.mux.HandleFunc("POST /fake/compact", s.handleCompact)
+	s.mux.HandleFunc("GET /fake/stats", s.handleStats)
+	s.mux.HandleFunc("GET /health", handleHealth)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFault replaces the faults in force.
+func (s *Store) SetFault(fault Fault) { s.faults.set(fault) }
+
+func callLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*storeBurstSeconds)))
+}
+
+func handleHealth(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+// admit counts a call against its limit. It answers 429 and returns false when the call is over the limit.
+func (s *Store) admit(w http.ResponseWriter, limiter *rate.Limiter, count *atomic.Uint64) bool {
+	count.Add(1)
+	if limiter.Allow() {
+		return true
+	}
+	s.limitedCount.Add(1)
+	http.Error(w, "rate limit", http.StatusTooManyRequests)
+	return false
+}
+
+// finishWrite answers a write, or breaks the connection when the answer is to be lost.
+func (s *Store) finishWrite(w http.ResponseWriter, answer any) {
+	if s.faults.takeLostAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func refuseCall(w http.ResponseWriter, status, code int, message string) {
+	writeJSON(w, status, etcdjson.ErrorResponse{Code: code, Message: message})
+}
+
+func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
+	var request etcdjson.RangeRequest
+	if !s.admit(w, s.reads, &s.readCount) || !readJSON(w, r, &request) {
+		return
+	}
+	s.mu.Lock()
+	answer := s.readRange(&request)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func (s *Store) handleStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, StoreStats{
+		Writes: s.writeCount.Load(), Reads: s.readCount.Load(),
+		Limited: s.limitedCount.Load(), Watches: s.watchCount.Load(),
+	})
+}
+
+// handleCompact drops the history, so that watches from an old revision fail.
+func (s *Store) handleCompact(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	s.compacted, s.history = s.revision, nil
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/platform/store/client_test.go
@@ -0,0 +1,185 @@
+package store_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/fake"
+	"github.com/pimentohead/pimentohead/internal/platform/store"
+)
+
+// plenty is a call budget that no test reaches.
+const plenty = 10000
+
+func start(t *testing.T) (*fake.Store, *store.Client, string) {
+	t.Helper()
+	service := fake.NewStore(fake.StoreConfig{})
+	server := httptest.NewServer(service)
+	client := store.NewClient(server.URL, plenty, logr.Discard())
+	t.Cleanup(func() { client.Close(); server.CloseClientConnections(); server.Close() })
+	return service, client, server.URL
+}
+
+func create(key, value string) store.Txn {
+	return store.Txn{
+		If:   []store.Compare{{Key: key, Target: store.CompareCreate}},
+		Then: []store.Op{{Put: &store.Put{Key: key, Value: []byte(value)}}},
+		Else: []store.Op{{Get: &store.Get{Key: key}}},
+	}
+}
+
+// Guards against two operators who both win a race on one revision.
+func TestCompareAndSwapHasOneWinner(t *testing.T) {
+	g := NewWithT(t)
+	_, client, _ := start(t)
+	first, err := client.Txn(t.Context(), create("k", "a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first.Succeeded).To(BeTrue())
+	second, err := client.Txn(t.Context(), create("k", "b"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second.Succeeded).To(BeFalse())
+	g.Expect(second.Results[0].KVs[0].Value).To(Equal([]byte("a")))
+
+	kv, err := client.Get(t.Context(), "k")
+	g.Expect(err).NotTo(HaveOccurred())
+	swap := store.Txn{
+		If:   []store.Compare{{Key: "k", Target: store.CompareMod, Revision: kv.ModRevision}},
+		Then: []store.Op{{Put: &store.Put{Key: "k", Value: []byte("c")}}},
+	}
+	for _, want := range []bool{true, false} {
+		result, err := client.Txn(t.Context(), swap)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Succeeded).To(Equal(want))
+	}
+	_, err = client.Get(t.Context(), "absent")
+	g.Expect(errors.Is(err, store.ErrNotFound)).To(BeTrue())
+}
+
+// Guards against a group commit in which one claim that loses takes the others with it.
+func TestNestedTransactionsDecideOneByOne(t *testing.T) {
+	g := NewWithT(t)
+	_, client, _ := start(t)
+	_, err := client.Txn(t.Context(), create("p/1", "old"))
+	g.Expect(err).NotTo(HaveOccurred())
+	one, two := create("p/1", "new"), create("p/2", "new")
+	result, err := client.Txn(t.Context(), store.Txn{Then: []store.Op{{Txn: &one}, {Txn: &two}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result.Results[0].Txn.Succeeded).To(BeFalse())
+	g.Expect(result.Results[0].Txn.Results[0].KVs[0].Value).To(Equal([]byte("old")))
+	g.Expect(result.Results[1].Txn.Succeeded).To(BeTrue())
+	list, err := client.Txn(t.Context(), store.Txn{Then: []store.Op{{Get: &store.Get{Key: "p/", Prefix: true}}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Results[0].KVs).To(HaveLen(2))
+
+	// The service refuses a key that is put twice in one transaction.
+	_, err = client.Txn(t.Context(), store.Txn{Then: []store.Op{{Txn: &two}, {Txn: &two}}})
+	g.Expect(errors.Is(err, store.ErrRejected)).To(BeTrue())
+	huge := store.Put{Key: "h", Value: make([]byte, store.MaxValueBytes+1)}
+	_, err = client.Txn(t.Context(), store.Txn{Then: []store.Op{{Put: &huge}}})
+	g.Expect(errors.Is(err, store.ErrTooLarge)).To(BeTrue())
+}
+
+// Guards against keys that outlive their lease, and against a holder that is not told of the expiry.
+func TestLeaseExpiryDeletesKeysAndNotifiesWatch(t *testing.T) {
+	g := NewWithT(t)
+	_, client, _ := start(t)
+	lease, err := client.Grant(t.Context(), time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	put := store.Txn{Then: []store.Op{{Put: &store.Put{Key: "held", Value: []byte("x"), Lease: lease}}}}
+	result, err := client.Txn(t.Context(), put)
+	g.Expect(err).NotTo(HaveOccurred())
+	ttl, err := client.KeepAlive(t.Context(), lease)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ttl).To(Equal(time.Second))
+
+	events := make(chan store.Event, 4)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- client.Watch(ctx, "held", result.Revision, func(e store.Event) { events <- e }) }()
+	g.Eventually(events).WithTimeout(10 * time.Second).Should(Receive(HaveField("Deleted", false)))
+	g.Eventually(events).WithTimeout(10 * time.Second).Should(Receive(HaveField("Deleted", true)))
+	cancel()
+	g.Eventually(ended).WithTimeout(10 * time.Second).Should(Receive(MatchError(context.Canceled)))
+
+	_, err = client.KeepAlive(t.Context(), lease)
+	g.Expect(errors.Is(err, store.ErrLeaseNotFound)).To(BeTrue())
+	_, err = client.Txn(t.Context(), put)
+	g.Expect(errors.Is(err, store.ErrLeaseNotFound)).To(BeTrue())
+	g.Expect(errors.Is(client.Revoke(t.Context(), lease), store.ErrLeaseNotFound)).To(BeTrue())
+}
+
+// Guards against a write with a lost answer that is reported as without effect, and against the opposite for refused calls.
+func TestLostAnswerIsAmbiguousAndRefusalIsNot(t *testing.T) {
+	g := NewWithT(t)
+	service, client, url := start(t)
+	service.SetFault(fake.Fault{LoseAnswers: 1})
+	_, err := client.Txn(t.Context(), create("k", "a"))
+	g.Expect(errors.Is(err, store.ErrAmbiguous)).To(BeTrue())
+	g.Expect(errors.Is(err, store.ErrUnavailable)).To(BeFalse())
+	kv, err := client.Get(t.Context(), "k")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(kv.Value).To(Equal([]byte("a")))
+
+	service.SetFault(fake.Fault{DelayMillis: time.Hour.Milliseconds()})
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = client.Txn(short, create("k2", "a"))
+	g.Expect(errors.Is(err, store.ErrAmbiguous)).To(BeTrue())
+
+	service.SetFault(fake.Fault{Down: true})
+	_, err = client.Txn(t.Context(), create("k3", "a"))
+	g.Expect(errors.Is(err, store.ErrUnavailable)).To(BeTrue())
+	service.SetFault(fake.Fault{Refuse: true})
+	_, err = client.Get(t.Context(), "k")
+	g.Expect(errors.Is(err, store.ErrUnavailable)).To(BeTrue())
+
+	unreachable := httptest.NewServer(nil)
+	unreachable.Close()
+	g.Expect(unreachable.URL).NotTo(Equal(url))
+	_, err = store.NewClient(unreachable.URL, plenty, logr.Discard()).Txn(t.Context(), create("k", "a"))
+	g.Expect(errors.Is(err, store.ErrUnavailable)).To(BeTrue())
+	g.Expect(errors.Is(err, store.ErrAmbiguous)).To(BeFalse())
+}
+
+// Guards against a process that exceeds its share of the service's call rate.
+func TestBudgetRefusesWithoutCall(t *testing.T) {
+	g := NewWithT(t)
+	_, _, url := start(t)
+	client := store.NewClient(url, 0.01, logr.Discard())
+	defer client.Close()
+	_, err := client.Txn(t.Context(), create("k", "a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = client.Get(t.Context(), "k")
+	g.Expect(errors.Is(err, store.ErrBudget)).To(BeTrue())
+	g.Expect(errors.Is(err, store.ErrUnavailable)).To(BeTrue())
+	g.Expect(client.Calls()).To(Equal(uint64(1)))
+
+	limited := httptest.NewServer(fake.NewStore(fake.StoreConfig{ReadsPerSecond: 0.01}))
+	defer limited.Close()
+	eager := store.NewClient(limited.URL, plenty, logr.Discard())
+	defer eager.Close()
+	_, err = eager.Get(t.Context(), "k")
+	g.Expect(errors.Is(err, store.ErrNotFound)).To(BeTrue())
+	_, err = eager.Get(t.Context(), "k")
+	g.Expect(errors.Is(err, store.ErrUnavailable)).To(BeTrue())
+}
+
+// Guards against a watcher that misses changes because its revision is gone.
+func TestWatchReportsCompaction(t *testing.T) {
+	g := NewWithT(t)
+	_, client, url := start(t)
+	_, err := client.Txn(t.Context(), create("k", "a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.Post(url+"/fake/compact", "application/json", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Body.Close()).To(Succeed())
+	err = client.Watch(t.Context(), "k", 1, func(store.Event) {})
+	g.Expect(errors.Is(err, store.ErrCompacted)).To(BeTrue())
+}
--- /dev/null
+++ b/internal/platform/store/etcdjson/etcdjson.go
@@ -0,0 +1,176 @@
+// Package etcdjson defines the bodies of the etcd v3 JSON gateway: bytes are base64, 64-bit integers are strings.
+package etcdjson
+
+// Paths of the gateway.
+const (
+	PathRange     = "/v3/kv/range"
+	PathTxn       = "/v3/kv/txn"
+	PathGrant     = "/v3/lease/grant"
+	PathKeepAlive = "/v3/lease/keepalive"
+	PathRevoke    = "/v3/lease/revoke"
+	PathWatch     = "/v3/watch"
+)
+
+// CodeNotFound is the gRPC status code of a missing lease.
+const CodeNotFound = 5
+
+// Header is part of every response.
+type Header struct {
+	Revision int64 `json:"revision,string,omitempty"`
+}
+
+// KeyValue is a stored key.
+type KeyValue struct {
+	Key            []byte `json:"key"`
+	Value          []byte `json:"value,omitempty"`
+	CreateRevision int64  `json:"create_revision,string,omitempty"`
+	ModRevision    int64  `json:"mod_revision,string,omitempty"`
+	Lease          int64  `json:"lease,string,omitempty"`
+}
+
+// RangeRequest reads one key, or the keys in [Key, RangeEnd).
+type RangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+	Limit    int64  `json:"limit,string,omitempty"`
+}
+
+// RangeResponse answers a RangeRequest.
+type RangeResponse struct {
+	Header Header     `json:"header"`
+	KVs    []KeyValue `json:"kvs,omitempty"`
+	Count  int64      `json:"count,string,omitempty"`
+}
+
+// PutRequest writes one key.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// DeleteRequest deletes one key.
+type DeleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+// Compare is one condition of a transaction.
+type Compare struct {
+	Key            []byte `json:"key"`
+	Target         string `json:"target"`
+	Result         string `json:"result"`
+	ModRevision    *int64 `json:"mod_revision,string,omitempty"`
+	CreateRevision *int64 `json:"create_revision,string,omitempty"`
+}
+
+// RequestOp is one operation; exactly one field is set.
+type RequestOp struct {
+	Put    *PutRequest    `json:"request_put,omitempty"`
+	Range  *RangeRequest  `json:"request_range,omitempty"`
+	Delete *DeleteRequest `json:"request_delete_range,omitempty"`
+	Txn    *TxnRequest    `json:"request_txn,omitempty"`
+}
+
+// TxnRequest is a transaction.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare,omitempty"`
+	Success []RequestOp `json:"success,omitempty"`
+	Failure []RequestOp `json:"failure,omitempty"`
+}
+
+// ResponseOp is the result of one operation.
+type ResponseOp struct {
+	Put    *WriteResponse `json:"response_put,omitempty"`
+	Range  *RangeResponse `json:"response_range,omitempty"`
+	Delete *WriteResponse `json:"response_delete_range,omitempty"`
+	Txn    *TxnResponse   `json:"response_txn,omitempty"`
+}
+
+// WriteResponse answers a put or a delete.
+type WriteResponse struct {
+	Header Header `json:"header"`
+}
+
+// TxnResponse answers a TxnRequest.
+type TxnResponse struct {
+	Header    Header       `json:"header"`
+	Succeeded bool         `json:"succeeded,omitempty"`
+	Responses []ResponseOp `json:"responses,omitempty"`
+}
+
+// GrantRequest creates a lease; TTL is in seconds.
+type GrantRequest struct {
+	TTL int64 `json:"TTL,string"`
+}
+
+// LeaseRequest names a lease to renew or revoke.
+type LeaseRequest struct {
+	ID int64 `json:"ID,string"`
+}
+
+// LeaseResponse answers the lease calls. TTL is zero when a renewed lease does not exist.
+type LeaseResponse struct {
+	Header Header `json:"header"`
+	ID     int64  `json:"ID,string,omitempty"`
+	TTL    int64  `json:"TTL,string,omitempty"`
+}
+
+// KeepAliveResponse is the streamed form of LeaseResponse.
+type KeepAliveResponse struct {
+	Result LeaseResponse `json:"result"`
+}
+
+// WatchRequest opens a watch.
+type WatchRequest struct {
+	Create WatchCreate `json:"create_request"`
+}
+
+// WatchCreate selects a key and the first revision to deliver, 0 for changes from now on.
+type WatchCreate struct {
+	Key           []byte `json:"key"`
+	StartRevision int64  `json:"start_revision,string,omitempty"`
+}
+
+// Event types.
+const (
+	EventPut    = "PUT"
+	EventDelete = "DELETE"
+)
+
+// Event is one change. The gateway omits the type of a put.
+type Event struct {
+	Type string   `json:"type,omitempty"`
+	KV   KeyValue `json:"kv"`
+}
+
+// WatchResult is one message of a watch.
+type WatchResult struct {
+	Header          Header  `json:"header"`
+	Created         bool    `json:"created,omitempty"`
+	Canceled        bool    `json:"canceled,omitempty"` //nolint:misspell // the gateway's spelling
+	CompactRevision int64   `json:"compact_revision,string,omitempty"`
+	Events          []Event `json:"events,omitempty"`
+}
+
+// WatchResponse is one line of a watch stream.
+type WatchResponse struct {
+	Result WatchResult `json:"result"`
+}
+
+// ErrorResponse is the body of a failed call.
+type ErrorResponse struct {
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// Writes tells whether a transaction may change a key.
+func (t *TxnRequest) Writes() bool {
+	for _, ops := range [][]RequestOp{t.Success, t.Failure} {
+		for _, op := range ops {
+			if op.Put != nil || op.Delete != nil || op.Txn != nil && op.Txn.Writes() {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/platform/store/watch.go
@@ -0,0 +1,98 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/platform/store/etcdjson"
+)
+
+// maxWatchSilence is the time without events after which a watch is opened again on a new connection. A connection that went
+// silent cannot be told from a key without changes.
+const maxWatchSilence = 5 * time.Second
+
+// errSilentWatch tells that a watch has to be opened again.
+var errSilentWatch = errors.New("store: watch silent")
+
+// watchState is the progress of one Watch call.
+type watchState struct {
+	key string
+	// next is the first revision that was not delivered yet, 0 until it is known.
+	next    int64
+	deliver func(Event)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, key string, revision int64, deliver func(Event)) error {
+	state := &watchState{key: key, next: revision, deliver: deliver}
+	for {
+		err := c.watchOnce(ctx, state)
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "store: watch")
+		}
+		if !errors.Is(err, errSilentWatch) {
+			return err
+		}
+	}
+}
+
+// watchOnce runs one connection of a watch until it fails or is silent for maxWatchSilence.
+func (c *Client) watchOnce(ctx context.Context, state *watchState) error {
+	if err := c.acquire(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(maxWatchSilence, func() { cancel(errSilentWatch) })
+	defer silence.Stop()
+	request := etcdjson.WatchRequest{Create: etcdjson.WatchCreate{Key: []byte(state.key), StartRevision: state.next}}
+	response, _, err := c.post(ctx, etcdjson.PathWatch, request)
+	if err != nil {
+		return c.failure(err, reads, true, etcdjson.PathWatch)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+		return statusError(reads, etcdjson.PathWatch, response.StatusCode, body)
+	}
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var message etcdjson.WatchResponse
+		if err := decoder.Decode(&message); err != nil {
+			if errors.Is(context.Cause(ctx), errSilentWatch) {
+				return errSilentWatch
+			}
+			return c.failure(err, reads, true, etcdjson.PathWatch)
+		}
+		silence.Reset(maxWatchSilence)
+		if err := state.apply(message.Result); err != nil {
+			return err
+		}
+	}
+}
+
+// apply delivers the events of one message.
+func (s *watchState) apply(result etcdjson.WatchResult) error {
+	if result.CompactRevision > 0 {
+		return errors.Wrapf(ErrCompacted, "revision %d", result.CompactRevision)
+	}
+	if result.Canceled {
+		return errors.Mark(errors.New("store: watch ended by the service"), ErrUnavailable)
+	}
+	if result.Created && s.next == 0 {
+		s.next = result.Header.Revision + 1
+	}
+	for _, event := range result.Events {
+		if event.KV.ModRevision < s.next {
+			continue
+		}
+		s.next = event.KV.ModRevision + 1
+		s.deliver(Event{KV: fromKeyValue(event.KV), Deleted: event.Type == etcdjson.EventDelete})
+	}
+	return nil
+}
