Add origin and list clients, stand-ins and pimentofake

Tests and the bench need stand-ins for the platform and for upstreams whose faults are switched at run time. Adds the origin and instance list clients with bounds on size and time without bytes, the origin, list, engine and service stand-ins with journals that survive a crash, and the program that runs them.

--- /dev/null
+++ b/internal/fake/journal.go
@@ -0,0 +1,135 @@
+package fake
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// Request headers that the journal records.
+const (
+	HeaderRequestID = "Pimentohead-Request-Id"
+	HeaderAttempt   = "Pimentohead-Attempt"
+	HeaderCaller    = "Pimentohead-Caller"
+	HeaderOrderKey  = "Idempotency-Key"
+)
+
+// Entry is one run of a request on an upstream.
+type Entry struct {
+	// Seq numbers the entries of one upstream from 1.
+	Seq       int        `json:"seq"`
+	RequestID string     `json:"request_id"`
+	Attempt   string     `json:"attempt"`
+	OrderKey  string     `json:"order_key"`
+	Caller    string     `json:"caller"`
+	Method    string     `json:"method"`
+	Path      string     `json:"path"`
+	BodyHash  string     `json:"body_hash"`
+	Version   string     `json:"version"`
+	Started   time.Time  `json:"started"`
+	Finished  *time.Time `json:"finished,omitempty"`
+	// Completed means that the work was done, Cancelled that the caller had disconnected.
+	Completed bool `json:"completed"`
+	Cancelled bool `json:"cancelled"`
+}
+
+// Journal records what ran. With a file it survives a crash of the stand-in.
+type Journal struct {
+	// mu guards entries and writes to file.
+	mu      sync.Mutex
+	entries []Entry
+	file    *os.File
+}
+
+// OpenJournal reads the journal in path and appends to it. An empty path keeps the journal in memory only.
+func OpenJournal(path string) (*Journal, error) {
+	journal := &Journal{}
+	if path == "" {
+		return journal, nil
+	}
+	entries, err := ReadJournal(path)
+	if err != nil && !os.IsNotExist(err) {
+		return nil, err
+	}
+	journal.entries = entries
+	journal.file, err = os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600) //nolint:gosec // named by the test
+	return journal, err
+}
+
+// ReadJournal reads a journal file. The last line of an entry replaces earlier ones.
+func ReadJournal(path string) ([]Entry, error) {
+	text, err := os.ReadFile(path) //nolint:gosec // named by the test
+	if err != nil {
+		return nil, err
+	}
+	var entries []Entry
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	for lines.Scan() {
+		var entry Entry
+		// A line that is still being written is not valid yet.
+		if json.Unmarshal(lines.Bytes(), &entry) != nil || entry.Seq < 1 || entry.Seq > len(entries)+1 {
+			continue
+		}
+		if entry.Seq == len(entries)+1 {
+			entries = append(entries, entry)
+			continue
+		}
+		entries[entry.Seq-1] = entry
+	}
+	return entries, lines.Err()
+}
+
+// start records that a request begins to run.
+func (j *Journal) start(r *http.Request, body []byte, version string) Entry {
+	sum := sha256.Sum256(body)
+	entry := Entry{
+		RequestID: r.Header.Get(HeaderRequestID), Attempt: r.Header.Get(HeaderAttempt),
+		OrderKey: r.Header.Get(HeaderOrderKey), Caller: r.Header.Get(HeaderCaller),
+		Method: r.Method, Path: r.URL.Path, BodyHash: hex.EncodeToString(sum[:]),
+		Version: version, Started: time.Now(),
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	entry.Seq = len(j.entries) + 1
+	j.entries = append(j.entries, entry)
+	j.append(entry)
+	return entry
+}
+
+// finish records how a run ended.
+func (j *Journal) finish(entry Entry, completed, cancelled bool) {
+	now := time.Now()
+	entry.Finished, entry.Completed, entry.Cancelled = &now, completed, cancelled
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.entries[entry.Seq-1] = entry
+	j.append(entry)
+}
+
+// append writes one line. The caller holds mu.
+func (j *Journal) append(entry Entry) {
+	if j.file == nil {
+		return
+	}
+	line, err := json.Marshal(entry)
+	if err == nil {
+		_, err = j.file.Write(append(line, '\n'))
+	}
+	if err != nil {
+		panic(err) // A stand-in without its journal cannot be used as evidence.
+	}
+}
+
+// ServeHTTP answers with all entries.
+func (j *Journal) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	j.mu.Lock()
+	entries := append([]Entry{}, j.entries...)
+	j.mu.Unlock()
+	writeJSON(w, http.StatusOK, entries)
+}
--- /dev/null
+++ b/internal/platform/instancelist/client.go
@@ -0,0 +1,93 @@
+// Package instancelist is the client of the platform's lagging list of instances.
+package instancelist
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/platform/bodyread"
+)
+
+const (
+	headerTimeout = 2 * time.Second
+	// maxListBytes holds about 40,000 instances.
+	maxListBytes = 8 << 20
+)
+
+// Errors of a Client.
+var (
+	// ErrUnavailable means that the list could not be read.
+	ErrUnavailable = errors.New("instancelist: unavailable")
+	// ErrMalformed means that the answer is not an instance list.
+	ErrMalformed = errors.New("instancelist: malformed answer")
+)
+
+// State tells whether an instance stays.
+type State string
+
+// States of an instance.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Instance is one instance of the list.
+type Instance struct {
+	ID         string `json:"id"`
+	Role       string `json:"role"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	// Address is the link address.
+	Address string `json:"address"`
+	State   State  `json:"state"`
+}
+
+// Document is the body of the list.
+type Document struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Client reads the list. It is safe for concurrent use.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// NewClient returns a client of the list at a base URL.
+func NewClient(url string) *Client {
+	transport := &http.Transport{ResponseHeaderTimeout: headerTimeout, IdleConnTimeout: time.Minute}
+	return &Client{url: strings.TrimRight(url, "/") + "/instances", http: &http.Client{Transport: transport}}
+}
+
+// List reads all instances. It returns ErrUnavailable or ErrMalformed.
+func (c *Client) List(ctx context.Context) ([]Instance, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "instancelist"), ErrUnavailable)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		c.http.CloseIdleConnections()
+		return nil, errors.Mark(errors.Wrap(err, "instancelist"), ErrUnavailable)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Mark(errors.Newf("instancelist: status %d", response.StatusCode), ErrUnavailable)
+	}
+	body, err := bodyread.ReadAll(ctx, cancel, response.Body, maxListBytes, nil)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "instancelist"), ErrUnavailable)
+	}
+	var document Document
+	if err := json.Unmarshal(body, &document); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "instancelist"), ErrMalformed)
+	}
+	return document.Instances, nil
+}
--- a/internal/platform/store/etcdjson/etcdjson.go
+++ b/internal/platform/store/etcdjson/etcdjson.go
@@ -147,7 +147,7 @@
 type WatchResult struct {
 	Header          Header  `json:"header"`
 	Created         bool    `json:"created,omitempty"`
-	Canceled        bool    `json:"canceled,omitempty"` //nolint:misspell // the gateway's spelling
+	Canceled        bool    `json:"canceled,omitempty"`
 	CompactRevision int64   `json:"compact_revision,string,omitempty"`
 	Events          []Event `json:"events,omitempty"`
 }
