--- /dev/null
+++ b/internal/faultproxy/proxy_test.go
@@ -0,0 +1,155 @@
+package faultproxy_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/pimentohead/pimentohead/internal/faultproxy"
+	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// deadline bounds reads that must succeed; short bounds reads that must not return.
+const (
+	deadline = 20 * time.Second
+	short    = 100 * time.Millisecond
+)
+
+func echoServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(nc, nc); _ = nc.Close() }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func startProxy(t *testing.T) *faultproxy.Proxy {
+	t.Helper()
+	proxy, err := faultproxy.New("127.0.0.1:0", echoServer(t), faultproxy.Source{Node: "a"})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(proxy.Close)
+	return proxy
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", address)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = nc.Close() })
+	return nc
+}
+
+// echo sends one byte and waits for it.
+func echo(nc net.Conn, limit time.Duration) error {
+	_ = nc.SetDeadline(time.Now().Add(limit))
+	if _, err := nc.Write([]byte{1}); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(nc, make([]byte, 1))
+	return err
+}
+
+// Guards against a silence that also affects new connections, or that closes the old one.
+func TestSilenceAffectsExistingConnectionsOnly(t *testing.T) {
+	g := NewWithT(t)
+	proxy := startProxy(t)
+	old := dial(t, proxy.Address())
+	g.Expect(echo(old, deadline)).To(Succeed())
+	proxy.Silence(faultproxy.Any)
+	g.Expect(echo(old, short)).To(MatchError(ContainSubstring("timeout")))
+	g.Expect(echo(dial(t, proxy.Address()), deadline)).To(Succeed())
+	g.Expect(proxy.Connections(faultproxy.Any)).To(Equal(2))
+}
+
+// Guards against a hold that loses data, or a rule that affects other sources.
+func TestHoldKeepsDataAndMatchesSource(t *testing.T) {
+	g := NewWithT(t)
+	proxy := startProxy(t)
+	nc := dial(t, proxy.Address())
+	other := func(s faultproxy.Source) bool { return s.Node == "b" }
+	proxy.Set("other", other, faultproxy.Fault{Hold: true})
+	g.Expect(echo(nc, deadline)).To(Succeed())
+	proxy.Set("hold", faultproxy.Any, faultproxy.Fault{Hold: true})
+	g.Expect(echo(nc, short)).To(MatchError(ContainSubstring("timeout")))
+	proxy.Clear("hold")
+	g.Expect(nc.SetDeadline(time.Now().Add(deadline))).To(Succeed())
+	_, err := io.ReadFull(nc, make([]byte, 1))
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// Guards against a cut that leaves connections open, and against a proxy that does not come back.
+func TestCutAndAccept(t *testing.T) {
+	g := NewWithT(t)
+	proxy := startProxy(t)
+	nc := dial(t, proxy.Address())
+	g.Expect(echo(nc, deadline)).To(Succeed())
+	proxy.Cut()
+	g.Expect(echo(nc, deadline)).NotTo(Succeed())
+	_, err := net.Dial("tcp", proxy.Address())
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(proxy.Accept()).To(Succeed())
+	g.Expect(echo(dial(t, proxy.Address()), deadline)).To(Succeed())
+}
+
+// Guards against limits and delays that are not applied. Only lower bounds on time are checked.
+func TestDelayAndBandwidth(t *testing.T) {
+	g := NewWithT(t)
+	proxy := startProxy(t)
+	nc := dial(t, proxy.Address())
+	proxy.Set("delay", faultproxy.Any, faultproxy.Fault{Delay: 20 * time.Millisecond})
+	begin := time.Now()
+	g.Expect(echo(nc, deadline)).To(Succeed())
+	g.Expect(time.Since(begin)).To(BeNumerically(">=", 40*time.Millisecond))
+	proxy.Set("delay", faultproxy.Any, faultproxy.Fault{Up: faultproxy.Bandwidth(1 << 20)})
+	begin = time.Now()
+	g.Expect(nc.SetDeadline(begin.Add(deadline))).To(Succeed())
+	go func() { _, _ = nc.Write(make([]byte, 128<<10)) }()
+	_, err := io.ReadFull(nc, make([]byte, 128<<10))
+	g.Expect(err).NotTo(HaveOccurred())
+	// The burst of 16 KiB is free.
+	g.Expect(time.Since(begin)).To(BeNumerically(">=", 100*time.Millisecond))
+}
+
+// Guards against a link proxy that breaks the handshake or cannot tell its sources apart.
+func TestLinkProxyIdentifiesSource(t *testing.T) {
+	g := NewWithT(t)
+	config := link.Config{Secret: []byte("0123456789abcdef")}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	proxy, err := faultproxy.NewLink("127.0.0.1:0", listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer proxy.Close()
+	status := func() message.Heartbeat { return message.Heartbeat{} }
+	accepted := make(chan *link.Conn, 1)
+	go func() {
+		if nc, err := listener.Accept(); err == nil {
+			if c, err := link.Accept(nc, message.Hello{NodeID: "entry-1"}, config, status); err == nil {
+				accepted <- c
+			}
+		}
+	}()
+	dialled, err := link.Dial(t.Context(), proxy.Address(), message.Hello{NodeID: "agent-1", DataCentre: "fyn"}, config, status)
+	g.Expect(err).NotTo(HaveOccurred())
+	var c *link.Conn
+	g.Eventually(accepted).WithTimeout(deadline).Should(Receive(&c))
+	g.Expect(proxy.Connections(func(s faultproxy.Source) bool { return s.DataCentre == "fyn" })).To(Equal(1))
+	dialled.Close()
+	c.Close()
+}
