pimentoheadd: run the rollout controller in the entry role

The controller has landed and was not started, so no entry granted swap permits. Entry.Send replaces SendToAgent, as the controller names the link and not the agent.

go test -race on cmd/pimentoheadd and internal/entry passes. The built daemon without a store still exits 0 in 2 s on SIGTERM.

--- a/cmd/pimentoheadd/entry.go
+++ b/cmd/pimentoheadd/entry.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/controller/rollout"
 	"github.com/pimentohead/pimentohead/internal/entry"
 	"github.com/pimentohead/pimentohead/internal/platform/instancelist"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
@@ -19,8 +20,10 @@
 	if err != nil {
 		return err
 	}
-	// The rollout controller is wired here once it exists: it uses e.Table, e.Holder and e.SendToAgent.
-	hooks := entry.Hooks{}
+	permits := rollout.New(rollout.Config{
+		Self: e.Hello(), Store: client, Holder: e.Holder(), Table: e.Table(), Sender: e, Log: log,
+	})
+	hooks := entry.Hooks{Controllers: []entry.Controller{permits}}
 	if s.Platform.InstanceList != "" {
 		hooks.LeavingInstances = leavingInstances(instancelist.NewClient(s.Platform.InstanceList))
 	}
--- a/internal/entry/hooks.go
+++ b/internal/entry/hooks.go
@@ -9,7 +9,7 @@
 
 // Hooks are the parts of the entry that need its own parts first. Nil parts are left out.
 type Hooks struct {
-	// Controllers use Table, Holder and SendToAgent.
+	// Controllers use Table, Holder and Send.
 	Controllers []Controller
 	// LeavingInstances returns the IDs that the platform's instance list shows as leaving.
 	LeavingInstances func(ctx context.Context) (map[string]bool, error)
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -2,21 +2,19 @@
 
 import (
 	"context"
+	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
-// ErrNotLinked means that no link to the agent is open.
-var ErrNotLinked = errors.New("entry: no link to the agent")
+// agentSendTimeout bounds the wait for room in the ring of an agent's link.
+const agentSendTimeout = 200 * time.Millisecond
 
-// SendToAgent sends a control message such as SwapPermit or SwapRevoke to an agent. A nil error does not mean that the agent
-// received it. It returns ErrNotLinked, or the error of the link.
-func (e *Entry) SendToAgent(ctx context.Context, agentID string, m message.Message) error {
-	u, ok := e.table.Upstream(agentID)
-	if !ok {
-		return errors.Wrapf(ErrNotLinked, "agent %s", agentID)
-	}
-	return u.Conn.Send(ctx, m)
+// Send implements rollout.Sender: it sends a control message such as SwapPermit or SwapRevoke to an agent. A nil error does not
+// mean that the agent received it.
+func (e *Entry) Send(conn *link.Conn, m message.Message) error {
+	ctx, stop := context.WithTimeout(context.Background(), agentSendTimeout)
+	defer stop()
+	return conn.Send(ctx, m)
 }
