weights: avoid peers longer when they fail again, notice stalled peer links sooner

A stalled link to a live agent held up chunks for 3 s every 5 s. Peer links now have a silence timeout of 1.5 s, and the time for which a failing peer is avoided doubles up to 16 times 5 s.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,12 @@
 // headerTimeout bounds the request header of the engine.
 const headerTimeout = 5 * time.Second
 
+// Heartbeats of links between agents.
+const (
+	peerHeartbeat = 400 * time.Millisecond
+	peerSilence   = 1500 * time.Millisecond
+)
+
 // ErrListen means that a listener could not be opened.
 var ErrListen = errors.New("replica: cannot listen")
 
@@ -77,7 +83,7 @@
 	}
 	r.cfg.Self.Address = r.PeerAddress()
 	r.manager, err = weights.New(weights.Config{
-		Self: r.cfg.Self, Link: cfg.Link, Origin: cfg.Origin, WeightStore: cfg.WeightStore,
+		Self: r.cfg.Self, Link: peerLink(cfg.Link), Origin: cfg.Origin, WeightStore: cfg.WeightStore,
 		MemoryBytes: s.Agent.WeightsMemoryBytes, BytesPerSecond: s.Agent.PeerBytesPerSecond, InFlight: cfg.InFlight,
 		Baseline: s.Agent.BaselineTransfer, ChunkOrder: s.Agent.ChunkOrder, OnChange: r.progressed,
 		Meter: cfg.Meter, Log: cfg.Log.WithName("weights"),
@@ -93,6 +99,13 @@
 	return r, nil
 }
 
+// peerLink shortens the heartbeat of links between agents. A stalled link holds up every chunk that is read over it, and with
+// the silence timeout of control links, 3 s, one stall takes longer than a whole rollout window. The links are closed when idle.
+func peerLink(cfg link.Config) link.Config {
+	cfg.HeartbeatInterval, cfg.SilenceTimeout = peerHeartbeat, peerSilence
+	return cfg
+}
+
 // PeerAddress is where other agents fetch chunks. A listener on port 0 advertises the port that it got.
 func (r *Replica) PeerAddress() string {
 	s := r.cfg.Settings
--- a/internal/replica/rollout_test.go
+++ b/internal/replica/rollout_test.go
@@ -151,7 +151,7 @@
 }
 
 func get(url string) ([]byte, error) {
-	response, err := http.Get(url) //nolint:gosec,noctx // a loopback address of this test
+	response, err := http.Get(url)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/weights/fetch.go
+++ b/internal/weights/fetch.go
@@ -199,7 +199,10 @@
 	}
 	source := sourceOf(t.m.cfg.Self, peer)
 	err = t.keep(ctx, o, data, source)
-	if errors.Is(err, ErrCorrupt) {
+	switch {
+	case err == nil:
+		t.m.succeeded(peer.NodeID)
+	case errors.Is(err, ErrCorrupt):
 		t.m.countCorrupt(peer.NodeID)
 	}
 	return err
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -52,7 +52,9 @@
 	progressed time.Time
 	corrupt    map[string]int
 	avoidUntil map[string]time.Time
-	received   map[string]int64
+	// failures counts stalls and failed links in a row.
+	failures map[string]int
+	received map[string]int64
 }
 
 // New returns a manager. Run and Serve have to be started by the caller.
@@ -73,7 +75,7 @@
 		views:     make(chan struct{}, 1),
 		manifests: make(map[string]*Manifest), wanted: make(map[string]bool), reading: make(map[string]int),
 		demand: make(map[string]int), corrupt: make(map[string]int), avoidUntil: make(map[string]time.Time),
-		received: make(map[string]int64),
+		received: make(map[string]int64), failures: make(map[string]int),
 	}
 	m.links = newPeerLinks(&m.cfg)
 	return m, nil
@@ -187,6 +189,7 @@
 		present[p.NodeID] = true
 	}
 	maps.DeleteFunc(m.corrupt, func(id string, _ int) bool { return !present[id] })
+	maps.DeleteFunc(m.failures, func(id string, _ int) bool { return !present[id] })
 	maps.DeleteFunc(m.avoidUntil, func(id string, _ time.Time) bool { return !present[id] })
 }
 
--- a/internal/weights/state.go
+++ b/internal/weights/state.go
@@ -130,11 +130,26 @@
 	return m.corrupt[id] >= corruptLimit || time.Now().Before(m.avoidUntil[id])
 }
 
-// avoid keeps requests away from a peer that stalled or could not be reached.
+// maxAvoidDoublings bounds the growth of the time for which a peer that fails again is avoided.
+const maxAvoidDoublings = 4
+
+// avoid keeps requests away from a peer that stalled or could not be reached. Requests that were outstanding together count
+// as one failure.
 func (m *Manager) avoid(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.avoidUntil[id] = time.Now().Add(m.cfg.AvoidFor)
+	if time.Now().Before(m.avoidUntil[id]) {
+		return
+	}
+	m.avoidUntil[id] = time.Now().Add(m.cfg.AvoidFor << min(m.failures[id], maxAvoidDoublings))
+	m.failures[id]++
+}
+
+// succeeded ends the growth of the time for which a peer is avoided.
+func (m *Manager) succeeded(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.failures, id)
 }
 
 func (m *Manager) countCorrupt(id string) {
