--- a/internal/replica/rollout_test.go
+++ b/internal/replica/rollout_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +20,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/rollout"
+	"github.com/pimentohead/pimentohead/internal/fake"
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/membership"
 	"github.com/pimentohead/pimentohead/internal/message"
@@ -162,48 +164,6 @@
 	return io.ReadAll(response.Body)
 }
 
-// memoryStore is a key-value service without expiry.
-type memoryStore struct {
-	store.Store
-	mu       sync.Mutex
-	revision int64
-	keys     map[string]store.KV
-}
-
-func (s *memoryStore) Get(_ context.Context, key string) (store.KV, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if kv, ok := s.keys[key]; ok {
-		return kv, nil
-	}
-	return store.KV{}, store.ErrNotFound
-}
-
-func (s *memoryStore) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range txn.If {
-		if s.keys[c.Key].ModRevision != c.Revision {
-			return store.TxnResult{}, nil
-		}
-	}
-	s.revision++
-	result := store.TxnResult{Succeeded: true, Revision: s.revision}
-	for _, op := range txn.Then {
-		if op.Put != nil {
-			s.keys[op.Put.Key] = store.KV{Value: op.Put.Value, Lease: op.Put.Lease, ModRevision: s.revision}
-		}
-		result.Results = append(result.Results, store.OpResult{})
-	}
-	return result, nil
-}
-
-func (s *memoryStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return 1, nil }
-func (s *memoryStore) KeepAlive(context.Context, store.LeaseID) (time.Duration, error) {
-	return 10 * time.Second, nil
-}
-func (s *memoryStore) Revoke(context.Context, store.LeaseID) error { return nil }
-
 // fleet stands in for the entry: its table lists the replicas, and it hands them permits.
 type fleet struct {
 	replicas []*replica.Replica
@@ -244,6 +204,8 @@
 			Pools:  []config.Pool{{Name: "assistant", Kind: config.KindModel, Model: "hemline"}},
 		}})).To(Succeed())
 	}
+	server := httptest.NewServer(fake.NewStore(fake.StoreConfig{}))
+	defer server.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -269,7 +231,7 @@
 		spawn(r.Run)
 	}
 	controller := rollout.New(rollout.Config{Self: message.Hello{NodeID: "entry-1", DataCentre: "saskatoon"},
-		Store: &memoryStore{keys: map[string]store.KV{}}, Holder: holder, Table: f, Sender: f,
+		Store: store.NewClient(server.URL, 1000, logr.Discard()), Holder: holder, Table: f, Sender: f,
 		StartWait: time.Nanosecond, Interval: 2 * time.Millisecond, ElectionInterval: time.Millisecond})
 	spawn(controller.Run)
 	live := func(version string) {
