Add test bed that starts real processes on loopback

The bed reserves a loopback address of its own so that ports cannot collide between test processes, connects the parts through fault proxies, and ends what it started, also when the test process dies.

--- /dev/null
+++ b/internal/testbed/bed_test.go
@@ -0,0 +1,110 @@
+package testbed
+
+import (
+	"net/http"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/fake"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/settings"
+)
+
+const wait = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	RemoveBinaries()
+	os.Exit(code)
+}
+
+// Guards against a default configuration that entries refuse.
+func TestDefaultConfigIsValid(t *testing.T) {
+	g := NewWithT(t)
+	cfg, err := config.Parse(DefaultConfig(hexSum("version")))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(cfg.Callers).To(HaveLen(SmallCallers + 1))
+}
+
+// Guards against settings that the daemon refuses, and against parts that are connected past their proxies.
+func TestSettingsOfAllRolesAreValid(t *testing.T) {
+	g := NewWithT(t)
+	addresses, err := reserveAddresses()
+	g.Expect(err).NotTo(HaveOccurred())
+	bed := &Bed{
+		addresses: addresses, processes: map[string]*Process{}, fakes: map[string]string{}, places: map[string]place{},
+		proxies: map[string]placedProxy{}, client: http.DefaultClient, dir: t.TempDir(),
+		fleet: Fleet{
+			DataCentres: []DataCentre{{Name: "jylland", Region: "west", Entries: 2, Models: 1, Services: 1}}, Proxies: true,
+			Agent: settings.Agent{ChunkOrder: "rarest", BaselineTransfer: true}, StoreCallsPerSecond: 5, ShutdownTimeout: time.Minute,
+		},
+	}
+	defer bed.Close()
+	bed.fleet.setDefaults()
+	g.Expect(bed.plan()).To(Succeed())
+	g.Expect(bed.writeSettings()).To(Succeed())
+	text, err := bed.settingsOf(bed.Node("agent-1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	parsed, err := settings.Parse("agent-1", []byte(text))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(parsed.Agent.Entries).To(ConsistOf(
+		bed.Proxy(LinkProxyName("entry-1")).Address(), bed.Proxy(LinkProxyName("entry-2")).Address()))
+	g.Expect(parsed.Agent.Upstream).To(Equal("http://" + bed.Proxy(ProxyName("agent-1", "engine-1")).Address()))
+	g.Expect(parsed.Link.AdvertiseAddress).To(Equal(bed.Proxy(LinkProxyName("agent-1")).Address()))
+	g.Expect(parsed.Agent.BaselineTransfer).To(BeTrue())
+}
+
+// Guards against processes that outlive their bed, and against controls that do not reach the process.
+func TestProcessesAreControlledAndEnded(t *testing.T) {
+	g := NewWithT(t)
+	bed, err := Launch(t.Context(), Fleet{DataCentres: []DataCentre{{Name: "fyn", Region: "west"}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer bed.Close()
+	store, list := bed.Process(StoreName), bed.Process(ListName)
+	store.Pause()
+	store.Resume()
+	_, err = bed.StoreStats(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list.Stop(wait)).To(Succeed())
+	g.Expect(list.Start()).To(Succeed())
+	g.Expect(bed.awaitFake(t.Context(), ListName)).To(Succeed())
+	store.Kill()
+	g.Expect(store.Running()).To(BeFalse())
+	g.Expect(bed.SetFault(t.Context(), StoreName, fake.Fault{Down: true})).NotTo(Succeed())
+
+	pids := []int{list.PID(), bed.Process(OriginName).PID()}
+	list.Pause()
+	bed.Close()
+	for _, pid := range pids {
+		g.Expect(syscall.Kill(pid, 0)).To(MatchError(syscall.ESRCH))
+	}
+}
+
+// Guards against a data centre cut that does not separate, or that does not heal.
+func TestDataCentreCutSeparatesAndHeals(t *testing.T) {
+	g := NewWithT(t)
+	bed := Start(t, Fleet{
+		DataCentres: []DataCentre{{Name: "jylland", Region: "west", Entries: 1}, {Name: "fyn", Region: "east", Entries: 1}},
+		Proxies:     true, RegionDelay: 2 * time.Millisecond, RegionBytesPerSecond: 4 << 20, NoConfig: true,
+	})
+	g.Expect(bed.Nodes(message.RoleEntry)).To(HaveLen(2))
+	seen := func(g Gomega) []string {
+		status, err := bed.Status(t.Context(), "entry-1")
+		g.Expect(err).NotTo(HaveOccurred())
+		var ids []string
+		for _, node := range status.Nodes {
+			ids = append(ids, node.ID)
+		}
+		return ids
+	}
+	g.Eventually(seen).WithTimeout(wait).Should(ContainElement("entry-2"))
+	bed.CutDataCentre("fyn")
+	g.Eventually(seen).WithTimeout(wait).ShouldNot(ContainElement("entry-2"))
+	bed.HealDataCentre("fyn")
+	g.Eventually(seen).WithTimeout(wait).Should(ContainElement("entry-2"))
+}
--- /dev/null
+++ b/internal/testbed/build.go
@@ -0,0 +1,70 @@
+package testbed
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// binaries are built once per test process.
+var binaries struct {
+	// mu guards dir.
+	mu  sync.Mutex
+	dir string
+}
+
+// binaryDirectory builds the programs on the first call and returns their directory.
+func binaryDirectory() (string, error) {
+	binaries.mu.Lock()
+	defer binaries.mu.Unlock()
+	if binaries.dir != "" {
+		return binaries.dir, nil
+	}
+	root, err := moduleRoot()
+	if err != nil {
+		return "", err
+	}
+	dir, err := os.MkdirTemp("", "pimentohead-bin-")
+	if err != nil {
+		return "", errors.Wrap(err, "testbed")
+	}
+	build := exec.Command("go", "build", "-o", dir, "./cmd/pimentoheadd", "./cmd/pimentofake") //nolint:gosec // fixed arguments
+	build.Dir = root
+	if output, err := build.CombinedOutput(); err != nil {
+		_ = os.RemoveAll(dir) // The build error is the one to report.
+		return "", errors.Wrapf(err, "testbed: build: %s", output)
+	}
+	binaries.dir = dir
+	return dir, nil
+}
+
+// RemoveBinaries deletes the built programs. Call it after the last test, for example in TestMain.
+func RemoveBinaries() {
+	binaries.mu.Lock()
+	defer binaries.mu.Unlock()
+	if binaries.dir != "" {
+		_ = os.RemoveAll(binaries.dir) // Left-overs are in the system's temporary directory.
+		binaries.dir = ""
+	}
+}
+
+// moduleRoot finds the directory of go.mod at or above the working directory.
+func moduleRoot() (string, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return "", errors.Wrap(err, "testbed")
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			return dir, nil
+		}
+		parent := filepath.Dir(dir)
+		if parent == dir {
+			return "", errors.New("testbed: no go.mod above the working directory")
+		}
+		dir = parent
+	}
+}
--- /dev/null
+++ b/internal/testbed/control.go
@@ -0,0 +1,198 @@
+package testbed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/pimentohead/pimentohead/internal/admin"
+	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/fake"
+	"github.com/pimentohead/pimentohead/internal/platform/instancelist"
+)
+
+// SubmitError is a refused submission.
+type SubmitError struct {
+	Status int
+	Detail admin.ErrorDetail
+}
+
+// Error implements error.
+func (e *SubmitError) Error() string {
+	return fmt.Sprintf("submission refused with status %d: %s", e.Status, e.Detail.Message)
+}
+
+// Config returns the envelope in force on an entry; its revision is 0 when there is none.
+func (b *Bed) Config(ctx context.Context, entry string) (config.Envelope, error) {
+	var envelope config.Envelope
+	status, body, err := b.admin(ctx, entry, http.MethodGet, admin.PathConfig, nil)
+	if err != nil || status == http.StatusNotFound {
+		return envelope, err
+	}
+	return envelope, decode(status, body, http.StatusOK, &envelope)
+}
+
+// SubmitConfig submits text on top of the configuration in force on an entry. A refusal is a *SubmitError.
+func (b *Bed) SubmitConfig(ctx context.Context, entry, text string) (config.Envelope, error) {
+	current, err := b.Config(ctx, entry)
+	if err != nil {
+		return config.Envelope{}, err
+	}
+	return b.SubmitOn(ctx, entry, current.Revision, text)
+}
+
+// SubmitOn submits text on top of a given revision.
+func (b *Bed) SubmitOn(ctx context.Context, entry string, base uint64, text string) (config.Envelope, error) {
+	submission := struct {
+		Base         uint64 `json:"base"`
+		Digest       string `json:"digest"`
+		SubmissionID string `json:"submission_id"`
+		Text         string `json:"text"`
+	}{base, config.Digest(text), uuid.NewString(), text}
+	status, body, err := b.admin(ctx, entry, http.MethodPost, admin.PathConfig, submission)
+	if err != nil {
+		return config.Envelope{}, err
+	}
+	if status != http.StatusCreated {
+		var refused admin.ErrorBody
+		_ = json.Unmarshal(body, &refused) // A body of another form leaves the detail empty.
+		return config.Envelope{}, errors.WithStack(&SubmitError{Status: status, Detail: refused.Error})
+	}
+	var envelope config.Envelope
+	return envelope, decode(status, body, http.StatusCreated, &envelope)
+}
+
+// Status returns what an entry knows of the fleet.
+func (b *Bed) Status(ctx context.Context, entry string) (admin.Status, error) {
+	var out admin.Status
+	status, body, err := b.admin(ctx, entry, http.MethodGet, admin.PathStatus, nil)
+	if err != nil {
+		return out, err
+	}
+	return out, decode(status, body, http.StatusOK, &out)
+}
+
+// CreateVersion creates a version on the origin and on the weight store.
+func (b *Bed) CreateVersion(ctx context.Context, spec fake.VersionSpec) (fake.VersionInfo, error) {
+	var info fake.VersionInfo
+	for _, name := range []string{WeightsName, OriginName} {
+		if err := b.fake(ctx, name, http.MethodPost, "/fake/version", spec, &info); err != nil {
+			return info, err
+		}
+	}
+	return info, nil
+}
+
+// Served returns what the origin or the weight store has sent.
+func (b *Bed) Served(ctx context.Context, name string) (fake.Served, error) {
+	var out fake.Served
+	err := b.fake(ctx, name, http.MethodGet, "/fake/served", nil, &out)
+	return out, err
+}
+
+// StoreStats returns the store's call counts.
+func (b *Bed) StoreStats(ctx context.Context) (fake.StoreStats, error) {
+	var out fake.StoreStats
+	err := b.fake(ctx, StoreName, http.MethodGet, "/fake/stats", nil, &out)
+	return out, err
+}
+
+// SetFault replaces the faults of a stand-in.
+func (b *Bed) SetFault(ctx context.Context, name string, fault fake.Fault) error {
+	return b.fake(ctx, name, http.MethodPost, "/fake/fault", fault, nil)
+}
+
+// SetInstances fills the instance list with all nodes; those in leaving are shown as leaving.
+func (b *Bed) SetInstances(ctx context.Context, leaving map[string]bool) error {
+	var document instancelist.Document
+	for _, n := range b.nodes {
+		instance := instancelist.Instance{
+			ID: n.ID, Role: string(n.Role), DataCentre: n.DataCentre, Region: n.Region,
+			Address: n.Advertise, State: instancelist.StateLive,
+		}
+		if leaving[n.ID] {
+			instance.State = instancelist.StateLeaving
+		}
+		document.Instances = append(document.Instances, instance)
+	}
+	return b.fake(ctx, ListName, http.MethodPut, "/fake/instances", document, nil)
+}
+
+// Journal returns what ran on an upstream, including the runs before a crash. It also works while the upstream is not running.
+func (b *Bed) Journal(upstream string) ([]fake.Entry, error) {
+	entries, err := fake.ReadJournal(b.journalPath(upstream))
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	return entries, err
+}
+
+// Journals returns the journals of all upstreams by name.
+func (b *Bed) Journals() (map[string][]fake.Entry, error) {
+	out := make(map[string][]fake.Entry)
+	for _, n := range b.nodes {
+		if n.Upstream == "" {
+			continue
+		}
+		entries, err := b.Journal(n.Upstream)
+		if err != nil {
+			return nil, err
+		}
+		out[n.Upstream] = entries
+	}
+	return out, nil
+}
+
+// admin sends a request to the admin listener of a node.
+func (b *Bed) admin(ctx context.Context, node, method, path string, body any) (int, []byte, error) {
+	return b.send(ctx, method, "http://"+b.Node(node).Admin+path, body)
+}
+
+// fake sends a control request to a stand-in and decodes the answer into out unless it is nil.
+func (b *Bed) fake(ctx context.Context, name, method, path string, body, out any) error {
+	status, answer, err := b.send(ctx, method, "http://"+b.fakes[name]+path, body)
+	if err != nil {
+		return err
+	}
+	if out == nil {
+		if status != http.StatusNoContent {
+			return errors.Newf("testbed: %s%s: status %d: %s", name, path, status, answer)
+		}
+		return nil
+	}
+	return decode(status, answer, http.StatusOK, out)
+}
+
+func (b *Bed) send(ctx context.Context, method, url string, body any) (int, []byte, error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "testbed")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(text))
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "testbed")
+	}
+	request.Header.Set("Authorization", "Bearer "+OperatorToken)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := b.client.Do(request)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, "testbed")
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, answer, errors.Wrap(err, "testbed")
+}
+
+func decode(status int, body []byte, want int, out any) error {
+	if status != want {
+		return errors.Newf("testbed: status %d: %s", status, body)
+	}
+	return errors.Wrap(json.Unmarshal(body, out), "testbed")
+}
--- /dev/null
+++ b/internal/testbed/layout.go
@@ -0,0 +1,162 @@
+package testbed
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/pimentohead/pimentohead/internal/faultproxy"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// Names of the platform's processes.
+const (
+	StoreName   = "store"
+	OriginName  = "origin"
+	WeightsName = "weights"
+	ListName    = "list"
+)
+
+// Kinds of agents.
+const (
+	kindModel   = "model"
+	kindService = "service"
+)
+
+// Node is an entry or an agent.
+type Node struct {
+	ID         string
+	Role       message.Role
+	DataCentre string
+	Region     string
+	// Kind and Upstream are set on agents. Upstream is the name of the upstream's process.
+	Kind     string
+	Upstream string
+	// Admin, Caller and Link are listen addresses. Advertise is the link address that others use.
+	Admin, Caller, Link, Advertise, Weights string
+	// endpoints are the base URLs of other parts as the node sees them, by process name.
+	endpoints map[string]string
+}
+
+func (n *Node) source() faultproxy.Source {
+	return faultproxy.Source{Node: n.ID, DataCentre: n.DataCentre, Region: n.Region}
+}
+
+// place is where a process runs.
+type place struct{ dataCentre, region string }
+
+// plan lays out nodes and processes; nothing is started yet.
+func (b *Bed) plan() error {
+	home := place{b.fleet.DataCentres[0].Name, b.fleet.DataCentres[0].Region}
+	b.addFake(StoreName, home, "store", fmt.Sprintf("-writes=%g", b.fleet.StoreWrites), fmt.Sprintf("-reads=%g", b.fleet.StoreReads))
+	b.addFake(OriginName, home, "origin", fmt.Sprintf("-bandwidth=%d", b.fleet.OriginBytesPerSecond))
+	b.addFake(WeightsName, home, "origin", "-weights")
+	b.addFake(ListName, home, "list", fmt.Sprintf("-lag=%s", b.fleet.ListLag))
+	entries, models, services := 0, 0, 0
+	for _, dc := range b.fleet.DataCentres {
+		for range dc.Entries {
+			entries++
+			b.nodes = append(b.nodes, b.newEntry(fmt.Sprintf("entry-%d", entries), dc))
+		}
+		for range dc.Models {
+			models++
+			b.nodes = append(b.nodes, b.newAgent(fmt.Sprintf("agent-%d", models), fmt.Sprintf("engine-%d", models), kindModel, dc))
+		}
+		for range dc.Services {
+			services++
+			b.nodes = append(b.nodes, b.newAgent(fmt.Sprintf("orders-%d", services), fmt.Sprintf("service-%d", services), kindService, dc))
+		}
+	}
+	for _, n := range b.nodes {
+		if err := b.connect(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *Bed) newEntry(id string, dc DataCentre) *Node {
+	return &Node{
+		ID: id, Role: message.RoleEntry, DataCentre: dc.Name, Region: dc.Region,
+		Admin: b.addresses.take(), Caller: b.addresses.take(), Link: b.addresses.take(), endpoints: make(map[string]string),
+	}
+}
+
+func (b *Bed) newAgent(id, upstream, kind string, dc DataCentre) *Node {
+	n := &Node{
+		ID: id, Role: message.RoleAgent, DataCentre: dc.Name, Region: dc.Region, Kind: kind, Upstream: upstream,
+		Admin: b.addresses.take(), endpoints: make(map[string]string),
+	}
+	where := place{dc.Name, dc.Region}
+	journal := "-journal=" + b.journalPath(upstream)
+	if kind == kindService {
+		b.addFake(upstream, where, "service", journal, fmt.Sprintf("-duration=%s", b.fleet.ServiceDuration))
+		return n
+	}
+	n.Link, n.Weights = b.addresses.take(), b.addresses.take()
+	b.addFake(upstream, where, "engine", append(b.fleet.Engine.flags(), journal)...)
+	return n
+}
+
+func (e Engine) flags() []string {
+	var flags []string
+	if e.MaxBatch > 0 {
+		flags = append(flags, fmt.Sprintf("-max-batch=%d", e.MaxBatch))
+	}
+	if e.TokenTime > 0 {
+		flags = append(flags, fmt.Sprintf("-token-time=%s", e.TokenTime))
+	}
+	if e.PrefillTime > 0 {
+		flags = append(flags, fmt.Sprintf("-prefill-time=%s", e.PrefillTime))
+	}
+	if e.LoadTime > 0 {
+		flags = append(flags, fmt.Sprintf("-load-time=%s", e.LoadTime))
+	}
+	return append(flags, fmt.Sprintf("-fencing=%t", e.Fencing), "-token="+e.Token)
+}
+
+// addFake plans one stand-in.
+func (b *Bed) addFake(name string, where place, command string, flags ...string) {
+	address := b.addresses.take()
+	b.fakes[name], b.places[name] = address, where
+	b.addProcess(name, "pimentofake", append([]string{command, "-address=" + address}, flags...))
+}
+
+func (b *Bed) addProcess(name, program string, args []string) {
+	b.processes[name] = &Process{
+		Name: name, path: filepath.Join(b.binaries, program), args: args, log: filepath.Join(b.dir, name+".log"),
+	}
+	b.order = append(b.order, name)
+}
+
+func (b *Bed) journalPath(upstream string) string { return filepath.Join(b.dir, upstream+".journal") }
+
+// connect sets the endpoints of a node, through fault proxies when the fleet has them.
+func (b *Bed) connect(n *Node) error {
+	names := []string{StoreName, ListName}
+	if n.Role == message.RoleAgent {
+		names = append(names, n.Upstream, OriginName, WeightsName)
+	}
+	for _, name := range names {
+		address := b.fakes[name]
+		if b.fleet.Proxies {
+			proxy, err := faultproxy.New(b.addresses.take(), address, n.source())
+			if err != nil {
+				return err
+			}
+			address = proxy.Address()
+			b.addProxy(ProxyName(n.ID, name), proxy, b.places[name])
+		}
+		n.endpoints[name] = "http://" + address
+	}
+	n.Advertise = n.Link
+	if !b.fleet.Proxies || n.Link == "" {
+		return nil
+	}
+	proxy, err := faultproxy.NewLink(b.addresses.take(), n.Link)
+	if err != nil {
+		return err
+	}
+	n.Advertise = proxy.Address()
+	b.addProxy(LinkProxyName(n.ID), proxy, place{n.DataCentre, n.Region})
+	return nil
+}
