message: refuse lengths that a frame cannot hold

Cause: fuzzing FuzzReadFrame stalled for 10 s. A frame of 52 bytes whose header list announces 808 million elements made the msgpack decoder allocate the whole slice before it read an element, also before the handshake has proved the sender. The decoder's own allocation limit does not apply to slices of structs. Deep nesting recurses without bound too.

Change: Decode walks the frame first and refuses counts above the bytes that remain, above 65,536 elements or 16 levels.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -87,6 +88,9 @@
 	g.Expect(errors.Is(a.Send(context.Background(), &message.Cancel{}), link.ErrClosed)).To(BeTrue())
 }
 
+// maxDecodeBytes is above what 64 KiB of the smallest elements decode to, which is about 13 MiB.
+const maxDecodeBytes = 64 << 20
+
 // Guards against memory allocation by an unauthenticated length prefix, and against panics of the decoder.
 func FuzzReadFrame(f *testing.F) {
 	frame, err := link.AppendFrame(nil, &message.Submit{Caller: "c", Body: []byte("body")}, 1<<20)
@@ -96,7 +100,13 @@
 	f.Add(frame)
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
 	f.Add([]byte{0, 0, 0, 0})
-	f.Fuzz(func(_ *testing.T, data []byte) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
 		_, _, _ = link.ReadFrame(bytes.NewReader(data), 1<<16)
+		runtime.ReadMemStats(&after)
+		if allocated := after.TotalAlloc - before.TotalAlloc; allocated > maxDecodeBytes {
+			t.Fatalf("a frame of %d bytes allocated %d", len(data), allocated)
+		}
 	})
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -71,6 +71,9 @@
 	if m == nil {
 		return nil, errors.Wrapf(ErrUnknownType, "code %d", frame[0])
 	}
+	if err := checkBounds(frame[1:]); err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "message: decode type %d", frame[0]), ErrMalformed)
+	}
 	if err := msgpack.Unmarshal(frame[1:], m); err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "message: decode type %d", frame[0]), ErrMalformed)
 	}
