docs: generate settings and configuration reference pages

Cause: keys, defaults, units and allowed values were only in the code.

Change: package reference renders the tables of docs/settings.md and docs/configuration.md from the structs' doc comments. A test fails when a page differs from the code, another finds the keys by reflection, and a comment without Required, Optional or Default is refused. Annotated samples are in examples/settings; a test checks them with -check.

--- a/cmd/pimentoheadd/main_test.go
+++ b/cmd/pimentoheadd/main_test.go
@@ -50,3 +50,15 @@
 		g.Expect(out.String()).To(ContainSubstring(tc.text))
 	}
 }
+
+// Guards against annotated samples that the daemon refuses.
+func TestSampleSettingsAreValid(t *testing.T) {
+	g := NewWithT(t)
+	samples, err := filepath.Glob(filepath.Join("..", "..", "examples", "settings", "*.toml"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(samples).To(HaveLen(3))
+	for _, sample := range samples {
+		var out bytes.Buffer
+		g.Expect(run([]string{"-config", sample, "-check"}, &out, &out)).To(Equal(exitOK), "%s: %s", sample, &out)
+	}
+}
--- /dev/null
+++ b/internal/reference/reference_test.go
@@ -0,0 +1,105 @@
+package reference_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/reference"
+	"github.com/pimentohead/pimentohead/internal/settings"
+)
+
+// update rewrites the tables in the pages: go test ./internal/reference -update.
+var update = flag.Bool("update", false, "rewrite the generated tables")
+
+const (
+	begin = "<!-- begin generated tables: go test ./internal/reference -update -->\n"
+	end   = "<!-- end generated tables -->\n"
+)
+
+var pages = []struct {
+	page, source, root string
+	value              any
+}{
+	{"settings.md", "settings/settings.go", "Settings", settings.Settings{}},
+	{"configuration.md", "config/schema.go", "Config", config.Config{}},
+}
+
+// Guards against reference pages that differ from the keys that the code reads.
+func TestPagesAreGenerated(t *testing.T) {
+	for _, p := range pages {
+		t.Run(p.page, func(t *testing.T) {
+			g := NewWithT(t)
+			tables, err := reference.Load(filepath.Join("..", p.source), p.root)
+			g.Expect(err).NotTo(HaveOccurred())
+			path := filepath.Join("..", "..", "docs", p.page)
+			text, err := os.ReadFile(path)
+			g.Expect(err).NotTo(HaveOccurred())
+			head, rest, ok := strings.Cut(string(text), begin)
+			g.Expect(ok).To(BeTrue(), "the page has no mark for the start of the tables")
+			_, tail, ok := strings.Cut(rest, end)
+			g.Expect(ok).To(BeTrue(), "the page has no mark for the end of the tables")
+			want := head + begin + "\n" + reference.Markdown(tables) + end + tail
+			if *update {
+				g.Expect(os.WriteFile(path, []byte(want), 0o600)).To(Succeed())
+			}
+			g.Expect(string(text) == want || *update).To(BeTrue(), "run go test ./internal/reference -update")
+		})
+	}
+}
+
+// Guards against a key that the generator overlooks: the keys are found by reflection here.
+func TestPagesNameEveryKey(t *testing.T) {
+	for _, p := range pages {
+		t.Run(p.page, func(t *testing.T) {
+			g := NewWithT(t)
+			text, err := os.ReadFile(filepath.Join("..", "..", "docs", p.page))
+			g.Expect(err).NotTo(HaveOccurred())
+			for _, key := range keysOf(reflect.TypeOf(p.value), "") {
+				g.Expect(string(text)).To(ContainSubstring("| `" + key + "` |"))
+			}
+		})
+	}
+}
+
+func keysOf(t reflect.Type, prefix string) []string {
+	var keys []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name := prefix + field.Tag.Get("toml")
+		inner := field.Type
+		if inner.Kind() == reflect.Slice {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			keys = append(keys, keysOf(inner, name+".")...)
+			continue
+		}
+		keys = append(keys, name)
+	}
+	return keys
+}
+
+// Guards against keys whose comment does not say what they default to.
+func TestLoadRefusesIncompleteComments(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "a.go")
+	for source, want := range map[string]string{
+		"Port int `toml:\"port\"`":                           "has no doc comment",
+		"// Port listens.\nPort int `toml:\"port\"`":         "no sentence Required, Optional or Default",
+		"// Port listens. Default 1.\nPort int":              "needs its own line and a toml tag",
+		"// A is b. Default 1.\nA, B int `toml:\"a\"`":       "needs its own line and a toml tag",
+		"// Port listens. Default 1.\nPort int `json:\"p\"`": "has no toml tag",
+	} {
+		g.Expect(os.WriteFile(path, []byte("package a\ntype T struct {\n"+source+"\n}\n"), 0o600)).To(Succeed())
+		_, err := reference.Load(path, "T")
+		g.Expect(err).To(MatchError(reference.ErrSource), source)
+		g.Expect(err.Error()).To(ContainSubstring(want))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,14 +12,15 @@
 
 // Settings is the content of one settings file.
 type Settings struct {
-	// Role is "entry" or "agent". Required.
+	// Role selects what the process does. Required. Allowed: "entry", "agent".
 	Role message.Role `toml:"role"`
-	// ID names the process; it is unique in the fleet. Required.
+	// ID names the process; it is unique in the fleet. Required. Allowed: 1 to 64 letters, digits, "-", "_" or ".".
 	ID string `toml:"id"`
-	// DataCentre and Region place the process. Required.
+	// DataCentre is where the process runs. Required. Allowed: 1 to 64 letters, digits, "-", "_" or ".".
 	DataCentre string `toml:"data_centre"`
-	Region     string `toml:"region"`
-	// LogLevel is "debug", "info" or "error". Default "info".
+	// Region is the region of the data centre. Required. Allowed: 1 to 64 letters, digits, "-", "_" or ".".
+	Region string `toml:"region"`
+	// LogLevel is the least severe level that is logged. Default "info". Allowed: "debug", "info", "error".
 	LogLevel string `toml:"log_level"`
 
 	Listen   Listen   `toml:"listen"`
@@ -32,84 +33,93 @@
 
 // Listen holds the addresses on which the process listens, as IP:port.
 type Listen struct {
-	// Caller is the HTTP address for callers. Entry only, required.
+	// Caller is the HTTP address for callers. Required for entries, belongs to them only. Allowed: IP:port.
 	Caller string `toml:"caller"`
-	// Admin is the HTTP address for operators, health, readiness and metrics. Required.
+	// Admin is the HTTP address for operators, health, readiness and metrics. Required. Allowed: IP:port.
 	Admin string `toml:"admin"`
-	// Link accepts links: of agents and entries on an entry (required), of agents that fetch chunks on an agent (required for
-	// model pools).
+	// Link accepts links: of agents and entries on an entry, of agents that fetch chunks on an agent. Required for entries and
+	// agents of model pools. Allowed: IP:port.
 	Link string `toml:"link"`
-	// Weights is the loopback HTTP address from which the engine reads verified weights. Agent of a model pool only.
+	// Weights is the HTTP address from which the engine reads verified weights. Required for agents
+	// of model pools, belongs to them only. Allowed: loopback IP:port.
 	Weights string `toml:"weights"`
 }
 
 // Link holds the parameters of links. They must be equal on all nodes.
 type Link struct {
-	// Secret authenticates nodes to each other. At least 16 bytes. Exactly one of Secret and SecretFile is required.
+	// Secret authenticates nodes to each other. Required unless secret_file is set. Allowed: at least 16 bytes.
 	Secret string `toml:"secret"`
-	// SecretFile is a file that holds the secret.
+	// SecretFile is a file that holds the secret. Required unless secret is set. Allowed: a path, relative to the working
+	// directory of the process.
 	SecretFile string `toml:"secret_file"`
-	// AdvertiseAddress is the link address that others use. Default: Listen.Link.
+	// AdvertiseAddress is the link address that others use. Default: the value of listen.link. Allowed: host:port.
 	AdvertiseAddress string `toml:"advertise_address"`
-	// HeartbeatInterval is the time between heartbeats. Default 1 s.
+	// HeartbeatInterval is the time between heartbeats. Default "1s". Allowed: a positive duration.
 	HeartbeatInterval Duration `toml:"heartbeat_interval"`
-	// SilenceTimeout closes a silent link. Default 3 s, at least twice HeartbeatInterval.
+	// SilenceTimeout closes a silent link. Default "3s". Allowed: a duration of at least twice heartbeat_interval.
 	SilenceTimeout Duration `toml:"silence_timeout"`
 }
 
 // Platform holds the endpoints of the platform's services, as http URLs.
 type Platform struct {
-	// Store is the key-value service. Required.
+	// Store is the key-value service. Required. Allowed: http or https URL.
 	Store string `toml:"store"`
-	// StoreCallsPerSecond caps this process's calls to the store. Default 20 for an entry, 60 for an agent.
+	// StoreCallsPerSecond caps this process's calls to the store. Default 20 for an entry, 60 for an agent. Unit: calls a
+	// second. Allowed: more than 0.
 	StoreCallsPerSecond float64 `toml:"store_calls_per_second"`
-	// InstanceList is the list of live and leaving instances. Optional.
+	// InstanceList is the list of live and leaving instances. Optional. Allowed: http or https URL.
 	InstanceList string `toml:"instance_list"`
-	// Origin is the origin of weights, WeightStore the rate-limited store. Agent of a model pool: Origin is required.
-	Origin      string `toml:"origin"`
+	// Origin is the origin of weights. Required for agents of a model pool. Allowed: http or https URL.
+	Origin string `toml:"origin"`
+	// WeightStore is the rate-limited store of weights, used when the origin fails. Optional. Allowed: http or https URL.
 	WeightStore string `toml:"weight_store"`
 }
 
 // Entry holds settings of the entry role.
 type Entry struct {
-	// Peers are link addresses of other entries in all data centres. The process's own address may be among them.
+	// Peers are link addresses of other entries in all data centres. The process's own address may be among them. Default []:
+	// the only entry. Allowed: list of IP:port.
 	Peers []string `toml:"peers"`
-	// OperatorTokensSHA256 maps operator names to the hex SHA-256 of their admin token. At least one is required.
+	// OperatorTokensSHA256 maps operator names to the hex SHA-256 of their admin token. Required: at least one. Allowed: 64 hex
+	// digits for each name.
 	OperatorTokensSHA256 map[string]string `toml:"operator_tokens_sha256"`
-	// MaxConnections bounds open caller connections. Default 10000.
+	// MaxConnections bounds open caller connections. Default 10000. Unit: connections. Allowed: at least 1.
 	MaxConnections int `toml:"max_connections"`
 }
 
 // Agent holds settings of the agent role.
 type Agent struct {
-	// Entries are link addresses of the entries in the agent's data centre. At least one is required.
+	// Entries are link addresses of the entries in the agent's data centre. Required: at least one. Allowed: list of IP:port.
 	Entries []string `toml:"entries"`
-	// Pool is the pool that the upstream belongs to, Kind is "model" or "service". Required.
+	// Pool is the pool that the upstream belongs to. Required. Allowed: 1 to 64 letters, digits, "-", "_" or ".".
 	Pool string `toml:"pool"`
+	// Kind tells what the upstream is. Required. Allowed: "model", "service".
 	Kind string `toml:"kind"`
-	// Upstream is the base URL of the upstream. Required.
+	// Upstream is the base URL of the upstream. Required. Allowed: http or https URL.
 	Upstream string `toml:"upstream"`
-	// UpstreamToken is sent to upstreams that check who gives them an order. Optional.
+	// UpstreamToken is sent to upstreams that check who gives them an order. Optional. Allowed: any text.
 	UpstreamToken string `toml:"upstream_token"`
-	// MaxConcurrency bounds requests in progress on the upstream. Default 64.
+	// MaxConcurrency bounds requests in progress on the upstream. Default 64. Unit: requests. Allowed: at least 1.
 	MaxConcurrency int `toml:"max_concurrency"`
-	// QueueLimit bounds waiting requests. Default 1024.
+	// QueueLimit bounds waiting requests. Default 1024. Unit: requests. Allowed: at least 1.
 	QueueLimit int `toml:"queue_limit"`
-	// WeightsMemoryBytes bounds chunks held in memory. Default 4 GiB.
+	// WeightsMemoryBytes bounds chunks held in memory. Default 4294967296, which is 4 GiB. Unit: bytes. Allowed: at least 1.
 	WeightsMemoryBytes int64 `toml:"weights_memory_bytes"`
-	// PeerBytesPerSecond bounds weight traffic on the instance's link, in each direction; 0 is unlimited.
+	// PeerBytesPerSecond bounds weight traffic on the instance's link, in each direction; 0 is unlimited. Default 0. Unit:
+	// bytes a second. Allowed: at least 0.
 	PeerBytesPerSecond int64 `toml:"peer_bytes_per_second"`
 	// BaselineScheduling replaces the scheduler by one shared first-in first-out queue, for comparison in the bench.
+	// Default false.
 	BaselineScheduling bool `toml:"baseline_scheduling"`
-	// BaselineTransfer makes the agent read every chunk from the origin, for comparison in the bench.
+	// BaselineTransfer makes the agent read every chunk from the origin, for comparison in the bench. Default false.
 	BaselineTransfer bool `toml:"baseline_transfer"`
-	// ChunkOrder is the order in which chunks are requested: "in-order", "rarest" or "rendezvous". Default "rendezvous".
+	// ChunkOrder is the order in which chunks are requested. Default "rendezvous". Allowed: "in-order", "rarest", "rendezvous".
 	ChunkOrder string `toml:"chunk_order"`
 }
 
 // Shutdown holds the parameters of a graceful shutdown.
 type Shutdown struct {
-	// Timeout bounds how long requests in progress may take to finish. Default 60 s.
+	// Timeout bounds how long requests in progress may take to finish. Default "60s". Allowed: a positive duration.
 	Timeout Duration `toml:"timeout"`
 }
 
