dispatch: drop answer header fields that HTTP cannot carry

Cause: FuzzAnswer passes arbitrary upstream answers to a caller over HTTP. A header value with a control character was passed on, and the caller's client then refused the whole answer as malformed. net/http replaces line breaks but writes other control characters.

Change: names and values that are not valid are left out.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/pimentohead/pimentohead/internal/filter"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
@@ -98,7 +100,9 @@
 func (a *answer) writeHeader() {
 	header := a.x.Writer.Header()
 	for _, field := range a.head.Header {
-		if name := textproto.CanonicalMIMEHeaderKey(field.Name); passed(name) {
+		// A field that HTTP cannot carry would make the whole answer unreadable for the caller.
+		name := textproto.CanonicalMIMEHeaderKey(field.Name)
+		if passed(name) && httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(field.Value) {
 			header.Add(name, field.Value)
 		}
 	}
