--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
+	"github.com/pimentohead/pimentohead/internal/controller/rollout"
 	"github.com/pimentohead/pimentohead/internal/dispatch"
 	"github.com/pimentohead/pimentohead/internal/filter"
 	"github.com/pimentohead/pimentohead/internal/link"
@@ -56,6 +57,7 @@
 
 	holder     *config.Holder
 	syncer     *confsync.Syncer
+	rollout    *rollout.Controller
 	table      *membership.Table
 	router     *routing.Router
 	quarantine *quarantine.List
@@ -81,7 +83,7 @@
 	s := o.Settings
 	e := &Entry{
 		settings: s, log: o.Log, settle: o.SettleTime, telemetry: exporter, holder: config.NewHolder(),
-		table: membership.NewTable(), quarantine: quarantine.New(nil), links: newLinks(s.ID), views: newViews(),
+		table: membership.NewTable(), quarantine: quarantine.New(nil), links: newLinks(s.ID, s.Link.HeartbeatInterval.Std()), views: newViews(),
 		crashes: newCrashes(),
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(),
@@ -102,6 +104,7 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
 	e.syncer = e.newSyncer(o)
+	e.rollout = e.newRollout(o)
 	e.compose(o)
 	return e, nil
 }
