entry: serve callers and operators over TLS

Cause: the caller and admin listeners spoke plain HTTP only, so API keys and operator tokens crossed the network in the clear.

Change: listen.tls_cert_file and listen.tls_key_file name a certificate for both listeners of an entry.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -35,7 +35,7 @@
 }
 
 func (e *Entry) limitConnections() net.Listener {
-	return netutil.LimitListener(e.callerListener, e.settings.Entry.MaxConnections)
+	return e.secure(netutil.LimitListener(e.callerListener, e.settings.Entry.MaxConnections))
 }
 
 func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/certificate"
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
 	"github.com/pimentohead/pimentohead/internal/controller/rollout"
@@ -70,6 +71,8 @@
 	metrics    *metrics
 
 	callerListener, adminListener, linkListener net.Listener
+	// certificate is nil when callers and operators are served without TLS.
+	certificate *certificate.Source
 	// duties counts the goroutines that Run started.
 	duties sync.WaitGroup
 }
@@ -96,6 +99,9 @@
 	if e.metrics, err = newMetrics(exporter.Meter); err != nil {
 		return nil, err
 	}
+	if err := e.loadCertificate(); err != nil {
+		return nil, err
+	}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -20,7 +20,7 @@
 	failed := make(chan error, 3)
 	callers, admin := e.callerServer(base), e.adminServer()
 	e.serve(failed, func() error { return callers.Serve(e.limitConnections()) })
-	e.serve(failed, func() error { return admin.Serve(e.adminListener) })
+	e.serve(failed, func() error { return admin.Serve(e.secure(e.adminListener)) })
 	e.spawn(base, "links", func(ctx context.Context) error { return e.acceptLinks(ctx) })
 	e.spawnDuties(base)
 	e.log.Info("entry is running", "id", e.settings.ID, "callers", e.CallerAddress(), "links", e.LinkAddress(),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,11 @@
 	// Weights is the HTTP address from which the engine reads verified weights. Required for agents
 	// of model pools, belongs to them only. Allowed: loopback IP:port.
 	Weights string `toml:"weights"`
+	// TLSCertFile is the PEM file of the certificate chain for the caller and admin listeners; empty serves plain HTTP. A
+	// changed file is used for new connections without a restart. Optional. Allowed: a path, together with tls_key_file.
+	TLSCertFile string `toml:"tls_cert_file"`
+	// TLSKeyFile is the PEM file of the certificate's private key. Optional. Allowed: a path, together with tls_cert_file.
+	TLSKeyFile string `toml:"tls_key_file"`
 }
 
 // Link holds the parameters of links. They must be equal on all nodes.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,6 +47,7 @@
 		{"role conflict", `admin = "127.0.0.1:9101"`, "admin = \"127.0.0.1:9101\"\ncaller = \"127.0.0.1:1\"", `a.toml:7: key "listen.caller": belongs to the entry role`},
 		{"short secret", `0123456789abcdef`, `short`, `a.toml:10: key "link.secret": must have at least 16 bytes`},
 		{"weights not on loopback", `weights = "127.0.0.1`, `weights = "192.0.2.1`, `a.toml:8: key "listen.weights": must be a loopback`},
+		{"certificate without key", `[link]`, "tls_cert_file = \"c.pem\"\n[link]", `a.toml:9: key "listen.tls_cert_file": must be set together`},
 		{"bad duration", `secret = "0123456789abcdef"`, "secret = \"0123456789abcdef\"\nsilence_timeout = \"3\"", `"3" is not a duration`},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -74,6 +74,9 @@
 		c.fault("log_level", `must be "debug", "info" or "error"`)
 	}
 	c.address("listen.admin", s.Listen.Admin)
+	if (s.Listen.TLSCertFile == "") != (s.Listen.TLSKeyFile == "") {
+		c.fault("listen.tls_cert_file", "must be set together with listen.tls_key_file")
+	}
 	if len(s.Link.Secret) < minSecretBytes {
 		c.fault("link.secret", "must have at least 16 bytes, here or in link.secret_file")
 	}
