testbed: build pimentoctl, name the service pool, drop package testing

That needs pimentoctl, the pool name order-desk, and a test bed that does not depend on package testing.

Change: Start takes an interface with the methods that it uses. Additive: Bed.Binary, Fleet.ServicePool, and pimentoctl among the built programs.

--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 	"os"
-	"testing"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,9 +38,19 @@
 	client      *http.Client
 }
 
+// TB is the part of testing.TB that Start needs. Programs use Launch, and so do not depend on package testing.
+type TB interface {
+	Helper()
+	Context() context.Context
+	Cleanup(func())
+	Failed() bool
+	Fatal(args ...any)
+	Log(args ...any)
+}
+
 // Start starts a fleet for a test and ends it with the test. When the test has failed, the last log lines of each process are
 // printed.
-func Start(t testing.TB, fleet Fleet) *Bed {
+func Start(t TB, fleet Fleet) *Bed {
 	t.Helper()
 	bed, err := Launch(t.Context(), fleet)
 	if err != nil {
@@ -222,6 +232,9 @@
 	return p
 }
 
+// Binary returns the path of a program that was built for the bed: "pimentoheadd", "pimentoctl" or "pimentofake".
+func (b *Bed) Binary(name string) string { return filepath.Join(b.binaries, name) }
+
 // LogTails returns the last log lines of every process.
 func (b *Bed) LogTails() string {
 	out := ""
--- a/internal/testbed/build.go
+++ b/internal/testbed/build.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "testbed")
 	}
-	build := exec.Command("go", "build", "-o", dir, "./cmd/pimentoheadd", "./cmd/pimentofake") //nolint:gosec // fixed arguments
+	build := exec.Command("go", "build", "-o", dir, "./cmd/pimentoheadd", "./cmd/pimentoctl", "./cmd/pimentofake") //nolint:gosec // fixed arguments
 	build.Dir = root
 	if output, err := build.CombinedOutput(); err != nil {
 		_ = os.RemoveAll(dir) // The build error is the one to report.
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -37,6 +37,9 @@
 	Config   func(version string) string
 	NoConfig bool
 
+	// ServicePool is the pool of the plain services. Default ServicePool.
+	ServicePool string
+
 	Engine Engine
 	// ServiceDuration is the time that an order takes. Default 5 ms.
 	ServiceDuration time.Duration
@@ -79,6 +82,7 @@
 	setDefault(&f.StoreReads, defaultStoreReads)
 	setDefault(&f.ServiceDuration, defaultServiceTime)
 	setDefault(&f.LogLevel, "info")
+	setDefault(&f.ServicePool, ServicePool)
 	if f.InitialVersion == nil {
 		f.InitialVersion = &fake.VersionSpec{Model: ModelName, Seed: 1, Chunks: defaultChunks, ChunkBytes: defaultChunkBytes}
 	}
--- a/internal/testbed/settings.go
+++ b/internal/testbed/settings.go
@@ -74,7 +74,7 @@
 		WeightStore: n.endpoints[WeightsName], Upstream: n.endpoints[n.Upstream], Links: b.linksOf(n),
 	}
 	if n.Kind == kindService {
-		data.Pool = ServicePool
+		data.Pool = b.fleet.ServicePool
 	}
 	var out strings.Builder
 	err := settingsText.Execute(&out, data)
