--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"sync"
+)
+
+// measure is one line of output.
+type measure struct {
+	Scenario string  `json:"scenario"`
+	Measure  string  `json:"measure"`
+	Value    float64 `json:"value"`
+	Unit     string  `json:"unit"`
+	// Target describes the bound, empty for values that are printed for comparison only.
+	Target string `json:"target"`
+	Pass   bool   `json:"pass"`
+}
+
+// report prints measures and remembers whether one missed its target.
+type report struct {
+	// mu guards out and missed.
+	mu       sync.Mutex
+	scenario string
+	out      io.Writer
+	missed   bool
+}
+
+// atMost reports a value with an upper bound.
+func (r *report) atMost(name string, value float64, unit string, bound float64) {
+	r.print(measure{Measure: name, Value: value, Unit: unit, Target: "<= " + number(bound), Pass: value <= bound})
+}
+
+// atLeast reports a value with a lower bound.
+func (r *report) atLeast(name string, value float64, unit string, bound float64) {
+	r.print(measure{Measure: name, Value: value, Unit: unit, Target: ">= " + number(bound), Pass: value >= bound})
+}
+
+// info reports a value without a bound.
+func (r *report) info(name string, value float64, unit string) {
+	r.print(measure{Measure: name, Value: value, Unit: unit, Pass: true})
+}
+
+func (r *report) print(m measure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.Scenario = r.scenario
+	r.missed = r.missed || !m.Pass
+	_ = json.NewEncoder(r.out).Encode(m)
+}
+
+func number(v float64) string {
+	text, _ := json.Marshal(v)
+	return string(text)
+}
