--- /dev/null
+++ b/internal/engine/control.go
@@ -0,0 +1,97 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/swap"
+)
+
+// maxStatusBytes bounds the answer of a control call.
+const maxStatusBytes = 64 << 10
+
+var _ swap.Engine = (*Upstream)(nil)
+
+// Health returns nil when the upstream answers GET /health with a success. A connection that was refused or lost is marked
+// ErrDisconnected.
+func (u *Upstream) Health(ctx context.Context) error {
+	code, _, err := u.call(ctx, http.MethodGet, "/health", nil)
+	if err != nil {
+		return err
+	}
+	if code >= http.StatusMultipleChoices {
+		return errors.Wrapf(ErrUnhealthy, "status %d", code)
+	}
+	return nil
+}
+
+// Status implements swap.Engine.
+func (u *Upstream) Status(ctx context.Context) (swap.EngineStatus, error) {
+	var status swap.EngineStatus
+	code, answer, err := u.call(ctx, http.MethodGet, "/control/status", nil)
+	if err != nil {
+		return status, err
+	}
+	if code != http.StatusOK {
+		return status, errors.Wrapf(ErrControl, "status: HTTP %d", code)
+	}
+	if err := json.Unmarshal(answer, &status); err != nil {
+		return status, errors.Mark(errors.Wrap(err, "engine: status"), ErrControl)
+	}
+	return status, nil
+}
+
+// loadOrder is the body of a load order.
+type loadOrder struct {
+	Version string `json:"version"`
+	Source  string `json:"source"`
+	Fence   uint64 `json:"fence"`
+}
+
+// Load implements swap.Engine. It returns ErrOldFence when the engine refused the fencing number.
+func (u *Upstream) Load(ctx context.Context, version, source string, fence uint64) error {
+	order, err := json.Marshal(loadOrder{Version: version, Source: source, Fence: fence})
+	if err != nil {
+		return errors.Mark(err, ErrControl)
+	}
+	code, _, err := u.call(ctx, http.MethodPost, "/control/load", order)
+	if err != nil {
+		return err
+	}
+	switch {
+	case code == http.StatusConflict:
+		return errors.Wrapf(ErrOldFence, "fence %d", fence)
+	case code >= http.StatusMultipleChoices:
+		return errors.Wrapf(ErrControl, "load: HTTP %d", code)
+	}
+	return nil
+}
+
+// call returns the status code and the body of the answer.
+func (u *Upstream) call(ctx context.Context, method, path string, order []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, u.cfg.BaseURL+path, bytes.NewReader(order))
+	if err != nil {
+		return 0, nil, errors.Mark(err, ErrControl)
+	}
+	if u.cfg.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+u.cfg.Token)
+	}
+	if order != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := u.control.Do(req)
+	if err != nil {
+		return 0, nil, errors.Mark(classify(ctx, errors.Wrapf(err, "engine: %s", path)), ErrControl)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
+	if err != nil {
+		return 0, nil, errors.Mark(classify(ctx, errors.Wrapf(err, "engine: %s", path)), ErrControl)
+	}
+	return resp.StatusCode, answer, nil
+}
--- /dev/null
+++ b/internal/engine/upstream.go
@@ -0,0 +1,205 @@
+// Package engine is the client of an upstream: a model engine or a plain service.
+package engine
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// Config holds the parameters of an Upstream. The zero value of a field selects its default.
+type Config struct {
+	// BaseURL is the upstream's URL without a path. Required.
+	BaseURL string
+	// Token is sent with control orders. Optional.
+	Token string
+	// MaxConnections bounds connections for requests. Default 128.
+	MaxConnections int
+	// IdleTimeout bounds the time without progress on a request in progress. Default 10 s.
+	IdleTimeout time.Duration
+	// ControlTimeout bounds one control or health call. Default 1 s.
+	ControlTimeout time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultMaxConnections = 128
+	DefaultIdleTimeout    = 10 * time.Second
+	DefaultControlTimeout = time.Second
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// keepAliveTimeout closes unused connections before common servers do, so that a request rarely meets a closed one.
+	keepAliveTimeout = 4 * time.Second
+)
+
+// Names of headers that the gate sets or reads.
+const (
+	HeaderPriority  = "X-Priority"
+	HeaderRequestID = "Pimentohead-Request-Id"
+	HeaderAttempt   = "Pimentohead-Attempt"
+	HeaderOrderKey  = "Idempotency-Key"
+	HeaderVersion   = "X-Model-Version"
+)
+
+// Upstream is the client of one upstream. It is safe for concurrent use.
+type Upstream struct {
+	cfg Config
+	// requests carries requests, control the health checks and orders, so that a full upstream can still be checked.
+	requests *http.Transport
+	control  *http.Client
+}
+
+// New returns a client. No connection is made yet.
+func New(cfg Config) *Upstream {
+	if cfg.MaxConnections <= 0 {
+		cfg.MaxConnections = DefaultMaxConnections
+	}
+	if cfg.IdleTimeout <= 0 {
+		cfg.IdleTimeout = DefaultIdleTimeout
+	}
+	if cfg.ControlTimeout <= 0 {
+		cfg.ControlTimeout = DefaultControlTimeout
+	}
+	cfg.BaseURL = strings.TrimSuffix(cfg.BaseURL, "/")
+	return &Upstream{
+		cfg:      cfg,
+		requests: transport(cfg.MaxConnections),
+		control:  &http.Client{Transport: transport(2), Timeout: cfg.ControlTimeout},
+	}
+}
+
+func transport(connections int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     keepAliveTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Close closes idle connections.
+func (u *Upstream) Close() {
+	u.requests.CloseIdleConnections()
+	u.control.CloseIdleConnections()
+}
+
+// Response is an answer in progress. The caller must read the body to its end or close it.
+type Response struct {
+	Status int
+	Header []message.HeaderField
+	// Version is the model version that serves the answer, empty for services.
+	Version string
+	body    *body
+}
+
+// Do sends a request and returns when the answer began. It returns an error that is ErrNotSent or ErrMayHaveRun. The context
+// bounds the whole answer; when it ends the connection is closed.
+func (u *Upstream) Do(ctx context.Context, s *message.Submit) (*Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	idle := newIdleTimer(u.cfg.IdleTimeout, func() { cancel(ErrIdle) })
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := u.newRequest(httptrace.WithClientTrace(ctx, trace), s)
+	if err != nil {
+		idle.stop()
+		cancel(nil)
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	resp, err := u.requests.RoundTrip(req) //nolint:bodyclose // Response.Close closes the body
+	if err != nil {
+		idle.stop()
+		err = classify(ctx, err)
+		cancel(nil)
+		if sent.Load() {
+			return nil, errors.Mark(err, ErrMayHaveRun)
+		}
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	idle.progress()
+	return newResponse(ctx, req, resp, idle, cancel), nil
+}
+
+// newRequest builds the HTTP request. GetBody stays unset and the body is never nil for requests that are not idempotent:
+// net/http would otherwise send a request with an Idempotency-Key again when a reused connection breaks.
+func (u *Upstream) newRequest(ctx context.Context, s *message.Submit) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, s.Method, u.cfg.BaseURL+s.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if len(s.Body) > 0 || !s.Idempotent {
+		req.Body = &requestBody{data: s.Body}
+		req.ContentLength = int64(len(s.Body))
+	}
+	for _, field := range s.Header {
+		req.Header.Add(field.Name, field.Value)
+	}
+	removeHopByHop(req.Header)
+	req.Header.Set(HeaderPriority, strconv.Itoa(s.Priority))
+	req.Header.Set(HeaderRequestID, s.Attempt.RequestID)
+	req.Header.Set(HeaderAttempt, strconv.Itoa(s.Attempt.Number))
+	if s.OrderKey != "" {
+		req.Header.Set(HeaderOrderKey, s.OrderKey)
+	}
+	return req, nil
+}
+
+// requestBody is a body that net/http cannot rewind.
+type requestBody struct{ data []byte }
+
+func (b *requestBody) Read(p []byte) (int, error) {
+	if len(b.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.data)
+	b.data = b.data[n:]
+	return n, nil
+}
+
+func (*requestBody) Close() error { return nil }
+
+// hopByHop lists headers that concern one connection only (RFC 9110, section 7.6.1), and those that net/http sets itself.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect",
+}
+
+func removeHopByHop(h http.Header) {
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// classify marks the cause of a transport error.
+func classify(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return errors.Mark(errors.Wrap(cause, "engine"), cause)
+	}
+	var opError *net.OpError
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET),
+		errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.EPIPE), errors.As(err, &opError),
+		strings.Contains(err.Error(), "server closed idle connection"):
+		return errors.Mark(err, ErrDisconnected)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/engine/upstream_test.go
@@ -0,0 +1,158 @@
+package engine_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
+
+	"github.com/pimentohead/pimentohead/internal/engine"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// matchErr matches marked errors, which the standard library's errors.Is does not see.
+func matchErr(target error) types.GomegaMatcher {
+	return WithTransform(func(err error) bool { return errors.Is(err, target) }, BeTrue())
+}
+
+func order() *message.Submit {
+	return &message.Submit{
+		Attempt: message.Attempt{RequestID: "r1", Number: 2}, Method: http.MethodPost, Path: "/orders", OrderKey: "key-1", Priority: 1,
+		Header: []message.HeaderField{{Name: "Connection", Value: "X-Drop"}, {Name: "X-Drop", Value: "1"}, {Name: "X-Keep", Value: "2"}},
+		Body:   []byte("{}"),
+	}
+}
+
+func serve(t *testing.T, handler http.HandlerFunc) *engine.Upstream {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	u := engine.New(engine.Config{BaseURL: server.URL, Token: "secret", IdleTimeout: 100 * time.Millisecond})
+	t.Cleanup(u.Close)
+	return u
+}
+
+func read(u *engine.Upstream, s *message.Submit) (string, error) {
+	resp, err := u.Do(context.Background(), s)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	data, err := io.ReadAll(resp)
+	return string(data), err
+}
+
+// Guards against lost caller headers and forwarded connection headers.
+func TestRequestHeaders(t *testing.T) {
+	g := NewWithT(t)
+	var got http.Header
+	u := serve(t, func(_ http.ResponseWriter, r *http.Request) { got = r.Header })
+	_, err := read(u, order())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got.Get("X-Keep")).To(Equal("2"))
+	g.Expect(got).NotTo(HaveKey("X-Drop"))
+	g.Expect(got.Get(engine.HeaderPriority) + got.Get(engine.HeaderRequestID) + got.Get(engine.HeaderAttempt)).To(Equal("1r12"))
+	g.Expect(got.Get(engine.HeaderOrderKey)).To(Equal("key-1"))
+}
+
+// Guards against partial answers that look complete.
+func TestIncompleteAnswersAreBroken(t *testing.T) {
+	cases := map[string]struct {
+		raw   string
+		clean bool
+	}{
+		"length":           {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true},
+		"short":            {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false},
+		"chunked":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
+		"cut chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false},
+		"unframed":         {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", false},
+		"stream":           {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", true},
+		"stream, no event": {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n", false},
+		"silent":           {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			release := make(chan struct{})
+			t.Cleanup(func() { close(release) })
+			u := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // Closing with unread bytes would reset the connection.
+				nc, _, _ := w.(http.Hijacker).Hijack()
+				_, _ = io.WriteString(nc, c.raw)
+				if name == "silent" {
+					<-release
+				}
+				_ = nc.Close()
+			})
+			_, err := read(u, order())
+			if c.clean {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(err).To(matchErr(engine.ErrBroken))
+			if name == "silent" {
+				g.Expect(err).To(matchErr(engine.ErrIdle))
+			}
+		})
+	}
+}
+
+// Guards against net/http sending an order with an Idempotency-Key twice when a reused connection breaks.
+func TestOrderIsSentOnceWhenReusedConnectionBreaks(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int32
+	u := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		if runs.Add(1) > 1 {
+			nc, _, _ := w.(http.Hijacker).Hijack()
+			_ = nc.Close()
+		}
+	})
+	empty := order()
+	empty.Body = nil
+	_, err := read(u, empty)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = read(u, empty)
+	g.Expect(err).To(And(matchErr(engine.ErrMayHaveRun), matchErr(engine.ErrDisconnected)))
+	g.Expect(runs.Load()).To(Equal(int32(2)))
+}
+
+// Guards against reporting a request as possibly run when no connection was made.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listener.Close()).To(Succeed())
+	u := engine.New(engine.Config{BaseURL: "http://" + listener.Addr().String()})
+	_, err = read(u, order())
+	g.Expect(err).To(And(matchErr(engine.ErrNotSent), matchErr(engine.ErrDisconnected)))
+	g.Expect(err).NotTo(matchErr(engine.ErrMayHaveRun))
+	g.Expect(u.Health(context.Background())).To(matchErr(engine.ErrDisconnected))
+}
+
+// Guards against control orders without the token and a refused fence that looks like success.
+func TestControlCalls(t *testing.T) {
+	g := NewWithT(t)
+	u := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/control/status":
+			_, _ = io.WriteString(w, `{"loaded_version":"v1","incarnation":7,"running":3}`)
+		case r.Header.Get("Authorization") != "Bearer secret":
+			w.WriteHeader(http.StatusForbidden)
+		default:
+			w.WriteHeader(http.StatusConflict)
+		}
+	})
+	status, err := u.Status(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status.LoadedVersion).To(Equal("v1"))
+	g.Expect(status.Incarnation).To(Equal(uint64(7)))
+	g.Expect(u.Load(context.Background(), "v2", "http://127.0.0.1:1", 1)).To(matchErr(engine.ErrOldFence))
+	g.Expect(u.Health(context.Background())).To(matchErr(engine.ErrUnhealthy))
+}
