--- a/internal/message/node.go
+++ b/internal/message/node.go
@@ -90,9 +90,17 @@
 	Pool string `msgpack:"pl"`
 	// Versions lists the complete versions the peer holds.
 	Versions []string `msgpack:"vs"`
+	// Accepting tells that the peer's upstream takes new work. Entries use it to forward requests to another data centre.
+	Accepting bool `msgpack:"ac,omitempty"`
+	// State, LoadedVersion, LoadError and Revision are sent between entries only, for the status that operators read.
+	State         State  `msgpack:"st,omitempty"`
+	LoadedVersion string `msgpack:"lv,omitempty"`
+	LoadError     string `msgpack:"le,omitempty"`
+	Revision      uint64 `msgpack:"rev,omitempty"`
 }
 
-// PeerView lists the live agents that an entry knows, of all data centres.
+// PeerView lists live agents. Towards an agent it lists those of all data centres that the entry knows; towards another entry
+// only those with a link to the sender, so that views are not passed on in circles.
 type PeerView struct {
 	Peers []Peer `msgpack:"p"`
 }
@@ -152,6 +160,8 @@
 	ID       uint64 `msgpack:"i"`
 	Data     []byte `msgpack:"d,omitempty"`
 	NotFound bool   `msgpack:"nf,omitempty"`
+	// Pending tells that the peer is still fetching the chunk and makes progress, so that the requester asks it again.
+	Pending bool `msgpack:"p,omitempty"`
 }
 
 // MessageType implements Message.
