agent: compose the agent process

Links to entries, duplicate and revoked attempts, the order ledger, the scheduler, streaming with flow control, crash detection, weights and swap, graceful shutdown and the admin listener.

--- /dev/null
+++ b/internal/agent/attempts.go
@@ -0,0 +1,186 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/order"
+	"github.com/pimentohead/pimentohead/internal/sched"
+)
+
+const (
+	// keepAttempts is the least time for which the end of an attempt is remembered.
+	keepAttempts = 2 * time.Minute
+	// maxAttempts bounds remembered attempts per period. Beyond it new attempts are refused, because forgetting one could
+	// run a revoked request.
+	maxAttempts = 200_000
+)
+
+type attemptState uint8
+
+const (
+	// attemptPending attempts wait for the ledger or in the queue.
+	attemptPending attemptState = iota
+	attemptRunning
+	attemptDone
+	attemptRevoked
+)
+
+// attempt is one attempt of a request from its Submit until it is forgotten.
+type attempt struct {
+	id message.Attempt
+
+	// mu guards the fields below up to the next blank line.
+	mu      sync.Mutex
+	state   attemptState
+	outcome message.Outcome
+	claim   *order.Claim
+	item    *sched.Item
+
+	submit   *message.Submit
+	conn     *link.Conn
+	received time.Time
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	// detached is closed when nobody receives the answer any more.
+	detached   chan struct{}
+	detachOnce sync.Once
+	credit     *credit
+	// incarnation is the upstream process that runs the request.
+	incarnation uint64
+	started     time.Time
+}
+
+func (a *attempt) detach() { a.detachOnce.Do(func() { close(a.detached) }) }
+
+func (a *attempt) isDetached() bool {
+	select {
+	case <-a.detached:
+		return true
+	default:
+		return false
+	}
+}
+
+// attempts remembers attempts in two generations, so that forgetting old ones takes no scan.
+type attempts struct {
+	// mu guards all fields below.
+	mu                sync.Mutex
+	current, previous map[message.Attempt]*attempt
+	rotated           time.Time
+}
+
+func newAttempts() *attempts {
+	return &attempts{current: make(map[message.Attempt]*attempt), rotated: time.Now()}
+}
+
+// add records a new attempt, or returns the one that is known. full tells that none could be recorded.
+func (t *attempts) add(a *attempt) (known *attempt, full bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate()
+	if known := t.find(a.id); known != nil {
+		return known, false
+	}
+	if len(t.current) >= maxAttempts {
+		return nil, true
+	}
+	t.current[a.id] = a
+	return nil, false
+}
+
+func (t *attempts) get(id message.Attempt) *attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.find(id)
+}
+
+func (t *attempts) find(id message.Attempt) *attempt {
+	if a := t.current[id]; a != nil {
+		return a
+	}
+	return t.previous[id]
+}
+
+// rotate forgets attempts that ended one full period ago. Attempts in progress are kept.
+func (t *attempts) rotate() {
+	if time.Since(t.rotated) < keepAttempts {
+		return
+	}
+	kept := make(map[message.Attempt]*attempt)
+	for id, a := range t.previous {
+		a.mu.Lock()
+		if a.state == attemptPending || a.state == attemptRunning {
+			kept[id] = a
+		}
+		a.mu.Unlock()
+	}
+	t.previous, t.current, t.rotated = t.current, kept, time.Now()
+}
+
+// of returns the attempts in progress that arrived on a link.
+func (t *attempts) of(conn *link.Conn) []*attempt {
+	return t.filter(func(a *attempt) bool { return a.conn == conn })
+}
+
+// filter returns matching attempts in progress.
+func (t *attempts) filter(match func(*attempt) bool) []*attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*attempt
+	for _, generation := range []map[message.Attempt]*attempt{t.current, t.previous} {
+		for _, a := range generation {
+			a.mu.Lock()
+			if (a.state == attemptPending || a.state == attemptRunning) && match(a) {
+				out = append(out, a)
+			}
+			a.mu.Unlock()
+		}
+	}
+	return out
+}
+
+// credit is the flow-control window of one answer.
+type credit struct {
+	// mu guards left and grown.
+	mu    sync.Mutex
+	left  int64
+	grown chan struct{}
+}
+
+func newCredit() *credit {
+	return &credit{left: message.InitialCreditBytes, grown: make(chan struct{}, 1)}
+}
+
+func (c *credit) add(n int64) {
+	c.mu.Lock()
+	c.left += max(n, 0)
+	c.mu.Unlock()
+	select {
+	case c.grown <- struct{}{}:
+	default:
+	}
+}
+
+// take waits until n bytes may be sent. It returns false when done or stop ends first.
+func (c *credit) take(n int64, done, stop <-chan struct{}) bool {
+	for {
+		c.mu.Lock()
+		if c.left >= n {
+			c.left -= n
+			c.mu.Unlock()
+			return true
+		}
+		c.mu.Unlock()
+		select {
+		case <-c.grown:
+		case <-done:
+			return false
+		case <-stop:
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/links.go
@@ -0,0 +1,167 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/sched"
+)
+
+// Bounds of the delay between dials. The first is short because a restarted entry is back at once.
+const (
+	minDialDelay = 50 * time.Millisecond
+	maxDialDelay = 2 * time.Second
+)
+
+// links is the set of open links to entries.
+type links struct {
+	// mu guards open.
+	mu   sync.Mutex
+	open map[*link.Conn]struct{}
+}
+
+func newLinks() *links { return &links{open: make(map[*link.Conn]struct{})} }
+
+func (l *links) add(c *link.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+}
+
+func (l *links) remove(c *link.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+func (l *links) all() []*link.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*link.Conn, 0, len(l.open))
+	for c := range l.open {
+		out = append(out, c)
+	}
+	return out
+}
+
+func (l *links) notifyStatus() {
+	for _, c := range l.all() {
+		c.NotifyStatus()
+	}
+}
+
+// send queues a control message without blocking the caller, which may be a link's read goroutine.
+func send(c *link.Conn, m message.Message) {
+	go func() { _ = c.Send(context.Background(), m) }()
+}
+
+func (g *Agent) heartbeat() message.Heartbeat {
+	return message.Heartbeat{Revision: g.holder.Revision(), Leaving: g.leaving.Load()}
+}
+
+// keepLink dials an entry again whenever its link breaks.
+func (g *Agent) keepLink(ctx context.Context, address string) {
+	delay := backoff.NewExponentialBackOff()
+	delay.InitialInterval, delay.MaxInterval = minDialDelay, maxDialDelay
+	for ctx.Err() == nil {
+		conn, err := link.Dial(ctx, address, g.self, g.linkCfg, g.heartbeat)
+		if err == nil {
+			delay.Reset()
+			g.serveLink(ctx, conn)
+		} else {
+			g.log.V(1).Info("entry not reached", "address", address, "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay.NextBackOff()):
+		}
+	}
+}
+
+func (g *Agent) serveLink(ctx context.Context, conn *link.Conn) {
+	g.links.add(conn)
+	send(conn, g.announcer.build())
+	err := conn.Serve(ctx, g.handle)
+	g.links.remove(conn)
+	lost := g.attempts.of(conn)
+	g.log.Info("link to entry closed", "entry", conn.Peer().NodeID, "requests", len(lost), "cause", err.Error())
+	for _, a := range lost {
+		g.abandon(a)
+	}
+}
+
+func (g *Agent) handle(conn *link.Conn, m message.Message) {
+	switch m := m.(type) {
+	case *message.Submit:
+		g.handleSubmit(conn, m)
+	case *message.Credit:
+		if a := g.attempts.get(m.Attempt); a != nil && a.credit != nil {
+			a.credit.add(m.Bytes)
+		}
+	case *message.Cancel:
+		g.handleCancel(m)
+	case *message.Query:
+		g.handleQuery(conn, m)
+	case *message.Heartbeat:
+		g.syncer.HandleHeartbeat(conn, m.Revision)
+	case *message.ConfigRequest:
+		g.syncer.HandleRequest(conn, m)
+	case *message.ConfigReply:
+		g.syncer.HandleReply(conn, m)
+	default:
+		if g.weights != nil {
+			g.weights.handle(m)
+		}
+	}
+}
+
+// followConfig applies each new configuration to the scheduler, the drain and the target version.
+func (g *Agent) followConfig(ctx context.Context) {
+	changed, stop := g.holder.Subscribe()
+	defer stop()
+	for {
+		if active := g.holder.Current(); active != nil {
+			g.applyConfig(active.Config)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (g *Agent) applyConfig(c *config.Config) {
+	priorities := make([]sched.Priority, 0, len(c.Priorities))
+	for _, p := range c.Priorities {
+		priorities = append(priorities, sched.Priority{Share: p.Share, Floor: p.Floor})
+	}
+	g.queue.SetPriorities(priorities)
+	drained := false
+	for _, d := range c.Drains {
+		drained = drained || d.Agent == g.settings.ID
+	}
+	if g.drained.Swap(drained) != drained {
+		g.announcer.stateChanged()
+	}
+	if g.weights != nil {
+		g.weights.setTarget(targetVersion(c, g.settings.Agent.Pool))
+	}
+}
+
+func targetVersion(c *config.Config, pool string) string {
+	for _, p := range c.Pools {
+		for _, m := range c.Models {
+			if p.Name == pool && m.Name == p.Model {
+				return m.Version
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,89 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/telemetry"
+)
+
+// metrics holds the instruments of the request path.
+type metrics struct {
+	agent         *Agent
+	wait, service metric.Float64Histogram
+	ended         metric.Int64Counter
+}
+
+func newMetrics(meter metric.Meter, g *Agent) (*metrics, error) {
+	m := &metrics{agent: g}
+	var errs [3]error
+	bounds := metric.WithExplicitBucketBoundaries(telemetry.LatencyBucketsSeconds...)
+	m.wait, errs[0] = meter.Float64Histogram("agent_wait_seconds", bounds,
+		metric.WithDescription("Time from receipt to the start on the upstream."))
+	m.service, errs[1] = meter.Float64Histogram("agent_service_seconds", bounds,
+		metric.WithDescription("Time from the start on the upstream to the end of the answer."))
+	m.ended, errs[2] = meter.Int64Counter("agent_requests", metric.WithDescription("Requests that ended, by outcome and reason."))
+	return m, errors.Join(errs[0], errs[1], errs[2])
+}
+
+// labels names the caller and the priority. Callers come from the configuration; telemetry bounds the label sets.
+func (m *metrics) labels(a *attempt, more ...attribute.KeyValue) metric.MeasurementOption {
+	priority := strconv.Itoa(a.submit.Priority)
+	if active := m.agent.holder.Current(); active != nil && a.submit.Priority >= 0 && a.submit.Priority < len(active.Config.Priorities) {
+		priority = active.Config.Priorities[a.submit.Priority].Name
+	}
+	return metric.WithAttributes(append(more, attribute.String("caller", a.submit.Caller), attribute.String("priority", priority))...)
+}
+
+func (m *metrics) waited(a *attempt) {
+	m.wait.Record(context.Background(), a.started.Sub(a.received).Seconds(), m.labels(a))
+}
+
+func (m *metrics) served(a *attempt, end message.ResponseEnd) {
+	m.service.Record(context.Background(), time.Since(a.started).Seconds(), m.labels(a))
+	m.count(a, end.Outcome, end.Reason)
+}
+
+func (m *metrics) rejected(a *attempt, reason message.Reason) {
+	m.count(a, message.OutcomeNotRun, reason)
+}
+
+func (m *metrics) count(a *attempt, outcome message.Outcome, reason message.Reason) {
+	m.ended.Add(context.Background(), 1,
+		m.labels(a, attribute.String("outcome", string(outcome)), attribute.String("reason", string(reason))))
+}
+
+// serveAdmin serves health, readiness and metrics.
+func (g *Agent) serveAdmin(ctx context.Context) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if state := g.state(); state != message.StateServing {
+			http.Error(w, "upstream is "+string(state), http.StatusServiceUnavailable)
+			return
+		}
+		if g.holder.Current() == nil {
+			http.Error(w, "no configuration", http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", g.telemetry.Handler())
+	serveHTTP(ctx, g.adminListener, &http.Server{Handler: mux, ReadHeaderTimeout: time.Second})
+}
+
+// serveHTTP serves a listener until ctx ends.
+func serveHTTP(ctx context.Context, listener net.Listener, server *http.Server) {
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	_ = server.Serve(listener)
+}
+
+// AdminAddress returns the address of the admin listener.
+func (g *Agent) AdminAddress() string { return g.adminListener.Addr().String() }
