agent: announce revoked work and test the request path

Revoking or rejecting queued work did not update the announced queue length, so entries saw a stale load. Tests play entries over real links against a small upstream: repeated keys, Query before Submit, broken links, crash and reset, shutdown.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,232 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/agent"
+	"github.com/pimentohead/pimentohead/internal/fake"
+	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/settings"
+)
+
+const secret = "0123456789abcdef"
+
+// fixture is an agent of a plain service with one or more entries played by the test.
+type fixture struct {
+	g        *WithT
+	upstream *httptest.Server
+	store    *httptest.Server
+	entries  []net.Listener
+	conns    []*link.Conn
+	received []chan message.Message
+	// runs counts requests that the upstream received, by path.
+	runs    atomic.Int32
+	release chan struct{}
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func start(t *testing.T, entries int) *fixture {
+	f := &fixture{g: NewWithT(t), release: make(chan struct{}), done: make(chan error, 1)}
+	f.upstream = httptest.NewServer(http.HandlerFunc(f.serve))
+	f.store = httptest.NewServer(fake.NewStore(fake.StoreConfig{}))
+	text := fmt.Sprintf("role = \"agent\"\nid = \"a\"\ndata_centre = \"d\"\nregion = \"r\"\n[listen]\nadmin = \"127.0.0.1:0\"\n"+
+		"[link]\nsecret = %q\n[platform]\nstore = %q\n[agent]\npool = \"desk\"\nkind = \"service\"\nupstream = %q\nmax_concurrency = 2\nentries = [",
+		secret, f.store.URL, f.upstream.URL)
+	for range entries {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		f.g.Expect(err).NotTo(HaveOccurred())
+		f.entries = append(f.entries, listener)
+		text += fmt.Sprintf("%q,", listener.Addr().String())
+	}
+	s, err := settings.Parse("agent.toml", []byte(text+"]\n"))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	a, err := agent.New(agent.Options{Settings: s, Log: logr.Discard()})
+	f.g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	go func() { f.done <- a.Run(ctx) }()
+	for i := range f.entries {
+		f.accept(i)
+	}
+	t.Cleanup(func() {
+		f.finish()
+		cancel()
+		f.upstream.CloseClientConnections()
+		f.g.Eventually(f.done, "10s").Should(Receive())
+		for _, l := range f.entries {
+			_ = l.Close()
+		}
+		f.upstream.Close()
+		f.store.Close()
+	})
+	return f
+}
+
+// serve answers /wait paths after release is closed and breaks the connection on /reset.
+func (f *fixture) serve(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/health":
+		return
+	case "/wait":
+		f.runs.Add(1)
+		<-f.release
+	case "/reset":
+		_, _ = io.Copy(io.Discard, r.Body)
+		nc, _, _ := w.(http.Hijacker).Hijack()
+		_ = nc.Close()
+		return
+	default:
+		f.runs.Add(1)
+	}
+	_, _ = io.WriteString(w, "answer")
+}
+
+func (f *fixture) finish() {
+	select {
+	case <-f.release:
+	default:
+		close(f.release)
+	}
+}
+
+// accept plays an entry until the agent announces that it serves.
+func (f *fixture) accept(i int) {
+	nc, err := f.entries[i].Accept()
+	f.g.Expect(err).NotTo(HaveOccurred())
+	hello := message.Hello{NodeID: fmt.Sprint("entry-", i), Role: message.RoleEntry, Incarnation: 1}
+	conn, err := link.Accept(nc, hello, link.Config{Secret: []byte(secret)}, func() message.Heartbeat { return message.Heartbeat{} })
+	f.g.Expect(err).NotTo(HaveOccurred())
+	received := make(chan message.Message, 1000)
+	go func() { _ = conn.Serve(context.Background(), func(_ *link.Conn, m message.Message) { received <- m }) }()
+	f.conns, f.received = append(f.conns, conn), append(f.received, received)
+	f.awaitState(i, message.StateServing)
+}
+
+func (f *fixture) awaitState(i int, state message.State) {
+	f.g.Eventually(f.received[i], "5s").Should(Receive(HaveField("State", state)))
+}
+
+func submit(id, path, key string) *message.Submit {
+	return &message.Submit{
+		Attempt: message.Attempt{RequestID: id, Number: 1}, Caller: "caller", Pool: "desk", DeadlineMillis: 20_000,
+		Idempotent: key == "-", OrderKey: key, Method: http.MethodPost, Path: path, Body: []byte("{}"),
+	}
+}
+
+func (f *fixture) send(i int, m message.Message) {
+	f.g.Expect(f.conns[i].Send(context.Background(), m)).To(Succeed())
+}
+
+// end returns the End, Reject or QueryReply of an attempt.
+func (f *fixture) end(i int, id string) message.Message {
+	timeout := time.After(10 * time.Second)
+	for {
+		select {
+		case m := <-f.received[i]:
+			switch m := m.(type) {
+			case *message.ResponseEnd:
+				if m.Attempt.RequestID == id {
+					return m
+				}
+			case *message.Reject:
+				if m.Attempt.RequestID == id {
+					return m
+				}
+			case *message.QueryReply:
+				return m
+			}
+		case <-timeout:
+			f.g.Fail("no end of " + id)
+		}
+	}
+}
+
+// Guards against a repeated order key that runs twice or loses its answer.
+func TestOrderRunsOnce(t *testing.T) {
+	f := start(t, 2)
+	f.send(0, submit("r1", "/orders", "key"))
+	f.g.Expect(f.end(0, "r1")).To(And(HaveField("Outcome", message.OutcomeOK), HaveField("Length", int64(6))))
+	f.send(1, submit("r2", "/orders", "key"))
+	f.g.Expect(f.end(1, "r2")).To(And(HaveField("Outcome", message.OutcomeOK), HaveField("Length", int64(6))))
+	f.send(1, submit("r1", "/orders", "key"))
+	f.send(1, submit("r3", "/orders", ""))
+	f.g.Expect(f.end(1, "r3")).To(HaveField("Outcome", message.OutcomeOK))
+	f.g.Expect(f.runs.Load()).To(Equal(int32(2)))
+}
+
+// Guards against a late Submit that runs after its caller was told that it did not.
+func TestQueryRevokesUnseenAttempt(t *testing.T) {
+	f := start(t, 1)
+	late := submit("late", "/orders", "")
+	f.send(0, &message.Query{Attempt: late.Attempt, AgentIncarnation: f.conns[0].Peer().Incarnation})
+	f.g.Expect(f.end(0, "late")).To(HaveField("Known", message.KnownRevoked))
+	f.send(0, late)
+	f.g.Expect(f.end(0, "late")).To(HaveField("Reason", message.ReasonRevoked))
+	f.send(0, &message.Query{Attempt: late.Attempt, AgentIncarnation: 1})
+	f.g.Expect(f.end(0, "late")).To(HaveField("Known", message.KnownUnknown))
+	f.g.Expect(f.runs.Load()).To(BeZero())
+}
+
+// Guards against losing the outcome of an order, and against running what was queued, when the entry's link breaks.
+func TestBrokenLinkKeepsRunningOrders(t *testing.T) {
+	f := start(t, 2)
+	incarnation := f.conns[0].Peer().Incarnation
+	for i := range 4 { // Two run, two wait: max_concurrency is 2.
+		f.send(0, submit(fmt.Sprint("r", i), "/wait", ""))
+	}
+	f.g.Eventually(f.received[1], "5s").Should(Receive(And(HaveField("InFlight", 2), HaveField("Queued", 2))))
+	f.conns[0].Close()
+	f.g.Eventually(f.received[1], "5s").Should(Receive(And(HaveField("InFlight", 2), HaveField("Queued", 0))))
+	known := func(id string) message.Message {
+		f.send(1, &message.Query{Attempt: message.Attempt{RequestID: id, Number: 1}, AgentIncarnation: incarnation})
+		return f.end(1, id)
+	}
+	f.g.Expect(known("r0")).To(HaveField("Known", message.KnownRunning))
+	f.g.Expect(known("r3")).To(HaveField("Known", message.KnownRevoked))
+	f.finish()
+	f.g.Eventually(func() message.Message { return known("r0") }, "5s").Should(
+		And(HaveField("Known", message.KnownDone), HaveField("Outcome", message.OutcomeOK)))
+	f.g.Expect(f.runs.Load()).To(Equal(int32(2)))
+}
+
+// Guards against reporting one reset of a healthy upstream as a crash, and a dead upstream as anything else.
+func TestCrashIsToldFromResets(t *testing.T) {
+	f := start(t, 1)
+	f.send(0, submit("reset", "/reset", "-"))
+	f.g.Expect(f.end(0, "reset")).To(HaveField("Reason", message.ReasonUpstreamError))
+	f.send(0, submit("r1", "/wait", ""))
+	f.g.Eventually(f.runs.Load, "5s").Should(Equal(int32(1)))
+	_ = f.upstream.Listener.Close()
+	f.upstream.CloseClientConnections()
+	f.g.Expect(f.end(0, "r1")).To(And(HaveField("Reason", message.ReasonUpstreamCrash), HaveField("UpstreamIncarnation", Not(BeZero()))))
+	f.send(0, submit("r2", "/orders", ""))
+	f.g.Expect(f.end(0, "r2")).To(HaveField("Reason", message.ReasonNoUpstream))
+}
+
+// Guards against a planned stop that cuts off running work or accepts new work.
+func TestShutdownFinishesRunningRequests(t *testing.T) {
+	f := start(t, 1)
+	f.send(0, submit("r1", "/wait", "key"))
+	f.g.Eventually(f.runs.Load, "5s").Should(Equal(int32(1)))
+	f.stop()
+	f.awaitState(0, message.StateLeaving)
+	f.send(0, submit("r2", "/orders", ""))
+	f.g.Expect(f.end(0, "r2")).To(HaveField("Reason", message.ReasonNotServing))
+	f.finish()
+	f.g.Expect(f.end(0, "r1")).To(HaveField("Outcome", message.OutcomeOK))
+	f.g.Eventually(f.done, "10s").Should(Receive(BeNil()))
+	f.done <- nil
+}
--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -178,6 +178,7 @@
 	g.release(claim)
 	a.cancel(nil)
 	a.submit.Body = nil // The attempt is remembered for minutes; its body is not needed.
+	g.announcer.loadChanged()
 	if !revoked {
 		g.metrics.rejected(a, reason)
 		send(a.conn, &message.Reject{Attempt: a.id, Reason: reason, RetryAfterMillis: retryAfter.Milliseconds()})
@@ -203,6 +204,7 @@
 	a.state = attemptRevoked
 	g.release(a.claim)
 	a.cancel(errCancelled)
+	g.announcer.loadChanged()
 	return true
 }
 
