agent: serve the admin listener over TLS when settings name a certificate

The settings describe the certificate for caller and admin listeners, and the agent served plain HTTP.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/certificate"
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
 	"github.com/pimentohead/pimentohead/internal/engine"
@@ -90,6 +92,14 @@
 	if g.adminListener, err = net.Listen("tcp", s.Listen.Admin); err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "listen on %s", s.Listen.Admin), ErrListen)
 	}
+	if s.Listen.TLSCertFile != "" {
+		source, err := certificate.New(s.Listen.TLSCertFile, s.Listen.TLSKeyFile, o.Log)
+		if err != nil {
+			_ = g.adminListener.Close()
+			return nil, err
+		}
+		g.adminListener = tls.NewListener(g.adminListener, source.TLSConfig())
+	}
 	if g.model() {
 		if g.weights, err = newWeightsPart(g); err != nil {
 			_ = g.adminListener.Close()
