agent: release each order claim once

A revoke between the claim and the queue released the claim twice. After the first release the ledger may give the claim to the next order with the key, and the second release would have freed the key of a running order. Found by review, not by a test. Own packages pass with -race.

--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -56,6 +56,14 @@
 
 func (a *attempt) detach() { a.detachOnce.Do(func() { close(a.detached) }) }
 
+// takeClaim returns the claim once. The ledger may give a released claim to the next order with the key, so that a second
+// release would free the key of an order that runs. The caller holds mu.
+func (a *attempt) takeClaim() *order.Claim {
+	claim := a.claim
+	a.claim = nil
+	return claim
+}
+
 func (a *attempt) isDetached() bool {
 	select {
 	case <-a.detached:
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -124,7 +124,7 @@
 // finish ends an attempt that ran. A nil answer leaves its claim without one: the order never runs again.
 func (g *Agent) finish(a *attempt, answer *order.Answer, end message.ResponseEnd) {
 	a.mu.Lock()
-	claim := a.claim
+	claim := a.takeClaim()
 	a.mu.Unlock()
 	if claim != nil {
 		g.ledger.Finish(claim, answer)
--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -158,7 +158,7 @@
 	}
 	a.mu.Lock()
 	if a.state != attemptPending {
-		claim := a.claim
+		claim := a.takeClaim()
 		a.mu.Unlock()
 		g.release(claim)
 		return
@@ -172,7 +172,7 @@
 // reject ends an attempt that was not started. The claim is released, so that the order key can be used again.
 func (g *Agent) reject(a *attempt, reason message.Reason, retryAfter time.Duration) {
 	a.mu.Lock()
-	claim, revoked := a.claim, a.state == attemptRevoked
+	claim, revoked := a.takeClaim(), a.state == attemptRevoked
 	a.state = attemptRevoked
 	a.mu.Unlock()
 	g.release(claim)
@@ -202,7 +202,7 @@
 		return false
 	}
 	a.state = attemptRevoked
-	g.release(a.claim)
+	g.release(a.takeClaim())
 	a.cancel(errCancelled)
 	g.announcer.loadChanged()
 	return true
