test: prove the whole path with real processes

Cause: no test covered the way from a caller's request to its answer and from a submission to the replicas. Change: test/path starts a fleet of two data centres and checks streamed and plain answers, a repeated order and a rollout.

--- /dev/null
+++ b/test/path/path_test.go
@@ -0,0 +1,99 @@
+package path_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/fake"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/testbed"
+)
+
+const wait = 30 * time.Second
+
+// Guards against any break on the way from a caller's request to its answer, and from a submitted version to its replicas.
+var _ = Describe("A fleet of two data centres", Ordered, func() {
+	var bed *testbed.Bed
+	const prompt = "Draft a spec sheet for a 12 mm hem tape."
+
+	BeforeAll(func(ctx SpecContext) {
+		var err error
+		bed, err = testbed.Launch(ctx, testbed.Fleet{DataCentres: []testbed.DataCentre{
+			{Name: "saskatoon", Region: "west", Entries: 1, Models: 2, Services: 1},
+			{Name: "regina", Region: "west", Entries: 1, Models: 1},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(bed.Close)
+	}, NodeTimeout(2*wait))
+
+	call := func(ctx context.Context, r testbed.Request) testbed.Reply {
+		r.Caller = "small-1"
+		reply, err := bed.Call(ctx, r)
+		Expect(err).NotTo(HaveOccurred(), bed.LogTails)
+		Expect(reply.Status).To(BeNumerically("<", 300), "%s\n%s", reply.Body, bed.LogTails())
+		return reply
+	}
+	chat := func(ctx context.Context, entry string, stream bool) testbed.Reply {
+		return call(ctx, testbed.Request{
+			Entry: entry, Method: http.MethodPost, Path: "/v1/chat/completions", Body: testbed.ChatBody(prompt, 20, stream),
+		})
+	}
+
+	It("answers a chat request whole, streamed and not streamed, through each entry", func(ctx SpecContext) {
+		sum := sha256.Sum256([]byte(prompt))
+		for _, entry := range []string{"entry-1", "entry-2"} {
+			text, err := testbed.ChatText(chat(ctx, entry, false).Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(text).To(ContainSubstring(hex.EncodeToString(sum[:])))
+			Expect(strings.TrimSpace(string(chat(ctx, entry, true).Body))).To(HaveSuffix("data: [DONE]"))
+		}
+	}, NodeTimeout(wait))
+
+	It("runs an order once and replays its answer for the repeated key", func(ctx SpecContext) {
+		order := testbed.Request{Entry: "entry-1", Method: http.MethodPost, Path: "/orders", OrderKey: "order-1", Body: []byte(`{"item":"tape"}`)}
+		first := call(ctx, order)
+		order.Entry = "entry-2"
+		Expect(call(ctx, order).Body).To(Equal(first.Body))
+		journal, err := bed.Journal("service-1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(journal).To(HaveLen(1))
+	}, NodeTimeout(wait))
+
+	It("rolls a new version out to every replica while it goes on answering", func(ctx SpecContext) {
+		info, err := bed.CreateVersion(ctx, fake.VersionSpec{Model: testbed.ModelName, Seed: 2, Chunks: 8, ChunkBytes: 64 << 10})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = bed.SubmitConfig(ctx, "entry-1", testbed.DefaultConfig(info.Version))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func(g Gomega) {
+			chat(ctx, "entry-1", false)
+			for _, node := range bed.Nodes(message.RoleAgent) {
+				if node.Kind == "service" {
+					continue
+				}
+				g.Expect(loadedVersion(ctx, bed, node.ID)).To(Equal(info.Version), node.ID)
+			}
+		}).WithContext(ctx).WithTimeout(wait).Should(Succeed(), bed.LogTails)
+		Expect(chat(ctx, "entry-2", false).Header.Get("X-Model-Version")).To(Equal(info.Version))
+	}, NodeTimeout(2*wait))
+})
+
+// loadedVersion asks every entry, because an entry knows the details of its own data centre's agents.
+func loadedVersion(ctx context.Context, bed *testbed.Bed, agent string) string {
+	for _, entry := range bed.Nodes(message.RoleEntry) {
+		status, err := bed.Status(ctx, entry.ID)
+		Expect(err).NotTo(HaveOccurred())
+		for _, node := range status.Nodes {
+			if node.ID == agent && node.Version != "" {
+				return node.Version
+			}
+		}
+	}
+	return ""
+}
