rollout: drop used permits when the target changes

A target that changed right after a swap left the used permits of the old target in force for 16 s, which blocked the rollout for that time (seen as 7 time-outs in about 100 runs of TestRolloutReachesEveryReplica). A permit is now dropped when its upstream serves its version, and permits of an earlier target no longer use up the canary's limit.

--- a/internal/controller/rollout/controller.go
+++ b/internal/controller/rollout/controller.go
@@ -181,7 +181,8 @@
 		}
 		u, present := v.byID[id]
 		switch {
-		case present && v.done(u) && g.version == v.model.Version:
+		case present && u.Announce.State == message.StateServing && u.Announce.LoadedVersion == g.version:
+			// The permit has served its purpose, also when the target has changed since.
 			delete(c.grants, id)
 		case present && u.Announce.FailedVersion == g.version:
 			delete(c.grants, id)
--- a/internal/controller/rollout/controller_test.go
+++ b/internal/controller/rollout/controller_test.go
@@ -195,6 +195,25 @@
 	g.Expect(c.permitted()).To(Equal([]string{"a-0"}), "the revoked permit is replaced in place")
 }
 
+// Guards against a rollout that is held up by permits of the previous target that were used already.
+func TestUsedPermitsDoNotBlockTheNextTarget(t *testing.T) {
+	g := NewWithT(t)
+	c := newCentre(t, "a", newStore(), 3)
+	c.configure(nil)
+	for i := range c.ups {
+		c.ups[i].Announce.State, c.ups[i].Announce.LoadedVersion = message.StateStarting, ""
+	}
+	ctl := c.elected("entry-1")
+	settle(ctl)
+	g.Expect(c.permitted()).To(HaveLen(3))
+	for i := range c.ups {
+		c.ups[i].Announce.State, c.ups[i].Announce.LoadedVersion, c.ups[i].Announce.ReadyVersion = message.StateServing, "v2", "v3"
+	}
+	c.configure(func(m *config.Model) { m.Version = "v3" })
+	settle(ctl)
+	g.Expect(c.permitted()).To(Equal([]string{"a-0"}))
+}
+
 // Guards against a controller that does not start, elect itself or release its key when it is run as a whole.
 func TestRunElectsGrantsAndReleases(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/controller/rollout/plan.go
+++ b/internal/controller/rollout/plan.go
@@ -66,11 +66,11 @@
 	return n
 }
 
-// countGrants returns the number of permits of a model that may be in force.
-func (c *Controller) countGrants(model string) int {
+// countGrants returns the number of permits for the target that may be in force.
+func (c *Controller) countGrants(v view) int {
 	n := 0
 	for _, g := range c.grants {
-		if g.model == model {
+		if g.model == v.model.Name && g.version == v.model.Version {
 			n++
 		}
 	}
@@ -84,8 +84,8 @@
 	}
 	budget := max(1, v.model.MaxUnavailable) - c.unavailable(v)
 	limit, limited := c.canaryLimit(v)
-	if limited {
-		budget = min(budget, limit)
+	if !limited {
+		limit = len(v.upstreams)
 	}
 	var selected []membership.Upstream
 	for _, u := range v.upstreams {
@@ -94,17 +94,18 @@
 			continue
 		}
 		switch {
-		case granted:
-			// The permit of an earlier target is replaced at the agent that has it, so no further upstream is taken.
-			if u.Announce.State == message.StateServing && (!limited || limit >= 0) {
-				selected = append(selected, u)
-			}
 		case servesNothing(u):
 			// Loading takes nothing out of service, so it does not count against max_unavailable.
 			selected = append(selected, u)
-		case u.Announce.State == message.StateServing && budget > 0:
+		case u.Announce.State != message.StateServing || limit <= 0:
+		case granted:
+			// The permit of an earlier target is replaced at the agent that has it, so no further upstream is taken.
+			selected = append(selected, u)
+			limit--
+		case budget > 0:
 			selected = append(selected, u)
 			budget--
+			limit--
 		}
 	}
 	return selected
@@ -114,9 +115,6 @@
 	return u.Announce.LoadedVersion == "" && u.Announce.State == message.StateStarting
 }
 
-// noSwaps is the limit of a data centre that waits for another one's canary.
-const noSwaps = -1
-
 // canaryLimit returns how many upstreams the canary leaves for swaps, and false when the canary has passed.
 func (c *Controller) canaryLimit(v view) (int, bool) {
 	if v.model.Canary <= 0 {
@@ -132,12 +130,12 @@
 	first := c.firstDataCentre()
 	switch {
 	case !first && recorded != verdictLocal:
-		return noSwaps, true
+		return 0, true
 	case wanted == 0:
 		if first {
 			c.noteNoUpstreams(v, key)
 		}
-		return noSwaps, true
+		return 0, true
 	case done >= wanted:
 		if first {
 			c.canaries.record(key, verdictPassed)
@@ -145,7 +143,7 @@
 		return 0, false
 	default:
 		delete(c.empty, v.model.Name)
-		return wanted - done - c.countGrants(v.model.Name), true
+		return wanted - done - c.countGrants(v), true
 	}
 }
 
@@ -174,7 +172,7 @@
 func (c *Controller) describe(v view) ModelStatus {
 	s := ModelStatus{
 		Model: v.model.Name, DataCentre: c.cfg.Self.DataCentre, Version: v.model.Version, Paused: v.model.Paused,
-		Total: len(v.upstreams), AtTarget: v.countDone(), Unavailable: c.unavailable(v), Permits: c.countGrants(v.model.Name),
+		Total: len(v.upstreams), AtTarget: v.countDone(), Unavailable: c.unavailable(v), Permits: c.countGrants(v),
 		HaltedReason: c.halted[v.model.Name].reason,
 	}
 	for _, u := range v.upstreams {
