agent, entry, pimentoheadd: wire the replica and one rollout controller

package agent composed Manager and Swapper itself, gave the manager peers of other models and used the silence timeout of control links for chunks; it now uses package replica, which handles both. The entry composes its rollout controller in one place: pimentoheadd started a second one with the same ID.

--- a/cmd/pimentoheadd/entry.go
+++ b/cmd/pimentoheadd/entry.go
@@ -5,7 +5,6 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/pimentohead/pimentohead/internal/controller/rollout"
 	"github.com/pimentohead/pimentohead/internal/entry"
 	"github.com/pimentohead/pimentohead/internal/platform/instancelist"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
@@ -20,10 +19,7 @@
 	if err != nil {
 		return err
 	}
-	permits := rollout.New(rollout.Config{
-		Self: e.Hello(), Store: client, Holder: e.Holder(), Table: e.Table(), Sender: e, Log: log,
-	})
-	hooks := entry.Hooks{Controllers: []entry.Controller{permits}}
+	var hooks entry.Hooks
 	if s.Platform.InstanceList != "" {
 		hooks.LeavingInstances = leavingInstances(instancelist.NewClient(s.Platform.InstanceList))
 	}
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -150,18 +150,4 @@
 	if g.drained.Swap(drained) != drained {
 		g.announcer.stateChanged()
 	}
-	if g.weights != nil {
-		g.weights.setTarget(targetVersion(c, g.settings.Agent.Pool))
-	}
-}
-
-func targetVersion(c *config.Config, pool string) string {
-	for _, p := range c.Pools {
-		for _, m := range c.Models {
-			if p.Name == pool && m.Name == p.Model {
-				return m.Version
-			}
-		}
-	}
-	return ""
 }
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -2,24 +2,18 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pimentohead/pimentohead/internal/admin"
 	"github.com/pimentohead/pimentohead/internal/controller/rollout"
-	"github.com/pimentohead/pimentohead/internal/link"
-	"github.com/pimentohead/pimentohead/internal/message"
 )
 
-// permitSendTimeout bounds the wait for a link whose send ring is full, so that one agent does not delay the permits of others.
-const permitSendTimeout = 200 * time.Millisecond
-
 // newRollout composes the rollout controller. There is none without a store, because nothing could fence its permits.
 func (e *Entry) newRollout(o Options) *rollout.Controller {
 	if o.Store == nil {
 		return nil
 	}
 	return rollout.New(rollout.Config{
-		Self: e.self, Store: o.Store, Holder: e.holder, Table: e.table, Sender: permitSender{}, Log: o.Log.WithName("rollout"),
+		Self: e.self, Store: o.Store, Holder: e.holder, Table: e.table, Sender: e, Log: o.Log.WithName("rollout"),
 	})
 }
 
@@ -30,15 +24,6 @@
 	return e.rollout.Run(ctx)
 }
 
-// permitSender sends permits on the links of agents.
-type permitSender struct{}
-
-func (permitSender) Send(conn *link.Conn, m message.Message) error {
-	ctx, stop := context.WithTimeout(context.Background(), permitSendTimeout)
-	defer stop()
-	return conn.Send(ctx, m)
-}
-
 // addRolloutState adds what the controller of this data centre knows to the status.
 func (e *Entry) addRolloutState(rollouts []admin.Rollout) {
 	if e.rollout == nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -50,8 +50,10 @@
 	InFlight func() int
 	// OnChange is called when the announcement changes. It must not block.
 	OnChange func()
-	Meter    metric.Meter
-	Log      logr.Logger
+	// OnProgress is called after progress of the transfer, which is frequent. Default OnChange.
+	OnProgress func()
+	Meter      metric.Meter
+	Log        logr.Logger
 }
 
 // Replica is the model side of one agent.
@@ -85,7 +87,7 @@
 	r.manager, err = weights.New(weights.Config{
 		Self: r.cfg.Self, Link: peerLink(cfg.Link), Origin: cfg.Origin, WeightStore: cfg.WeightStore,
 		MemoryBytes: s.Agent.WeightsMemoryBytes, BytesPerSecond: s.Agent.PeerBytesPerSecond, InFlight: cfg.InFlight,
-		Baseline: s.Agent.BaselineTransfer, ChunkOrder: s.Agent.ChunkOrder, OnChange: r.progressed,
+		Baseline: s.Agent.BaselineTransfer, ChunkOrder: s.Agent.ChunkOrder, OnChange: r.progressed, OnComplete: r.completed,
 		Meter: cfg.Meter, Log: cfg.Log.WithName("weights"),
 	})
 	if err != nil {
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -82,12 +82,20 @@
 	return ""
 }
 
-// progressed is called by the manager. The swapper looks whether the target can be loaded now.
-func (r *Replica) progressed() {
+// completed is called when a version is complete, which the swapper may wait for.
+func (r *Replica) completed() {
 	r.swapper.Wake()
 	r.changed()
 }
 
+func (r *Replica) progressed() {
+	if r.cfg.OnProgress != nil {
+		r.cfg.OnProgress()
+		return
+	}
+	r.changed()
+}
+
 func (r *Replica) changed() {
 	if r.cfg.OnChange != nil {
 		r.cfg.OnChange()
--- a/internal/weights/config.go
+++ b/internal/weights/config.go
@@ -67,6 +67,8 @@
 	IdleTimeout  time.Duration
 	// OnChange is called after progress, without locks held. It must not block.
 	OnChange func()
+	// OnComplete is called when a target is complete and verified. It must not block.
+	OnComplete func()
 	// Meter receives metrics; optional.
 	Meter metric.Meter
 	Log   logr.Logger
@@ -94,6 +96,9 @@
 	setDefault(&c.OriginDelay, 500*time.Millisecond)
 	setDefault(&c.MaxPeerLinks, 64)
 	setDefault(&c.IdleTimeout, 30*time.Second)
+	if c.OnComplete == nil {
+		c.OnComplete = func() {}
+	}
 	if c.OnChange == nil {
 		c.OnChange = func() {}
 	}
--- a/internal/weights/transfer.go
+++ b/internal/weights/transfer.go
@@ -60,7 +60,7 @@
 	t.m.ready = t.version
 	t.m.mu.Unlock()
 	t.m.cfg.Log.Info("version complete", "version", t.version)
-	t.m.cfg.OnChange()
+	t.m.cfg.OnComplete()
 }
 
 // fill sorts the chunks into the queues of their classes.
