Test watches on silent connections and engine priorities

A watch on a connection that goes silent is opened again after 5 s, and the stand-in engine serves its waiting list by X-Priority; neither had a test.

Measured: go test -race -count=5 of platform, fake and faultproxy passes.

--- a/internal/fake/fake_test.go
+++ b/internal/fake/fake_test.go
@@ -54,7 +54,9 @@
 	journal, err := fake.OpenJournal(filepath.Join(t.TempDir(), "journal"))
 	g.Expect(err).NotTo(HaveOccurred())
 	config.Journal, config.TokenTime = journal, max(config.TokenTime, time.Millisecond)
-	config.MaxBatch = max(config.MaxBatch, 4)
+	if config.MaxBatch == 0 {
+		config.MaxBatch = 4
+	}
 	engine, err := fake.NewEngine(config)
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(engine.Close)
@@ -134,6 +136,41 @@
 	}).WithTimeout(wait).Should(Succeed())
 }
 
+// Guards against an engine that serves its waiting list without regard to X-Priority.
+func TestEngineHonoursPriority(t *testing.T) {
+	g := NewWithT(t)
+	url := startEngine(t, fake.EngineConfig{Version: oldDigest, MaxBatch: 1})
+	post := func(ctx context.Context, id, priority string, tokens int) {
+		body, _ := json.Marshal(chat(id, tokens, false))
+		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", bytes.NewReader(body))
+		request.Header = http.Header{"X-Priority": {priority}, "Pimentohead-Request-Id": {id}}
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+	}
+	occupied, free := context.WithCancel(t.Context())
+	defer free()
+	waiting := func(n int) {
+		g.Eventually(func(g Gomega) int { return status(g, url).Waiting }).WithTimeout(wait).Should(Equal(n))
+	}
+	go post(occupied, "first", "0", 60000)
+	g.Eventually(func(g Gomega) int { return status(g, url).Running }).WithTimeout(wait).Should(Equal(1))
+	go post(t.Context(), "low", "2", 2)
+	waiting(1)
+	go post(t.Context(), "high", "0", 2)
+	waiting(2)
+	free()
+	g.Eventually(func(g Gomega) {
+		finished := map[string]*time.Time{}
+		for _, entry := range journal(g, url) {
+			finished[entry.RequestID] = entry.Finished
+		}
+		g.Expect(finished["low"]).NotTo(BeNil())
+		g.Expect(finished["high"]).NotTo(BeNil())
+		g.Expect(finished["high"].Before(*finished["low"])).To(BeTrue())
+	}).WithTimeout(wait).Should(Succeed())
+}
+
 // Guards against a load that succeeds with corrupt chunks, an unknown version, or under an old fencing number.
 func TestEngineLoadVerifiesWeights(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/platform/store/client_test.go
+++ b/internal/platform/store/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pimentohead/pimentohead/internal/fake"
+	"github.com/pimentohead/pimentohead/internal/faultproxy"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 )
 
@@ -183,3 +185,27 @@
 	err = client.Watch(t.Context(), "k", 1, func(store.Event) {})
 	g.Expect(errors.Is(err, store.ErrCompacted)).To(BeTrue())
 }
+
+// Guards against a watch that waits for ever on a connection that went silent.
+func TestWatchSurvivesSilentConnection(t *testing.T) {
+	g := NewWithT(t)
+	_, direct, url := start(t)
+	proxy, err := faultproxy.New("127.0.0.1:0", strings.TrimPrefix(url, "http://"), faultproxy.Source{})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer proxy.Close()
+	client := store.NewClient("http://"+proxy.Address(), plenty, logr.Discard())
+	events := make(chan store.Event, 4)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- client.Watch(ctx, "k", 1, func(e store.Event) { events <- e }) }()
+	_, err = direct.Txn(t.Context(), create("k", "a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(events).WithTimeout(20 * time.Second).Should(Receive())
+	proxy.Silence(faultproxy.Any)
+	_, err = direct.Txn(t.Context(), store.Txn{Then: []store.Op{{Put: &store.Put{Key: "k", Value: []byte("b")}}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(events).WithTimeout(20 * time.Second).Should(Receive(HaveField("KV.Value", []byte("b"))))
+	cancel()
+	g.Eventually(ended).WithTimeout(20 * time.Second).Should(Receive())
+	g.Expect(events).To(BeEmpty())
+}
