--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/filter"
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/quarantine"
@@ -33,12 +34,15 @@
 	case *message.Submit:
 		d.startRelay(conn, m)
 	case *message.Credit:
-		if l := d.relays.find(m.Attempt); l != nil {
+		if l := d.relays.find(m.Attempt); l.servesPeerOf(conn) {
 			l.extend(m.Bytes)
 		}
 	case *message.Cancel:
-		if l := d.relays.find(m.Attempt); l != nil {
+		l := d.relays.find(m.Attempt)
+		if l.servesPeerOf(conn) {
 			l.cancel()
+		} else if l == nil && conn.Peer().Role == message.RoleEntry {
+			d.relays.query(m.Attempt) // Revokes a Submit that the Cancel has overtaken.
 		}
 	case *message.Query:
 		reply := message.QueryReply{Attempt: m.Attempt, Known: message.KnownUnknown}
@@ -52,6 +56,11 @@
 	return true
 }
 
+// servesPeerOf tells whether l was forwarded by the node behind conn. A nil relay serves nobody.
+func (l *relay) servesPeerOf(conn *link.Conn) bool {
+	return l != nil && l.conn.Peer().NodeID == conn.Peer().NodeID
+}
+
 func (d *Dispatcher) startRelay(conn *link.Conn, submit *message.Submit) {
 	timeout := millis(submit.DeadlineMillis) + deadlineGrace
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -114,6 +123,9 @@
 
 func (l *relay) routing(kind config.PoolKind) routing.Request {
 	request := routing.Request{Pool: l.submit.Pool, Kind: kind}
+	if kind == config.KindModel {
+		request.Prefix = filter.Prefix(l.submit.Body)
+	}
 	if l.submit.OrderKey != "" {
 		request.OrderKey = orderKey(l.submit.Caller, l.submit.OrderKey)
 	}
@@ -146,8 +158,8 @@
 	}
 }
 
-// body sends bytes as credit allows. When the link is lost the bytes are dropped, so that the upstream can finish and the
-// outcome is known here.
+// body sends bytes as credit allows. When the link is lost, an idempotent request is given up, as the other entry repeats it.
+// For another one the bytes are dropped, so that the upstream can finish and the outcome is known here.
 func (l *relay) body(ctx context.Context, data []byte) error {
 	for len(data) > 0 {
 		n := l.take(len(data))
@@ -156,7 +168,7 @@
 			case <-l.more:
 				continue
 			case <-l.conn.Done():
-				return nil
+				return l.linkLost()
 			case <-ctx.Done():
 				return ctx.Err()
 			}
@@ -168,6 +180,13 @@
 	return nil
 }
 
+func (l *relay) linkLost() error {
+	if l.submit.Idempotent {
+		return l.conn.Err()
+	}
+	return nil
+}
+
 // take uses up to n bytes of credit.
 func (l *relay) take(n int) int {
 	l.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/certificate"
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
+	"github.com/pimentohead/pimentohead/internal/controller/rollout"
 	"github.com/pimentohead/pimentohead/internal/dispatch"
 	"github.com/pimentohead/pimentohead/internal/filter"
 	"github.com/pimentohead/pimentohead/internal/link"
@@ -56,6 +58,7 @@
 
 	holder     *config.Holder
 	syncer     *confsync.Syncer
+	rollout    *rollout.Controller
 	table      *membership.Table
 	router     *routing.Router
 	quarantine *quarantine.List
@@ -68,6 +71,8 @@
 	metrics    *metrics
 
 	callerListener, adminListener, linkListener net.Listener
+	// certificate is nil when callers and operators are served without TLS.
+	certificate *certificate.Source
 	// duties counts the goroutines that Run started.
 	duties sync.WaitGroup
 }
@@ -81,7 +86,7 @@
 	s := o.Settings
 	e := &Entry{
 		settings: s, log: o.Log, settle: o.SettleTime, telemetry: exporter, holder: config.NewHolder(),
-		table: membership.NewTable(), quarantine: quarantine.New(nil), links: newLinks(s.ID), views: newViews(),
+		table: membership.NewTable(), quarantine: quarantine.New(nil), links: newLinks(s.ID, s.Link.HeartbeatInterval.Std()), views: newViews(),
 		crashes: newCrashes(),
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(),
@@ -94,6 +99,9 @@
 	if e.metrics, err = newMetrics(exporter.Meter); err != nil {
 		return nil, err
 	}
+	if err := e.loadCertificate(); err != nil {
+		return nil, err
+	}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -102,6 +110,7 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
 	e.syncer = e.newSyncer(o)
+	e.rollout = e.newRollout(o)
 	e.compose(o)
 	return e, nil
 }
