--- a/internal/testbed/bed_test.go
+++ b/internal/testbed/bed_test.go
@@ -108,3 +108,44 @@
 	bed.HealDataCentre("fyn")
 	g.Eventually(seen).WithTimeout(wait).Should(ContainElement("entry-2"))
 }
+
+// Guards against a bed whose parts do not reach each other: callers, a new version, journals and planned stops go through the
+// real processes.
+func TestFleetServesThroughRealProcesses(t *testing.T) {
+	g := NewWithT(t)
+	bed := Start(t, Fleet{
+		DataCentres: []DataCentre{{Name: "jylland", Region: "west", Entries: 1, Models: 1, Services: 1}},
+		Proxies:     true, Engine: Engine{Token: "engine-token", Fencing: true},
+	})
+	call := func(g Gomega, r Request) Reply {
+		r.Entry, r.Caller = "entry-1", LargeCaller
+		reply, err := bed.Call(t.Context(), r)
+		g.Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+	servesVersion := func(version string) func(g Gomega) {
+		return func(g Gomega) {
+			reply := call(g, Request{Method: http.MethodPost, Path: ChatPath, Body: ChatBody("x", 3, false)})
+			g.Expect(reply.Status).To(Equal(http.StatusOK))
+			text, err := ChatText(reply.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(fake.CheckText(text, "x", 3)).To(Equal(map[string]int{fake.ShortVersion(version): 3}))
+		}
+	}
+	g.Eventually(servesVersion(bed.Version)).WithTimeout(wait).Should(Succeed())
+	next, err := bed.CreateVersion(t.Context(), fake.VersionSpec{Model: ModelName, Seed: 2, Chunks: 3, ChunkBytes: 100000})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = bed.SubmitConfig(t.Context(), "entry-1", DefaultConfig(next.Version))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(servesVersion(next.Version)).WithTimeout(wait).Should(Succeed())
+	g.Eventually(func(g Gomega) {
+		reply := call(g, Request{Method: http.MethodPost, Path: OrderPath, OrderKey: "k1", Body: []byte("tape")})
+		g.Expect(reply.Status).To(Equal(http.StatusCreated))
+	}).WithTimeout(wait).Should(Succeed())
+	journals, err := bed.Journals()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(journals["service-1"]).To(ContainElement(And(HaveField("Path", OrderPath), HaveField("Completed", true))))
+	for _, id := range []string{"agent-1", "orders-1", "entry-1"} {
+		g.Expect(bed.Process(id).Stop(wait)).To(Succeed())
+	}
+}
