telemetry: export control bytes, store calls and revision of each node

Links count the bytes of control messages apart from requests and weights; the Go and process collectors are exported too.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,6 +57,7 @@
 	monitor   *monitor
 	announcer *announcer
 	links     *links
+	traffic   *link.Traffic
 	weights   *weightsPart
 	telemetry *telemetry.Metrics
 	metrics   *metrics
@@ -74,11 +75,12 @@
 	}
 	s := o.Settings
 	g := &Agent{
-		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(),
+		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{},
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(), SilenceTimeout: s.Link.SilenceTimeout.Std(),
 		},
 	}
+	g.linkCfg.Traffic = g.traffic
 	if g.metrics, err = newMetrics(exporter.Meter, g); err != nil {
 		return nil, err
 	}
@@ -86,7 +88,10 @@
 		NodeID: s.ID, Role: message.RoleAgent, DataCentre: s.DataCentre, Region: s.Region,
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
-	g.compose(o)
+	g.compose(&o)
+	if err := exporter.ObserveNode(g.nodeSources(o)); err != nil {
+		return nil, err
+	}
 	if g.adminListener, err = net.Listen("tcp", s.Listen.Admin); err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "listen on %s", s.Listen.Admin), ErrListen)
 	}
@@ -99,7 +104,7 @@
 	return g, nil
 }
 
-func (g *Agent) compose(o Options) {
+func (g *Agent) compose(o *Options) {
 	s := g.settings
 	if o.Store == nil {
 		o.Store = store.NewClient(s.Platform.Store, s.Platform.StoreCallsPerSecond, g.log)
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -61,6 +61,17 @@
 		m.labels(a, attribute.String("outcome", string(outcome)), attribute.String("reason", string(reason))))
 }
 
+// nodeSources returns what the metrics of the node itself are read from.
+func (g *Agent) nodeSources(o Options) telemetry.NodeSources {
+	sources := telemetry.NodeSources{
+		Revision: g.holder.Revision, ControlSent: g.traffic.ControlSent.Load, ControlReceived: g.traffic.ControlReceived.Load,
+	}
+	if counter, ok := o.Store.(interface{ Calls() uint64 }); ok {
+		sources.StoreCalls = counter.Calls
+	}
+	return sources
+}
+
 // serveAdmin serves health, readiness and metrics.
 func (g *Agent) serveAdmin(ctx context.Context) {
 	mux := http.NewServeMux()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,6 +65,7 @@
 	dispatcher *dispatch.Dispatcher
 	chain      filter.Handler
 	links      *links
+	traffic    *link.Traffic
 	views      *views
 	crashes    *crashes
 	telemetry  *telemetry.Metrics
@@ -87,7 +88,7 @@
 	e := &Entry{
 		settings: s, log: o.Log, settle: o.SettleTime, telemetry: exporter, holder: config.NewHolder(),
 		table: membership.NewTable(), quarantine: quarantine.New(nil), links: newLinks(s.ID, s.Link.HeartbeatInterval.Std()), views: newViews(),
-		crashes: newCrashes(),
+		crashes: newCrashes(), traffic: &link.Traffic{},
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(),
 			SilenceTimeout: s.Link.SilenceTimeout.Std(),
@@ -96,6 +97,7 @@
 	if e.settle <= 0 {
 		e.settle = DefaultSettleTime
 	}
+	e.linkCfg.Traffic = e.traffic
 	if e.metrics, err = newMetrics(exporter.Meter); err != nil {
 		return nil, err
 	}
@@ -112,7 +114,7 @@
 	e.syncer = e.newSyncer(o)
 	e.rollout = e.newRollout(o)
 	e.compose(o)
-	return e, nil
+	return e, exporter.ObserveNode(e.nodeSources(o))
 }
 
 // compose wires the request path.
--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -21,6 +21,8 @@
 	// ControlRing and DataRing are the capacities of the send rings in messages. Defaults 256 and 256.
 	ControlRing int
 	DataRing    int
+	// Traffic counts the bytes of the link together with others. Optional.
+	Traffic *Traffic
 }
 
 // Defaults of Config.
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -192,6 +192,7 @@
 			return
 		}
 		c.received.Add(uint64(size))
+		c.cfg.Traffic.received(m, size)
 		if hb, ok := m.(*message.Heartbeat); ok && hb.Probe {
 			c.NotifyStatus()
 		}
--- /dev/null
+++ b/internal/link/traffic.go
@@ -0,0 +1,48 @@
+package link
+
+import (
+	"sync/atomic"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// Traffic counts the frame bytes of all links of a process. Control is everything but requests, their answers and weights.
+// The zero value is ready; it is safe for concurrent use.
+type Traffic struct {
+	ControlSent, ControlReceived atomic.Uint64
+	DataSent, DataReceived       atomic.Uint64
+}
+
+func (t *Traffic) sent(m message.Message, bytes int) {
+	if t == nil {
+		return
+	}
+	if isData(m) {
+		t.DataSent.Add(uint64(bytes))
+	} else {
+		t.ControlSent.Add(uint64(bytes))
+	}
+}
+
+func (t *Traffic) received(m message.Message, bytes int) {
+	if t == nil {
+		return
+	}
+	if isData(m) {
+		t.DataReceived.Add(uint64(bytes))
+	} else {
+		t.ControlReceived.Add(uint64(bytes))
+	}
+}
+
+// isData selects the messages of requests and weights.
+func isData(m message.Message) bool {
+	switch m.MessageType() {
+	case message.TypeSubmit, message.TypeReject, message.TypeResponseHead, message.TypeResponseBody, message.TypeResponseEnd,
+		message.TypeCredit, message.TypeCancel, message.TypeQuery, message.TypeQueryReply,
+		message.TypeManifestRequest, message.TypeManifestReply, message.TypeChunkRequest, message.TypeChunkReply:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -86,6 +86,7 @@
 	}
 	w.scratch = frame
 	w.c.sent.Add(uint64(len(frame)))
+	w.c.cfg.Traffic.sent(m, len(frame))
 	if _, err := w.w.Write(frame); err != nil {
 		w.c.fail(err)
 		return false
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
@@ -26,6 +27,7 @@
 // NewMetrics returns a meter whose instruments are exported by Handler.
 func NewMetrics(scope string) (*Metrics, error) {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
 	if err != nil {
 		return nil, errors.Wrap(err, "telemetry: exporter")
