--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/certificate"
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
 	"github.com/pimentohead/pimentohead/internal/engine"
@@ -57,6 +59,7 @@
 	monitor   *monitor
 	announcer *announcer
 	links     *links
+	traffic   *link.Traffic
 	weights   *weightsPart
 	telemetry *telemetry.Metrics
 	metrics   *metrics
@@ -74,11 +77,12 @@
 	}
 	s := o.Settings
 	g := &Agent{
-		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(),
+		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{},
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(), SilenceTimeout: s.Link.SilenceTimeout.Std(),
 		},
 	}
+	g.linkCfg.Traffic = g.traffic
 	if g.metrics, err = newMetrics(exporter.Meter, g); err != nil {
 		return nil, err
 	}
@@ -86,10 +90,21 @@
 		NodeID: s.ID, Role: message.RoleAgent, DataCentre: s.DataCentre, Region: s.Region,
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
-	g.compose(o)
+	g.compose(&o)
+	if err := exporter.ObserveNode(g.nodeSources(o)); err != nil {
+		return nil, err
+	}
 	if g.adminListener, err = net.Listen("tcp", s.Listen.Admin); err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "listen on %s", s.Listen.Admin), ErrListen)
 	}
+	if s.Listen.TLSCertFile != "" {
+		source, err := certificate.New(s.Listen.TLSCertFile, s.Listen.TLSKeyFile, o.Log)
+		if err != nil {
+			_ = g.adminListener.Close()
+			return nil, err
+		}
+		g.adminListener = tls.NewListener(g.adminListener, source.TLSConfig())
+	}
 	if g.model() {
 		if g.weights, err = newWeightsPart(g); err != nil {
 			_ = g.adminListener.Close()
@@ -99,7 +114,7 @@
 	return g, nil
 }
 
-func (g *Agent) compose(o Options) {
+func (g *Agent) compose(o *Options) {
 	s := g.settings
 	if o.Store == nil {
 		o.Store = store.NewClient(s.Platform.Store, s.Platform.StoreCallsPerSecond, g.log)
