telemetry, agent, entry: make the log of a run complete and bounded

Cause: in the log of a demo run an agent wrote neither its start, its links, the end of a load nor its shutdown; an entry did not show how upstreams change state; no line named its node; a fault in a loop, such as refused peers, could flood the log.

Change: every line names its node. Agents log start, links, state changes and shutdown, the swap logs the loaded version, the rollout controller logs permits, entries log state and version changes of upstreams.

--- a/cmd/pimentodemo/main_test.go
+++ b/cmd/pimentodemo/main_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/testbed"
 )
 
 // Guards against a demo that a newcomer runs and that does not work, and against a report of success without the results.
@@ -22,9 +25,45 @@
 	} {
 		g.Expect(out.String()).To(ContainSubstring(want))
 	}
-	files, err := os.ReadDir(logs)
+	checkLogs(g, logs)
+}
+
+// maxLogLines is about twice what a process writes during the demo.
+const maxLogLines = 60
+
+// checkLogs guards against logs that leave out an event, contain a secret, or flood.
+func checkLogs(g *WithT, dir string) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(files).To(HaveLen(6))
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, secret := range []string{callerKey, testbed.OperatorToken, "testbed-link-secret"} {
+			g.Expect(string(text)).NotTo(ContainSubstring(secret), file)
+		}
+		g.Expect(strings.Count(string(text), "\n")).To(BeNumerically("<=", maxLogLines), file)
+		g.Expect(string(text)).NotTo(ContainSubstring(`"level":"ERROR"`), file)
+	}
+	for name, events := range map[string][]string{
+		"agent-1.log": {
+			"agent is running", "link to entry opened", "configuration in force", "version complete", `"to":"swapping"`, "load ordered",
+			"version loaded", `"to":"serving"`, "graceful shutdown begins", `"to":"leaving"`, "graceful shutdown is complete",
+		},
+		"entry-1.log": {
+			"entry is running", "link opened", "submission accepted", "swap permit granted", `"state":"swapping"`,
+			"graceful shutdown begins", "link closed", "graceful shutdown is complete",
+		},
+	} {
+		text, err := os.ReadFile(filepath.Join(dir, name))
+		g.Expect(err).NotTo(HaveOccurred())
+		rest := string(text)
+		for _, event := range events {
+			_, after, found := strings.Cut(rest, event)
+			g.Expect(found).To(BeTrue(), "%s: no %q in its place:\n%s", name, event, text)
+			rest = after
+		}
+	}
 }
 
 // Guards against exit codes that differ from the documented ones, and against a failed step that is reported as a success.
--- a/cmd/pimentoheadd/main.go
+++ b/cmd/pimentoheadd/main.go
@@ -81,7 +81,7 @@
 		_, _ = fmt.Fprintln(stdout, "settings are valid")
 		return exitOK
 	}
-	return serve(s, telemetry.NewLogger(stderr, s.LogLevel))
+	return serve(s, telemetry.NewLogger(stderr, s.LogLevel).WithValues("node", s.ID))
 }
 
 // serve runs the role until SIGTERM or SIGINT. A second signal ends the process at once.
@@ -94,7 +94,7 @@
 		runRole = runAgent
 	}
 	if err := runRole(ctx, s, log); err != nil {
-		log.Error(err, "stopped with a failure", "role", s.Role, "id", s.ID)
+		log.Error(err, "stopped with a failure", "role", s.Role)
 		return exitFailure
 	}
 	return exitOK
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,6 +32,13 @@
 // expireInterval is the time between sweeps for queued requests that can no longer meet their bounds.
 const expireInterval = 100 * time.Millisecond
 
+// loggedState is what the last log line about the state said.
+type loggedState struct {
+	sync.Mutex
+	state   message.State
+	version string
+}
+
 // Options are the inputs of New.
 type Options struct {
 	Settings *settings.Settings
@@ -47,6 +54,7 @@
 	self     message.Hello
 	linkCfg  link.Config
 	leaving  atomic.Bool
+	logged   loggedState
 	drained  atomic.Bool
 
 	holder    *config.Holder
@@ -148,11 +156,22 @@
 
 // stateChanged opens or closes the queue and announces the state. A leaving agent finishes what is queued.
 func (g *Agent) stateChanged() {
+	g.logState()
 	open := g.monitor.isUp() && g.gate.state() == message.StateServing
 	g.queue.SetOpen(open, message.ReasonNotServing)
 	g.announcer.stateChanged()
 }
 
+// logState logs each change of the announced state.
+func (g *Agent) logState() {
+	g.logged.Lock()
+	defer g.logged.Unlock()
+	if state, version := g.state(), g.gate.version(); state != g.logged.state || version != g.logged.version {
+		g.log.Info("upstream state changed", "from", g.logged.state, "to", state, "version", version)
+		g.logged.state, g.logged.version = state, version
+	}
+}
+
 // crashed ends the requests that were in progress on an upstream process that is gone.
 func (g *Agent) crashed(incarnation uint64) {
 	lost := g.attempts.filter(func(a *attempt) bool { return a.state == attemptRunning && a.incarnation == incarnation })
@@ -171,14 +190,20 @@
 		duties.Add(1)
 		go func() { defer duties.Done(); duty(work) }()
 	}
+	g.log.Info("agent is running", "data_centre", g.settings.DataCentre, "pool", g.settings.Agent.Pool,
+		"upstream", g.settings.Agent.Upstream, "admin", g.AdminAddress())
 	if !g.model() {
 		g.gate.Open("")
 	}
 	<-ctx.Done()
+	g.log.Info("graceful shutdown begins")
 	err := g.shutdown()
 	stop()
 	duties.Wait()
 	g.upstream.Close()
+	if err == nil {
+		g.log.Info("graceful shutdown is complete")
+	}
 	return err
 }
 
@@ -200,6 +225,7 @@
 // shutdown announces leaving, finishes what was accepted and records its answers.
 func (g *Agent) shutdown() error {
 	g.leaving.Store(true)
+	g.logState()
 	g.links.notifyStatus()
 	g.announcer.stateChanged()
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Shutdown.Timeout.Std())
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -86,6 +86,7 @@
 
 func (g *Agent) serveLink(ctx context.Context, conn *link.Conn) {
 	g.links.add(conn)
+	g.log.Info("link to entry opened", "entry", conn.Peer().NodeID)
 	send(conn, g.announcer.build())
 	err := conn.Serve(ctx, g.handle)
 	g.links.remove(conn)
@@ -148,6 +149,7 @@
 		drained = drained || d.Agent == g.settings.ID
 	}
 	if g.drained.Swap(drained) != drained {
+		g.logState()
 		g.announcer.stateChanged()
 	}
 }
--- a/internal/controller/rollout/controller.go
+++ b/internal/controller/rollout/controller.go
@@ -204,6 +204,9 @@
 	if epoch, ok := c.lease.grantEpoch(); !ok || epoch != g.epoch {
 		return
 	}
+	if c.grants[id] == nil || c.grants[id].version != g.version {
+		c.cfg.Log.Info("swap permit granted", "agent", id, "model", g.model, "version", g.version, "epoch", g.epoch)
+	}
 	g.conn = conn
 	g.expires = c.cfg.Now().Add(c.cfg.PermitLifetime + transitTime)
 	c.grants[id] = g
--- a/internal/entry/linkserver.go
+++ b/internal/entry/linkserver.go
@@ -73,6 +73,7 @@
 		e.handleHeartbeat(conn, *m)
 	case *message.Announce:
 		if conn.Peer().Role == message.RoleAgent && e.links.current(conn) {
+			e.logUpstream(conn.Peer().NodeID, m)
 			e.table.PutUpstream(conn, *m)
 			e.router.Announced(conn.Peer().NodeID)
 		}
@@ -94,6 +95,14 @@
 	}
 }
 
+// logUpstream logs an announcement that changes the state or the version of an upstream.
+func (e *Entry) logUpstream(agent string, next *message.Announce) {
+	old, _ := e.table.Upstream(agent)
+	if old.Announce.State != next.State || old.Announce.LoadedVersion != next.LoadedVersion {
+		e.log.Info("upstream announced", "agent", agent, "pool", next.Pool, "state", next.State, "version", next.LoadedVersion)
+	}
+}
+
 func (e *Entry) handleHeartbeat(conn *link.Conn, heartbeat message.Heartbeat) {
 	if e.links.current(conn) {
 		if conn.Peer().Role == message.RoleEntry {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -23,7 +23,7 @@
 	e.serve(failed, func() error { return admin.Serve(e.secure(e.adminListener)) })
 	e.spawn(base, "links", func(ctx context.Context) error { return e.acceptLinks(ctx) })
 	e.spawnDuties(base)
-	e.log.Info("entry is running", "id", e.settings.ID, "callers", e.CallerAddress(), "links", e.LinkAddress(),
+	e.log.Info("entry is running", "data_centre", e.settings.DataCentre, "callers", e.CallerAddress(), "links", e.LinkAddress(),
 		"admin", e.AdminAddress())
 	var err error
 	select {
--- a/internal/swap/load.go
+++ b/internal/swap/load.go
@@ -99,6 +99,7 @@
 	}
 	s.mu.Unlock()
 	if err == nil {
+		s.cfg.Log.Info("version loaded", "version", version)
 		return
 	}
 	if orderErr != nil {
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -11,7 +11,8 @@
 // debugVerbosity is the logr verbosity that the slog bridge maps to slog.LevelDebug.
 const debugVerbosity = 4
 
-// NewLogger returns a logger that writes JSON lines to w. level is "debug", "info" or "error".
+// NewLogger returns a logger that writes JSON lines to w. level is "debug", "info" or "error". Lines whose
+// message repeats too often are left out and counted.
 func NewLogger(w io.Writer, level string) logr.Logger {
 	threshold := slog.LevelInfo
 	switch level {
@@ -20,7 +21,8 @@
 	case "error":
 		threshold = slog.LevelError
 	}
-	return logr.FromSlogHandler(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: threshold}))
+	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: threshold})
+	return logr.FromSlogHandler(newRepeatLimiter(handler, repeatBurst, repeatWindow))
 }
 
 // Debug returns the logger for debug lines.
--- /dev/null
+++ b/internal/telemetry/repeat_test.go
@@ -0,0 +1,47 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a fault in a loop that floods the log, and against lines that are left out without a trace.
+func TestRepeatedLinesAreLimited(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	limiter := newRepeatLimiter(slog.NewJSONHandler(&out, nil), 2, time.Second)
+	handler := limiter.WithAttrs([]slog.Attr{slog.String("node", "a")}).WithGroup("g")
+	log := func(at int, message string) {
+		record := slog.NewRecord(time.Unix(0, 0).Add(time.Duration(at)*time.Millisecond), slog.LevelInfo, message, 0)
+		g.Expect(handler.Handle(t.Context(), record)).To(Succeed())
+	}
+	for at := range 5 {
+		log(at, "peer refused")
+	}
+	log(6, "another")
+	log(1000, "peer refused")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(lines).To(HaveLen(4))
+	g.Expect(lines[2]).To(ContainSubstring("another"))
+	g.Expect(lines[3]).To(ContainSubstring(`"suppressed":3`))
+}
+
+// Guards against log lines without the fields that a reader filters by, and against an error printed with its stack.
+func TestLoggerWritesOneJSONObjectALine(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	log := NewLogger(&out, "info").WithValues("node", "entry-1")
+	Debug(log).Info("not logged")
+	log.V(1).Info("not logged")
+	log.Error(errors.Wrap(errors.New("cause"), "outer"), "failed", "agent", "a")
+	var line map[string]any
+	g.Expect(json.Unmarshal(out.Bytes(), &line)).To(Succeed())
+	g.Expect(line).To(And(HaveKeyWithValue("node", "entry-1"), HaveKeyWithValue("level", "ERROR"), HaveKeyWithValue("err", "outer: cause")))
+}
