weights: wait for the first view of peers; test a rollout through entry, agents and engines

An agent that got a configuration before its first view of peers would read the whole version from the origin. A transfer now waits up to 2 s for the view.

--- /dev/null
+++ b/internal/agent/rollout_test.go
@@ -0,0 +1,119 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/agent"
+	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/entry"
+	"github.com/pimentohead/pimentohead/internal/fake"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/platform/store"
+	"github.com/pimentohead/pimentohead/internal/settings"
+)
+
+const rolloutDocument = `[fleet]
+name = "larkspur"
+[[priority]]
+name = "urgent"
+target = "500ms"
+share = 0.7
+floor = 0.1
+[[model]]
+name = "hemline"
+version = "%s"
+max_unavailable = 1
+canary = 1
+[[pool]]
+name = "assistant"
+kind = "model"
+model = "hemline"
+[[route]]
+path = "/v1/chat/completions"
+pool = "assistant"
+priority = "urgent"
+idempotent = true
+[[caller]]
+name = "tailor-row"
+key_sha256 = "0000000000000000000000000000000000000000000000000000000000000002"
+`
+
+// Guards against a version that does not get from a configuration through entry, agents and engines into service, and against
+// more than one origin read of a chunk.
+func TestVersionIsRolledOutToEveryEngine(t *testing.T) {
+	g := NewWithT(t)
+	source, kv := httptest.NewServer(fake.NewOrigin(fake.OriginConfig{})), httptest.NewServer(fake.NewStore(fake.StoreConfig{}))
+	t.Cleanup(source.Close)
+	t.Cleanup(kv.Close)
+	run := func(duty func(context.Context) error) {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- duty(ctx) }()
+		t.Cleanup(func() { cancel(); <-done })
+	}
+	es := &settings.Settings{Role: message.RoleEntry, ID: "entry-1", DataCentre: "a", Region: "r",
+		Listen: settings.Listen{Caller: "127.0.0.1:0", Admin: "127.0.0.1:0", Link: "127.0.0.1:0"},
+		Link:   settings.Link{Secret: secret}, Entry: settings.Entry{MaxConnections: 10}}
+	es.Shutdown.Timeout = settings.Duration(time.Second)
+	e, err := entry.New(entry.Options{Settings: es, Log: logr.Discard(), Store: store.NewClient(kv.URL, 100, logr.Discard()), SettleTime: time.Millisecond})
+	g.Expect(err).NotTo(HaveOccurred())
+	run(e.Run)
+	for i := range 3 {
+		model, err := fake.NewEngine(fake.EngineConfig{MaxBatch: 4, Fencing: i == 0})
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(model.Close)
+		upstream := httptest.NewServer(model)
+		t.Cleanup(upstream.Close)
+		s, err := settings.Parse("agent.toml", fmt.Appendf(nil, "role = \"agent\"\nid = \"agent-%d\"\ndata_centre = \"a\"\nregion = \"r\"\n"+
+			"[listen]\nadmin = \"127.0.0.1:0\"\nlink = \"127.0.0.1:0\"\nweights = \"127.0.0.1:0\"\n[link]\nsecret = %q\n"+
+			"[platform]\nstore = %q\norigin = %q\n[agent]\npool = \"assistant\"\nkind = \"model\"\nupstream = %q\nentries = [%q]\n",
+			i, secret, kv.URL, source.URL, upstream.URL, e.LinkAddress()))
+		g.Expect(err).NotTo(HaveOccurred())
+		a, err := agent.New(agent.Options{Settings: s, Log: logr.Discard()})
+		g.Expect(err).NotTo(HaveOccurred())
+		run(a.Run)
+	}
+	g.Eventually(func() int { return len(e.Table().Upstreams()) }, "20s").Should(Equal(3))
+	// Views reach the agents within 0.6 s. The second version waits for the controller's start, 2 s, so that all agents know each
+	// other when the third is read.
+	var info fake.VersionInfo
+	for revision := range uint64(3) {
+		response, err := http.Post(source.URL+"/fake/version", "application/json",
+			strings.NewReader(fmt.Sprintf(`{"model":"hemline","seed":%d,"chunks":10,"chunk_bytes":4096}`, revision)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(json.NewDecoder(response.Body).Decode(&info)).To(Succeed())
+		g.Expect(response.Body.Close()).To(Succeed())
+		text := fmt.Sprintf(rolloutDocument, info.Version)
+		active, err := config.NewActive(config.Envelope{Revision: revision + 1, Base: revision, Digest: config.Digest(text), Text: text})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(e.Holder().Apply(active)).To(Succeed())
+		g.Eventually(func() int {
+			n := 0
+			for _, u := range e.Table().Upstreams() {
+				if u.Announce.State == message.StateServing && u.Announce.LoadedVersion == info.Version {
+					n++
+				}
+			}
+			return n
+		}, "20s", "10ms").Should(Equal(3))
+	}
+	response, err := http.Get(source.URL + "/fake/served")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	var served fake.Served
+	g.Expect(json.NewDecoder(response.Body).Decode(&served)).To(Succeed())
+	g.Expect(info.Chunks).To(HaveLen(10))
+	for _, hash := range info.Chunks {
+		g.Expect(served.Chunks[hash]).To(Equal(int64(4096)), hash)
+	}
+}
--- a/internal/weights/config.go
+++ b/internal/weights/config.go
@@ -62,6 +62,9 @@
 	Backoff time.Duration
 	// OriginDelay bounds the jittered delay before an agent that is not the reader turns to the origin. Default 500 ms.
 	OriginDelay time.Duration
+	// ViewWait is how long a transfer waits for the first view of peers, without which an agent that just started would read
+	// the whole version from the origin. Default 2 s.
+	ViewWait time.Duration
 	// MaxPeerLinks bounds links that this agent dials. Default 64. Unused links are closed after IdleTimeout, default 30 s.
 	MaxPeerLinks int
 	IdleTimeout  time.Duration
@@ -94,6 +97,7 @@
 	setDefault(&c.AvoidFor, 5*time.Second)
 	setDefault(&c.Backoff, 50*time.Millisecond)
 	setDefault(&c.OriginDelay, 500*time.Millisecond)
+	setDefault(&c.ViewWait, 2*time.Second)
 	setDefault(&c.MaxPeerLinks, 64)
 	setDefault(&c.IdleTimeout, 30*time.Second)
 	if c.OnComplete == nil {
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -28,6 +28,9 @@
 	// poke wakes Run after the target changed; views wakes the transfer after the membership changed.
 	poke  chan struct{}
 	views chan struct{}
+	// viewed is closed at the first view.
+	viewed   chan struct{}
+	viewOnce sync.Once
 
 	// mu guards all fields below.
 	mu        sync.Mutex
@@ -73,6 +76,7 @@
 		down:      newLimiter(cfg.BytesPerSecond, cfg.Floor, cfg.InFlight),
 		poke:      make(chan struct{}, 1),
 		views:     make(chan struct{}, 1),
+		viewed:    make(chan struct{}),
 		manifests: make(map[string]*Manifest), wanted: make(map[string]bool), reading: make(map[string]int),
 		demand: make(map[string]int), corrupt: make(map[string]int), avoidUntil: make(map[string]time.Time),
 		received: make(map[string]int64), failures: make(map[string]int),
@@ -177,6 +181,7 @@
 		m.forgetAbsent()
 	}
 	m.mu.Unlock()
+	m.viewOnce.Do(func() { close(m.viewed) })
 	if changed {
 		notify(m.views)
 	}
--- a/internal/weights/transfer.go
+++ b/internal/weights/transfer.go
@@ -40,6 +40,7 @@
 }
 
 func (t *transfer) transferVersion(ctx context.Context) {
+	t.awaitView(ctx)
 	manifest := t.m.manifest(t.version)
 	if manifest == nil {
 		if t.fetch(ctx, manifestObject(t.m, t.version)) != fetched {
@@ -63,6 +64,17 @@
 	t.m.cfg.OnComplete()
 }
 
+// awaitView waits for the first view of peers.
+func (t *transfer) awaitView(ctx context.Context) {
+	timer := time.NewTimer(t.m.cfg.ViewWait)
+	defer timer.Stop()
+	select {
+	case <-t.m.viewed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // fill sorts the chunks into the queues of their classes.
 func (t *transfer) fill(refs []ChunkRef) {
 	t.m.mu.Lock()
