--- /dev/null
+++ b/bench/usage.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/telemetry"
+	"github.com/pimentohead/pimentohead/internal/testbed"
+)
+
+// clockTicksPerSecond is the unit of processor times in /proc/PID/stat on Linux.
+const clockTicksPerSecond = 100
+
+// Positions of utime and stime in /proc/PID/stat after the command name.
+const (
+	statUserTime   = 11
+	statSystemTime = 12
+)
+
+// usage is what a node has used since its start, and its resident memory.
+type usage struct {
+	at                         time.Time
+	processorSeconds, megabyte float64
+	controlBytes, storeCalls   float64
+	goroutines                 float64
+}
+
+// usageOf reads the usage of a node.
+func usageOf(ctx context.Context, bed *testbed.Bed, node string) (usage, error) {
+	metrics, err := bed.Metrics(ctx, node)
+	if err != nil {
+		return usage{}, err
+	}
+	u := usage{
+		controlBytes: metrics[telemetry.MetricControlSent] + metrics[telemetry.MetricControlReceived],
+		storeCalls:   metrics[telemetry.MetricStoreCalls], goroutines: metrics["go_goroutines"],
+	}
+	pid := bed.Process(node).PID()
+	if u.processorSeconds, err = processorSeconds(pid); err != nil {
+		return usage{}, err
+	}
+	u.at = time.Now()
+	u.megabyte, err = residentMegabytes(pid)
+	return u, err
+}
+
+// processorSeconds returns the processor time of a process.
+func processorSeconds(pid int) (float64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "usage")
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) <= statSystemTime {
+		return 0, errors.Newf("usage: /proc/%d/stat has %d fields", pid, len(fields))
+	}
+	ticks := 0.0
+	for _, i := range []int{statUserTime, statSystemTime} {
+		value, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			return 0, errors.Wrap(err, "usage")
+		}
+		ticks += value
+	}
+	return ticks / clockTicksPerSecond, nil
+}
+
+// residentMegabytes returns the resident memory of a process.
+func residentMegabytes(pid int) (float64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "usage")
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, found := strings.CutPrefix(line, "VmRSS:"); found {
+			kilobytes, err := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 64)
+			return kilobytes / 1024, errors.Wrap(err, "usage")
+		}
+	}
+	return 0, errors.Newf("usage: /proc/%d/status has no VmRSS", pid)
+}
--- /dev/null
+++ b/internal/testbed/observe.go
@@ -0,0 +1,69 @@
+package testbed
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/admin"
+)
+
+// Metrics returns the metrics of a node, summed over their labels.
+func (b *Bed) Metrics(ctx context.Context, node string) (map[string]float64, error) {
+	status, body, err := b.admin(ctx, node, http.MethodGet, admin.PathMetrics, nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, errors.Newf("testbed: metrics of %s: status %d", node, status)
+	}
+	out := make(map[string]float64)
+	lines := bufio.NewScanner(bytes.NewReader(body))
+	for lines.Scan() {
+		name, text, found := strings.Cut(lines.Text(), " ")
+		if i := strings.LastIndexByte(lines.Text(), ' '); i >= 0 {
+			text = lines.Text()[i+1:]
+		}
+		value, err := strconv.ParseFloat(text, 64)
+		if !found || err != nil || strings.HasPrefix(name, "#") {
+			continue
+		}
+		name, _, _ = strings.Cut(name, "{")
+		out[name] += value
+	}
+	return out, errors.Wrap(lines.Err(), "testbed: metrics")
+}
+
+// Readiness returns the status and the text with which a node answers whether it is ready.
+func (b *Bed) Readiness(ctx context.Context, node string) (int, string, error) {
+	status, body, err := b.admin(ctx, node, http.MethodGet, admin.PathReady, nil)
+	return status, string(body), err
+}
+
+// ConfigEvent is a configuration that came into force on a node, as its log tells.
+type ConfigEvent struct {
+	Time     time.Time `json:"time"`
+	Message  string    `json:"msg"`
+	Revision uint64    `json:"revision"`
+	Digest   string    `json:"digest"`
+	From     string    `json:"from"`
+}
+
+// ConfigEvents returns the configurations that came into force on a node over all its runs, in order.
+func (b *Bed) ConfigEvents(node string) []ConfigEvent {
+	var out []ConfigEvent
+	for line := range strings.Lines(b.Process(node).Log()) {
+		var event ConfigEvent
+		if json.Unmarshal([]byte(line), &event) == nil && event.Message == "configuration in force" {
+			out = append(out, event)
+		}
+	}
+	return out
+}
