--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -26,11 +26,11 @@
 	m := &metrics{agent: g}
 	var errs [3]error
 	bounds := metric.WithExplicitBucketBoundaries(telemetry.LatencyBucketsSeconds...)
-	m.wait, errs[0] = meter.Float64Histogram("agent_wait_seconds", bounds,
+	m.wait, errs[0] = meter.Float64Histogram("pimentohead_agent_wait_seconds", bounds,
 		metric.WithDescription("Time from receipt to the start on the upstream."))
-	m.service, errs[1] = meter.Float64Histogram("agent_service_seconds", bounds,
+	m.service, errs[1] = meter.Float64Histogram("pimentohead_agent_service_seconds", bounds,
 		metric.WithDescription("Time from the start on the upstream to the end of the answer."))
-	m.ended, errs[2] = meter.Int64Counter("agent_requests", metric.WithDescription("Requests that ended, by outcome and reason."))
+	m.ended, errs[2] = meter.Int64Counter("pimentohead_agent_requests", metric.WithDescription("Requests that ended, by outcome and reason."))
 	return m, errors.Join(errs[0], errs[1], errs[2])
 }
 
--- /dev/null
+++ b/test/cli/metrics_test.go
@@ -0,0 +1,90 @@
+package cli_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/testbed"
+)
+
+// scrape reads the metrics of a node as a monitoring system does.
+func scrape(ctx context.Context, node *testbed.Node) map[string]*dto.MetricFamily {
+	GinkgoHelper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Admin+"/metrics", nil)
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(strings.NewReader(string(text)))
+	Expect(err).NotTo(HaveOccurred())
+	return families
+}
+
+// count returns the number of observations of a histogram whose labels have the given value, and the number of label sets.
+func count(family *dto.MetricFamily, label, value string) (observations uint64, sets int) {
+	GinkgoHelper()
+	Expect(family).NotTo(BeNil())
+	Expect(family.GetType()).To(Equal(dto.MetricType_HISTOGRAM))
+	for _, m := range family.GetMetric() {
+		sets++
+		for _, pair := range m.GetLabel() {
+			if pair.GetName() == label && pair.GetValue() == value {
+				observations += m.GetHistogram().GetSampleCount()
+			}
+		}
+	}
+	return observations, sets
+}
+
+// Guards against missing histograms per caller and priority, and against label sets that callers can multiply.
+var _ = Describe("Metrics", func() {
+	It("have histograms per caller and priority, which unknown callers do not add to", func(ctx SpecContext) {
+		for i := range 40 {
+			request := testbed.Request{Entry: entry().ID, Method: http.MethodGet, Path: fmt.Sprintf("%sitem-%d", testbed.StockPath, i)}
+			request.Caller, request.Priority = "small-2", "quote"
+			if i%2 == 1 {
+				request.Key, request.Priority = fmt.Sprintf("unknown-%d", i), fmt.Sprintf("priority-%d", i)
+			}
+			_, err := bed.Call(ctx, request)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		callers := testbed.SmallCallers + 1
+		priorities := 3
+		families := scrape(ctx, entry())
+		seen, sets := count(families["pimentohead_request_seconds_by_caller"], "caller", "small-2")
+		Expect(seen).To(BeNumerically(">=", 20))
+		Expect(sets).To(BeNumerically("<=", callers))
+		seen, sets = count(families["pimentohead_request_seconds_by_priority"], "priority", "quote")
+		Expect(seen).To(BeNumerically(">=", 20))
+		Expect(sets).To(BeNumerically("<=", priorities))
+		for name, family := range families {
+			Expect(len(family.GetMetric())).To(BeNumerically("<=", 100), name)
+		}
+		for _, node := range bed.Nodes(message.RoleAgent) {
+			if node.ID != "orders-1" {
+				continue
+			}
+			families = scrape(ctx, node)
+			for _, name := range []string{"pimentohead_agent_wait_seconds", "pimentohead_agent_service_seconds"} {
+				seen, sets = count(families[name], "caller", "small-2")
+				Expect(seen).To(BeNumerically(">=", 20), name)
+				Expect(sets).To(BeNumerically("<=", callers*priorities), name)
+				seen, _ = count(families[name], "priority", "quote")
+				Expect(seen).To(BeNumerically(">=", 20), name)
+			}
+		}
+	}, NodeTimeout(wait))
+})
