--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -68,6 +69,28 @@
 	}
 }
 
+// Guards against codes that callers get and that the operators' page does not explain.
+func TestOperationsPageNamesEveryCode(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	g.Expect(err).NotTo(HaveOccurred())
+	refusals, err := filepath.Glob(filepath.Join("..", "filter", "*.go"))
+	g.Expect(err).NotTo(HaveOccurred())
+	codes := 0
+	for _, path := range append(refusals, filepath.Join("..", "message", "request.go")) {
+		source, err := os.ReadFile(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, match := range codePattern.FindAllStringSubmatch(string(source), -1) {
+			g.Expect(string(page)).To(ContainSubstring("`" + match[1] + "`"))
+			codes++
+		}
+	}
+	g.Expect(codes).To(BeNumerically(">=", 28), "the pattern no longer finds the codes")
+}
+
+// codePattern matches the codes of refusals by filters and the constants of type message.Reason.
+var codePattern = regexp.MustCompile(`(?:refuse\(http\.\w+, |Reason\w+ += |Reason\w+ +Reason = )"([a-z-]+)"`)
+
 func keysOf(t reflect.Type, prefix string) []string {
 	var keys []string
 	for i := range t.NumField() {
--- a/test/cli/metrics_test.go
+++ b/test/cli/metrics_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,6 +19,21 @@
 	"github.com/pimentohead/pimentohead/internal/testbed"
 )
 
+// Guards against a metric that the operators' page does not explain.
+var _ = Describe("The operators' page", func() {
+	It("names every metric of every node", func(ctx SpecContext) {
+		page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+		Expect(err).NotTo(HaveOccurred())
+		for _, node := range append(bed.Nodes(message.RoleEntry), bed.Nodes(message.RoleAgent)...) {
+			for name := range scrape(ctx, node) {
+				if strings.HasPrefix(name, "pimentohead_") {
+					Expect(string(page)).To(ContainSubstring("| `" + name + "` |"))
+				}
+			}
+		}
+	}, NodeTimeout(wait))
+})
+
 // scrape reads the metrics of a node as a monitoring system does.
 func scrape(ctx context.Context, node *testbed.Node) map[string]*dto.MetricFamily {
 	GinkgoHelper()
