config: bound the size of encoded envelopes and deltas

Cause: envelopes and deltas travel as bytes inside a message, so the check of message lengths does not see into them. The msgpack decoder recurses for each level of an unknown field; 15 MiB of nested arrays in one reply of a faulty node exhausted the stack and ended the process.

Change: encodings above the largest document and 64 KiB are refused.

Measured: without the bound TestDecodingIsBounded ends in "fatal error: stack overflow"; with it both decoders return ErrMalformed, and the largest document still passes.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 	"time"
@@ -127,6 +128,21 @@
 	g.Expect(config.DecodeEnvelope(data)).To(Equal(envelope(3, valid)))
 }
 
+// Guards against a message of a node that ends the process: the decoder's recursion on deeply nested fields exhausts the stack.
+func TestDecodingIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	for _, levels := range []int{1 << 19, 15 << 20} {
+		nested := append([]byte{0x81, 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, levels)...)
+		_, err := config.DecodeEnvelope(nested)
+		g.Expect(errors.Is(err, config.ErrMalformed)).To(BeTrue())
+		_, err = config.ApplyDelta(envelope(1, valid), nested)
+		g.Expect(errors.Is(err, config.ErrMalformed)).To(BeTrue())
+	}
+	largest := envelope(2, strings.Repeat("#", config.MaxDocumentBytes))
+	delta := config.MakeDelta(envelope(1, valid), largest)
+	g.Expect(config.ApplyDelta(envelope(1, valid), delta)).To(Equal(largest))
+}
+
 // Guards against deltas that lead to another text, for any pair of texts.
 func TestDeltaLeadsToTheNewText(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -38,8 +38,8 @@
 // ApplyDelta returns the envelope that delta leads to from old. It returns ErrMalformed, ErrBase or ErrDigest.
 func ApplyDelta(old Envelope, encoded []byte) (Envelope, error) {
 	var change delta
-	if err := msgpack.Unmarshal(encoded, &change); err != nil {
-		return Envelope{}, errors.Mark(errors.Wrap(err, "config: delta"), ErrMalformed)
+	if err := decode(encoded, &change, "delta"); err != nil {
+		return Envelope{}, err
 	}
 	next, err := change.resolve(old)
 	if err != nil {
--- a/internal/config/envelope.go
+++ b/internal/config/envelope.go
@@ -15,6 +15,18 @@
 	ErrBase = errors.New("config: delta was made on another revision")
 )
 
+// maxEncodedBytes bounds an encoded envelope or delta: the largest text and the other fields. The decoder recurses for each
+// level of unknown fields, and a link frame of 16 MiB could nest deep enough to exhaust the stack, which ends the process.
+const maxEncodedBytes = MaxDocumentBytes + 64<<10
+
+// decode parses data into value. Its errors match ErrMalformed.
+func decode(data []byte, value any, what string) error {
+	if len(data) > maxEncodedBytes {
+		return errors.Wrapf(ErrMalformed, "%s of %d bytes, at most %d are allowed", what, len(data), maxEncodedBytes)
+	}
+	return errors.Mark(errors.Wrapf(msgpack.Unmarshal(data, value), "config: %s", what), ErrMalformed)
+}
+
 // EncodeEnvelope returns the form in which the store and the links carry an envelope.
 func EncodeEnvelope(e Envelope) ([]byte, error) {
 	data, err := msgpack.Marshal(&e)
@@ -24,8 +36,8 @@
 // DecodeEnvelope parses an encoded envelope. It does not check the digest; NewActive does.
 func DecodeEnvelope(data []byte) (Envelope, error) {
 	var e Envelope
-	if err := msgpack.Unmarshal(data, &e); err != nil {
-		return Envelope{}, errors.Mark(errors.Wrap(err, "config: envelope"), ErrMalformed)
+	if err := decode(data, &e, "envelope"); err != nil {
+		return Envelope{}, err
 	}
 	e.Time = e.Time.UTC()
 	return e, nil
