link: check for silence when it is due instead of ten times per timeout

Cause: each link woke 3.3 times a second to look at the time of the last byte. Change: the timer is set to the moment at which the link would have been silent for the timeout.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -211,18 +211,21 @@
 	return n, err
 }
 
+// watchSilence wakes when the link would have been silent for the timeout, which on a healthy link is rarer than a heartbeat.
 func (c *Conn) watchSilence() {
-	ticker := time.NewTicker(c.cfg.SilenceTimeout / 10)
-	defer ticker.Stop()
+	timer := time.NewTimer(c.cfg.SilenceTimeout)
+	defer timer.Stop()
 	for {
 		select {
 		case <-c.closed:
 			return
-		case <-ticker.C:
-			if c.SilentFor() > c.cfg.SilenceTimeout {
+		case <-timer.C:
+			left := c.cfg.SilenceTimeout - c.SilentFor()
+			if left <= 0 {
 				c.fail(errors.Wrapf(ErrSilent, "peer %s", c.peer.NodeID))
 				return
 			}
+			timer.Reset(left)
 		}
 	}
 }
