--- a/internal/weights/transfer.go
+++ b/internal/weights/transfer.go
@@ -40,6 +40,7 @@
 }
 
 func (t *transfer) transferVersion(ctx context.Context) {
+	t.awaitView(ctx)
 	manifest := t.m.manifest(t.version)
 	if manifest == nil {
 		if t.fetch(ctx, manifestObject(t.m, t.version)) != fetched {
@@ -60,7 +61,18 @@
 	t.m.ready = t.version
 	t.m.mu.Unlock()
 	t.m.cfg.Log.Info("version complete", "version", t.version)
-	t.m.cfg.OnChange()
+	t.m.cfg.OnComplete()
+}
+
+// awaitView waits for the first view of peers.
+func (t *transfer) awaitView(ctx context.Context) {
+	timer := time.NewTimer(t.m.cfg.ViewWait)
+	defer timer.Stop()
+	select {
+	case <-t.m.viewed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // fill sorts the chunks into the queues of their classes.
