dispatch: retry a request without a key after a proof that it was not started

Cause: an order without a key was refused when its Submit crossed the agent's announcement that it leaves, although the agent's Reject proves that it did not start the order. Ruled out: retries after unknown or failed stay at one attempt (table in TestOutcomesOfOrders, TestLostLink).

Also: entry.quarantine_retention sets how long a crash counts, so that real-process tests can wait for the release of a refused request; the default stays 10 min.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -104,7 +104,7 @@
 			return a.abort(failure(x, result, history.Outcome()))
 		}
 		if d.quarantined(x) {
-			return failure(x, Result{Reason: message.ReasonQuarantined}, history.Outcome())
+			return failure(x, Result{Reason: message.ReasonQuarantined, RetryAfter: d.quarantine.Retention()}, history.Outcome())
 		}
 		if !d.mayRetry(ctx, x, result, number) {
 			return failure(x, result, history.Outcome())
@@ -157,7 +157,7 @@
 	d.calls.add(c)
 	defer d.calls.remove(c)
 	if !d.submit(ctx, c, newSubmit(x, number, target.Entry)) {
-		return Result{Outcome: message.OutcomeNotRun, Reason: message.ReasonNotServing, Unsent: true}, goneError(x)
+		return Result{Outcome: message.OutcomeNotRun, Reason: message.ReasonNotServing}, goneError(x)
 	}
 	for {
 		ev, err := d.step(ctx, c)
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -6,7 +6,6 @@
 
 	"github.com/pimentohead/pimentohead/internal/filter"
 	"github.com/pimentohead/pimentohead/internal/message"
-	"github.com/pimentohead/pimentohead/internal/quarantine"
 )
 
 // defaultRetryAfter is told to callers when the reason is temporary and the peer gave no delay.
@@ -24,9 +23,6 @@
 	if f.RetryAfter == 0 && temporary(x, result, outcome) {
 		f.RetryAfter = defaultRetryAfter
 	}
-	if result.Reason == message.ReasonQuarantined {
-		f.RetryAfter = max(f.RetryAfter, quarantine.Retention)
-	}
 	return f
 }
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -102,7 +102,9 @@
 	received := time.Now()
 	level := d.quarantine.Level(l.submit.Fingerprint)
 	if level == quarantine.Refused {
-		return Result{Outcome: message.OutcomeNotRun, Reason: message.ReasonQuarantined}
+		return Result{
+			Outcome: message.OutcomeNotRun, Reason: message.ReasonQuarantined, RetryAfter: d.quarantine.Retention(),
+		}
 	}
 	u, err := d.router.Pick(l.routing(d.router.Kind(l.submit.Pool)))
 	if err != nil {
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -26,8 +26,6 @@
 	RetryAfter time.Duration
 	// Rejected tells that the peer said so with Reject. The outcome may still be unknown, as for an order whose key is pending.
 	Rejected bool
-	// Unsent tells that the attempt was not queued on a link.
-	Unsent bool
 	// UpstreamIncarnation is set with ReasonUpstreamCrash.
 	UpstreamIncarnation uint64
 }
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -38,9 +38,6 @@
 		message.ReasonQuarantined, message.ReasonCancelled, message.ReasonTimeout:
 		return false // Another upstream would answer the same, or too late.
 	}
-	if x.Route.Idempotent {
-		return true
-	}
-	// A request without a key that is not idempotent is sent once, whatever the peer says about it.
-	return result.Outcome == message.OutcomeNotRun && (x.OrderKey != "" || result.Unsent)
+	// Only a peer that has the attempt says not-run of it, and it never starts that attempt afterwards.
+	return x.Route.Idempotent || result.Outcome == message.OutcomeNotRun
 }
--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -20,7 +20,7 @@
 	case quarantine.Refused:
 		failure := refuse(http.StatusServiceUnavailable, string(message.ReasonQuarantined),
 			"this request crashed two upstreams and is refused for a while")
-		failure.RetryAfter = quarantine.Retention
+		failure.RetryAfter = f.List.Retention()
 		return failure
 	case quarantine.Suspect:
 		x.Suspect = true
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -12,8 +12,8 @@
 
 // Parameters of the list.
 const (
-	// Retention is how long a crash counts.
-	Retention = 10 * time.Minute
+	// DefaultRetention is how long a crash counts.
+	DefaultRetention = 10 * time.Minute
 	// refuseAfter is the number of distinct upstream incarnations that crashed before a request is refused.
 	refuseAfter = 2
 	// maxFingerprints bounds the table; the least recently used fingerprint is dropped.
@@ -42,27 +42,34 @@
 
 // List is the bounded table of suspects. It is safe for concurrent use.
 type List struct {
-	now func() time.Time
+	now       func() time.Time
+	retention time.Duration
 	// mu guards table and the maps in it.
 	mu    sync.Mutex
 	table *lru.Cache[string, map[Crash]time.Time]
 }
 
-// New returns an empty list. now is the clock; nil selects time.Now.
-func New(now func() time.Time) *List {
+// New returns an empty list. now is the clock; nil selects time.Now. Crashes count for retention; 0 selects DefaultRetention.
+func New(now func() time.Time, retention time.Duration) *List {
 	if now == nil {
 		now = time.Now
 	}
+	if retention <= 0 {
+		retention = DefaultRetention
+	}
 	table, err := lru.New[string, map[Crash]time.Time](maxFingerprints)
 	if err != nil {
 		panic(err) // The size is a positive constant.
 	}
-	return &List{now: now, table: table}
+	return &List{now: now, retention: retention, table: table}
 }
 
+// Retention returns how long a crash counts.
+func (l *List) Retention() time.Duration { return l.retention }
+
 // Record adds a crash that happened age ago and returns true when it was not known yet.
 func (l *List) Record(fingerprint string, crash Crash, age time.Duration) bool {
-	if fingerprint == "" || age >= Retention {
+	if fingerprint == "" || age >= l.retention {
 		return false
 	}
 	l.mu.Lock()
@@ -100,10 +107,10 @@
 	}
 }
 
-// expire drops crashes older than Retention. The caller holds mu.
+// expire drops crashes older than the retention. The caller holds mu.
 func (l *List) expire(crashes map[Crash]time.Time) {
 	for crash, at := range crashes {
-		if l.now().Sub(at) >= Retention {
+		if l.now().Sub(at) >= l.retention {
 			delete(crashes, crash)
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -90,6 +90,9 @@
 	OperatorTokensSHA256 map[string]string `toml:"operator_tokens_sha256"`
 	// MaxConnections bounds open caller connections. Default 10000. Unit: connections. Allowed: at least 1.
 	MaxConnections int `toml:"max_connections"`
+	// QuarantineRetention is how long a crash of an upstream counts against the request that it ran. Default "10m". Allowed: a
+	// positive duration.
+	QuarantineRetention Duration `toml:"quarantine_retention"`
 }
 
 // Agent holds settings of the agent role.
@@ -137,6 +140,7 @@
 	defaultEntryStoreCalls     = 20
 	defaultAgentStoreCalls     = 60
 	defaultMaxConnections      = 10000
+	defaultQuarantine          = 10 * time.Minute
 	defaultMaxConcurrency      = 64
 	defaultQueueLimit          = 1024
 	defaultWeightsMemoryBytes  = 4 << 30
@@ -167,6 +171,7 @@
 	}
 	setDefault(&s.Platform.StoreCallsPerSecond, defaultEntryStoreCalls)
 	setDefault(&s.Entry.MaxConnections, defaultMaxConnections)
+	setDefault(&s.Entry.QuarantineRetention, Duration(defaultQuarantine))
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -110,6 +110,9 @@
 	for _, peer := range s.Entry.Peers {
 		c.address("entry.peers", peer)
 	}
+	if s.Entry.QuarantineRetention <= 0 {
+		c.fault("entry.quarantine_retention", "must be positive")
+	}
 	if len(s.Entry.OperatorTokensSHA256) == 0 {
 		c.fault("entry.operator_tokens_sha256", "needs at least one operator")
 	}
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -61,6 +61,8 @@
 	StoreCallsPerSecond float64
 	// ShutdownTimeout bounds a graceful shutdown. Default of the settings.
 	ShutdownTimeout time.Duration
+	// QuarantineRetention is how long crashes count on entries. Default of the settings.
+	QuarantineRetention time.Duration
 	// LogLevel of entries and agents. Default "info".
 	LogLevel string
 	// ReadyTimeout bounds the start. Default 30 s.
