--- /dev/null
+++ b/bench/priority.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/testbed"
+)
+
+func init() {
+	scenarios["priority"] = scenario{
+		description: "service by priority at 3 times overload",
+		run: func(ctx context.Context, opts options, r *report) error {
+			return runLoad(ctx, opts, r, measurePriority)
+		},
+	}
+}
+
+const (
+	// minUrgentInTime is the target of the design page.
+	minUrgentInTime = 0.99
+	priorityRun     = 10 * time.Second
+)
+
+// measurePriority offers three times the capacity; the urgent part fits into its share.
+func measurePriority(ctx context.Context, l *loadBed) []figure {
+	out := l.offer(ctx, priorityRun,
+		demand{caller: "small-1", priority: "urgent", load: 0.5},
+		demand{caller: "small-2", priority: "quote", load: 1},
+		demand{caller: testbed.LargeCaller, priority: "draft", load: 1.5},
+	)
+	urgent, quote, draft := out[0].inTimeShare(), out[1].inTimeShare(), out[2].inTimeShare()
+	ordered := 0.0
+	if urgent >= quote && quote >= draft {
+		ordered = 1
+	}
+	return append(l.limits.figures(""), []figure{
+		{name: "urgent in time", value: urgent, unit: "share", low: minUrgentInTime},
+		{name: "quote in time", value: quote, unit: "share"},
+		{name: "draft in time", value: draft, unit: "share"},
+		{name: "order of priorities preserved", value: ordered, unit: "bool", low: 1},
+		{name: "upstreams busy", value: busy(l, out), unit: "share of capacity"},
+	}...)
+}
+
+// busy is the rate of whole answers relative to the capacity.
+func busy(l *loadBed, out []*served) float64 {
+	sum := 0.0
+	for _, s := range out {
+		_, all := s.rate()
+		sum += all
+	}
+	return sum / l.capacity
+}
--- a/internal/testbed/caller.go
+++ b/internal/testbed/caller.go
@@ -72,6 +72,9 @@
 // CallerURL returns the base URL of an entry for callers.
 func (b *Bed) CallerURL(entry string) string { return "http://" + b.Node(entry).Caller }
 
+// UpstreamURL returns the base URL of an upstream itself, for comparison with the way through entries and agents.
+func (b *Bed) UpstreamURL(upstream string) string { return "http://" + b.fakes[upstream] }
+
 // ChatBody returns the body of a chat request.
 func ChatBody(prompt string, tokens int, stream bool) []byte {
 	body, err := json.Marshal(fake.ChatRequest{
