sched: judge the latency of streamed and whole answers apart

The concurrency limit fell below the engine's batch in floods (3 to 4 at a batch of 8). The first byte of a whole answer comes after its generation, that of a stream before; both were averaged together, so a change in their mix looked like congestion. Item.Stream now selects its own averages.

--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -143,7 +143,7 @@
 func (g *Agent) enqueue(a *attempt) {
 	m := a.submit
 	item := &sched.Item{
-		Priority: m.Priority, Caller: m.Caller, Weight: m.Weight, Cost: m.Cost, Suspect: m.Suspect,
+		Priority: m.Priority, Caller: m.Caller, Weight: m.Weight, Cost: m.Cost, Suspect: m.Suspect, Stream: m.Stream,
 		Deadline: a.received.Add(time.Duration(m.DeadlineMillis) * time.Millisecond),
 	}
 	if m.TargetMillis > 0 {
--- a/internal/sched/config.go
+++ b/internal/sched/config.go
@@ -58,6 +58,8 @@
 	Weight int
 	// Cost is the estimated work in tokens, at least 1.
 	Cost int
+	// Stream tells that the answer begins long before it is whole.
+	Stream bool
 	// Suspect requests run one at a time.
 	Suspect bool
 	// Deadline bounds the whole answer, Target its first byte. Zero means none.
--- a/internal/sched/limiter.go
+++ b/internal/sched/limiter.go
@@ -42,7 +42,9 @@
 	slowStart bool
 	// hold counts samples until the next decrease is allowed.
 	hold    int
-	buckets [costBuckets]latencyBucket
+	// whole and streams are apart: the first byte of a whole answer follows the generation, that of a stream precedes it, so
+	// that a change in their mix would look like congestion.
+	whole, streams [costBuckets]latencyBucket
 }
 
 func newLimiter(ceiling int) *limiter {
@@ -59,8 +61,12 @@
 }
 
 // sample records a time to first byte with the number of requests that were in progress.
-func (l *limiter) sample(now time.Time, cost int, latency time.Duration, inFlight int) {
-	b := &l.buckets[min(bits.Len(uint(cost)), costBuckets-1)]
+func (l *limiter) sample(now time.Time, it *Item, latency time.Duration, inFlight int) {
+	buckets := &l.whole
+	if it.Stream {
+		buckets = &l.streams
+	}
+	b := &buckets[min(bits.Len(uint(it.Cost)), costBuckets-1)]
 	congested := b.update(now, latency.Seconds())
 	if l.hold > 0 {
 		l.hold--
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -244,7 +244,7 @@
 	it.firstByte = true
 	now := q.cfg.Now()
 	latency := now.Sub(it.started)
-	q.limiter.sample(now, it.Cost, latency, q.inFlight)
+	q.limiter.sample(now, it, latency, q.inFlight)
 	it.ran.head.add(latency.Seconds())
 }
 
