--- a/internal/faultproxy/conn.go
+++ b/internal/faultproxy/conn.go
@@ -63,6 +63,7 @@
 			c.reset()
 			return
 		}
+		c.proxy.count(c.source, len(next.data))
 	}
 	// The end of a direction is subject to the same faults as its data.
 	if c.pass(piece{at: time.Now()}, up) {
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -65,6 +65,8 @@
 	conns    map[*conn]struct{}
 	// changed is closed and replaced on each change of rules.
 	changed chan struct{}
+	// carried counts the relayed bytes by source.
+	carried map[Source]int64
 }
 
 // Bandwidth returns a limiter of bytes a second for a Fault.
@@ -85,6 +87,7 @@
 	p := &Proxy{
 		listen: listen, target: target, identify: identify, ctx: ctx, cancel: cancel,
 		rules: make(map[string]rule), conns: make(map[*conn]struct{}), changed: make(chan struct{}),
+		carried: make(map[Source]int64),
 	}
 	if err := p.Accept(); err != nil {
 		cancel()
@@ -164,6 +167,25 @@
 	p.Break(Any)
 }
 
+// Carried returns the bytes relayed in both directions over connections that match.
+func (p *Proxy) Carried(match func(Source) bool) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum int64
+	for source, bytes := range p.carried {
+		if match(source) {
+			sum += bytes
+		}
+	}
+	return sum
+}
+
+func (p *Proxy) count(source Source, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.carried[source] += int64(bytes)
+}
+
 // Connections returns the number of open connections that match.
 func (p *Proxy) Connections(match func(Source) bool) int { return len(p.matching(match)) }
 
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -38,6 +38,8 @@
 	MaxOutstanding int
 	// Check inspects a whole successful answer and returns false when it is not the answer to request n.
 	Check func(n int, header http.Header, body []byte) bool
+	// Stop ends the schedule early; requests in progress are answered. nil never ends it.
+	Stop <-chan struct{}
 	// Observe is called with each result; it must be safe for concurrent use.
 	Observe func(Result)
 }
@@ -121,7 +123,7 @@
 	next := start
 	for n := 0; ; n++ {
 		next = next.Add(time.Duration(rng.ExpFloat64() / s.Rate * float64(time.Second)))
-		if next.Sub(start) > duration || !sleepUntil(ctx, next) {
+		if next.Sub(start) > duration || !sleepUntil(ctx, s.Stop, next) {
 			break
 		}
 		if outstanding.Load() >= limit {
@@ -141,16 +143,14 @@
 	return sum.summary
 }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	wait := time.Until(t)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
+func sleepUntil(ctx context.Context, stop <-chan struct{}, t time.Time) bool {
+	timer := time.NewTimer(max(0, time.Until(t)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return ctx.Err() == nil
+	case <-stop:
+		return false
 	case <-ctx.Done():
 		return false
 	}
