--- a/internal/sched/limiter.go
+++ b/internal/sched/limiter.go
@@ -41,7 +41,7 @@
 	// slowStart grows the limit by one per sample until the first congestion.
 	slowStart bool
 	// hold counts samples until the next decrease is allowed.
-	hold    int
+	hold int
 	// whole and streams are apart: the first byte of a whole answer follows the generation, that of a stream precedes it, so
 	// that a change in their mix would look like congestion.
 	whole, streams [costBuckets]latencyBucket
