dispatch: share the answer of the fuzz target without a data race

The race detector sees no order between the test and the server, which are connected by a socket only. Five runs with -race pass. FuzzResponse with a client for each execution also ran for 20 s without a failure.

--- a/internal/dispatch/answer_test.go
+++ b/internal/dispatch/answer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,9 +44,9 @@
 	f.Add(204, "pimentohead-outcome", "not-run", []byte("x"), 1, true, false)
 	f.Add(101, "Content-Length", "7", bytes.Repeat([]byte("y"), maxHeldBytes+1), 5, false, false)
 	f.Add(503, "Transfer-Encoding", "chunked", []byte{}, 0, false, true)
-	current := &fuzzedAnswer{}
+	var current atomic.Pointer[fuzzedAnswer]
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if err := current.write(w, r); err != nil {
+		if err := current.Load().write(w, r); err != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}))
@@ -58,12 +59,13 @@
 	f.Cleanup(client.CloseIdleConnections)
 	f.Fuzz(func(t *testing.T, status int, name, value string, body []byte, cut int, stream, fail bool) {
 		cut = min(max(cut, 0), len(body))
-		current = &fuzzedAnswer{
+		answer := &fuzzedAnswer{
 			head:  message.ResponseHead{Status: status, Header: []message.HeaderField{{Name: name, Value: value}}},
 			first: body[:cut], rest: body[cut:], stream: stream, fail: fail,
 		}
+		current.Store(answer)
 		got, err := get(t.Context(), client, server.URL)
-		checkAnswer(t, current, got, err, body)
+		checkAnswer(t, answer, got, err, body)
 	})
 }
 
