membership: send peer views as deltas and leave the revision out

Cause: a configuration change altered the revision of every agent in the views between entries, and each view was sent whole. Change: the first view of a link is whole, further ones list what changed; an agent at the revision of the entry that sends the view is marked as such. Agents merge the views of all their entries, since the last one alone is not complete during a partition.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
 	"github.com/pimentohead/pimentohead/internal/engine"
 	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/membership"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/order"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
@@ -60,6 +61,7 @@
 	announcer *announcer
 	links     *links
 	traffic   *link.Traffic
+	views     *membership.Views
 	weights   *weightsPart
 	telemetry *telemetry.Metrics
 	metrics   *metrics
@@ -77,7 +79,7 @@
 	}
 	s := o.Settings
 	g := &Agent{
-		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{},
+		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{}, views: membership.NewViews(),
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(), SilenceTimeout: s.Link.SilenceTimeout.Std(),
 		},
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -89,6 +89,8 @@
 	send(conn, g.announcer.build())
 	err := conn.Serve(ctx, g.handle)
 	g.links.remove(conn)
+	// The peers in force stay until the next view, also when no entry can be reached.
+	g.views.Remove(conn)
 	lost := g.attempts.of(conn)
 	g.log.Info("link to entry closed", "entry", conn.Peer().NodeID, "requests", len(lost), "cause", err.Error())
 	for _, a := range lost {
@@ -114,6 +116,11 @@
 		g.syncer.HandleRequest(conn, m)
 	case *message.ConfigReply:
 		g.syncer.HandleReply(conn, m)
+	case *message.PeerView:
+		g.views.Apply(conn, m)
+		if g.weights != nil {
+			g.weights.handle(&message.PeerView{Peers: g.views.Merge(nil, nil)})
+		}
 	default:
 		if g.weights != nil {
 			g.weights.handle(m)
--- a/internal/entry/linkserver.go
+++ b/internal/entry/linkserver.go
@@ -78,7 +78,7 @@
 		}
 	case *message.PeerView:
 		if conn.Peer().Role == message.RoleEntry {
-			e.views.put(conn, m.Peers)
+			e.views.put(conn, m)
 		}
 	case *message.CrashReport:
 		e.handleCrash(conn, m)
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/admin"
 	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
@@ -58,7 +59,7 @@
 			Progress: a.Progress, Queued: a.Queued, InFlight: a.InFlight, Limit: a.Limit,
 		})
 	}
-	for _, p := range e.views.merge(nil) {
+	for _, p := range e.views.Merge(nil, e.fillRevision()) {
 		if own[p.NodeID] {
 			continue
 		}
@@ -74,6 +75,19 @@
 	return nodes
 }
 
+// fillRevision returns a function that puts in the revision of the sender of a view where the view refers to it.
+func (e *Entry) fillRevision() func(*link.Conn, *message.Peer) {
+	revisions := make(map[*link.Conn]uint64)
+	for _, other := range e.table.Entries() {
+		revisions[other.Conn] = other.Revision
+	}
+	return func(conn *link.Conn, p *message.Peer) {
+		if p.SameRevision {
+			p.Revision = revisions[conn]
+		}
+	}
+}
+
 // rollouts summarises one model per data centre.
 func rollouts(model config.Model, nodes []admin.NodeStatus) []admin.Rollout {
 	byCentre := make(map[string]*admin.Rollout)
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"reflect"
-	"slices"
-	"sort"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/config"
@@ -25,28 +22,22 @@
 
 // views keeps what other entries have said of their agents.
 type views struct {
+	*membership.Views
 	// changed receives after each change.
 	changed chan struct{}
-	// mu guards byEntry.
-	mu      sync.Mutex
-	byEntry map[*link.Conn][]message.Peer
 }
 
 func newViews() *views {
-	return &views{changed: make(chan struct{}, 1), byEntry: make(map[*link.Conn][]message.Peer)}
+	return &views{Views: membership.NewViews(), changed: make(chan struct{}, 1)}
 }
 
-func (v *views) put(conn *link.Conn, peers []message.Peer) {
-	v.mu.Lock()
-	v.byEntry[conn] = peers
-	v.mu.Unlock()
+func (v *views) put(conn *link.Conn, view *message.PeerView) {
+	v.Apply(conn, view)
 	v.notify()
 }
 
 func (v *views) remove(conn *link.Conn) {
-	v.mu.Lock()
-	delete(v.byEntry, conn)
-	v.mu.Unlock()
+	v.Remove(conn)
 	v.notify()
 }
 
@@ -57,42 +48,18 @@
 	}
 }
 
-// of returns the agents linked to the entry behind conn.
-func (v *views) of(conn *link.Conn) []message.Peer {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.byEntry[conn]
-}
-
-// merge adds the agents of other entries that are not in peers.
-func (v *views) merge(peers []message.Peer) []message.Peer {
-	known := make(map[string]bool, len(peers))
-	for _, p := range peers {
-		known[p.NodeID] = true
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	merged := slices.Clone(peers)
-	for _, others := range v.byEntry {
-		for _, p := range others {
-			if !known[p.NodeID] {
-				known[p.NodeID] = true
-				merged = append(merged, p)
-			}
-		}
-	}
-	sort.Slice(merged, func(i, j int) bool { return merged[i].NodeID < merged[j].NodeID })
-	return merged
-}
-
 // ownPeers lists the agents with a link to this entry.
 func (e *Entry) ownPeers() []message.Peer {
-	var peers []message.Peer
+	peers := []message.Peer{}
+	revision := e.holder.Revision()
 	for _, u := range e.table.Upstreams() {
 		p := message.Peer{
 			NodeID: u.Node.NodeID, DataCentre: u.Node.DataCentre, Region: u.Node.Region, Address: u.Announce.PeerAddress,
 			Pool: u.Announce.Pool, Accepting: e.accepting(u), State: u.Announce.State, LoadedVersion: u.Announce.LoadedVersion,
-			LoadError: u.Announce.LoadError, Revision: u.Revision,
+			LoadError: u.Announce.LoadError,
+		}
+		if p.SameRevision = u.Revision == revision; !p.SameRevision {
+			p.Revision = u.Revision
 		}
 		if u.Announce.ReadyVersion != "" {
 			p.Versions = []string{u.Announce.ReadyVersion}
@@ -114,7 +81,7 @@
 			continue
 		}
 		usable := func(p message.Peer) bool { return p.Accepting && p.Pool == pool }
-		if slices.ContainsFunc(e.views.of(other.Conn), usable) {
+		if e.views.Any(other.Conn, usable) {
 			out = append(out, other)
 		}
 	}
@@ -125,7 +92,7 @@
 func (e *Entry) runViews(ctx context.Context) error {
 	changes, unsubscribe := e.table.Subscribe()
 	defer unsubscribe()
-	sent := make(map[*link.Conn][]message.Peer)
+	sender := &viewSender{sent: make(map[*link.Conn]*snapshot)}
 	for {
 		select {
 		case <-ctx.Done():
@@ -134,45 +101,77 @@
 		case <-e.views.changed:
 		}
 		pause(ctx, viewDebounce)
-		if e.sendViews(ctx, sent) {
+		if e.sendViews(ctx, sender) {
 			pause(ctx, viewInterval-viewDebounce)
 		}
 	}
 }
 
-// sendViews sends each link the view that it does not have yet, and tells whether any was sent.
-func (e *Entry) sendViews(ctx context.Context, sent map[*link.Conn][]message.Peer) bool {
+// snapshot is an immutable list of peers that was sent on links. Equal lists share one snapshot, so that links are compared
+// by pointer.
+type snapshot struct{ peers []message.Peer }
+
+// viewSender remembers what each link has been sent. It is used by one goroutine.
+type viewSender struct {
+	sent     map[*link.Conn]*snapshot
+	own, all *snapshot
+}
+
+// update returns last when it holds peers, otherwise a new snapshot.
+func update(last *snapshot, peers []message.Peer) *snapshot {
+	if last != nil && reflect.DeepEqual(last.peers, peers) {
+		return last
+	}
+	return &snapshot{peers: peers}
+}
+
+// sendViews sends each link what it does not have yet, and tells whether anything was sent.
+func (e *Entry) sendViews(ctx context.Context, s *viewSender) bool {
 	own := e.ownPeers()
-	all := forAgents(e.views.merge(own))
+	s.own, s.all = update(s.own, own), update(s.all, forAgents(e.views.Merge(own, nil)))
 	open := make(map[*link.Conn]bool)
+	// made holds the messages by what the links have; a new link has nothing.
+	made := make(map[[2]*snapshot]*message.PeerView)
 	any := false
 	for _, conn := range e.links.all("") {
 		open[conn] = true
-		view := own
+		next := s.own
 		if conn.Peer().Role == message.RoleAgent {
-			view = all
+			next = s.all
 		}
-		if last, ok := sent[conn]; ok && reflect.DeepEqual(last, view) {
+		last := s.sent[conn]
+		if last == next {
 			continue
 		}
-		if e.sendView(ctx, conn, view) {
-			sent[conn] = view
-			any = true
+		step := [2]*snapshot{last, next}
+		if _, ok := made[step]; !ok {
+			made[step] = makeView(last, next)
+		}
+		if view := made[step]; view == nil || e.sendView(ctx, conn, view) {
+			s.sent[conn] = next
+			any = any || view != nil
 		}
 	}
-	for conn := range sent {
+	for conn := range s.sent {
 		if !open[conn] {
-			delete(sent, conn)
+			delete(s.sent, conn)
 		}
 	}
 	return any
 }
 
+func makeView(last, next *snapshot) *message.PeerView {
+	if last == nil {
+		return membership.MakeView(nil, next.peers)
+	}
+	return membership.MakeView(last.peers, next.peers)
+}
+
 // forAgents keeps the agents from which weights can be fetched, without what only entries use.
 func forAgents(peers []message.Peer) []message.Peer {
 	out := make([]message.Peer, 0, len(peers))
 	for _, p := range peers {
-		p.Accepting, p.State, p.LoadedVersion, p.LoadError, p.Revision = false, "", "", "", 0
+		p.Accepting, p.State, p.LoadedVersion, p.LoadError, p.Revision, p.SameRevision = false, "", "", "", 0, false
 		if strings.TrimSpace(p.Address) != "" {
 			out = append(out, p)
 		}
@@ -180,8 +179,8 @@
 	return out
 }
 
-func (e *Entry) sendView(ctx context.Context, conn *link.Conn, view []message.Peer) bool {
+func (e *Entry) sendView(ctx context.Context, conn *link.Conn, view *message.PeerView) bool {
 	ctx, stop := context.WithTimeout(ctx, viewSendTimeout)
 	defer stop()
-	return conn.Send(ctx, &message.PeerView{Peers: view}) == nil
+	return conn.Send(ctx, view) == nil
 }
--- a/internal/message/node.go
+++ b/internal/message/node.go
@@ -97,12 +97,18 @@
 	LoadedVersion string `msgpack:"lv,omitempty"`
 	LoadError     string `msgpack:"le,omitempty"`
 	Revision      uint64 `msgpack:"rev,omitempty"`
+	// SameRevision stands for the revision of the entry that sends the view, so that a new configuration changes no view.
+	SameRevision bool `msgpack:"sr,omitempty"`
 }
 
 // PeerView lists live agents. Towards an agent it lists those of all data centres that the entry knows; towards another entry
 // only those with a link to the sender, so that views are not passed on in circles.
+//
+// The first view on a link is whole; each further one is a Delta, which lists new and changed agents in Peers.
 type PeerView struct {
-	Peers []Peer `msgpack:"p"`
+	Peers   []Peer   `msgpack:"p"`
+	Delta   bool     `msgpack:"d,omitempty"`
+	Removed []string `msgpack:"r,omitempty"`
 }
 
 // ConfigRequest asks for the newest configuration.
