--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
 	"github.com/pimentohead/pimentohead/internal/engine"
 	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/membership"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/order"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
@@ -68,6 +69,7 @@
 	announcer *announcer
 	links     *links
 	traffic   *link.Traffic
+	views     *membership.Views
 	weights   *weightsPart
 	telemetry *telemetry.Metrics
 	metrics   *metrics
@@ -85,7 +87,7 @@
 	}
 	s := o.Settings
 	g := &Agent{
-		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{},
+		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{}, views: membership.NewViews(),
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(), SilenceTimeout: s.Link.SilenceTimeout.Std(),
 		},
@@ -137,7 +139,7 @@
 	g.ledger = order.New(o.Store, order.Config{Log: g.log})
 	g.announcer = newAnnouncer(g)
 	g.gate = newGate(g)
-	g.monitor = &monitor{upstream: g.upstream, model: g.model(), onChange: g.stateChanged, onCrash: g.crashed}
+	g.monitor = &monitor{upstream: g.upstream, model: g.model(), onChange: g.stateChanged, onCrash: g.crashed, onBatch: g.queue.SetBatch}
 }
 
 func (g *Agent) model() bool { return g.settings.Agent.Kind == string(config.KindModel) }
