rollout: a failed load stops the rollout in every data centre

Cause: a load that failed after the canary had passed halted its own data centre only, and the others went on to a version that is known to fail. Operators expect it to stop everywhere. Change: the views that entries exchange carry the failed version (message.Peer.FailedVersion), and controllers look at the agents of other data centres too (rollout.Config.Remote). A data centre that is cut off goes on until it hears of the failure.

--- a/internal/controller/rollout/config.go
+++ b/internal/controller/rollout/config.go
@@ -37,6 +37,9 @@
 	Holder *config.Holder
 	Table  Table
 	Sender Sender
+	// Remote returns the agents that other entries have reported, optional. A load that failed at one of them stops the rollout
+	// here too.
+	Remote func() []message.Peer
 	// LeaseTTL is the lifetime of the holder's lease. Default 10 s.
 	LeaseTTL time.Duration
 	// LeaseMargin is how long before the possible end of the lease the holder stops granting. Default LeaseTTL / 5.
@@ -72,6 +75,9 @@
 	setDefault(&c.ElectionInterval, 3*time.Second)
 	setDefault(&c.CanaryInterval, 500*time.Millisecond)
 	setDefault(&c.CanaryGrace, 10*time.Second)
+	if c.Remote == nil {
+		c.Remote = func() []message.Peer { return nil }
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/controller/rollout/controller.go
+++ b/internal/controller/rollout/controller.go
@@ -160,16 +160,29 @@
 	if c.halted[name].version != version {
 		delete(c.halted, name)
 	}
+	if _, known := c.halted[name]; known {
+		return
+	}
+	if reason := c.failure(v); reason != "" {
+		c.halted[name] = halt{version: version, reason: reason}
+		c.cfg.Log.Info("rollout halted", "model", name, "version", version, "reason", reason)
+	}
+}
+
+// failure returns why an upstream of any data centre failed to load the target, or "". The digest of a version determines its
+// model, so the pools of remote agents need no look.
+func (c *Controller) failure(v view) string {
 	for _, u := range v.upstreams {
-		if u.Announce.FailedVersion != version {
-			continue
+		if u.Announce.FailedVersion == v.model.Version {
+			return u.Node.NodeID + ": " + u.Announce.LoadError
 		}
-		if _, known := c.halted[name]; !known {
-			reason := u.Node.NodeID + ": " + u.Announce.LoadError
-			c.halted[name] = halt{version: version, reason: reason}
-			c.cfg.Log.Info("rollout halted", "model", name, "version", version, "reason", reason)
+	}
+	for _, p := range c.cfg.Remote() {
+		if p.FailedVersion == v.model.Version {
+			return p.NodeID + ": " + p.LoadError
 		}
 	}
+	return ""
 }
 
 // reviewGrants drops, withdraws or renews the permits of a model.
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -5,6 +5,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/admin"
 	"github.com/pimentohead/pimentohead/internal/controller/rollout"
+	"github.com/pimentohead/pimentohead/internal/message"
 )
 
 // newRollout composes the rollout controller. There is none without a store, because nothing could fence its permits.
@@ -13,7 +14,8 @@
 		return nil
 	}
 	return rollout.New(rollout.Config{
-		Self: e.self, Store: o.Store, Holder: e.holder, Table: e.table, Sender: e, Log: o.Log.WithName("rollout"),
+		Self: e.self, Store: o.Store, Holder: e.holder, Table: e.table, Sender: e,
+		Remote: func() []message.Peer { return e.views.merge(nil) }, Log: o.Log.WithName("rollout"),
 	})
 }
 
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -92,7 +92,7 @@
 		p := message.Peer{
 			NodeID: u.Node.NodeID, DataCentre: u.Node.DataCentre, Region: u.Node.Region, Address: u.Announce.PeerAddress,
 			Pool: u.Announce.Pool, Accepting: e.accepting(u), State: u.Announce.State, LoadedVersion: u.Announce.LoadedVersion,
-			LoadError: u.Announce.LoadError, Revision: u.Revision,
+			FailedVersion: u.Announce.FailedVersion, LoadError: u.Announce.LoadError, Revision: u.Revision,
 		}
 		if u.Announce.ReadyVersion != "" {
 			p.Versions = []string{u.Announce.ReadyVersion}
@@ -172,7 +172,7 @@
 func forAgents(peers []message.Peer) []message.Peer {
 	out := make([]message.Peer, 0, len(peers))
 	for _, p := range peers {
-		p.Accepting, p.State, p.LoadedVersion, p.LoadError, p.Revision = false, "", "", "", 0
+		p.Accepting, p.State, p.LoadedVersion, p.FailedVersion, p.LoadError, p.Revision = false, "", "", "", "", 0
 		if strings.TrimSpace(p.Address) != "" {
 			out = append(out, p)
 		}
--- a/internal/message/node.go
+++ b/internal/message/node.go
@@ -92,9 +92,11 @@
 	Versions []string `msgpack:"vs"`
 	// Accepting tells that the peer's upstream takes new work. Entries use it to forward requests to another data centre.
 	Accepting bool `msgpack:"ac,omitempty"`
-	// State, LoadedVersion, LoadError and Revision are sent between entries only, for the status that operators read.
+	// State, LoadedVersion, FailedVersion, LoadError and Revision are sent between entries only: for the status that operators
+	// read, and so that a failed load stops the rollout in every data centre.
 	State         State  `msgpack:"st,omitempty"`
 	LoadedVersion string `msgpack:"lv,omitempty"`
+	FailedVersion string `msgpack:"fv,omitempty"`
 	LoadError     string `msgpack:"le,omitempty"`
 	Revision      uint64 `msgpack:"rev,omitempty"`
 }
