agent: check the engine after an answer while late load orders may arrive

Cause: an engine that ignores fencing numbers takes a load order of an earlier agent process at any time. The header of an answer names its version at the start only, and the swapper reads the status every 500 ms, so a stream that was running received tokens of both versions and ended as complete (1 of 200 tokens in a load that failed at once). The swapper settles the engine again after a failure that it did not cause. Steady state is unchanged; the first minute costs one status call for each answer of a model.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,6 +64,8 @@
 	telemetry *telemetry.Metrics
 	metrics   *metrics
 
+	// startedAt is when the process started.
+	startedAt time.Time
 	// running counts requests that were claimed or started.
 	running       sync.WaitGroup
 	adminListener net.Listener
@@ -77,7 +79,8 @@
 	}
 	s := o.Settings
 	g := &Agent{
-		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{},
+		startedAt: time.Now(),
+		settings:  s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{},
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(), SilenceTimeout: s.Link.SilenceTimeout.Std(),
 		},
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -47,6 +47,10 @@
 	g.send(a, &message.ResponseHead{Attempt: a.id, Status: resp.Status, Header: resp.Header, Version: resp.Version})
 	recorder := newRecorder(a, resp)
 	length, err := g.copyBody(a, resp, recorder)
+	if err == nil && g.versionMayChange() && !g.servedWhole(a.ctx, version) {
+		g.finish(a, nil, message.ResponseEnd{Outcome: message.OutcomeFailed, Reason: message.ReasonVersionChanged, Length: length})
+		return
+	}
 	if err == nil {
 		g.finish(a, recorder.answer(), message.ResponseEnd{Outcome: message.OutcomeOK, Length: length})
 		return
@@ -56,6 +60,24 @@
 	g.finish(a, nil, end)
 }
 
+// lateOrderPeriod is how long after the start of this process a load order of an earlier one may still arrive. An order is given
+// up after 2 s, but what was sent may be retransmitted for some time.
+const lateOrderPeriod = time.Minute
+
+// versionMayChange tells whether an engine that ignores fencing numbers may load a version that this process did not order.
+func (g *Agent) versionMayChange() bool {
+	return g.model() && time.Since(g.startedAt) < lateOrderPeriod
+}
+
+// servedWhole tells whether the engine still serves version, has no load pending, and has not failed one since it was put in
+// service. The header of an answer names its version at the start only; an engine with a pending load may give tokens of either
+// version.
+func (g *Agent) servedWhole(ctx context.Context, version string) bool {
+	status, err := g.upstream.Status(ctx)
+	return err == nil && status.LoadedVersion == version && status.PendingVersion == "" &&
+		status.FailedVersion == g.weights.replica.EngineFailed()
+}
+
 // runFailed ends an attempt that got no answer.
 func (g *Agent) runFailed(a *attempt, err error) {
 	end := g.explain(a, err)
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -32,6 +32,9 @@
 	a.Progress, a.PeerAddress, a.UpstreamIncarnation = held.Progress, r.PeerAddress(), engine.Incarnation
 }
 
+// EngineFailed returns the version that the engine reported as failed when it was put in service.
+func (r *Replica) EngineFailed() string { return r.swapper.Status().EngineFailed }
+
 // configure applies the target of the configuration in force.
 func (r *Replica) configure() {
 	active := r.cfg.Holder.Current()
--- a/internal/swap/swapper.go
+++ b/internal/swap/swapper.go
@@ -128,7 +128,7 @@
 	s.update(func(st *Status) {
 		st.State = message.StateServing
 		st.LoadedVersion = engine.LoadedVersion
-		st.Incarnation = engine.Incarnation
+		st.Incarnation, st.EngineFailed = engine.Incarnation, engine.FailedVersion
 		if st.FailedVersion == engine.LoadedVersion {
 			st.FailedVersion, st.LoadError = "", ""
 		}
@@ -163,7 +163,8 @@
 			failures = 0
 		case <-check.C:
 			now, err := s.read(ctx)
-			if err == nil && same(now, engine) {
+			// A changed failure is a load that this process did not order.
+			if err == nil && same(now, engine) && now.FailedVersion == engine.FailedVersion {
 				failures = 0
 				continue
 			}
