--- a/internal/testbed/control.go
+++ b/internal/testbed/control.go
@@ -79,6 +79,28 @@
 	return out, decode(status, body, http.StatusOK, &out)
 }
 
+// FakeURL returns the base URL of a stand-in, past the fault proxies.
+func (b *Bed) FakeURL(name string) string { return "http://" + b.fakes[name] }
+
+// EngineStatus returns what a model engine reports, past the fault proxies.
+func (b *Bed) EngineStatus(ctx context.Context, engine string) (fake.EngineStatus, error) {
+	var out fake.EngineStatus
+	status, body, err := b.sendAs(ctx, b.fleet.Engine.Token, http.MethodGet, b.FakeURL(engine)+"/control/status", nil)
+	if err != nil {
+		return out, err
+	}
+	return out, decode(status, body, http.StatusOK, &out)
+}
+
+// OrderLoad sends a load order to a model engine past its agent, as a late order of an earlier agent process would arrive.
+func (b *Bed) OrderLoad(ctx context.Context, engine string, order fake.LoadOrder) error {
+	status, body, err := b.sendAs(ctx, b.fleet.Engine.Token, http.MethodPost, b.FakeURL(engine)+"/control/load", order)
+	if err == nil && status != http.StatusAccepted {
+		err = errors.Newf("testbed: load order: status %d: %s", status, body)
+	}
+	return err
+}
+
 // CreateVersion creates a version on the origin and on the weight store.
 func (b *Bed) CreateVersion(ctx context.Context, spec fake.VersionSpec) (fake.VersionInfo, error) {
 	var info fake.VersionInfo
@@ -171,6 +193,11 @@
 }
 
 func (b *Bed) send(ctx context.Context, method, url string, body any) (int, []byte, error) {
+	return b.sendAs(ctx, OperatorToken, method, url, body)
+}
+
+// sendAs sends a request with a bearer token.
+func (b *Bed) sendAs(ctx context.Context, token, method, url string, body any) (int, []byte, error) {
 	text, err := json.Marshal(body)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "testbed")
@@ -179,7 +206,7 @@
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "testbed")
 	}
-	request.Header.Set("Authorization", "Bearer "+OperatorToken)
+	request.Header.Set("Authorization", "Bearer "+token)
 	request.Header.Set("Content-Type", "application/json")
 	response, err := b.client.Do(request)
 	if err != nil {
