agent: hand back the queue when leaving, notice fast restarts, record answers after the shutdown's bound

Change: the queue is rejected as not-serving 1 s after the agent announces that it leaves, so that entries send it elsewhere; a closed connection of the last health check together with a lost request is a crash; answers are recorded for up to 5 s after the bound; an order without an answer is unknown after a crash. Ruled out: a closed health connection alone is no crash, as services may close idle connections (TestCrashIsToldFromResets still passes). Shown failing without it: TestLeavingAgentHandsBackItsQueue, TestRestartBetweenChecksIsACrash and TestShutdownRecordsAnswersAfterItsBound each fail with their mechanism switched off.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,6 +48,8 @@
 	linkCfg  link.Config
 	leaving  atomic.Bool
 	drained  atomic.Bool
+	// handedBack tells that a leaving agent starts nothing any more.
+	handedBack atomic.Bool
 
 	holder    *config.Holder
 	syncer    *confsync.Syncer
@@ -146,9 +148,9 @@
 	}
 }
 
-// stateChanged opens or closes the queue and announces the state. A leaving agent finishes what is queued.
+// stateChanged opens or closes the queue and announces the state.
 func (g *Agent) stateChanged() {
-	open := g.monitor.isUp() && g.gate.state() == message.StateServing
+	open := g.monitor.isUp() && g.gate.state() == message.StateServing && !g.handedBack.Load()
 	g.queue.SetOpen(open, message.ReasonNotServing)
 	g.announcer.stateChanged()
 }
@@ -197,19 +199,43 @@
 	return duties
 }
 
-// shutdown announces leaving, finishes what was accepted and records its answers.
+// shutdown announces leaving, finishes what was accepted and records its answers. Answers are recorded even when requests in
+// progress exceed the time for the shutdown.
 func (g *Agent) shutdown() error {
 	g.leaving.Store(true)
 	g.links.notifyStatus()
-	g.announcer.stateChanged()
+	g.left()
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Shutdown.Timeout.Std())
 	defer cancel()
-	if err := g.settle(ctx); err != nil {
-		return err
+	settled := g.settle(ctx)
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	defer stop()
+	return errors.CombineErrors(settled, g.ledger.Flush(ctx))
+}
+
+// left announces that the agent leaves, and hands back what still waits in the queue after handBackAfter: its entries send it
+// to other upstreams. It undoes both when the agent no longer leaves.
+func (g *Agent) left() {
+	g.handedBack.Store(false)
+	g.stateChanged()
+	if !g.leaving.Load() && !g.drained.Load() {
+		return
 	}
-	return g.ledger.Flush(ctx)
+	time.AfterFunc(handBackAfter, func() {
+		if g.leaving.Load() || g.drained.Load() {
+			g.handedBack.Store(true)
+			g.stateChanged()
+		}
+	})
 }
 
+const (
+	// handBackAfter lets short queues run dry and leaves a second until a leaving upstream must not receive new work.
+	handBackAfter = time.Second
+	// flushTimeout bounds the recording of answers at the end of a shutdown.
+	flushTimeout = 5 * time.Second
+)
+
 // settle waits until no request is queued or in progress.
 func (g *Agent) settle(ctx context.Context) error {
 	ticker := time.NewTicker(settleInterval)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,6 +20,7 @@
 	"github.com/pimentohead/pimentohead/internal/fake"
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/platform/store"
 	"github.com/pimentohead/pimentohead/internal/settings"
 )
 
@@ -28,6 +31,7 @@
 	g        *WithT
 	upstream *httptest.Server
 	store    *httptest.Server
+	faults   *fake.Store
 	entries  []net.Listener
 	conns    []*link.Conn
 	received []chan message.Message
@@ -38,10 +42,11 @@
 	done    chan error
 }
 
-func start(t *testing.T, entries int) *fixture {
+func start(t *testing.T, entries int, extra ...string) *fixture {
 	f := &fixture{g: NewWithT(t), release: make(chan struct{}), done: make(chan error, 1)}
 	f.upstream = httptest.NewServer(http.HandlerFunc(f.serve))
-	f.store = httptest.NewServer(fake.NewStore(fake.StoreConfig{}))
+	f.faults = fake.NewStore(fake.StoreConfig{})
+	f.store = httptest.NewServer(f.faults)
 	text := fmt.Sprintf("role = \"agent\"\nid = \"a\"\ndata_centre = \"d\"\nregion = \"r\"\n[listen]\nadmin = \"127.0.0.1:0\"\n"+
 		"[link]\nsecret = %q\n[platform]\nstore = %q\n[agent]\npool = \"desk\"\nkind = \"service\"\nupstream = %q\nmax_concurrency = 2\nentries = [",
 		secret, f.store.URL, f.upstream.URL)
@@ -51,7 +56,7 @@
 		f.entries = append(f.entries, listener)
 		text += fmt.Sprintf("%q,", listener.Addr().String())
 	}
-	s, err := settings.Parse("agent.toml", []byte(text+"]\n"))
+	s, err := settings.Parse("agent.toml", []byte(text+"]\n"+strings.Join(extra, "\n")))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	a, err := agent.New(agent.Options{Settings: s, Log: logr.Discard()})
 	f.g.Expect(err).NotTo(HaveOccurred())
@@ -83,6 +88,11 @@
 	case "/wait":
 		f.runs.Add(1)
 		<-f.release
+	case "/hang":
+		f.runs.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
 	case "/reset":
 		_, _ = io.Copy(io.Discard, r.Body)
 		nc, _, _ := w.(http.Hijacker).Hijack()
@@ -216,6 +226,50 @@
 	f.g.Expect(f.end(0, "r2")).To(HaveField("Reason", message.ReasonNoUpstream))
 }
 
+// Guards against a service that crashes and is back before the next health check, and is taken for healthy.
+func TestRestartBetweenChecksIsACrash(t *testing.T) {
+	f := start(t, 1)
+	f.send(0, submit("r1", "/wait", ""))
+	f.g.Eventually(f.runs.Load, "5s").Should(Equal(int32(1)))
+	f.upstream.CloseClientConnections()
+	f.g.Expect(f.end(0, "r1")).To(And(HaveField("Reason", message.ReasonUpstreamCrash), HaveField("Outcome", message.OutcomeUnknown)))
+	f.send(0, submit("r2", "/orders", ""))
+	f.g.Expect(f.end(0, "r2")).To(HaveField("Outcome", message.OutcomeOK))
+}
+
+// Guards against a leaving agent that starts what waits in its queue long after it has announced that it leaves.
+func TestLeavingAgentHandsBackItsQueue(t *testing.T) {
+	f := start(t, 1)
+	for i := range 3 { // Two run, one waits: max_concurrency is 2.
+		f.send(0, submit(fmt.Sprint("r", i), "/wait", ""))
+	}
+	f.g.Eventually(f.runs.Load, "5s").Should(Equal(int32(2)))
+	f.stop()
+	f.g.Expect(f.end(0, "r2")).To(HaveField("Reason", message.ReasonNotServing))
+	f.finish()
+	f.g.Expect(f.end(0, "r0")).To(HaveField("Outcome", message.OutcomeOK))
+	f.g.Expect(f.runs.Load()).To(Equal(int32(2)))
+}
+
+// Guards against losing recorded answers when requests in progress exceed the time for the shutdown.
+func TestShutdownRecordsAnswersAfterItsBound(t *testing.T) {
+	f := start(t, 1, "[shutdown]\ntimeout = \"100ms\"")
+	f.send(0, submit("r1", "/hang", ""))
+	f.send(0, submit("r2", "/wait", "key"))
+	f.g.Eventually(f.runs.Load, "5s").Should(Equal(int32(2)))
+	f.faults.SetFault(fake.Fault{DelayMillis: 500})
+	f.finish()
+	f.g.Expect(f.end(0, "r2")).To(HaveField("Outcome", message.OutcomeOK))
+	f.stop()
+	f.g.Eventually(f.done, "10s").Should(Receive(HaveOccurred()))
+	f.done <- nil
+	client := store.NewClient(f.store.URL, 100, logr.Discard())
+	defer client.Close()
+	kv, err := client.Get(context.Background(), fmt.Sprintf("/pimentohead/order/caller/%x", sha256.Sum256([]byte("key"))))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.g.Expect(string(kv.Value)).To(ContainSubstring("answer"))
+}
+
 // Guards against a planned stop that cuts off running work or accepts new work.
 func TestShutdownFinishesRunningRequests(t *testing.T) {
 	f := start(t, 1)
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -148,6 +148,6 @@
 		drained = drained || d.Agent == g.settings.ID
 	}
 	if g.drained.Swap(drained) != drained {
-		g.announcer.stateChanged()
+		g.left()
 	}
 }
--- a/internal/agent/monitor.go
+++ b/internal/agent/monitor.go
@@ -71,7 +71,7 @@
 func (m *monitor) check(ctx context.Context) {
 	m.checking.Lock()
 	defer m.checking.Unlock()
-	err := m.upstream.Health(ctx)
+	reused, err := m.upstream.HealthReused(ctx)
 	incarnation := uint64(0)
 	if err == nil && m.model {
 		status, statusErr := m.upstream.Status(ctx)
@@ -80,17 +80,19 @@
 	if ctx.Err() != nil {
 		return
 	}
-	m.record(err, incarnation)
+	m.record(err, incarnation, reused)
 }
 
-func (m *monitor) record(err error, incarnation uint64) {
+func (m *monitor) record(err error, incarnation uint64, reused bool) {
 	m.mu.Lock()
 	wasUp, old := m.up, m.current
 	m.gone = errors.Is(err, engine.ErrDisconnected)
 	if err == nil {
 		m.up, m.failures = true, 0
-		if !wasUp && !m.model {
-			// Plain services report no incarnation; a new one begins each time the service comes back.
+		if !m.model && (!wasUp || !reused) {
+			// Plain services report no incarnation. A new one begins each time the service comes back, and when the connection
+			// of the last check was closed: a service may restart between two checks. The latter alone is no crash, as
+			// services may close idle connections; together with a lost request it is.
 			m.current = uint64(time.Now().UnixNano())
 		} else if m.model {
 			m.current = incarnation
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -66,7 +66,8 @@
 		return
 	}
 	end.Outcome = message.OutcomeUnknown
-	if end.Reason == message.ReasonUpstreamCrash {
+	if end.Reason == message.ReasonUpstreamCrash && a.submit.Idempotent {
+		// An order may have been completed before the crash.
 		end.Outcome = message.OutcomeFailed
 	}
 	g.finish(a, nil, end)
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,14 +22,23 @@
 // Health returns nil when the upstream answers GET /health with a success. A connection that was refused or lost is marked
 // ErrDisconnected.
 func (u *Upstream) Health(ctx context.Context) error {
-	code, _, err := u.call(ctx, http.MethodGet, "/health", nil)
+	_, err := u.HealthReused(ctx)
+	return err
+}
+
+// HealthReused is Health and tells whether the check used an earlier connection. A check soon after another one that does not
+// has found that connection closed.
+func (u *Upstream) HealthReused(ctx context.Context) (reused bool, err error) {
+	var info atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { info.Store(i.Reused) }}
+	code, _, err := u.call(httptrace.WithClientTrace(ctx, trace), http.MethodGet, "/health", nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if code >= http.StatusMultipleChoices {
-		return errors.Wrapf(ErrUnhealthy, "status %d", code)
+		return false, errors.Wrapf(ErrUnhealthy, "status %d", code)
 	}
-	return nil
+	return info.Load(), nil
 }
 
 // Status implements swap.Engine.
