--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -157,6 +157,6 @@
 	}
 	if g.drained.Swap(drained) != drained {
 		g.logState()
-		g.announcer.stateChanged()
+		g.left()
 	}
 }
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -56,7 +56,7 @@
 		p := message.Peer{
 			NodeID: u.Node.NodeID, DataCentre: u.Node.DataCentre, Region: u.Node.Region, Address: u.Announce.PeerAddress,
 			Pool: u.Announce.Pool, Accepting: e.accepting(u), State: u.Announce.State, LoadedVersion: u.Announce.LoadedVersion,
-			LoadError: u.Announce.LoadError,
+			FailedVersion: u.Announce.FailedVersion, LoadError: u.Announce.LoadError,
 		}
 		if p.SameRevision = u.Revision == revision; !p.SameRevision {
 			p.Revision = u.Revision
@@ -171,7 +171,8 @@
 func forAgents(peers []message.Peer) []message.Peer {
 	out := make([]message.Peer, 0, len(peers))
 	for _, p := range peers {
-		p.Accepting, p.State, p.LoadedVersion, p.LoadError, p.Revision, p.SameRevision = false, "", "", "", 0, false
+		p.Accepting, p.State, p.LoadedVersion, p.FailedVersion, p.LoadError = false, "", "", "", ""
+		p.Revision, p.SameRevision = 0, false
 		if strings.TrimSpace(p.Address) != "" {
 			out = append(out, p)
 		}
