sched: estimate the time to the first byte of whole answers and streams apart

In a flood of urgent work a sixth of the answers came after their target. The queue starts each request at the last moment, and the estimate of the time to the first byte was the mean of streams (about 40 ms) and whole answers (about 150 ms) plus one mean deviation. Each form now has its own estimate, with three mean deviations. Ruled out: the concurrency limit, which made no difference between 1/8 of a batch and a whole batch of headroom.

--- a/bench/flood.go
+++ b/bench/flood.go
@@ -50,8 +50,10 @@
 		demand{caller: "small-1", priority: "draft", load: calmOther},
 	)
 	urgent, _ := out[0].rate()
-	// What the others demand is below their shares and is served in full.
-	fits := max(urgentShare, 1-2*calmOther) * l.capacity
+	// What the others demand is above their floors and is served in full; urgent work has the rest, and its share at least.
+	_, quote := out[1].rate()
+	_, draft := out[2].rate()
+	fits := max(urgentShare*l.capacity, l.capacity-quote-draft)
 	figures = append(figures, l.limits.figures("urgent flood: ")...)
 	return append(figures,
 		figure{name: "urgent flood: urgent of what fits", value: urgent / fits, unit: "ratio", low: minUrgentOfFit},
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -89,7 +89,8 @@
 func (q *Queue) late(it *Item, now time.Time) bool {
 	var head, service time.Duration
 	if c := q.class(it); c.running > 0 {
-		head, service = c.head.duration(), c.service.duration()
+		first, last := c.estimates(it)
+		head, service = first.upper(), last.upper()
 	}
 	if !it.Deadline.IsZero() && !now.Add(max(head, service)).Before(it.Deadline) {
 		return true
--- a/internal/sched/flow.go
+++ b/internal/sched/flow.go
@@ -81,14 +81,24 @@
 	served  window
 	// running is the cost of work in progress.
 	running float64
-	// service and head estimate the time to the last and the first byte of an answer.
-	service, head estimate
+	// service and head estimate the time to the last and the first byte of a whole answer, streamService and streamHead those of
+	// a stream, whose first byte comes much earlier.
+	service, head             estimate
+	streamService, streamHead estimate
 }
 
 func newClass(index int, params Priority) *class {
 	return &class{index: index, params: params, flows: make(map[string]*flow)}
 }
 
+// estimates returns what is known about answers of the item's form.
+func (c *class) estimates(it *Item) (head, service *estimate) {
+	if it.Stream {
+		return &c.streamHead, &c.streamService
+	}
+	return &c.head, &c.service
+}
+
 func weighted(it *Item) float64 { return float64(it.Cost) / float64(it.Weight) }
 
 func (c *class) push(it *Item) {
--- a/internal/sched/limiter.go
+++ b/internal/sched/limiter.go
@@ -27,6 +27,8 @@
 	// of the queue's priorities.
 	batchHeadroom = 0.25
 	costBuckets   = 32
+	// upperDeviations is the number of mean deviations above the mean that an estimate allows for.
+	upperDeviations = 3
 	// warmSamples are averaged before a bucket has a baseline.
 	warmSamples = 5
 )
@@ -141,6 +143,7 @@
 	e.deviation += smoothing * (diff - e.deviation)
 }
 
-func (e *estimate) duration() time.Duration {
-	return time.Duration((e.mean + e.deviation) * float64(time.Second))
+// upper is a bound that few samples exceed.
+func (e *estimate) upper() time.Duration {
+	return time.Duration((e.mean + upperDeviations*e.deviation) * float64(time.Second))
 }
--- a/internal/sched/limiter_test.go
+++ b/internal/sched/limiter_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/message"
 )
 
 // Guards against a limit below the engine's batch because the mix of streamed and whole answers changes.
@@ -36,3 +38,35 @@
 	l.setBatch(0)
 	g.Expect(l.ceiling).To(BeNumerically("==", 64), "an engine that reports no batch")
 }
+
+// Guards against a flood in which every request starts too late for its target, because the first bytes of streams make the
+// answers look faster than whole ones are.
+func TestWholeAnswersAreJudgedByWholeAnswers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	q := New(Config{MaxConcurrency: 1, Now: func() time.Time { return now }})
+	q.SetOpen(true, "")
+	run := func(stream bool, latency time.Duration) {
+		it := &Item{Stream: stream, Start: func() {}}
+		q.Push(it)
+		now = now.Add(latency)
+		q.FirstByte(it)
+		q.Done(it, true)
+	}
+	for range 100 {
+		run(true, 20*time.Millisecond)
+		run(false, 140*time.Millisecond)
+	}
+	var dropped []bool
+	push := func(stream bool) {
+		q.Push(&Item{
+			Stream: stream, Target: now.Add(100 * time.Millisecond), Start: func() {},
+			Drop: func(message.Reason, time.Duration) { dropped = append(dropped, stream) },
+		})
+	}
+	q.Push(&Item{Start: func() {}})
+	push(true)
+	push(false)
+	q.Expire()
+	g.Expect(dropped).To(Equal([]bool{false}))
+}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -207,7 +207,7 @@
 func (q *Queue) retryAfter() time.Duration {
 	mean := 0.0
 	for _, c := range q.classes {
-		mean = max(mean, c.service.mean)
+		mean = max(mean, c.service.mean, c.streamService.mean)
 	}
 	wait := time.Duration(mean * float64(q.waiting) / q.limiter.limit * float64(time.Second))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
@@ -255,7 +255,8 @@
 	now := q.cfg.Now()
 	latency := now.Sub(it.started)
 	q.limiter.sample(now, it, latency, q.inFlight)
-	it.ran.head.add(latency.Seconds())
+	head, _ := it.ran.estimates(it)
+	head.add(latency.Seconds())
 }
 
 // Done ends a started item. answered tells that its answer was complete, so that its duration counts.
@@ -281,7 +282,8 @@
 	c.running -= float64(it.Cost)
 	c.served.add(now, float64(it.Cost))
 	if answered {
-		c.service.add(now.Sub(it.started).Seconds())
+		_, service := c.estimates(it)
+		service.add(now.Sub(it.started).Seconds())
 	}
 }
 
