agent: leave time for the way of the first byte to the caller

The rest of the late answers of an urgent flood, 8 to 10 of about 500, came up to 10 ms after the target: it was met at the agent, not at the caller. The agent now aims 5% earlier, at most 10 ms.

--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -20,6 +20,11 @@
 	storeRetryAfter = 2 * time.Second
 	// repeatWait bounds how long a repeated key waits for the first order's answer.
 	repeatWait = 10 * time.Second
+	// The way of the first byte from the agent to the caller is taken to need 1/returnFraction of the target, at most
+	// maxReturn. Without it 3% of an urgent flood's answers came up to 10 ms late, because a flooded queue starts each request
+	// at the last moment.
+	returnFraction = 20
+	maxReturn      = 10 * time.Millisecond
 )
 
 // Causes of a cancelled request.
@@ -147,7 +152,8 @@
 		Deadline: a.received.Add(time.Duration(m.DeadlineMillis) * time.Millisecond),
 	}
 	if m.TargetMillis > 0 {
-		item.Target = a.received.Add(time.Duration(m.TargetMillis) * time.Millisecond)
+		target := time.Duration(m.TargetMillis) * time.Millisecond
+		item.Target = a.received.Add(target - min(target/returnFraction, maxReturn))
 	}
 	item.Start = func() { g.start(a) }
 	item.Drop = func(reason message.Reason, retryAfter time.Duration) {
