agent: remember only the outcome of an attempt that ended

Agent memory grew by 3.2 KB a request for two to four minutes, because the message, the header and the context of each attempt were kept. An ended attempt is now a 128-bit key and a code; attempts in progress are in a map of their own, which also makes the loops over them short. The bound of remembered attempts rises from 200,000 to 1,000,000 per period: the former one refused all work beyond 1,667 requests a second.

--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -15,8 +15,8 @@
 	// keepAttempts is the least time for which the end of an attempt is remembered.
 	keepAttempts = 2 * time.Minute
 	// maxAttempts bounds remembered attempts per period. Beyond it new attempts are refused, because forgetting one could
-	// run a revoked request.
-	maxAttempts = 200_000
+	// run a revoked request. An ended attempt takes about 40 bytes.
+	maxAttempts = 1_000_000
 )
 
 type attemptState uint8
@@ -73,16 +73,20 @@
 	}
 }
 
-// attempts remembers attempts in two generations, so that forgetting old ones takes no scan.
+// attempts holds the attempts in progress and remembers how others ended.
 type attempts struct {
-	// mu guards all fields below.
-	mu                sync.Mutex
-	current, previous map[message.Attempt]*attempt
+	// mu guards all fields below. It is never taken while an attempt's mu is held.
+	mu     sync.Mutex
+	active map[message.Attempt]*attempt
+	// current and previous are two generations, so that forgetting old ends takes no scan.
+	current, previous map[endedKey]endedCode
 	rotated           time.Time
 }
 
 func newAttempts() *attempts {
-	return &attempts{current: make(map[message.Attempt]*attempt), rotated: time.Now()}
+	return &attempts{
+		active: make(map[message.Attempt]*attempt), current: make(map[endedKey]endedCode), rotated: time.Now(),
+	}
 }
 
 // add records a new attempt, or returns the one that is known. full tells that none could be recorded.
@@ -93,40 +97,60 @@
 	if known := t.find(a.id); known != nil {
 		return known, false
 	}
-	if len(t.current) >= maxAttempts {
+	if len(t.active)+len(t.current) >= maxAttempts {
 		return nil, true
 	}
-	t.current[a.id] = a
+	if a.state == attemptRevoked {
+		t.current[keyOf(a.id)] = endedRevoked
+	} else {
+		t.active[a.id] = a
+	}
 	return nil, false
 }
 
+// get returns an attempt in progress, or nil.
 func (t *attempts) get(id message.Attempt) *attempt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.find(id)
+	return t.active[id]
 }
 
+// find returns an attempt in progress, or one with the state and the outcome of an attempt that ended. The caller holds mu.
 func (t *attempts) find(id message.Attempt) *attempt {
-	if a := t.current[id]; a != nil {
+	if a := t.active[id]; a != nil {
 		return a
 	}
-	return t.previous[id]
+	key := keyOf(id)
+	code, ok := t.current[key]
+	if !ok {
+		code, ok = t.previous[key]
+	}
+	if !ok {
+		return nil
+	}
+	state, outcome := code.decode()
+	return &attempt{id: id, state: state, outcome: outcome}
 }
 
-// rotate forgets attempts that ended one full period ago. Attempts in progress are kept.
+// ended replaces an attempt that was done or revoked by its outcome. Further calls have no effect.
+func (t *attempts) ended(a *attempt) {
+	a.mu.Lock()
+	code := codeOf(a.state, a.outcome)
+	a.mu.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.active[a.id] == a {
+		delete(t.active, a.id)
+		t.current[keyOf(a.id)] = code
+	}
+}
+
+// rotate forgets attempts that ended one full period ago.
 func (t *attempts) rotate() {
 	if time.Since(t.rotated) < keepAttempts {
 		return
 	}
-	kept := make(map[message.Attempt]*attempt)
-	for id, a := range t.previous {
-		a.mu.Lock()
-		if a.state == attemptPending || a.state == attemptRunning {
-			kept[id] = a
-		}
-		a.mu.Unlock()
-	}
-	t.previous, t.current, t.rotated = t.current, kept, time.Now()
+	t.previous, t.current, t.rotated = t.current, make(map[endedKey]endedCode), time.Now()
 }
 
 // of returns the attempts in progress that arrived on a link.
@@ -139,14 +163,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []*attempt
-	for _, generation := range []map[message.Attempt]*attempt{t.current, t.previous} {
-		for _, a := range generation {
-			a.mu.Lock()
-			if (a.state == attemptPending || a.state == attemptRunning) && match(a) {
-				out = append(out, a)
-			}
-			a.mu.Unlock()
+	for _, a := range t.active {
+		a.mu.Lock()
+		if (a.state == attemptPending || a.state == attemptRunning) && match(a) {
+			out = append(out, a)
 		}
+		a.mu.Unlock()
 	}
 	return out
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -144,7 +144,7 @@
 	a.mu.Unlock()
 	g.send(a, &end)
 	a.cancel(nil)
-	a.submit.Body = nil // The attempt is remembered for minutes; its body is not needed.
+	g.attempts.ended(a)
 }
 
 // send queues a part of an answer. A broken link detaches the attempt.
--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -183,7 +183,7 @@
 	a.mu.Unlock()
 	g.release(claim)
 	a.cancel(nil)
-	a.submit.Body = nil // The attempt is remembered for minutes; its body is not needed.
+	g.attempts.ended(a)
 	g.announcer.loadChanged()
 	if !revoked {
 		g.metrics.rejected(a, reason)
@@ -199,6 +199,14 @@
 
 // revoke makes sure that an attempt which was not started never is. It returns false when the attempt was started.
 func (g *Agent) revoke(a *attempt) bool {
+	revoked := g.revokePending(a)
+	if revoked {
+		g.attempts.ended(a)
+	}
+	return revoked
+}
+
+func (g *Agent) revokePending(a *attempt) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.state == attemptRevoked {
