weights: read a fixed share of a reader's chunks from the origin at once

Progress over time showed 0.06 copies in the first second and 0.25 a second later, while the origin's link was full: 12 agents read 16 chunks each, and the origin divides its bandwidth among all reads, so that all first chunks arrived after 1.2 s. Towards the end the readers with the most chunks and the region with the fewest agents were left. Change: a reader reads 1/16 of its chunks at once. A fixed number of 1 would leave a long link idle between chunks, so the share is kept.

--- a/internal/weights/state.go
+++ b/internal/weights/state.go
@@ -100,6 +100,19 @@
 	return max(0, time.Until(settled))
 }
 
+// sourceRounds is the number of rounds in which a reader reads its chunks from the origin. The origin's bandwidth is divided
+// among all reads in progress, so with many of them every first chunk is late and the links between agents stay idle meanwhile:
+// with 16 for each of 12 agents the first chunks arrived after 1.2 of 4 s. A fixed share makes all readers end together.
+const sourceRounds = 16
+
+// sourceWindow returns the number of chunks that a reader of so many reads at once.
+func (m *Manager) sourceWindow(chunks int) int {
+	if m.cfg.Baseline {
+		return m.cfg.Window
+	}
+	return max(1, min(m.cfg.Window, (chunks+sourceRounds-1)/sourceRounds))
+}
+
 func (m *Manager) peerCount() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/weights/transfer.go
+++ b/internal/weights/transfer.go
@@ -35,6 +35,8 @@
 	// mu guards all fields below.
 	mu    sync.Mutex
 	queue [classes][]ChunkRef
+	// sourceWindow is the number of chunks that are read from the origin at once.
+	sourceWindow int
 	// pendingSince holds when a peer first reported an object as pending.
 	pendingSince map[string]time.Time
 }
@@ -98,6 +100,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.sourceWindow = max(t.sourceWindow, t.m.sourceWindow(len(queue[classRegionReader])))
 	for class := range classes { // Workers may have queued chunks again in the meantime.
 		t.queue[class] = append(queue[class], t.queue[class]...)
 	}
@@ -124,7 +127,7 @@
 			return
 		}
 		for class := range classes {
-			for ; running[class] < min(t.m.cfg.Window, t.queued(class)); running[class]++ {
+			for ; running[class] < min(t.window(class), t.queued(class)); running[class]++ {
 				go func() {
 					t.work(ctx, class)
 					finished <- class
@@ -142,6 +145,16 @@
 	}
 }
 
+// window returns how many chunks of a class are fetched at once.
+func (t *transfer) window(class int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if class == classRegionReader {
+		return t.sourceWindow
+	}
+	return t.m.cfg.Window
+}
+
 func (t *transfer) queued(class int) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
