weights: keep the Retry-After of a source and log the first delay of a transfer

Change: the delay that the source names is waited for, at most 30 s (origin.RateLimitedError.Delay); the first failure of a transfer is logged as "transfer delayed".

--- a/internal/platform/origin/client.go
+++ b/internal/platform/origin/client.go
@@ -47,6 +47,9 @@
 	return "origin: rate limited, retry after " + e.RetryAfter.String()
 }
 
+// Delay returns how long to wait before the next try.
+func (e *RateLimitedError) Delay() time.Duration { return e.RetryAfter }
+
 // Client reads manifests and chunks. It does not verify digests. It is safe for concurrent use.
 type Client struct {
 	baseURL string
--- a/internal/weights/fetch.go
+++ b/internal/weights/fetch.go
@@ -91,14 +91,31 @@
 			return pending
 		}
 		if ctx.Err() == nil {
-			t.m.setError(err)
+			if t.m.setError(err) {
+				t.m.cfg.Log.Info("transfer delayed", "version", t.version, "cause", err.Error())
+			}
 			t.m.cfg.Log.V(1).Info("retry", "object", o.key, "cause", err.Error())
 		}
-		sleep(ctx, time.Duration(factor)*t.m.cfg.Backoff)
+		sleep(ctx, retryDelay(time.Duration(factor)*t.m.cfg.Backoff, err))
 	}
 	return abandoned
 }
 
+// maxRetryAfter bounds the delay that a source may ask for.
+const maxRetryAfter = 30 * time.Second
+
+// retryDelay returns the backoff, or longer when a source asked for it. Twice the delay is given, because sleep may halve it.
+func retryDelay(backoff time.Duration, err error) time.Duration {
+	var limited interface {
+		error
+		Delay() time.Duration
+	}
+	if !errors.As(err, &limited) {
+		return backoff
+	}
+	return max(backoff, 2*min(limited.Delay(), maxRetryAfter))
+}
+
 // tryAll asks the peers in rendezvous order, then the origin, then peers of other regions, then the weight store.
 func (t *transfer) tryAll(ctx context.Context, o object) error {
 	if t.m.cfg.Baseline {
--- a/internal/weights/state.go
+++ b/internal/weights/state.go
@@ -195,8 +195,11 @@
 	m.mu.Unlock()
 }
 
-func (m *Manager) setError(err error) {
+// setError keeps the newest failure and tells whether it is the first of the transfer.
+func (m *Manager) setError(err error) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	first := m.lastError == ""
 	m.lastError = err.Error()
+	return first
 }
--- a/internal/weights/transfer_test.go
+++ b/internal/weights/transfer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/platform/origin"
 	"github.com/pimentohead/pimentohead/internal/weights"
 )
 
@@ -236,3 +237,23 @@
 	g.Eventually(func() string { return a.Status().LastError }, patience).Should(ContainSubstring("memory bound"))
 	g.Expect(get("/versions/" + tooLarge + "/manifest")).To(Equal(http.StatusNotFound))
 }
+
+// Guards against a source that limits requests being asked again before the time that it named.
+func TestRetryAfterOfTheSourceIsKept(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, 1, 1, nil)
+	version := f.origin.add(chunkBytes, seeds(0, 1)...)
+	const delay = 400 * time.Millisecond
+	tries := make(chan time.Time, 10)
+	f.origin.setBefore(func(context.Context, string) error {
+		tries <- time.Now()
+		if len(tries) == 1 {
+			return &origin.RateLimitedError{RetryAfter: delay}
+		}
+		return nil
+	})
+	f.target(version)
+	f.expectReady(version)
+	first, second := <-tries, <-tries
+	g.Expect(second.Sub(first)).To(BeNumerically(">=", delay))
+}
