--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
 	"github.com/pimentohead/pimentohead/internal/engine"
 	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/membership"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/order"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
@@ -32,6 +33,13 @@
 // expireInterval is the time between sweeps for queued requests that can no longer meet their bounds.
 const expireInterval = 100 * time.Millisecond
 
+// loggedState is what the last log line about the state said.
+type loggedState struct {
+	sync.Mutex
+	state   message.State
+	version string
+}
+
 // Options are the inputs of New.
 type Options struct {
 	Settings *settings.Settings
@@ -47,7 +55,10 @@
 	self     message.Hello
 	linkCfg  link.Config
 	leaving  atomic.Bool
+	logged   loggedState
 	drained  atomic.Bool
+	// handedBack tells that a leaving agent starts nothing any more.
+	handedBack atomic.Bool
 
 	holder    *config.Holder
 	syncer    *confsync.Syncer
@@ -60,6 +71,7 @@
 	announcer *announcer
 	links     *links
 	traffic   *link.Traffic
+	views     *membership.Views
 	weights   *weightsPart
 	telemetry *telemetry.Metrics
 	metrics   *metrics
@@ -80,7 +92,7 @@
 	s := o.Settings
 	g := &Agent{
 		startedAt: time.Now(),
-		settings:  s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{},
+		settings:  s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{}, views: membership.NewViews(),
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(), SilenceTimeout: s.Link.SilenceTimeout.Std(),
 		},
@@ -132,7 +144,7 @@
 	g.ledger = order.New(o.Store, order.Config{Log: g.log})
 	g.announcer = newAnnouncer(g)
 	g.gate = newGate(g)
-	g.monitor = &monitor{upstream: g.upstream, model: g.model(), onChange: g.stateChanged, onCrash: g.crashed}
+	g.monitor = &monitor{upstream: g.upstream, model: g.model(), onChange: g.stateChanged, onCrash: g.crashed, onBatch: g.queue.SetBatch}
 }
 
 func (g *Agent) model() bool { return g.settings.Agent.Kind == string(config.KindModel) }
@@ -149,13 +161,24 @@
 	}
 }
 
-// stateChanged opens or closes the queue and announces the state. A leaving agent finishes what is queued.
+// stateChanged opens or closes the queue and announces the state.
 func (g *Agent) stateChanged() {
-	open := g.monitor.isUp() && g.gate.state() == message.StateServing
+	g.logState()
+	open := g.monitor.isUp() && g.gate.state() == message.StateServing && !g.handedBack.Load()
 	g.queue.SetOpen(open, message.ReasonNotServing)
 	g.announcer.stateChanged()
 }
 
+// logState logs each change of the announced state.
+func (g *Agent) logState() {
+	g.logged.Lock()
+	defer g.logged.Unlock()
+	if state, version := g.state(), g.gate.version(); state != g.logged.state || version != g.logged.version {
+		g.log.Info("upstream state changed", "from", g.logged.state, "to", state, "version", version)
+		g.logged.state, g.logged.version = state, version
+	}
+}
+
 // crashed ends the requests that were in progress on an upstream process that is gone.
 func (g *Agent) crashed(incarnation uint64) {
 	lost := g.attempts.filter(func(a *attempt) bool { return a.state == attemptRunning && a.incarnation == incarnation })
@@ -174,14 +197,20 @@
 		duties.Add(1)
 		go func() { defer duties.Done(); duty(work) }()
 	}
+	g.log.Info("agent is running", "data_centre", g.settings.DataCentre, "pool", g.settings.Agent.Pool,
+		"upstream", g.settings.Agent.Upstream, "admin", g.AdminAddress())
 	if !g.model() {
 		g.gate.Open("")
 	}
 	<-ctx.Done()
+	g.log.Info("graceful shutdown begins")
 	err := g.shutdown()
 	stop()
 	duties.Wait()
 	g.upstream.Close()
+	if err == nil {
+		g.log.Info("graceful shutdown is complete")
+	}
 	return err
 }
 
@@ -200,19 +229,44 @@
 	return duties
 }
 
-// shutdown announces leaving, finishes what was accepted and records its answers.
+// shutdown announces leaving, finishes what was accepted and records its answers. Answers are recorded even when requests in
+// progress exceed the time for the shutdown.
 func (g *Agent) shutdown() error {
 	g.leaving.Store(true)
+	g.logState()
 	g.links.notifyStatus()
-	g.announcer.stateChanged()
+	g.left()
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Shutdown.Timeout.Std())
 	defer cancel()
-	if err := g.settle(ctx); err != nil {
-		return err
+	settled := g.settle(ctx)
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	defer stop()
+	return errors.CombineErrors(settled, g.ledger.Flush(ctx))
+}
+
+// left announces that the agent leaves, and hands back what still waits in the queue after handBackAfter: its entries send it
+// to other upstreams. It undoes both when the agent no longer leaves.
+func (g *Agent) left() {
+	g.handedBack.Store(false)
+	g.stateChanged()
+	if !g.leaving.Load() && !g.drained.Load() {
+		return
 	}
-	return g.ledger.Flush(ctx)
+	time.AfterFunc(handBackAfter, func() {
+		if g.leaving.Load() || g.drained.Load() {
+			g.handedBack.Store(true)
+			g.stateChanged()
+		}
+	})
 }
 
+const (
+	// handBackAfter lets short queues run dry and leaves a second until a leaving upstream must not receive new work.
+	handBackAfter = time.Second
+	// flushTimeout bounds the recording of answers at the end of a shutdown.
+	flushTimeout = 5 * time.Second
+)
+
 // settle waits until no request is queued or in progress.
 func (g *Agent) settle(ctx context.Context) error {
 	ticker := time.NewTicker(settleInterval)
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -15,7 +15,7 @@
 	}
 	return rollout.New(rollout.Config{
 		Self: e.self, Store: o.Store, Holder: e.holder, Table: e.table, Sender: e,
-		Remote: func() []message.Peer { return e.views.merge(nil) }, Log: o.Log.WithName("rollout"),
+		Remote: func() []message.Peer { return e.views.Merge(nil, nil) }, Log: o.Log.WithName("rollout"),
 	})
 }
 
