order: refuse the repeat of an order that was not started while the store is down

Ruled out: the order may not have run, as the claim never left this ledger's hands; claims of running orders wait as before. Change: the wait for a claim whose order was not started is bounded by the claim timeout and ends as not-run.

--- a/internal/order/ledger.go
+++ b/internal/order/ledger.go
@@ -162,9 +162,10 @@
 		if claim.request != request {
 			return Result{Verdict: Mismatch}, nil
 		}
-		select {
-		case <-claim.settled:
-		case <-ctx.Done():
+		if !l.awaitSettled(ctx, claim) {
+			if l.unstarted(claim) {
+				return Result{}, errors.Wrap(ErrUnavailable, "earlier claim of the key not released yet")
+			}
 			return Result{Verdict: Unknown}, nil
 		}
 		if result, ok := l.repeated(claim); ok {
@@ -173,6 +174,32 @@
 	}
 }
 
+// awaitSettled waits for the order that holds a claim here. A claim whose order was not started is waited for as long as claiming
+// takes: with the store down it may stay for longer than any caller waits.
+func (l *Ledger) awaitSettled(ctx context.Context, c *Claim) bool {
+	timer := time.NewTimer(l.cfg.ClaimTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case <-c.settled:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			if l.unstarted(c) {
+				return false
+			}
+		}
+	}
+}
+
+// unstarted tells that the order of a claim was not started and will not be.
+func (l *Ledger) unstarted(c *Claim) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.state == stateReleasing
+}
+
 // acquired tells how acquire found a claim.
 type acquired uint8
 
--- a/internal/order/ledger_test.go
+++ b/internal/order/ledger_test.go
@@ -237,6 +237,25 @@
 	g.Expect(verdict(g, second, "k").Verdict).To(Equal(order.Run))
 }
 
+// Guards against a repeat that waits for its whole deadline, and is told unknown, for an order that was not started.
+func TestRepeatOfARefusedOrderIsRefusedWhileTheStoreIsDown(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	l := start(t, s)
+	l.Release(verdict(g, l, "lease").Claim) // The ledger has its lease.
+	g.Expect(l.Flush(ctx)).To(Succeed())
+	s.mu.Lock()
+	s.next = func() fault { return faultLostBefore }
+	s.mu.Unlock()
+	for range 2 {
+		bounded, cancel := context.WithTimeout(ctx, 10*time.Second)
+		_, err := l.Begin(bounded, "caller", "k", body)
+		g.Expect(errors.Is(err, order.ErrUnavailable)).To(BeTrue())
+		g.Expect(bounded.Err()).NotTo(HaveOccurred())
+		cancel()
+	}
+}
+
 // Guards against one call per order, which the store's limits do not allow.
 func TestClaimsAreCommittedInGroups(t *testing.T) {
 	g := NewWithT(t)
