--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,6 +58,7 @@
 	ledger    *order.Ledger
 	attempts  *attempts
 	gate      *gate
+	suspects  *suspects
 	monitor   *monitor
 	announcer *announcer
 	links     *links
@@ -79,7 +80,7 @@
 	}
 	s := o.Settings
 	g := &Agent{
-		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{},
+		settings: s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), suspects: newSuspects(), links: newLinks(), traffic: &link.Traffic{},
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(), SilenceTimeout: s.Link.SilenceTimeout.Std(),
 		},
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -25,6 +25,9 @@
 	a.incarnation = g.monitor.incarnation()
 	a.started = time.Now()
 	a.mu.Unlock()
+	if a.submit.Suspect {
+		g.suspects.started(a.incarnation)
+	}
 	g.metrics.waited(a)
 	g.running.Add(1)
 	go func() {
@@ -61,6 +64,9 @@
 	end := g.explain(a, err)
 	if errors.Is(err, engine.ErrNotSent) {
 		g.reject(a, end.Reason, storeRetryAfter)
+		if a.submit.Suspect {
+			g.suspects.survived(a.incarnation)
+		}
 		g.queue.Done(a.item, false)
 		g.gate.progress()
 		return
@@ -82,7 +88,10 @@
 		if errors.Is(err, engine.ErrNotSent) {
 			return message.ResponseEnd{Reason: message.ReasonNoUpstream}
 		}
-		return message.ResponseEnd{Reason: message.ReasonUpstreamCrash, UpstreamIncarnation: a.incarnation}
+		return message.ResponseEnd{
+			Reason: message.ReasonUpstreamCrash, UpstreamIncarnation: a.incarnation,
+			BesideSuspect: !a.submit.Suspect && g.suspects.ranOn(a.incarnation),
+		}
 	}
 	switch {
 	case errors.Is(cause, errCancelled):
@@ -130,6 +139,9 @@
 	if claim != nil {
 		g.ledger.Finish(claim, answer)
 	}
+	if a.submit.Suspect && end.Reason != message.ReasonUpstreamCrash {
+		g.suspects.survived(a.incarnation)
+	}
 	g.metrics.served(a, end)
 	g.end(a, end)
 	g.queue.Done(a.item, end.Outcome == message.OutcomeOK)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -231,7 +231,7 @@
 	if result.Reason != message.ReasonUpstreamCrash {
 		return
 	}
-	crash := quarantine.Crash{AgentID: c.target.NodeID, Incarnation: result.UpstreamIncarnation}
+	crash := quarantine.Crash{AgentID: c.target.NodeID, Incarnation: result.UpstreamIncarnation, BesideSuspect: result.BesideSuspect}
 	if d.quarantine.Record(fingerprint, crash, 0) && d.events.Crash != nil {
 		d.events.Crash(fingerprint, crash)
 	}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -90,10 +90,12 @@
 		// Sent ahead of the end, so that the first entry knows of the crash before it decides on a retry.
 		l.send(context.Background(), &message.CrashReport{
 			Fingerprint: l.submit.Fingerprint, AgentID: l.agent, UpstreamIncarnation: result.UpstreamIncarnation,
+			BesideSuspect: result.BesideSuspect,
 		})
 	}
 	l.send(context.Background(), &message.ResponseEnd{
 		Attempt: l.submit.Attempt, Outcome: result.Outcome, Reason: result.Reason, Length: l.offset,
+		BesideSuspect:       result.BesideSuspect,
 		UpstreamIncarnation: result.UpstreamIncarnation, RetryAfterMillis: result.RetryAfter.Milliseconds(),
 	})
 }
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -28,6 +28,8 @@
 	Rejected bool
 	// UpstreamIncarnation is set with ReasonUpstreamCrash.
 	UpstreamIncarnation uint64
+	// BesideSuspect is set with ReasonUpstreamCrash when a suspect ran on the upstream and this request was none.
+	BesideSuspect bool
 }
 
 func rejected(m *message.Reject) Result {
@@ -42,6 +44,7 @@
 func ended(m *message.ResponseEnd, started bool, received int64) Result {
 	result := Result{
 		Outcome: m.Outcome, Reason: m.Reason, RetryAfter: millis(m.RetryAfterMillis), UpstreamIncarnation: m.UpstreamIncarnation,
+		BesideSuspect: m.BesideSuspect,
 	}
 	switch m.Outcome {
 	case message.OutcomeOK:
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -65,6 +65,7 @@
 	defer stop()
 	_ = conn.Send(ctx, &message.CrashReport{
 		Fingerprint: news.fingerprint, AgentID: news.crash.AgentID, UpstreamIncarnation: news.crash.Incarnation,
-		AgeMillis: time.Since(news.at).Milliseconds(),
+		BesideSuspect: news.crash.BesideSuspect,
+		AgeMillis:     time.Since(news.at).Milliseconds(),
 	})
 }
--- a/internal/entry/linkserver.go
+++ b/internal/entry/linkserver.go
@@ -106,7 +106,7 @@
 }
 
 func (e *Entry) handleCrash(conn *link.Conn, m *message.CrashReport) {
-	crash := quarantine.Crash{AgentID: m.AgentID, Incarnation: m.UpstreamIncarnation}
+	crash := quarantine.Crash{AgentID: m.AgentID, Incarnation: m.UpstreamIncarnation, BesideSuspect: m.BesideSuspect}
 	age := time.Duration(m.AgeMillis) * time.Millisecond
 	if conn.Peer().Role == message.RoleEntry && e.quarantine.Record(m.Fingerprint, crash, age) {
 		e.crashes.enqueue(crashNews{fingerprint: m.Fingerprint, crash: crash, at: time.Now().Add(-age), from: conn})
--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -117,6 +117,8 @@
 	// UpstreamIncarnation names the upstream process that crashed when Reason is ReasonUpstreamCrash.
 	UpstreamIncarnation uint64 `msgpack:"ui,omitempty"`
 	RetryAfterMillis    int64  `msgpack:"ra,omitempty"`
+	// BesideSuspect tells, with ReasonUpstreamCrash, that a suspect ran on the upstream and this request was none.
+	BesideSuspect bool `msgpack:"bs,omitempty"`
 }
 
 // Credit extends the flow-control window of a response.
@@ -165,6 +167,8 @@
 	UpstreamIncarnation uint64 `msgpack:"ui"`
 	// AgeMillis is the time since the crash, so that clocks need not agree.
 	AgeMillis int64 `msgpack:"age"`
+	// BesideSuspect tells that a suspect ran on the upstream and this request was none.
+	BesideSuspect bool `msgpack:"bs,omitempty"`
 }
 
 // MessageType implements Message.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -38,6 +38,9 @@
 type Crash struct {
 	AgentID     string
 	Incarnation uint64
+	// BesideSuspect tells that a suspect ran there and the request was none. Such a crash makes the request a suspect; it does
+	// not count towards its refusal, as a suspect would otherwise take its neighbours with it.
+	BesideSuspect bool
 }
 
 // List is the bounded table of suspects. It is safe for concurrent use.
@@ -80,7 +83,7 @@
 		l.table.Add(fingerprint, crashes)
 	}
 	l.expire(crashes)
-	if _, known := crashes[crash]; known || len(crashes) >= maxCrashes {
+	if _, known := crashes[crash]; known || len(crashes) >= maxCrashes || crash.BesideSuspect && len(crashes) > 0 {
 		return false
 	}
 	crashes[crash] = l.now().Add(-max(age, 0))
@@ -96,10 +99,16 @@
 		return Clear
 	}
 	l.expire(crashes)
-	switch n := len(crashes); {
-	case n >= refuseAfter:
+	blamed := 0
+	for crash := range crashes {
+		if !crash.BesideSuspect {
+			blamed++
+		}
+	}
+	switch {
+	case blamed >= refuseAfter:
 		return Refused
-	case n == 1:
+	case len(crashes) > 0:
 		return Suspect
 	default:
 		l.table.Remove(fingerprint)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -22,6 +22,12 @@
 	a.Incarnation++
 	g.Expect(l.Record("f", a, 0)).To(BeTrue())
 	g.Expect(l.Level("f")).To(Equal(quarantine.Refused))
+	beside := quarantine.Crash{AgentID: "agent-1", Incarnation: 7, BesideSuspect: true}
+	g.Expect(l.Record("neighbour", beside, 0)).To(BeTrue())
+	beside.Incarnation++
+	g.Expect(l.Record("neighbour", beside, 0)).To(BeFalse())
+	g.Expect(l.Record("neighbour", a, 0)).To(BeTrue())
+	g.Expect(l.Level("neighbour")).To(Equal(quarantine.Suspect))
 	now = now.Add(quarantine.DefaultRetention - time.Minute)
 	g.Expect(l.Level("f")).To(Equal(quarantine.Suspect))
 	now = now.Add(time.Minute)
