--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -67,6 +67,7 @@
 	ledger    *order.Ledger
 	attempts  *attempts
 	gate      *gate
+	suspects  *suspects
 	monitor   *monitor
 	announcer *announcer
 	links     *links
@@ -92,7 +93,7 @@
 	s := o.Settings
 	g := &Agent{
 		startedAt: time.Now(),
-		settings:  s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), links: newLinks(), traffic: &link.Traffic{}, views: membership.NewViews(),
+		settings:  s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), suspects: newSuspects(), links: newLinks(), traffic: &link.Traffic{}, views: membership.NewViews(),
 		linkCfg: link.Config{
 			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(), SilenceTimeout: s.Link.SilenceTimeout.Std(),
 		},
