--- a/bench/orders.go
+++ b/bench/orders.go
@@ -58,7 +58,7 @@
 	if opts.verbose {
 		defer func() { _, _ = fmt.Fprintln(os.Stderr, bed.LogTails()) }()
 	}
-	random := rand.New(rand.NewPCG(uint64(opts.seed), 1)) //nolint:gosec // a seed, not a size
+	random := rand.New(rand.NewPCG(uint64(opts.seed), 1))
 	load := bed.StartLoad(ctx, testbed.Workload{
 		Callers: ordersCallers, Pause: ordersPause, RepeatOneIn: ordersRepeatOneIn, Seed: opts.seed,
 		Kinds: []func(int) testbed.Request{testbed.KeyedOrder("bench"), testbed.PlainOrder("bench"), testbed.StockLookup("bench")},
