entry: be ready only when the agents listed by neighbours have connected; agent: keep announcements in order

A restarted entry was ready as soon as it had a configuration, while agents redial a lost entry after up to 3 s, so it answered no-upstream. Ruled out: the retry budget (the refusals came from the restarted entry only in that window). The first announcement on a link was sent by a goroutine of its own and could follow a newer one; it is sent in order now.

--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
@@ -15,6 +17,9 @@
 	agent *Agent
 	// urgent and load hold at most one notification.
 	urgent, load chan struct{}
+	// mu keeps announcements in the order in which they were built.
+	mu   sync.Mutex
+	last message.Announce
 }
 
 func newAnnouncer(a *Agent) *announcer {
@@ -37,7 +42,6 @@
 func (n *announcer) run(ctx context.Context) {
 	pause := time.NewTimer(0)
 	defer pause.Stop()
-	var last message.Announce
 	for {
 		select {
 		case <-ctx.Done():
@@ -51,16 +55,33 @@
 			case <-n.load:
 			}
 		}
-		if next := n.build(); *next != last {
-			last = *next
-			for _, c := range n.agent.links.all() {
-				_ = c.Send(ctx, next)
-			}
-		}
+		n.broadcast(ctx)
 		pause.Reset(loadInterval)
 	}
 }
 
+// broadcast announces to all entries when something has changed.
+func (n *announcer) broadcast(ctx context.Context) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	next := n.build()
+	if *next == n.last {
+		return
+	}
+	n.last = *next
+	for _, c := range n.agent.links.all() {
+		_ = c.Send(ctx, next)
+	}
+}
+
+// introduce makes the first announcement on a new link. Its send ring is empty, so it does not wait.
+func (n *announcer) introduce(ctx context.Context, c *link.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.agent.links.add(c)
+	_ = c.Send(ctx, n.build())
+}
+
 // build collects the fields that the parts of the agent contribute.
 func (n *announcer) build() *message.Announce {
 	g := n.agent
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -87,9 +87,8 @@
 }
 
 func (g *Agent) serveLink(ctx context.Context, conn *link.Conn) {
-	g.links.add(conn)
 	g.log.Info("link to entry opened", "entry", conn.Peer().NodeID)
-	send(conn, g.announcer.build())
+	g.announcer.introduce(ctx, conn)
 	err := conn.Serve(ctx, g.handle)
 	g.links.remove(conn)
 	// The peers in force stay until the next view, also when no entry can be reached.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,9 @@
 	self     message.Hello
 	linkCfg  link.Config
 	leaving  atomic.Bool
+	started  time.Time
+	// warmed is set when the entry has been ready once.
+	warmed atomic.Bool
 
 	holder     *config.Holder
 	syncer     *confsync.Syncer
@@ -86,6 +89,7 @@
 	}
 	s := o.Settings
 	e := &Entry{
+		started:  time.Now(),
 		settings: s, log: o.Log, settle: o.SettleTime, telemetry: exporter, holder: config.NewHolder(),
 		table: membership.NewTable(), quarantine: quarantine.New(nil, s.Entry.QuarantineRetention.Std()), links: newLinks(s.ID, s.Link.HeartbeatInterval.Std()), views: newViews(),
 		crashes: newCrashes(), traffic: &link.Traffic{},
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -236,3 +236,23 @@
 	g.Eventually(views, waitFor).Should(Receive(HaveField("Peers", ContainElement(
 		message.Peer{NodeID: "agent-2", DataCentre: "b", Region: "", Address: "127.0.0.1:9", Pool: "assistant", Versions: []string{"v2"}}))))
 }
+
+// Guards against a restarted entry that takes requests before its agents have connected again, and refuses them.
+func TestRestartedEntryWaitsForTheAgentsOfItsNeighbours(t *testing.T) {
+	g := NewWithT(t)
+	one, _ := startEntry(t, "entry-1", "a")
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	agent.connect(one, nil)
+	two, _ := startEntry(t, "entry-2", "a", one.LinkAddress())
+	linked(g, one, two)
+	status := func() int {
+		r, err := http.Get("http://" + two.AdminAddress() + "/readyz")
+		g.Expect(err).NotTo(HaveOccurred())
+		_ = r.Body.Close()
+		return r.StatusCode
+	}
+	g.Eventually(func() int { return len(two.Status().Nodes) }, waitFor).Should(Equal(3)) // The view has arrived.
+	g.Expect(status()).To(Equal(503))
+	agent.connect(two, nil)
+	g.Eventually(status, waitFor).Should(Equal(200))
+}
--- a/internal/membership/views.go
+++ b/internal/membership/views.go
@@ -71,6 +71,13 @@
 	delete(v.byLink, conn)
 }
 
+// Received tells whether a view has arrived on conn.
+func (v *Views) Received(conn *link.Conn) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.byLink[conn] != nil
+}
+
 // Any tells whether usable holds for a peer in the view of conn.
 func (v *Views) Any(conn *link.Conn, usable func(message.Peer) bool) bool {
 	v.mu.Lock()
