agent: link to all entries of the data centre again

Reverts the link to at most eight entries. Cause: the holder of the rollout lease sends permits over its own links, so in a data centre with more than eight entries an agent without a link to the holder would never swap; keyed orders also need their agent at every entry. The subset needs permits and orders that pass through other entries first.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -215,9 +215,8 @@
 		g.ledger.Run, g.monitor.run, g.announcer.run, g.expire, g.followConfig, g.serveAdmin,
 		func(ctx context.Context) { _ = g.syncer.Run(ctx) },
 	}
-	entries := newPicker(g.settings.ID, g.settings.Agent.Entries)
-	for range entries.links() {
-		duties = append(duties, func(ctx context.Context) { g.keepLink(ctx, entries) })
+	for _, address := range g.settings.Agent.Entries {
+		duties = append(duties, func(ctx context.Context) { g.keepLink(ctx, address) })
 	}
 	if g.weights != nil {
 		duties = append(duties, g.weights.duties()...)
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -65,12 +65,11 @@
 	return message.Heartbeat{Revision: g.holder.Revision(), Leaving: g.leaving.Load()}
 }
 
-// keepLink holds a link to one of the entries. When an entry cannot be reached it turns to one that has no link yet.
-func (g *Agent) keepLink(ctx context.Context, entries *picker) {
+// keepLink dials an entry again whenever its link breaks.
+func (g *Agent) keepLink(ctx context.Context, address string) {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minDialDelay, maxDialDelay
 	for ctx.Err() == nil {
-		address := entries.take()
 		conn, err := link.Dial(ctx, address, g.self, g.linkCfg, g.heartbeat)
 		if err == nil {
 			delay.Reset()
@@ -78,7 +77,6 @@
 		} else {
 			g.log.V(1).Info("entry not reached", "address", address, "error", err.Error())
 		}
-		entries.release(address, err == nil)
 		select {
 		case <-ctx.Done():
 		case <-time.After(delay.NextBackOff()):
