--- /dev/null
+++ b/test/control/membership_test.go
@@ -0,0 +1,205 @@
+package control_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pimentohead/pimentohead/internal/fake"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/platform/store"
+	"github.com/pimentohead/pimentohead/internal/telemetry"
+	"github.com/pimentohead/pimentohead/internal/testbed"
+)
+
+// stateOf returns the state of an agent as an entry shows it, empty when the entry does not know it.
+func (f fleet) stateOf(ctx SpecContext, entry, agent string) message.State {
+	status, err := f.Status(ctx, entry)
+	if err != nil {
+		return ""
+	}
+	for _, node := range status.Nodes {
+		if node.ID == agent {
+			return node.State
+		}
+	}
+	return ""
+}
+
+var _ = Describe("Membership", Ordered, func() {
+	var f fleet
+
+	BeforeAll(func(ctx SpecContext) {
+		f = launch(ctx, testbed.Fleet{Proxies: true, DataCentres: []testbed.DataCentre{
+			{Name: "jylland", Region: "west", Entries: 2, Models: 2}, {Name: "fyn", Region: "west", Entries: 1},
+		}})
+	}, NodeTimeout(wait))
+
+	served := func(ctx SpecContext) {
+		reply, err := f.Call(ctx, testbed.Request{
+			Entry: "entry-1", Method: http.MethodPost, Path: testbed.ChatPath, Caller: "small-1", Body: testbed.ChatBody("served", 5, false),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Status).To(Equal(http.StatusOK), "%s", reply.Body)
+	}
+
+	// Guards against requests that are sent to an agent which no longer answers, and against one that stays out when it is back.
+	It("drops a frozen agent from routing and takes it back", func(ctx SpecContext) {
+		f.Process("agent-1").Pause()
+		Eventually(func() message.State { return f.stateOf(ctx, "entry-1", "agent-1") }).
+			WithTimeout(catchUp).WithPolling(poll).Should(BeEmpty())
+		for range 10 {
+			served(ctx)
+		}
+		f.Process("agent-1").Resume()
+		Eventually(func() message.State { return f.stateOf(ctx, "entry-1", "agent-1") }).
+			WithTimeout(catchUp).WithPolling(poll).Should(Equal(message.StateServing))
+	}, NodeTimeout(wait))
+
+	// Guards against a connection that is open but silent: it must not keep the agent in or, once a new one works, out.
+	It("replaces the silent connections of an agent", func(ctx SpecContext) {
+		proxy := f.Proxy(testbed.LinkProxyName("entry-1"))
+		old := proxy.Connections(testbed.FromNode("agent-2"))
+		Expect(old).To(Equal(1))
+		proxy.Silence(testbed.FromNode("agent-2"))
+		for range 10 {
+			served(ctx)
+		}
+		Eventually(func() message.State { return f.stateOf(ctx, "entry-1", "agent-2") }).
+			WithTimeout(2 * catchUp).WithPolling(poll).Should(Equal(message.StateServing))
+	}, NodeTimeout(wait))
+
+	// Guards against a replaced instance that waits until the connection of its earlier process is given up.
+	It("prefers the higher incarnation to an old connection", func(ctx SpecContext) {
+		before := f.linksOpened("agent-1")
+		f.Proxy(testbed.LinkProxyName("entry-1")).Silence(testbed.FromNode("agent-1"))
+		f.restart("agent-1")
+		// The silence timeout of the old connection is 3 s.
+		Eventually(func() bool { return f.linksOpened("agent-1") > before }).
+			WithTimeout(2 * time.Second).WithPolling(poll).Should(BeTrue())
+		Eventually(func() message.State { return f.stateOf(ctx, "entry-1", "agent-1") }).
+			WithTimeout(catchUp).WithPolling(poll).Should(Equal(message.StateServing))
+		served(ctx)
+	}, NodeTimeout(wait))
+})
+
+// linksOpened returns how often entry-1 has opened a link to a node, as its log tells.
+func (f fleet) linksOpened(node string) int {
+	opened := 0
+	for line := range strings.Lines(f.Process("entry-1").Log()) {
+		var event struct {
+			Message string `json:"msg"`
+			Peer    string `json:"peer"`
+		}
+		if json.Unmarshal([]byte(line), &event) == nil && event.Message == "link opened" && event.Peer == node {
+			opened++
+		}
+	}
+	return opened
+}
+
+var _ = Describe("Store", func() {
+	// Guards against a stampede when the store returns: calls beyond its limits fail for everybody.
+	It("returns without more calls than the cap of the entries", func(ctx SpecContext) {
+		const callsPerSecond, entries = 5, 6
+		f := launch(ctx, testbed.Fleet{StoreCallsPerSecond: callsPerSecond, DataCentres: []testbed.DataCentre{
+			{Name: "jylland", Region: "west", Entries: 2}, {Name: "sjaelland", Region: "west", Entries: 2},
+			{Name: "fyn", Region: "west", Entries: 2},
+		}})
+		// The clients count the calls that the store refuses, too.
+		calls := func() float64 {
+			total := 0.0
+			for _, n := range f.Nodes(message.RoleEntry) {
+				metrics, err := f.Metrics(ctx, n.ID)
+				Expect(err).NotTo(HaveOccurred())
+				total += metrics[telemetry.MetricStoreCalls]
+			}
+			return total
+		}
+		const sample, perSecond, outage, after = 200 * time.Millisecond, 5, 4, 3
+		counts, highest := []float64{calls()}, 0.0
+		Expect(f.SetFault(ctx, testbed.StoreName, fake.Fault{Refuse: true})).To(Succeed())
+		for i := range (outage + after) * perSecond {
+			if i == outage*perSecond { // Backoff delays have reached their longest.
+				Expect(f.SetFault(ctx, testbed.StoreName, fake.Fault{})).To(Succeed())
+			}
+			time.Sleep(sample)
+			counts = append(counts, calls())
+			highest = max(highest, counts[len(counts)-1]-counts[max(0, len(counts)-1-perSecond)])
+		}
+		stats, err := f.StoreStats(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stats.Limited).To(BeZero())
+		AddReportEntry("calls in the busiest second", highest)
+		// Each client may save up half a second of calls.
+		Expect(highest).To(BeNumerically("<=", entries*callsPerSecond*1.5))
+		Expect(f.submit(ctx, "entry-1", 1, 1)).To(Equal(uint64(2)))
+		f.expectInForce(ctx, 2, f.nodes(""), catchUp)
+	}, NodeTimeout(wait))
+})
+
+var _ = Describe("Rollout lease", func() {
+	// Guards against permits of a holder whose lease lapsed while it was paused.
+	It("of a paused holder grants nothing after it wakes", func(ctx SpecContext) {
+		f := launch(ctx, testbed.Fleet{DataCentres: []testbed.DataCentre{{Name: "jylland", Region: "west", Entries: 2, Models: 2}}})
+		client := store.NewClient(f.UpstreamURL(testbed.StoreName), 100, logr.Discard())
+		defer client.Close()
+		holder := func() (string, int64) {
+			kv, err := client.Get(ctx, "/pimentohead/rollout/jylland")
+			var claim struct {
+				Holder string `json:"holder"`
+			}
+			if err != nil || json.Unmarshal(kv.Value, &claim) != nil {
+				return "", 0
+			}
+			return claim.Holder, kv.ModRevision
+		}
+		var first string
+		var epoch int64
+		Eventually(func() string { first, epoch = holder(); return first }).WithTimeout(catchUp * 2).WithPolling(poll).ShouldNot(BeEmpty())
+		other := map[string]string{"entry-1": "entry-2", "entry-2": "entry-1"}[first]
+		f.Process(first).Pause()
+		// The lease of 10 s lapses and the other entry takes it; its permits wait for those of the first.
+		Eventually(func() string { id, _ := holder(); return id }).WithTimeout(wait).WithPolling(poll).Should(Equal(other))
+		_, next := holder()
+		Expect(next).To(BeNumerically(">", epoch))
+		info, err := f.CreateVersion(ctx, fake.VersionSpec{Model: testbed.ModelName, Seed: 2, Chunks: 4, ChunkBytes: 64 << 10})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.SubmitOn(ctx, other, 1, testbed.DefaultConfig(info.Version))
+		Expect(err).NotTo(HaveOccurred())
+		ready := func() int {
+			status, err := f.Status(ctx, other)
+			Expect(err).NotTo(HaveOccurred())
+			n := 0
+			for _, node := range status.Nodes {
+				if node.ReadyVersion == info.Version {
+					n++
+				}
+			}
+			return n
+		}
+		Eventually(ready).WithTimeout(catchUp).WithPolling(poll).Should(Equal(2))
+		// Without the store the first holder cannot learn that its lease is gone.
+		Expect(f.SetFault(ctx, testbed.StoreName, fake.Fault{Refuse: true})).To(Succeed())
+		f.Process(first).Resume()
+		f.expectInForce(ctx, 2, f.nodes(""), catchUp)
+		// The first holder now sees two ready agents and a new target. Its checks run every 500 ms.
+		Consistently(func() int {
+			status, err := f.Status(ctx, other)
+			Expect(err).NotTo(HaveOccurred())
+			n := 0
+			for _, node := range status.Nodes {
+				if node.Role == message.RoleAgent && (node.State != message.StateServing || node.Version == info.Version) {
+					n++
+				}
+			}
+			return n
+		}).WithTimeout(3 * time.Second).WithPolling(poll).Should(BeZero())
+	}, NodeTimeout(2*wait))
+})
