test: hold a load open for the restart spec; check that no permit follows a failed canary

Cause: two specs of test/rollout passed with their mechanism switched off. A load of 300 ms had ended before the restarted agent looked, and the number of failed loads was read before a second permit could have had an effect. Change: the engine stand-in holds a load while fault hold_load is set; both specs watch for a second.

--- a/internal/fake/engine_load.go
+++ b/internal/fake/engine_load.go
@@ -52,7 +52,7 @@
 	if err == nil && !sleep(ctx, e.config.LoadTime) {
 		return
 	}
-	if !e.faults.waitWhile(ctx, func(f Fault) bool { return f.Freeze }) {
+	if !e.faults.waitWhile(ctx, func(f Fault) bool { return f.Freeze || f.HoldLoad }) {
 		return
 	}
 	if fault, _ := e.faults.get(); err == nil && fault.FailVersion == order.Version {
--- a/internal/fake/fault.go
+++ b/internal/fake/fault.go
@@ -34,6 +34,8 @@
 	CorruptOneIn int `json:"corrupt_one_in,omitempty"`
 	// FailVersion is the version whose loads fail. Engine only.
 	FailVersion string `json:"fail_version,omitempty"`
+	// HoldLoad keeps a load pending while it is set. Engine only.
+	HoldLoad bool `json:"hold_load,omitempty"`
 	// Freeze holds every call and all running work while it is set. Engine and service only.
 	Freeze bool `json:"freeze,omitempty"`
 }
--- a/test/rollout/swap_test.go
+++ b/test/rollout/swap_test.go
@@ -99,6 +99,7 @@
 	// Guards against an agent that admits requests after its restart although a load of its earlier process is pending.
 	It("admits nothing while a load ordered before the agent's restart is pending", func(ctx SpecContext) {
 		info := f.create(ctx, 0)
+		Expect(f.SetFault(ctx, "engine-1", fake.Fault{HoldLoad: true})).To(Succeed())
 		f.submit(ctx, info)
 		Eventually(func(g Gomega) {
 			status, err := f.EngineStatus(ctx, "engine-1")
@@ -107,6 +108,16 @@
 		}).WithContext(ctx).WithTimeout(wait).WithPolling(5 * time.Millisecond).Should(Succeed())
 		f.Process("agent-1").Kill()
 		Expect(f.Process("agent-1").Start()).To(Succeed())
+		Eventually(func(g Gomega) {
+			node := f.nodes(ctx, g)["agent-1"]
+			g.Expect(node.State).To(Equal(message.StateStarting))
+			g.Expect(node.Revision).NotTo(BeZero())
+		}).WithContext(ctx).WithTimeout(wait).WithPolling(10 * time.Millisecond).Should(Succeed())
+		// Two status reads 50 ms apart would settle an engine without a pending load.
+		Consistently(func(g Gomega) {
+			g.Expect(f.nodes(ctx, g)["agent-1"].State).NotTo(Equal(message.StateServing))
+		}).WithContext(ctx).WithTimeout(time.Second).Should(Succeed())
+		Expect(f.SetFault(ctx, "engine-1", fake.Fault{})).To(Succeed())
 		f.awaitLive(ctx, info.Version)
 		f.expectRanOnly(begin, f.initial.Version, info.Version)
 	}, NodeTimeout(wait))
@@ -140,7 +151,9 @@
 		f.submit(ctx, bad)
 		f.awaitStopped(ctx, "entry-1", "dc-1")
 		f.awaitReady(ctx, bad.Version)
-		Expect(f.failedLoads(ctx, bad.Version)).To(HaveLen(1))
+		// A permit would follow at the next step of the controller, at most 500 ms later.
+		Consistently(func() []string { return f.failedLoads(ctx, bad.Version) }).WithContext(ctx).
+			WithTimeout(time.Second).Should(HaveLen(1))
 		f.submit(ctx, good)
 		f.awaitLive(ctx, good.Version)
 		f.expectRanOnly(begin, good.Version)
