--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -1,11 +1,13 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"hash"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +20,10 @@
 // readBytes is the size of one read from the upstream and the largest body message.
 const readBytes = 32 << 10
 
+// readBuffers holds *[readBytes]byte. What is sent is a copy of the bytes that were read: most answers are far shorter, and a
+// new buffer for each read was most of the garbage.
+var readBuffers = sync.Pool{New: func() any { return new([readBytes]byte) }}
+
 // start runs an attempt that the scheduler admitted.
 func (g *Agent) start(a *attempt) {
 	a.mu.Lock()
@@ -25,6 +31,9 @@
 	a.incarnation = g.monitor.incarnation()
 	a.started = time.Now()
 	a.mu.Unlock()
+	if a.submit.Suspect {
+		g.suspects.started(a.incarnation)
+	}
 	g.metrics.waited(a)
 	g.running.Add(1)
 	go func() {
@@ -83,6 +92,9 @@
 	end := g.explain(a, err)
 	if errors.Is(err, engine.ErrNotSent) {
 		g.reject(a, end.Reason, storeRetryAfter)
+		if a.submit.Suspect {
+			g.suspects.survived(a.incarnation)
+		}
 		g.queue.Done(a.item, false)
 		g.gate.progress()
 		return
@@ -104,7 +116,10 @@
 		if errors.Is(err, engine.ErrNotSent) {
 			return message.ResponseEnd{Reason: message.ReasonNoUpstream}
 		}
-		return message.ResponseEnd{Reason: message.ReasonUpstreamCrash, UpstreamIncarnation: a.incarnation}
+		return message.ResponseEnd{
+			Reason: message.ReasonUpstreamCrash, UpstreamIncarnation: a.incarnation,
+			BesideSuspect: !a.submit.Suspect && g.suspects.ranOn(a.incarnation),
+		}
 	}
 	switch {
 	case errors.Is(cause, errCancelled):
@@ -121,14 +136,16 @@
 // copyBody sends the answer within the receiver's window. When nobody receives it any more it is still read to its end.
 func (g *Agent) copyBody(a *attempt, resp *engine.Response, recorder *recorder) (int64, error) {
 	var length int64
+	buffer := readBuffers.Get().(*[readBytes]byte)
+	defer readBuffers.Put(buffer)
 	for {
-		data := make([]byte, readBytes)
-		n, err := resp.Read(data)
+		n, err := resp.Read(buffer[:])
 		if n > 0 {
+			data := bytes.Clone(buffer[:n])
 			g.queue.FirstByte(a.item)
-			recorder.add(data[:n])
+			recorder.add(data)
 			if a.credit.take(int64(n), a.ctx.Done(), a.detached) {
-				g.send(a, &message.ResponseBody{Attempt: a.id, Offset: length, Data: data[:n]})
+				g.send(a, &message.ResponseBody{Attempt: a.id, Offset: length, Data: data})
 			} else if a.ctx.Err() != nil {
 				return length, context.Cause(a.ctx)
 			}
@@ -152,6 +169,9 @@
 	if claim != nil {
 		g.ledger.Finish(claim, answer)
 	}
+	if a.submit.Suspect && end.Reason != message.ReasonUpstreamCrash {
+		g.suspects.survived(a.incarnation)
+	}
 	g.metrics.served(a, end)
 	g.end(a, end)
 	g.queue.Done(a.item, end.Outcome == message.OutcomeOK)
@@ -167,7 +187,7 @@
 	a.mu.Unlock()
 	g.send(a, &end)
 	a.cancel(nil)
-	a.submit.Body = nil // The attempt is remembered for minutes; its body is not needed.
+	g.attempts.ended(a)
 }
 
 // send queues a part of an answer. A broken link detaches the attempt.
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -63,7 +64,7 @@
 			text, err := os.ReadFile(filepath.Join("..", "..", "docs", p.page))
 			g.Expect(err).NotTo(HaveOccurred())
 			for _, key := range keysOf(reflect.TypeOf(p.value), "") {
-				g.Expect(string(text)).To(ContainSubstring("| `" + key + "` |"))
+				g.Expect(strings.Contains(string(text), "| `"+key+"` |")).To(BeTrue(), "%s is not on the page", key)
 			}
 		})
 	}
@@ -81,13 +82,36 @@
 		source, err := os.ReadFile(path)
 		g.Expect(err).NotTo(HaveOccurred())
 		for _, match := range codePattern.FindAllStringSubmatch(string(source), -1) {
-			g.Expect(string(page)).To(ContainSubstring("`" + match[1] + "`"))
+			g.Expect(strings.Contains(string(page), "`"+match[1]+"`")).To(BeTrue(), "explain %q of %s in docs/operations.md", match[1], path)
 			codes++
 		}
 	}
 	g.Expect(codes).To(BeNumerically(">=", 28), "the pattern no longer finds the codes")
 }
 
+// Guards against log lines that the operators' page does not explain. Lines for debugging, log.V(1), are exempt.
+func TestOperationsPageNamesEveryLogLine(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	g.Expect(err).NotTo(HaveOccurred())
+	messages := 0
+	g.Expect(filepath.WalkDir(filepath.Join("..", ".."), func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		for _, match := range logPattern.FindAllStringSubmatch(string(source), -1) {
+			g.Expect(strings.Contains(string(page), "`"+match[1]+"`")).To(BeTrue(), "explain %q of %s in docs/operations.md", match[1], path)
+			messages++
+		}
+		return err
+	})).To(Succeed())
+	g.Expect(messages).To(BeNumerically(">=", 30), "the pattern no longer finds the messages")
+}
+
+// logPattern matches lines of level info and error.
+var logPattern = regexp.MustCompile(`\b[lL]og\.(?:Info\(|Error\(\w+, )"([^"]+)"`)
+
 // codePattern matches the codes of refusals by filters and the constants of type message.Reason.
 var codePattern = regexp.MustCompile(`(?:refuse\(http\.\w+, |Reason\w+ += |Reason\w+ +Reason = )"([a-z-]+)"`)
 
