--- /dev/null
+++ b/bench/affinity.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/loadgen"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/testbed"
+)
+
+func init() {
+	scenarios["affinity"] = scenario{
+		description: "hit rate of the engines' prefix caches with and without prefix affinity",
+		run:         runAffinity,
+	}
+}
+
+// All prefixes together are three times as large as the cache of one engine, and fit into the caches of all engines.
+const (
+	affinityEngines     = 4
+	affinityEntries     = 4
+	affinityPrefixes    = 48
+	affinityPrefixBytes = 4 << 10
+	affinityRate        = 60
+	affinityRun         = 10 * time.Second
+	affinityTokens      = 2
+)
+
+func runAffinity(ctx context.Context, opts options, r *report) error {
+	for _, variant := range []struct {
+		name string
+		off  bool
+	}{{"affinity", false}, {"load only", true}} {
+		if err := measureAffinity(ctx, opts, r, variant.name, variant.off); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureAffinity(ctx context.Context, opts options, r *report, name string, off bool) error {
+	bed, err := testbed.Launch(ctx, testbed.Fleet{
+		DataCentres:     []testbed.DataCentre{{Name: "dc-1", Region: "east", Entries: affinityEntries, Models: affinityEngines}},
+		BaselineRouting: off,
+	})
+	if err != nil {
+		return err
+	}
+	defer bed.Close()
+	client := loadgen.NewClient(64, callerGivesUp)
+	defer client.Close()
+	random := rand.New(rand.NewPCG(uint64(opts.seed), 1))
+	stream := loadgen.Stream{
+		Method: http.MethodPost, Path: testbed.ChatPath, Key: testbed.CallerKey("small-1"), Rate: affinityRate,
+		Body: func(n int) []byte { return testbed.ChatBody(affinityPrompt(n), affinityTokens, true) },
+	}
+	for _, n := range bed.Nodes(message.RoleEntry) {
+		stream.Targets = append(stream.Targets, bed.CallerURL(n.ID))
+	}
+	random.Shuffle(len(stream.Targets), func(i, j int) {
+		stream.Targets[i], stream.Targets[j] = stream.Targets[j], stream.Targets[i]
+	})
+	summary := client.Run(ctx, stream, affinityRun, opts.seed)
+	prompt, cached := 0, 0
+	for _, n := range bed.Nodes(message.RoleAgent) {
+		stats, err := bed.CacheStats(ctx, n.Upstream)
+		if err != nil {
+			return err
+		}
+		prompt, cached = prompt+stats.PromptBytes, cached+stats.CachedBytes
+	}
+	r.info(name+": prompt bytes from the cache", float64(cached)/float64(max(prompt, 1)), "share")
+	r.info(name+": first byte p50", float64(summary.FirstByteQuantile(50).Microseconds())/1000, "ms")
+	r.info(name+": first byte p99", float64(summary.FirstByteQuantile(99).Microseconds())/1000, "ms")
+	r.info(name+": answered", float64(summary.OK)/float64(max(summary.Sent, 1)), "share")
+	return nil
+}
+
+// affinityPrompt builds the prompt of request n. Its prefix is chosen by a hash, so that prefixes do not follow the entries in
+// turn.
+func affinityPrompt(n int) string {
+	prefix := uint32(n) * 2654435761 >> 16 % affinityPrefixes
+	text := strings.Repeat(fmt.Sprintf("instruction %d ", prefix), affinityPrefixBytes/10)[:affinityPrefixBytes]
+	return fmt.Sprintf("%s question %d", text, n)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,6 +120,9 @@
 // compose wires the request path.
 func (e *Entry) compose(o Options) {
 	e.router = routing.New(e.settings.DataCentre, e.table, e.holder, nil)
+	if e.settings.Entry.BaselineRouting {
+		e.router.DisableAffinity()
+	}
 	e.router.Outliers().OnEject(e.metrics.ejected)
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Table: e.table, Router: e.router, Remote: e, Quarantine: e.quarantine, Incarnation: e.self.Incarnation,
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -68,6 +68,13 @@
 	reportedAt time.Time
 	reported   [2]int
 	cancelLoad func()
+	cache      CacheStats
+}
+
+// CacheStats is the body of /fake/cache: the bytes of all prompts and those that the prefix cache held.
+type CacheStats struct {
+	PromptBytes int `json:"prompt_bytes"`
+	CachedBytes int `json:"cached_bytes"`
 }
 
 // NewEngine returns an engine and starts its step loop.
@@ -89,6 +96,7 @@
 	e.mux.HandleFunc("POST /control/load", e.faults.wrap(e.authorised(e.handleLoad)))
 	e.mux.Handle("POST /fake/fault", e.faults)
 	e.mux.Handle("GET /fake/journal", config.Journal)
+	e.mux.HandleFunc("GET /fake/cache", e.handleCache)
 	go e.run()
 	return e, nil
 }
@@ -114,6 +122,13 @@
 	}
 }
 
+func (e *Engine) handleCache(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	stats := e.cache
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, stats)
+}
+
 func (e *Engine) handleStatus(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	if now := time.Now(); now.Sub(e.reportedAt) >= e.config.StatusLag {
--- a/internal/fake/engine_batch.go
+++ b/internal/fake/engine_batch.go
@@ -138,7 +138,7 @@
 // ShortVersion returns the digits of a version that each token of an answer carries.
 func ShortVersion(version string) string { return fmt.Sprintf("%.*s", versionDigits, version) }
 
-// prefillTime returns the time for the part of the prompt that is not cached, and caches the prompt.
+// prefillTime returns the time for the part of the prompt that is not cached, and caches the prompt. The caller holds mu.
 func (e *Engine) prefillTime(prompt string) time.Duration {
 	cached, hit := 0, true
 	for end := prefixBlockBytes; end <= len(prompt); end += prefixBlockBytes {
@@ -151,6 +151,8 @@
 		hit = false
 		e.prefix.Add(key, struct{}{})
 	}
+	e.cache.PromptBytes += len(prompt)
+	e.cache.CachedBytes += cached
 	tokens := (len(prompt) - cached + bytesPerToken - 1) / bytesPerToken
 	return time.Duration(tokens) * e.config.PrefillTime
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -32,6 +32,8 @@
 	table      *membership.Table
 	holder     *config.Holder
 	outliers   *Outliers
+	// loadOnly switches prefix affinity off.
+	loadOnly bool
 
 	// mu guards sent.
 	mu sync.Mutex
@@ -46,6 +48,9 @@
 	}
 }
 
+// DisableAffinity selects upstreams by load only. It must be called before the first Pick.
+func (r *Router) DisableAffinity() { r.loadOnly = true }
+
 // Outliers returns the ejection policy, which is told the results of attempts.
 func (r *Router) Outliers() *Outliers { return r.outliers }
 
@@ -71,7 +76,7 @@
 	if request.OrderKey != "" {
 		return byKey(request.OrderKey, candidates)
 	}
-	if len(request.Prefix) > 0 {
+	if len(request.Prefix) > 0 && !r.loadOnly {
 		if picked, ok := r.byPrefix(request.Prefix, candidates); ok {
 			return picked
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -90,6 +90,8 @@
 	OperatorTokensSHA256 map[string]string `toml:"operator_tokens_sha256"`
 	// MaxConnections bounds open caller connections. Default 10000. Unit: connections. Allowed: at least 1.
 	MaxConnections int `toml:"max_connections"`
+	// BaselineRouting selects upstreams by load only, without prefix affinity, for comparison in the bench. Default false.
+	BaselineRouting bool `toml:"baseline_routing"`
 }
 
 // Agent holds settings of the agent role.
--- a/internal/testbed/control.go
+++ b/internal/testbed/control.go
@@ -97,6 +97,13 @@
 	return out, err
 }
 
+// CacheStats returns the prefix cache counts of an engine.
+func (b *Bed) CacheStats(ctx context.Context, engine string) (fake.CacheStats, error) {
+	var out fake.CacheStats
+	err := b.fake(ctx, engine, http.MethodGet, "/fake/cache", nil, &out)
+	return out, err
+}
+
 // StoreStats returns the store's call counts.
 func (b *Bed) StoreStats(ctx context.Context) (fake.StoreStats, error) {
 	var out fake.StoreStats
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -55,6 +55,8 @@
 	RegionBytesPerSecond         int64
 	DataCentreDelay, RegionDelay time.Duration
 
+	// BaselineRouting switches prefix affinity off in all entries.
+	BaselineRouting bool
 	// Agent holds settings of all agents; identity, addresses and pool are filled in.
 	Agent settings.Agent
 	// StoreCallsPerSecond caps the store calls of each process; 0 selects the default of the settings.
--- a/internal/testbed/settings.go
+++ b/internal/testbed/settings.go
@@ -33,7 +33,8 @@
 {{with .Fleet.StoreCallsPerSecond}}store_calls_per_second = {{printf "%f" .}}
 {{end}}{{if .IsEntry}}[entry]
 peers = [{{.Links}}]
-[entry.operator_tokens_sha256]
+{{if .Fleet.BaselineRouting}}baseline_routing = true
+{{end}}[entry.operator_tokens_sha256]
 tester = {{printf "%q" .OperatorHash}}
 {{else}}{{if .Node.Weights}}origin = {{printf "%q" .Origin}}
 weight_store = {{printf "%q" .WeightStore}}
