--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,6 +93,8 @@
 	// QuarantineRetention is how long a crash of an upstream counts against the request that it ran. Default "10m". Allowed: a
 	// positive duration.
 	QuarantineRetention Duration `toml:"quarantine_retention"`
+	// BaselineRouting selects upstreams by load only, without prefix affinity, for comparison in the bench. Default false.
+	BaselineRouting bool `toml:"baseline_routing"`
 }
 
 // Agent holds settings of the agent role.
