--- a/internal/testbed/workload.go
+++ b/internal/testbed/workload.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/pimentohead/pimentohead/internal/message"
 )
@@ -18,6 +19,9 @@
 // balancerInterval is the time between two health checks of the balancer's stand-in.
 const balancerInterval = 100 * time.Millisecond
 
+// repeaters is the number of callers that repeat orders at the same time.
+const repeaters = 16
+
 // Workload describes callers that send requests one after the other.
 type Workload struct {
 	// Callers is the number of concurrent callers.
@@ -204,6 +208,8 @@
 func (b *Bed) RepeatOrders(ctx context.Context, t *Tellings) {
 	entries := b.Nodes(message.RoleEntry)
 	repeated := make(map[string]bool)
+	var group errgroup.Group
+	group.SetLimit(repeaters)
 	for i, told := range t.All() {
 		r := told.Request
 		if r.OrderKey == "" || repeated[r.OrderKey] || told.Outcome == OutcomeOK && i%10 != 0 {
@@ -216,10 +222,14 @@
 				break
 			}
 		}
-		begin := time.Now()
-		reply, err := b.Call(ctx, r)
-		t.add(tell(r, reply, err, begin))
+		group.Go(func() error {
+			begin := time.Now()
+			reply, err := b.Call(ctx, r)
+			t.add(tell(r, reply, err, begin))
+			return nil
+		})
 	}
+	_ = group.Wait() // No function returns an error.
 }
 
 // ShortTimeout returns DefaultConfig with a request timeout that lets tests wait for hung requests.
