entry: ready only when every pool has an upstream, or 2 s have passed since the first configuration

Change: a starting entry reports not ready until each pool has an accepting upstream here or behind another entry, for at most 2 s, as a pool may have none.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,8 @@
 	Store store.Store
 	// SettleTime replaces DefaultSettleTime when positive.
 	SettleTime time.Duration
+	// StartupWait replaces DefaultSettleTime, when positive, as the time for which a starting entry waits for upstreams.
+	StartupWait time.Duration
 	// BodyTimeout replaces filter.DefaultBodyTimeout when positive.
 	BodyTimeout time.Duration
 }
@@ -55,6 +57,7 @@
 	self     message.Hello
 	linkCfg  link.Config
 	leaving  atomic.Bool
+	startup  startup
 
 	holder     *config.Holder
 	syncer     *confsync.Syncer
@@ -97,6 +100,10 @@
 	if e.settle <= 0 {
 		e.settle = DefaultSettleTime
 	}
+	e.startup.bound = o.StartupWait
+	if e.startup.bound <= 0 {
+		e.startup.bound = DefaultSettleTime
+	}
 	e.linkCfg.Traffic = e.traffic
 	if e.metrics, err = newMetrics(exporter.Meter); err != nil {
 		return nil, err
