--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -65,11 +65,12 @@
 	return message.Heartbeat{Revision: g.holder.Revision(), Leaving: g.leaving.Load()}
 }
 
-// keepLink dials an entry again whenever its link breaks.
-func (g *Agent) keepLink(ctx context.Context, address string) {
+// keepLink holds a link to one of the entries. When an entry cannot be reached it turns to one that has no link yet.
+func (g *Agent) keepLink(ctx context.Context, entries *picker) {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minDialDelay, maxDialDelay
 	for ctx.Err() == nil {
+		address := entries.take()
 		conn, err := link.Dial(ctx, address, g.self, g.linkCfg, g.heartbeat)
 		if err == nil {
 			delay.Reset()
@@ -77,6 +78,7 @@
 		} else {
 			g.log.V(1).Info("entry not reached", "address", address, "error", err.Error())
 		}
+		entries.release(address, err == nil)
 		select {
 		case <-ctx.Done():
 		case <-time.After(delay.NextBackOff()):
@@ -86,9 +88,12 @@
 
 func (g *Agent) serveLink(ctx context.Context, conn *link.Conn) {
 	g.links.add(conn)
+	g.log.Info("link to entry opened", "entry", conn.Peer().NodeID)
 	send(conn, g.announcer.build())
 	err := conn.Serve(ctx, g.handle)
 	g.links.remove(conn)
+	// The peers in force stay until the next view, also when no entry can be reached.
+	g.views.Remove(conn)
 	lost := g.attempts.of(conn)
 	g.log.Info("link to entry closed", "entry", conn.Peer().NodeID, "requests", len(lost), "cause", err.Error())
 	for _, a := range lost {
@@ -114,6 +119,11 @@
 		g.syncer.HandleRequest(conn, m)
 	case *message.ConfigReply:
 		g.syncer.HandleReply(conn, m)
+	case *message.PeerView:
+		g.views.Apply(conn, m)
+		if g.weights != nil {
+			g.weights.handle(&message.PeerView{Peers: g.views.Merge(nil, nil)})
+		}
 	default:
 		if g.weights != nil {
 			g.weights.handle(m)
@@ -148,6 +158,7 @@
 		drained = drained || d.Agent == g.settings.ID
 	}
 	if g.drained.Swap(drained) != drained {
+		g.logState()
 		g.left()
 	}
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -1,11 +1,13 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"hash"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +20,10 @@
 // readBytes is the size of one read from the upstream and the largest body message.
 const readBytes = 32 << 10
 
+// readBuffers holds *[readBytes]byte. What is sent is a copy of the bytes that were read: most answers are far shorter, and a
+// new buffer for each read was most of the garbage.
+var readBuffers = sync.Pool{New: func() any { return new([readBytes]byte) }}
+
 // start runs an attempt that the scheduler admitted.
 func (g *Agent) start(a *attempt) {
 	a.mu.Lock()
@@ -50,6 +56,10 @@
 	g.send(a, &message.ResponseHead{Attempt: a.id, Status: resp.Status, Header: resp.Header, Version: resp.Version})
 	recorder := newRecorder(a, resp)
 	length, err := g.copyBody(a, resp, recorder)
+	if err == nil && g.versionMayChange() && !g.servedWhole(a.ctx, version) {
+		g.finish(a, nil, message.ResponseEnd{Outcome: message.OutcomeFailed, Reason: message.ReasonVersionChanged, Length: length})
+		return
+	}
 	if err == nil {
 		g.finish(a, recorder.answer(), message.ResponseEnd{Outcome: message.OutcomeOK, Length: length})
 		return
@@ -59,6 +69,24 @@
 	g.finish(a, nil, end)
 }
 
+// lateOrderPeriod is how long after the start of this process a load order of an earlier one may still arrive. An order is given
+// up after 2 s, but what was sent may be retransmitted for some time.
+const lateOrderPeriod = time.Minute
+
+// versionMayChange tells whether an engine that ignores fencing numbers may load a version that this process did not order.
+func (g *Agent) versionMayChange() bool {
+	return g.model() && time.Since(g.startedAt) < lateOrderPeriod
+}
+
+// servedWhole tells whether the engine still serves version, has no load pending, and has not failed one since it was put in
+// service. The header of an answer names its version at the start only; an engine with a pending load may give tokens of either
+// version.
+func (g *Agent) servedWhole(ctx context.Context, version string) bool {
+	status, err := g.upstream.Status(ctx)
+	return err == nil && status.LoadedVersion == version && status.PendingVersion == "" &&
+		status.FailedVersion == g.weights.replica.EngineFailed()
+}
+
 // runFailed ends an attempt that got no answer.
 func (g *Agent) runFailed(a *attempt, err error) {
 	end := g.explain(a, err)
@@ -108,14 +136,16 @@
 // copyBody sends the answer within the receiver's window. When nobody receives it any more it is still read to its end.
 func (g *Agent) copyBody(a *attempt, resp *engine.Response, recorder *recorder) (int64, error) {
 	var length int64
+	buffer := readBuffers.Get().(*[readBytes]byte)
+	defer readBuffers.Put(buffer)
 	for {
-		data := make([]byte, readBytes)
-		n, err := resp.Read(data)
+		n, err := resp.Read(buffer[:])
 		if n > 0 {
+			data := bytes.Clone(buffer[:n])
 			g.queue.FirstByte(a.item)
-			recorder.add(data[:n])
+			recorder.add(data)
 			if a.credit.take(int64(n), a.ctx.Done(), a.detached) {
-				g.send(a, &message.ResponseBody{Attempt: a.id, Offset: length, Data: data[:n]})
+				g.send(a, &message.ResponseBody{Attempt: a.id, Offset: length, Data: data})
 			} else if a.ctx.Err() != nil {
 				return length, context.Cause(a.ctx)
 			}
@@ -157,7 +187,7 @@
 	a.mu.Unlock()
 	g.send(a, &end)
 	a.cancel(nil)
-	a.submit.Body = nil // The attempt is remembered for minutes; its body is not needed.
+	g.attempts.ended(a)
 }
 
 // send queues a part of an answer. A broken link detaches the attempt.
--- a/internal/message/node.go
+++ b/internal/message/node.go
@@ -92,17 +92,25 @@
 	Versions []string `msgpack:"vs"`
 	// Accepting tells that the peer's upstream takes new work. Entries use it to forward requests to another data centre.
 	Accepting bool `msgpack:"ac,omitempty"`
-	// State, LoadedVersion, LoadError and Revision are sent between entries only, for the status that operators read.
+	// State, LoadedVersion, FailedVersion, LoadError and Revision are sent between entries only: for the status that operators
+	// read, and so that a failed load stops the rollout in every data centre.
 	State         State  `msgpack:"st,omitempty"`
 	LoadedVersion string `msgpack:"lv,omitempty"`
+	FailedVersion string `msgpack:"fv,omitempty"`
 	LoadError     string `msgpack:"le,omitempty"`
 	Revision      uint64 `msgpack:"rev,omitempty"`
+	// SameRevision stands for the revision of the entry that sends the view, so that a new configuration changes no view.
+	SameRevision bool `msgpack:"sr,omitempty"`
 }
 
 // PeerView lists live agents. Towards an agent it lists those of all data centres that the entry knows; towards another entry
 // only those with a link to the sender, so that views are not passed on in circles.
+//
+// The first view on a link is whole; each further one is a Delta, which lists new and changed agents in Peers.
 type PeerView struct {
-	Peers []Peer `msgpack:"p"`
+	Peers   []Peer   `msgpack:"p"`
+	Delta   bool     `msgpack:"d,omitempty"`
+	Removed []string `msgpack:"r,omitempty"`
 }
 
 // ConfigRequest asks for the newest configuration.
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"flag"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -68,6 +70,51 @@
 	}
 }
 
+// Guards against codes that callers get and that the operators' page does not explain.
+func TestOperationsPageNamesEveryCode(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	g.Expect(err).NotTo(HaveOccurred())
+	refusals, err := filepath.Glob(filepath.Join("..", "filter", "*.go"))
+	g.Expect(err).NotTo(HaveOccurred())
+	codes := 0
+	for _, path := range append(refusals, filepath.Join("..", "message", "request.go")) {
+		source, err := os.ReadFile(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, match := range codePattern.FindAllStringSubmatch(string(source), -1) {
+			g.Expect(string(page)).To(ContainSubstring("`" + match[1] + "`"))
+			codes++
+		}
+	}
+	g.Expect(codes).To(BeNumerically(">=", 28), "the pattern no longer finds the codes")
+}
+
+// Guards against log lines that the operators' page does not explain. Lines for debugging, log.V(1), are exempt.
+func TestOperationsPageNamesEveryLogLine(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	g.Expect(err).NotTo(HaveOccurred())
+	messages := 0
+	g.Expect(filepath.WalkDir(filepath.Join("..", ".."), func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		for _, match := range logPattern.FindAllStringSubmatch(string(source), -1) {
+			g.Expect(string(page)).To(ContainSubstring("`"+match[1]+"`"), "%s: add the message to docs/operations.md", path)
+			messages++
+		}
+		return err
+	})).To(Succeed())
+	g.Expect(messages).To(BeNumerically(">=", 30), "the pattern no longer finds the messages")
+}
+
+// logPattern matches lines of level info and error.
+var logPattern = regexp.MustCompile(`\b[lL]og\.(?:Info\(|Error\(\w+, )"([^"]+)"`)
+
+// codePattern matches the codes of refusals by filters and the constants of type message.Reason.
+var codePattern = regexp.MustCompile(`(?:refuse\(http\.\w+, |Reason\w+ += |Reason\w+ +Reason = )"([a-z-]+)"`)
+
 func keysOf(t reflect.Type, prefix string) []string {
 	var keys []string
 	for i := range t.NumField() {
--- /dev/null
+++ b/internal/sched/limiter_test.go
@@ -0,0 +1,72 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// Guards against a limit below the engine's batch because the mix of streamed and whole answers changes.
+func TestMixOfStreamsIsNotCongestion(t *testing.T) {
+	g := NewWithT(t)
+	l, now := newLimiter(64), time.Unix(1000, 0)
+	for i := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		stream, latency := true, 30*time.Millisecond
+		if i/100%2 == 0 {
+			stream, latency = false, 140*time.Millisecond
+		}
+		l.sample(now, &Item{Cost: 20, Stream: stream}, latency, int(l.limit))
+	}
+	g.Expect(l.limit).To(BeNumerically("==", 64))
+}
+
+// Guards against requests that wait in the engine, where the queue's priorities do not reach them.
+func TestLimitStaysWithinTheBatch(t *testing.T) {
+	g := NewWithT(t)
+	l, now := newLimiter(64), time.Unix(1000, 0)
+	l.setBatch(8)
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		l.sample(now, &Item{Cost: 20}, 140*time.Millisecond, int(l.limit))
+	}
+	g.Expect(l.allowed(false)).To(Equal(10))
+	g.Expect(l.allowed(true)).To(Equal(10))
+	l.setBatch(0)
+	g.Expect(l.ceiling).To(BeNumerically("==", 64), "an engine that reports no batch")
+}
+
+// Guards against a flood in which every request starts too late for its target, because the first bytes of streams make the
+// answers look faster than whole ones are.
+func TestWholeAnswersAreJudgedByWholeAnswers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	q := New(Config{MaxConcurrency: 1, Now: func() time.Time { return now }})
+	q.SetOpen(true, "")
+	run := func(stream bool, latency time.Duration) {
+		it := &Item{Stream: stream, Start: func() {}}
+		q.Push(it)
+		now = now.Add(latency)
+		q.FirstByte(it)
+		q.Done(it, true)
+	}
+	for range 100 {
+		run(true, 20*time.Millisecond)
+		run(false, 140*time.Millisecond)
+	}
+	var dropped []bool
+	push := func(stream bool) {
+		q.Push(&Item{
+			Stream: stream, Target: now.Add(100 * time.Millisecond), Start: func() {},
+			Drop: func(message.Reason, time.Duration) { dropped = append(dropped, stream) },
+		})
+	}
+	q.Push(&Item{Start: func() {}})
+	push(true)
+	push(false)
+	q.Expire()
+	g.Expect(dropped).To(Equal([]bool{false}))
+}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -97,6 +97,16 @@
 	return q.classes[min(max(it.Priority, 0), len(q.classes)-1)]
 }
 
+// SetBatch tells how many requests the upstream runs at once; 0 is unknown.
+func (q *Queue) SetBatch(batch int) {
+	var a actions
+	q.mu.Lock()
+	q.limiter.setBatch(batch)
+	q.dispatch(&a)
+	q.mu.Unlock()
+	a.run()
+}
+
 // Push adds an item. Start or Drop may be called before Push returns.
 func (q *Queue) Push(it *Item) {
 	it.Weight, it.Cost = max(it.Weight, 1), max(it.Cost, 1)
@@ -197,7 +207,7 @@
 func (q *Queue) retryAfter() time.Duration {
 	mean := 0.0
 	for _, c := range q.classes {
-		mean = max(mean, c.service.mean)
+		mean = max(mean, c.service.mean, c.streamService.mean)
 	}
 	wait := time.Duration(mean * float64(q.waiting) / q.limiter.limit * float64(time.Second))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
@@ -244,8 +254,9 @@
 	it.firstByte = true
 	now := q.cfg.Now()
 	latency := now.Sub(it.started)
-	q.limiter.sample(now, it.Cost, latency, q.inFlight)
-	it.ran.head.add(latency.Seconds())
+	q.limiter.sample(now, it, latency, q.inFlight)
+	head, _ := it.ran.estimates(it)
+	head.add(latency.Seconds())
 }
 
 // Done ends a started item. answered tells that its answer was complete, so that its duration counts.
@@ -271,7 +282,8 @@
 	c.running -= float64(it.Cost)
 	c.served.add(now, float64(it.Cost))
 	if answered {
-		c.service.add(now.Sub(it.started).Seconds())
+		_, service := c.estimates(it)
+		service.add(now.Sub(it.started).Seconds())
 	}
 }
 
--- a/internal/weights/transfer.go
+++ b/internal/weights/transfer.go
@@ -35,12 +35,15 @@
 	// mu guards all fields below.
 	mu    sync.Mutex
 	queue [classes][]ChunkRef
+	// sourceWindow is the number of chunks that are read from the origin at once.
+	sourceWindow int
 	// pendingSince holds when a peer first reported an object as pending.
 	pendingSince map[string]time.Time
 }
 
 func (t *transfer) transferVersion(ctx context.Context) {
 	t.awaitView(ctx)
+	t.m.cfg.Log.Info("transfer started", "version", t.version, "peers", t.m.peerCount())
 	manifest := t.m.manifest(t.version)
 	if manifest == nil {
 		if t.fetch(ctx, manifestObject(t.m, t.version)) != fetched {
@@ -64,7 +67,7 @@
 	t.m.cfg.OnComplete()
 }
 
-// awaitView waits for the first view of peers.
+// awaitView waits for the first view of peers, and while views still grow after it.
 func (t *transfer) awaitView(ctx context.Context) {
 	timer := time.NewTimer(t.m.cfg.ViewWait)
 	defer timer.Stop()
@@ -73,6 +76,13 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	for left := t.m.unsettled(); left > 0 && ctx.Err() == nil; left = t.m.unsettled() {
+		timer.Reset(left)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
 }
 
 // fill sorts the chunks into the queues of their classes.
@@ -90,6 +100,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.sourceWindow = max(t.sourceWindow, t.m.sourceWindow(len(queue[classRegionReader])))
 	for class := range classes { // Workers may have queued chunks again in the meantime.
 		t.queue[class] = append(queue[class], t.queue[class]...)
 	}
@@ -116,7 +127,7 @@
 			return
 		}
 		for class := range classes {
-			for ; running[class] < min(t.m.cfg.Window, t.queued(class)); running[class]++ {
+			for ; running[class] < min(t.window(class), t.queued(class)); running[class]++ {
 				go func() {
 					t.work(ctx, class)
 					finished <- class
@@ -134,6 +145,16 @@
 	}
 }
 
+// window returns how many chunks of a class are fetched at once.
+func (t *transfer) window(class int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if class == classRegionReader {
+		return t.sourceWindow
+	}
+	return t.m.cfg.Window
+}
+
 func (t *transfer) queued(class int) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
