agent: test that a revoked attempt releases its claim once

Cause: a released claim was once released twice, which frees the key of the order that took the claim over; the fix had no test.

--- /dev/null
+++ b/internal/agent/claim_test.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/fake"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/order"
+	"github.com/pimentohead/pimentohead/internal/settings"
+)
+
+// Guards against a second release of a claim, which would free the key of the order that has taken the claim over.
+func TestRevokedAttemptReleasesItsClaimOnce(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(fake.NewStore(fake.StoreConfig{}))
+	defer server.Close()
+	s, err := settings.Parse("agent.toml", fmt.Appendf(nil, "role = \"agent\"\nid = \"a\"\ndata_centre = \"d\"\nregion = \"r\"\n"+
+		"[listen]\nadmin = \"127.0.0.1:0\"\n[link]\nsecret = \"0123456789abcdef\"\n[platform]\nstore = %q\n[agent]\npool = \"desk\"\n"+
+		"kind = \"service\"\nupstream = \"http://127.0.0.1:9\"\nentries = [\"127.0.0.1:9\"]\n", server.URL))
+	g.Expect(err).NotTo(HaveOccurred())
+	agent, err := New(Options{Settings: s, Log: logr.Discard()})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = agent.adminListener.Close() }()
+
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); agent.ledger.Run(ctx) }()
+	submit := &message.Submit{Attempt: message.Attempt{RequestID: "r1", Number: 1}, Caller: "caller", OrderKey: "key"}
+	begin := func() order.Result {
+		result, err := agent.ledger.Begin(context.Background(), "caller", "key", requestDigest(submit))
+		g.Expect(err).NotTo(HaveOccurred())
+		return result
+	}
+	attempt := &attempt{id: submit.Attempt, submit: submit, cancel: func(error) {}, claim: begin().Claim}
+	stop() // A release now waits, so that the next order takes the claim over.
+	<-ended
+
+	g.Expect(agent.revoke(attempt)).To(BeTrue())
+	next := begin()
+	g.Expect(next.Verdict).To(Equal(order.Run))
+	agent.enqueue(attempt)
+	agent.ledger.Finish(next.Claim, &order.Answer{Status: 201})
+	g.Expect(begin().Verdict).To(Equal(order.Replay))
+}
