--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,8 @@
 	Store store.Store
 	// SettleTime replaces DefaultSettleTime when positive.
 	SettleTime time.Duration
+	// StartupWait replaces DefaultSettleTime, when positive, as the time for which a starting entry waits for upstreams.
+	StartupWait time.Duration
 	// BodyTimeout replaces filter.DefaultBodyTimeout when positive.
 	BodyTimeout time.Duration
 }
@@ -55,9 +57,7 @@
 	self     message.Hello
 	linkCfg  link.Config
 	leaving  atomic.Bool
-	started  time.Time
-	// warmed is set when the entry has been ready once.
-	warmed atomic.Bool
+	startup  startup
 
 	holder     *config.Holder
 	syncer     *confsync.Syncer
@@ -89,7 +89,6 @@
 	}
 	s := o.Settings
 	e := &Entry{
-		started:  time.Now(),
 		settings: s, log: o.Log, settle: o.SettleTime, telemetry: exporter, holder: config.NewHolder(),
 		table: membership.NewTable(), quarantine: quarantine.New(nil, s.Entry.QuarantineRetention.Std()), links: newLinks(s.ID, s.Link.HeartbeatInterval.Std()), views: newViews(),
 		crashes: newCrashes(), traffic: &link.Traffic{},
@@ -101,6 +100,10 @@
 	if e.settle <= 0 {
 		e.settle = DefaultSettleTime
 	}
+	e.startup.bound = o.StartupWait
+	if e.startup.bound <= 0 {
+		e.startup.bound = DefaultStartupWait
+	}
 	e.linkCfg.Traffic = e.traffic
 	if e.metrics, err = newMetrics(exporter.Meter); err != nil {
 		return nil, err
--- a/internal/entry/readiness.go
+++ b/internal/entry/readiness.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,8 +10,9 @@
 )
 
 const (
-	// warmUp bounds how long a started entry waits for its agents. Agents dial a lost entry again after at most 3 s.
-	warmUp = 4 * time.Second
+	// DefaultStartupWait bounds how long a started entry waits for its upstreams. Agents dial a lost entry again after at most
+	// 3 s; a pool may have no upstream at all.
+	DefaultStartupWait = 4 * time.Second
 	// firstView is how long a started entry waits for the first list of agents from another entry.
 	firstView = time.Second
 )
@@ -19,7 +21,7 @@
 var (
 	errLeaving  = errors.New("leaving")
 	errNoConfig = errors.New("no configuration yet")
-	errWarmUp   = errors.New("agents of this data centre have not connected yet")
+	errStarting = errors.New("not all upstreams have connected yet")
 )
 
 // ready returns why the balancer should not send requests here, or nil.
@@ -29,25 +31,49 @@
 		return errLeaving
 	case e.holder.Current() == nil:
 		return errNoConfig
-	case !e.warm():
-		return errWarmUp
+	case !e.startup.over(e.connected):
+		return errStarting
 	default:
 		return nil
 	}
 }
 
-// warm tells whether the entry has links to the agents of its data centre that other entries list, or has waited long
-// enough. A restarted entry that takes requests earlier has to refuse them.
-func (e *Entry) warm() bool {
-	if e.warmed.Load() {
-		return true
+// startup is the time from the first configuration until the entry has learnt of the upstreams. Without it the balancer sends
+// requests to an entry that has to refuse them.
+type startup struct {
+	bound time.Duration
+	// mu guards the fields below.
+	mu       sync.Mutex
+	began    time.Time
+	finished bool
+}
+
+// over tells whether the startup has ended: connected returned true once, or the bound has passed.
+func (s *startup) over(connected func(up time.Duration) bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.began.IsZero() {
+		s.began = time.Now()
 	}
-	up := time.Since(e.started)
-	ready := up >= warmUp || e.informed(up) && e.linkedToAgents()
-	if ready {
-		e.warmed.Store(true) // Later losses are handled by routing, not by readiness.
+	up := time.Since(s.began)
+	s.finished = s.finished || up >= s.bound || connected(up)
+	return s.finished
+}
+
+// connected tells whether the entry can serve all pools, and has links to all agents of its data centre that other entries
+// list: the first agents alone would get the work of all.
+func (e *Entry) connected(up time.Duration) bool {
+	return e.knowsAllPools() && e.informed(up) && e.linkedToAgents()
+}
+
+// knowsAllPools tells whether each pool of the configuration has an upstream that accepts work, here or behind another entry.
+func (e *Entry) knowsAllPools() bool {
+	for _, pool := range e.holder.Current().Config.Pools {
+		if !e.router.Accepting(pool.Name, pool.Kind) && len(e.Accepting(pool.Name, pool.Kind)) == 0 {
+			return false
+		}
 	}
-	return ready
+	return true
 }
 
 // informed tells whether another entry has listed its agents, or there is none to wait for.
