confsync: bound the history and expire submission records

Change: the store keeps the last 1,000 revisions; submission records live under a lease of 25 h that the submissions of one hour share, so a change costs no further call.

--- a/internal/controller/confsync/submit.go
+++ b/internal/controller/confsync/submit.go
@@ -41,7 +41,7 @@
 	modRevision int64
 }
 
-// Submit validates a submission and puts it in force. The same submission ID always gets the first result.
+// Submit validates a submission and puts it in force. The same submission ID gets the first result for 24 h.
 //
 // It returns a *config.FaultsError, a *config.ConflictError, or errors that match config.ErrUnavailable (nothing was
 // changed) or config.ErrOutcomeUnknown (submit again with the same ID).
@@ -85,8 +85,12 @@
 	if result, done, err := a.decide(ctx, state); done || err != nil {
 		return result, err
 	}
+	lease, err := a.s.submissions.get(ctx, a.s.cfg.Store)
+	if err != nil {
+		return config.Envelope{}, err
+	}
 	next := a.envelope(state.current)
-	txn, err := a.transaction(next, state.modRevision)
+	txn, err := a.transaction(next, state.modRevision, lease)
 	if err != nil {
 		return config.Envelope{}, backoff.Permanent(err)
 	}
@@ -96,6 +100,9 @@
 	switch {
 	case errors.Is(err, store.ErrTooLarge):
 		return config.Envelope{}, backoff.Permanent(config.Refuse("", "the document does not fit into the store"))
+	case errors.Is(err, store.ErrLeaseNotFound):
+		a.s.submissions.drop(lease)
+		return config.Envelope{}, err
 	case errors.Is(err, store.ErrUnavailable):
 		return config.Envelope{}, err
 	case err != nil:
@@ -151,7 +158,7 @@
 }
 
 // transaction writes the configuration, its history and the submission's record, or reads why that is refused.
-func (a *submission) transaction(next config.Envelope, modRevision int64) (store.Txn, error) {
+func (a *submission) transaction(next config.Envelope, modRevision int64, lease store.LeaseID) (store.Txn, error) {
 	full, err := config.EncodeEnvelope(next)
 	if err != nil {
 		return store.Txn{}, err
@@ -168,11 +175,11 @@
 			{Key: configKey, Target: store.CompareMod, Revision: modRevision},
 			{Key: key, Target: store.CompareCreate, Revision: 0},
 		},
-		Then: []store.Op{
+		Then: append([]store.Op{
 			{Put: &store.Put{Key: configKey, Value: full}},
 			{Put: &store.Put{Key: historyKey(next.Revision), Value: full}},
-			{Put: &store.Put{Key: key, Value: short}},
-		},
+			{Put: &store.Put{Key: key, Value: short, Lease: lease}},
+		}, expireHistory(next.Revision)...),
 		Else: stateReads(a.sub.SubmissionID),
 	}, nil
 }
--- a/internal/controller/confsync/syncer.go
+++ b/internal/controller/confsync/syncer.go
@@ -103,6 +103,8 @@
 	// seen is the mod revision of the stored value that was looked at last, 0 for none.
 	seen atomic.Int64
 
+	submissions submissionLease
+
 	// applyMu orders changes of the holder.
 	applyMu sync.Mutex
 	// recentMu guards recent, the last documents in force, oldest first.
