--- a/internal/controller/confsync/fakes_test.go
+++ b/internal/controller/confsync/fakes_test.go
@@ -32,7 +32,9 @@
 	// unchanged counts reads that were answered without a value.
 	unchanged int
 	grants    int
-	events    map[chan store.Event]bool
+	// loseGrants loses the answers to grants.
+	loseGrants bool
+	events     map[chan store.Event]bool
 }
 
 func newStore() *fakeStore {
@@ -130,6 +132,9 @@
 		return 0, store.ErrUnavailable
 	}
 	f.grants++
+	if f.loseGrants {
+		return 0, store.ErrAmbiguous
+	}
 	return store.LeaseID(f.grants), nil
 }
 
--- a/internal/controller/confsync/retention.go
+++ b/internal/controller/confsync/retention.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 )
 
@@ -26,7 +28,7 @@
 	granted time.Time
 }
 
-// get returns a lease that lasts for at least submissionTTL.
+// get returns a lease that lasts for at least submissionTTL, or 0 when the answer to the grant was lost.
 func (l *submissionLease) get(ctx context.Context, s store.Store) (store.LeaseID, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -36,6 +38,9 @@
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	id, err := s.Grant(ctx, submissionTTL+leaseShare)
+	if errors.Is(err, store.ErrAmbiguous) {
+		return 0, nil // The submission matters more than the expiry of its record, which then stays.
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/internal/controller/confsync/submit_test.go
+++ b/internal/controller/confsync/submit_test.go
@@ -28,3 +28,15 @@
 		g.Expect(s.grants).To(Equal(1))
 	})
 }
+
+// Guards against a submission that cannot be made while the store's answers are lost.
+func TestSubmitWithoutLeaseWhenItsGrantIsLost(t *testing.T) {
+	bubble(t, func(t *testing.T, g *WithT) {
+		s := newStore()
+		s.loseGrants = true
+		a, _ := newSyncer("a", s)
+		_, err := a.Submit(t.Context(), submission(0, "sub-1", "first"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.keys["/pimentohead/submission/sub-1"].Lease).To(BeZero())
+	})
+}
