--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -65,12 +65,11 @@
 	return message.Heartbeat{Revision: g.holder.Revision(), Leaving: g.leaving.Load()}
 }
 
-// keepLink holds a link to one of the entries. When an entry cannot be reached it turns to one that has no link yet.
-func (g *Agent) keepLink(ctx context.Context, entries *picker) {
+// keepLink dials an entry again whenever its link breaks.
+func (g *Agent) keepLink(ctx context.Context, address string) {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = minDialDelay, maxDialDelay
 	for ctx.Err() == nil {
-		address := entries.take()
 		conn, err := link.Dial(ctx, address, g.self, g.linkCfg, g.heartbeat)
 		if err == nil {
 			delay.Reset()
@@ -78,7 +77,6 @@
 		} else {
 			g.log.V(1).Info("entry not reached", "address", address, "error", err.Error())
 		}
-		entries.release(address, err == nil)
 		select {
 		case <-ctx.Done():
 		case <-time.After(delay.NextBackOff()):
@@ -87,9 +85,8 @@
 }
 
 func (g *Agent) serveLink(ctx context.Context, conn *link.Conn) {
-	g.links.add(conn)
 	g.log.Info("link to entry opened", "entry", conn.Peer().NodeID)
-	send(conn, g.announcer.build())
+	g.announcer.introduce(ctx, conn)
 	err := conn.Serve(ctx, g.handle)
 	g.links.remove(conn)
 	// The peers in force stay until the next view, also when no entry can be reached.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,9 @@
 	linkCfg  link.Config
 	leaving  atomic.Bool
 	startup  startup
+	started  time.Time
+	// warmed is set when the entry has been ready once.
+	warmed atomic.Bool
 
 	holder     *config.Holder
 	syncer     *confsync.Syncer
@@ -89,6 +92,7 @@
 	}
 	s := o.Settings
 	e := &Entry{
+		started:  time.Now(),
 		settings: s, log: o.Log, settle: o.SettleTime, telemetry: exporter, holder: config.NewHolder(),
 		table: membership.NewTable(), quarantine: quarantine.New(nil, s.Entry.QuarantineRetention.Std()), links: newLinks(s.ID, s.Link.HeartbeatInterval.Std()), views: newViews(),
 		crashes: newCrashes(), traffic: &link.Traffic{},
@@ -127,6 +131,9 @@
 // compose wires the request path.
 func (e *Entry) compose(o Options) {
 	e.router = routing.New(e.settings.DataCentre, e.table, e.holder, nil)
+	if e.settings.Entry.BaselineRouting {
+		e.router.DisableAffinity()
+	}
 	e.router.Outliers().OnEject(e.metrics.ejected)
 	e.dispatcher = dispatch.New(dispatch.Options{
 		Table: e.table, Router: e.router, Remote: e, Quarantine: e.quarantine, Incarnation: e.self.Incarnation,
