--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,7 +42,7 @@
 	Store store.Store
 	// SettleTime replaces DefaultSettleTime when positive.
 	SettleTime time.Duration
-	// StartupWait replaces DefaultSettleTime, when positive, as the time for which a starting entry waits for upstreams.
+	// StartupWait replaces DefaultStartupWait, when positive, as the time for which a starting entry waits for upstreams.
 	StartupWait time.Duration
 	// BodyTimeout replaces filter.DefaultBodyTimeout when positive.
 	BodyTimeout time.Duration
