agent: remember ended attempts beyond their deadline

Cause: the agent answered "revoked" to a Query for an attempt that it had forgotten. Found by reading. Change: the generations of ended attempts last for the longest deadline seen plus 10 s, and at least 60 s instead of 120 s, which the default request_timeout of 30 s needs.

--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// keepAttempts is the least time for which the end of an attempt is remembered.
-	keepAttempts = 2 * time.Minute
+	// minKeepAttempts is the least time for which the end of an attempt is remembered.
+	minKeepAttempts = time.Minute
+	// keepMargin is how much longer than its deadline an attempt is remembered. An entry asks for an outcome until its
+	// request's deadline, and a lost link may be noticed 3 s after that.
+	keepMargin = 10 * time.Second
 	// maxAttempts bounds remembered attempts per period. Beyond it new attempts are refused, because forgetting one could
 	// run a revoked request. An ended attempt takes about 40 bytes.
 	maxAttempts = 1_000_000
@@ -81,11 +84,15 @@
 	// current and previous are two generations, so that forgetting old ends takes no scan.
 	current, previous map[endedKey]endedCode
 	rotated           time.Time
+	// keep is the length of a generation. An attempt that is forgotten before its deadline would be reported as revoked
+	// although it ran, so keep exceeds every deadline seen.
+	keep time.Duration
 }
 
 func newAttempts() *attempts {
 	return &attempts{
 		active: make(map[message.Attempt]*attempt), current: make(map[endedKey]endedCode), rotated: time.Now(),
+		keep: minKeepAttempts,
 	}
 }
 
@@ -104,6 +111,7 @@
 		t.current[keyOf(a.id)] = endedRevoked
 	} else {
 		t.active[a.id] = a
+		t.keep = max(t.keep, time.Duration(a.submit.DeadlineMillis)*time.Millisecond+keepMargin)
 	}
 	return nil, false
 }
@@ -147,7 +155,7 @@
 
 // rotate forgets attempts that ended one full period ago.
 func (t *attempts) rotate() {
-	if time.Since(t.rotated) < keepAttempts {
+	if time.Since(t.rotated) < t.keep {
 		return
 	}
 	t.previous, t.current, t.rotated = t.current, make(map[endedKey]endedCode), time.Now()
--- a/internal/agent/ended_test.go
+++ b/internal/agent/ended_test.go
@@ -40,7 +40,24 @@
 	}
 	g.Expect(table.active).To(BeEmpty())
 	check()
-	table.rotated = time.Now().Add(-keepAttempts)
+	table.rotated = time.Now().Add(-table.keep)
 	check()
 	g.Expect(table.current).To(BeEmpty(), "ends move to the previous generation")
 }
+
+// Guards against an attempt that is forgotten before its entry has asked for its outcome: the answer would be "revoked",
+// although it ran.
+func TestEndsAreRememberedBeyondTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	table := newAttempts()
+	ran := &attempt{id: message.Attempt{RequestID: "long", Number: 1}, submit: &message.Submit{DeadlineMillis: (time.Hour).Milliseconds()}}
+	table.add(ran)
+	ran.state, ran.outcome = attemptDone, message.OutcomeOK
+	table.ended(ran)
+	for range 2 { // Two generations pass within the request's deadline.
+		table.rotated = time.Now().Add(-59 * time.Minute)
+		known, _ := table.add(&attempt{id: ran.id, state: attemptRevoked})
+		g.Expect(known).NotTo(BeNil())
+		g.Expect(known.state).To(Equal(attemptDone))
+	}
+}
