--- a/internal/testbed/settings.go
+++ b/internal/testbed/settings.go
@@ -34,6 +34,7 @@
 {{end}}{{if .IsEntry}}[entry]
 peers = [{{.Links}}]
 {{with .Fleet.QuarantineRetention}}quarantine_retention = "{{.}}"
+{{end}}{{if .Fleet.BaselineRouting}}baseline_routing = true
 {{end}}[entry.operator_tokens_sha256]
 tester = {{printf "%q" .OperatorHash}}
 {{else}}{{if .Node.Weights}}origin = {{printf "%q" .Origin}}
