--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -16,7 +16,7 @@
 // Bounds of the delay between dials. The first is short because a restarted entry is back at once.
 const (
 	minDialDelay = 50 * time.Millisecond
-	maxDialDelay = 2 * time.Second
+	maxDialDelay = time.Second
 )
 
 // links is the set of open links to entries.
--- a/internal/entry/readiness.go
+++ b/internal/entry/readiness.go
@@ -11,8 +11,8 @@
 
 const (
 	// DefaultStartupWait bounds how long a started entry waits for its upstreams. Agents dial a lost entry again after at most
-	// 3 s; a pool may have no upstream at all.
-	DefaultStartupWait = 4 * time.Second
+	// 1.5 s; a pool may have no upstream at all.
+	DefaultStartupWait = 2 * time.Second
 	// firstView is how long a started entry waits for the first list of agents from another entry.
 	firstView = time.Second
 )
