--- a/internal/entry/readiness.go
+++ b/internal/entry/readiness.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -48,14 +49,31 @@
 	finished bool
 }
 
+// runStartup begins the wait with the first configuration, and not with the first check, which may come much later.
+func (e *Entry) runStartup(ctx context.Context) error {
+	changed, stop := e.holder.Subscribe()
+	defer stop()
+	for e.holder.Current() == nil {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	e.startup.mu.Lock()
+	defer e.startup.mu.Unlock()
+	e.startup.began = time.Now()
+	return nil
+}
+
 // over tells whether the startup has ended: connected returned true once, or the bound has passed.
 func (s *startup) over(connected func(up time.Duration) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.began.IsZero() {
-		s.began = time.Now()
+	var up time.Duration
+	if !s.began.IsZero() {
+		up = time.Since(s.began)
 	}
-	up := time.Since(s.began)
 	s.finished = s.finished || up >= s.bound || connected(up)
 	return s.finished
 }
