dispatch: wait up to 1 s for an upstream before a request is refused

The entry without upstreams of its own knew none for an instant: the last known entry of the other data centre left before its link to the restarted one was up. Ruled out: the leaving upstreams; no refused request was on its way to one. Change: a request without an upstream looks again every 50 ms for at most 1 s; at most 256 requests wait, others fail at once. The new test fails at once without the wait.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,6 +60,8 @@
 	events      Events
 	calls       *registry
 	relays      *relays
+	// waiters has one element for each request that waits for an upstream.
+	waiters chan struct{}
 }
 
 // New returns a dispatcher.
@@ -68,6 +69,7 @@
 	return &Dispatcher{
 		table: o.Table, router: o.Router, remote: o.Remote, quarantine: o.Quarantine, incarnation: o.Incarnation,
 		budget: retry.NewBudget(nil), events: o.Events, calls: newRegistry(), relays: newRelays(),
+		waiters: make(chan struct{}, maxUpstreamWaiters),
 	}
 }
 
@@ -91,7 +93,7 @@
 	a := newAnswer(x)
 	avoid := make(map[string]bool)
 	for number := 1; ; number++ {
-		target, ok := d.pick(x, avoid)
+		target, ok := d.await(ctx, x, avoid)
 		if !ok {
 			return failure(x, Result{Reason: message.ReasonNoUpstream}, history.Outcome())
 		}
@@ -120,28 +122,6 @@
 	return level == quarantine.Refused
 }
 
-// pick selects an upstream here, or an entry of another data centre when the pool has none here.
-func (d *Dispatcher) pick(x *filter.Exchange, avoid map[string]bool) (Target, bool) {
-	request := routing.Request{Pool: x.Pool.Name, Kind: x.Pool.Kind, Prefix: x.Prefix, Avoid: avoid}
-	if x.OrderKey != "" {
-		request.OrderKey = orderKey(x.Caller.Name, x.OrderKey)
-	}
-	if u, err := d.router.Pick(request); err == nil {
-		return upstreamTarget(u), true
-	}
-	entries := d.remote.Accepting(x.Pool.Name, x.Pool.Kind)
-	if len(entries) == 0 {
-		return Target{}, false
-	}
-	e := entries[rand.IntN(len(entries))]
-	for _, other := range entries {
-		if avoid[e.Node.NodeID] && !avoid[other.Node.NodeID] {
-			e = other
-		}
-	}
-	return Target{Conn: e.Conn, NodeID: e.Node.NodeID, Incarnation: e.Node.Incarnation, Entry: true}, true
-}
-
 func orderKey(caller, key string) string { return caller + "\x00" + key }
 
 func upstreamTarget(u membership.Upstream) Target {
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -278,3 +278,16 @@
 	model.connect(two, nil)
 	g.Eventually(status, waitFor).Should(Equal(200))
 }
+
+// Guards against a request that is refused because the last upstream left shortly before its successor connected.
+func TestRequestWaitsForAnUpstream(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := startEntry(t, "entry-1", "a")
+	done := start(e, "GET", "/stock/bolt", "")
+	// The call must be in progress before the agent connects; a call that is refused at once ends the test here.
+	g.Consistently(done, 100*time.Millisecond).ShouldNot(Receive())
+	newAgent(t, "agent-1", "a", "desk", 1).connect(e, echo(t))
+	r := <-done
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(r.status).To(Equal(200))
+}
