--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,9 +93,19 @@
 	s := o.Settings
 	g := &Agent{
 		startedAt: time.Now(),
-		settings:  s, log: o.Log, telemetry: exporter, holder: config.NewHolder(), attempts: newAttempts(), suspects: newSuspects(), links: newLinks(), traffic: &link.Traffic{}, views: membership.NewViews(),
+		settings:  s,
+		log:       o.Log,
+		telemetry: exporter,
+		holder:    config.NewHolder(),
+		attempts:  newAttempts(),
+		suspects:  newSuspects(),
+		links:     newLinks(),
+		traffic:   &link.Traffic{},
+		views:     membership.NewViews(),
 		linkCfg: link.Config{
-			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(), SilenceTimeout: s.Link.SilenceTimeout.Std(),
+			Secret:            []byte(s.Link.Secret),
+			HeartbeatInterval: s.Link.HeartbeatInterval.Std(),
+			SilenceTimeout:    s.Link.SilenceTimeout.Std(),
 		},
 	}
 	g.linkCfg.Traffic = g.traffic
@@ -110,16 +120,8 @@
 	if err := exporter.ObserveNode(g.nodeSources(o)); err != nil {
 		return nil, err
 	}
-	if g.adminListener, err = net.Listen("tcp", s.Listen.Admin); err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "listen on %s", s.Listen.Admin), ErrListen)
-	}
-	if s.Listen.TLSCertFile != "" {
-		source, err := certificate.New(s.Listen.TLSCertFile, s.Listen.TLSKeyFile, o.Log)
-		if err != nil {
-			_ = g.adminListener.Close()
-			return nil, err
-		}
-		g.adminListener = tls.NewListener(g.adminListener, source.TLSConfig())
+	if g.adminListener, err = listenAdmin(s, o.Log); err != nil {
+		return nil, err
 	}
 	if g.model() {
 		if g.weights, err = newWeightsPart(g); err != nil {
@@ -130,6 +132,23 @@
 	return g, nil
 }
 
+// listenAdmin opens the admin listener, with TLS when the settings name a certificate.
+func listenAdmin(s *settings.Settings, log logr.Logger) (net.Listener, error) {
+	listener, err := net.Listen("tcp", s.Listen.Admin)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "listen on %s", s.Listen.Admin), ErrListen)
+	}
+	if s.Listen.TLSCertFile == "" {
+		return listener, nil
+	}
+	source, err := certificate.New(s.Listen.TLSCertFile, s.Listen.TLSKeyFile, log)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return tls.NewListener(listener, source.TLSConfig()), nil
+}
+
 func (g *Agent) compose(o *Options) {
 	s := g.settings
 	if o.Store == nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,12 +89,21 @@
 	}
 	s := o.Settings
 	e := &Entry{
-		settings: s, log: o.Log, settle: o.SettleTime, telemetry: exporter, holder: config.NewHolder(),
-		table: membership.NewTable(), quarantine: quarantine.New(nil, s.Entry.QuarantineRetention.Std()), links: newLinks(s.ID, s.Link.HeartbeatInterval.Std()), views: newViews(),
-		crashes: newCrashes(), traffic: &link.Traffic{},
+		settings:   s,
+		log:        o.Log,
+		settle:     o.SettleTime,
+		telemetry:  exporter,
+		holder:     config.NewHolder(),
+		table:      membership.NewTable(),
+		quarantine: quarantine.New(nil, s.Entry.QuarantineRetention.Std()),
+		links:      newLinks(s.ID, s.Link.HeartbeatInterval.Std()),
+		views:      newViews(),
+		crashes:    newCrashes(),
+		traffic:    &link.Traffic{},
 		linkCfg: link.Config{
-			Secret: []byte(s.Link.Secret), HeartbeatInterval: s.Link.HeartbeatInterval.Std(),
-			SilenceTimeout: s.Link.SilenceTimeout.Std(),
+			Secret:            []byte(s.Link.Secret),
+			HeartbeatInterval: s.Link.HeartbeatInterval.Std(),
+			SilenceTimeout:    s.Link.SilenceTimeout.Std(),
 		},
 	}
 	if e.settle <= 0 {
