pimentoctl: show unknown progress and load as -

Cause: status showed agents of other data centres with progress 0% and load 0/0, although they were complete and busy; an entry does not know these values.

--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -42,9 +42,10 @@
 		{"NODE", "ROLE", "DATA CENTRE", "STATE", "REVISION", "POOL", "VERSION", "PROGRESS", "LOAD", "QUEUED"},
 	}
 	for _, n := range s.Nodes {
+		progress, load, queued := loadColumns(n)
 		rows = append(rows, []string{
 			n.ID, string(n.Role), n.DataCentre, string(n.State), fmt.Sprint(n.Revision), n.Pool, shortVersion(n.Version),
-			fmt.Sprintf("%.0f%%", n.Progress*100), fmt.Sprintf("%d/%d", n.InFlight, n.Limit), fmt.Sprint(n.Queued),
+			progress, load, queued,
 		})
 	}
 	rows = append(rows, []string{""}, []string{"MODEL", "DATA CENTRE", "VERSION", "STATE", "LOADED", "MESSAGE"})
@@ -55,3 +56,16 @@
 	}
 	return rows
 }
+
+// loadColumns formats progress, load and queue of a node. Entries have none, and an entry does not know those of agents in other
+// data centres, which then have no limit.
+func loadColumns(n admin.NodeStatus) (progress, load, queued string) {
+	if n.Limit == 0 {
+		return "-", "-", "-"
+	}
+	progress = "-"
+	if n.Model != "" {
+		progress = fmt.Sprintf("%.0f%%", n.Progress*100)
+	}
+	return progress, fmt.Sprintf("%d/%d", n.InFlight, n.Limit), fmt.Sprint(n.Queued)
+}
