pimentoctl: share the beginning of the commands that edit the configuration

Cause: rollout and drain repeated the same reading of the output flag, the client and the configuration in force. Change: beginEdit does it for both.

--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -44,14 +44,7 @@
 }
 
 func (c *call) drain(ctx context.Context, f *drainFlags) error {
-	if _, err := c.json(); err != nil {
-		return err
-	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	current, err := client.current(ctx)
+	client, current, err := c.beginEdit(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/rollout.go
+++ b/internal/ctl/rollout.go
@@ -77,14 +77,7 @@
 }
 
 func (c *call) rollout(ctx context.Context, f *rolloutFlags) error {
-	if _, err := c.json(); err != nil {
-		return err
-	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	current, err := client.current(ctx)
+	client, current, err := c.beginEdit(ctx)
 	if err != nil {
 		return err
 	}
@@ -124,6 +117,19 @@
 	}
 }
 
+// beginEdit checks the output flag and reads the configuration that an edit is based on.
+func (c *call) beginEdit(ctx context.Context) (*client, config.Envelope, error) {
+	if _, err := c.json(); err != nil {
+		return nil, config.Envelope{}, err
+	}
+	client, err := c.client()
+	if err != nil {
+		return nil, config.Envelope{}, err
+	}
+	current, err := client.current(ctx)
+	return client, current, err
+}
+
 // sendEdit submits an edited text and prints the result. A text without a change is not submitted.
 func (c *call) sendEdit(ctx context.Context, client *client, current config.Envelope, text string) (config.Envelope, error) {
 	if text == current.Text {
