--- a/cmd/pimentoheadd/main.go
+++ b/cmd/pimentoheadd/main.go
@@ -49,6 +49,7 @@
   pimentoheadd -config entry-1.toml          run until SIGTERM or SIGINT, then shut down gracefully
   pimentoheadd -config entry-1.toml -check   check the settings and exit
   pimentoheadd -version
+  pimentoheadd platform entry                run on the users' platform, with its settings; also "platform agent"
 
 Exit codes:
   0  clean stop
@@ -62,6 +63,9 @@
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 func run(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == "platform" {
+		return runOnPlatform(args[1:], stdout, stderr)
+	}
 	flags := flag.NewFlagSet("pimentoheadd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("config", "", "settings `file` (TOML)")
--- /dev/null
+++ b/internal/catalog/index.go
@@ -0,0 +1,77 @@
+package catalog
+
+import (
+	"strings"
+)
+
+// Index answers look-ups on one configuration. It is immutable and safe for concurrent use.
+type Index struct {
+	Config    *Config
+	byHost    map[string][]*Route
+	byKey     map[string]*Customer
+	byService map[string]*Service
+}
+
+// NewIndex prepares look-ups on a configuration, which must not change afterwards.
+func NewIndex(c *Config) *Index {
+	x := &Index{Config: c, byHost: map[string][]*Route{}, byKey: map[string]*Customer{}, byService: map[string]*Service{}}
+	for i := range c.Routes {
+		host := canonicalHost(c.Routes[i].Host)
+		x.byHost[host] = append(x.byHost[host], &c.Routes[i])
+	}
+	for i := range c.Customers {
+		for _, key := range c.Customers[i].Keys {
+			x.byKey[key] = &c.Customers[i]
+		}
+	}
+	for i := range c.Services {
+		x.byService[c.Services[i].Name] = &c.Services[i]
+	}
+	return x
+}
+
+// Route returns the route with the longest prefix of path among those of the host, or nil.
+func (x *Index) Route(host, path string) *Route {
+	var best *Route
+	for _, r := range x.byHost[canonicalHost(host)] {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Customer returns the owner of an API key, or nil.
+func (x *Index) Customer(key string) *Customer { return x.byKey[key] }
+
+// HasCustomers tells whether requests need a key.
+func (x *Index) HasCustomers() bool { return len(x.Config.Customers) > 0 }
+
+// Service returns the service with the given name, or nil.
+func (x *Index) Service(name string) *Service { return x.byService[name] }
+
+// PickTarget selects a service of the route by weight; draw is uniform in [0, 1).
+func (r *Route) PickTarget(draw float64) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := draw * total
+	for _, t := range r.Targets {
+		if left -= t.Weight; left < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// canonicalHost removes the port and the case of a host name.
+func canonicalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/fleet/snapshot.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+)
+
+// Snapshot is an immutable view of the catalog.
+type Snapshot struct {
+	// Index is nil until a configuration is known.
+	Index *catalog.Index
+	// ConfigRevision is the store's revision of the configuration.
+	ConfigRevision int64
+	// Listed tells that the list of upstreams was complete at some moment.
+	Listed bool
+
+	byService map[string][]*catalog.Upstream
+	byAddress map[string]*catalog.Upstream
+	versions  map[string][]Version
+}
+
+// Upstreams returns the upstreams of a service, ordered by ID. The slice must not be changed.
+func (s *Snapshot) Upstreams(service string) []*catalog.Upstream { return s.byService[service] }
+
+// At returns the newest upstream with the given address, or nil.
+func (s *Snapshot) At(address string) *catalog.Upstream { return s.byAddress[address] }
+
+// Newest returns the newest named version of a model, and false if none was named.
+func (s *Snapshot) Newest(model string) (Version, bool) {
+	history := s.versions[model]
+	if len(history) == 0 {
+		return Version{}, false
+	}
+	return history[len(history)-1], true
+}
+
+// Required returns the oldest version on which a request may still begin, given the time that a rollout may take; 0 is any.
+func (s *Snapshot) Required(model string, now time.Time, allowed time.Duration) int64 {
+	var required int64
+	for _, v := range s.versions[model] {
+		if now.Sub(v.Since) >= allowed {
+			required = v.Version
+		}
+	}
+	return required
+}
+
+// Ready tells whether the node knows enough to serve callers.
+func (s *Snapshot) Ready() bool { return s.Index != nil && s.Listed }
+
+// rebuild publishes a new snapshot. The caller holds mu.
+func (s *State) rebuild() {
+	next := &Snapshot{
+		Index: s.index, ConfigRevision: s.configRevision, Listed: s.listed,
+		byService: map[string][]*catalog.Upstream{}, byAddress: map[string]*catalog.Upstream{}, versions: map[string][]Version{},
+	}
+	for _, known := range s.upstreams {
+		u := known.Entry
+		if u == nil {
+			continue
+		}
+		next.byService[u.Service] = append(next.byService[u.Service], u)
+		if other := next.byAddress[u.Address]; other == nil || other.Born < u.Born {
+			next.byAddress[u.Address] = u
+		}
+	}
+	for _, list := range next.byService {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	for model, history := range s.versions {
+		next.versions[model] = append([]Version(nil), history...)
+	}
+	s.snap.Store(next)
+}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -145,7 +145,7 @@
 func isBulk(m message.Message) bool {
 	switch m.MessageType() {
 	case message.TypeSubmit, message.TypeResponseHead, message.TypeResponseBody, message.TypeResponseEnd,
-		message.TypeChunkReply, message.TypeManifestReply, message.TypeConfigReply:
+		message.TypeChunkReply, message.TypeManifestReply, message.TypeConfigReply, message.TypeWeightsReply:
 		return true
 	default:
 		return false
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -40,7 +40,8 @@
 	switch m.MessageType() {
 	case message.TypeSubmit, message.TypeReject, message.TypeResponseHead, message.TypeResponseBody, message.TypeResponseEnd,
 		message.TypeCredit, message.TypeCancel, message.TypeQuery, message.TypeQueryReply,
-		message.TypeManifestRequest, message.TypeManifestReply, message.TypeChunkRequest, message.TypeChunkReply:
+		message.TypeManifestRequest, message.TypeManifestReply, message.TypeChunkRequest, message.TypeChunkReply,
+		message.TypeWeightsRequest, message.TypeWeightsReply:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/internal/loadview/table.go
@@ -0,0 +1,76 @@
+// Package loadview keeps the newest known load of each upstream.
+package loadview
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// retention is how long the load of an upstream is kept after the last message about it.
+const retention = time.Minute
+
+// Load is the load of an upstream with the time at which the upstream was asked.
+type Load struct {
+	message.UpstreamLoad
+	At time.Time
+}
+
+// Table maps addresses to loads. It is safe for concurrent use.
+type Table struct {
+	now func() time.Time
+	mu  sync.Mutex
+	// loads is guarded by mu.
+	loads map[string]Load
+}
+
+// NewTable returns an empty table. now is the clock; nil selects time.Now.
+func NewTable(now func() time.Time) *Table {
+	if now == nil {
+		now = time.Now
+	}
+	return &Table{now: now, loads: map[string]Load{}}
+}
+
+// Apply merges loads from a message that has just arrived. Older ones than those that are known are ignored.
+func (t *Table) Apply(loads []message.UpstreamLoad) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, l := range loads {
+		at := now.Add(-time.Duration(l.Age) * time.Millisecond)
+		if known, ok := t.loads[l.Address]; ok && (!at.After(known.At) || l.Born != 0 && l.Born < known.Born) {
+			continue
+		}
+		t.loads[l.Address] = Load{UpstreamLoad: l, At: at}
+	}
+	for address, l := range t.loads {
+		if now.Sub(l.At) > retention {
+			delete(t.loads, address)
+		}
+	}
+}
+
+// Get returns the load of the upstream at an address with the time since the upstream was asked.
+func (t *Table) Get(address string) (Load, time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l, ok := t.loads[address]
+	return l, t.now().Sub(l.At), ok
+}
+
+// Since returns the loads that are at most age old, with their ages, to pass them on.
+func (t *Table) Since(age time.Duration) []message.UpstreamLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var out []message.UpstreamLoad
+	for _, l := range t.loads {
+		if past := now.Sub(l.At); past <= age {
+			l.Age = past.Milliseconds()
+			out = append(out, l.UpstreamLoad)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/mesh/weights.go
@@ -0,0 +1,148 @@
+package mesh
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// ErrWeights means that a node did not hand out weights.
+var ErrWeights = errors.New("mesh: no weights from peer")
+
+// pendingReplies joins replies about weights with those who wait for them.
+type pendingReplies struct {
+	mu      sync.Mutex
+	next    uint64
+	waiting map[uint64]chan *message.WeightsReply
+	owner   map[uint64]*peer
+}
+
+func (r *pendingReplies) add(p *peer) (uint64, chan *message.WeightsReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.owner == nil {
+		r.owner = map[uint64]*peer{}
+	}
+	r.next++
+	ch := make(chan *message.WeightsReply, 1)
+	r.waiting[r.next], r.owner[r.next] = ch, p
+	return r.next, ch
+}
+
+func (r *pendingReplies) remove(seq uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, seq)
+	delete(r.owner, seq)
+}
+
+func (r *pendingReplies) deliver(msg *message.WeightsReply) {
+	r.mu.Lock()
+	ch := r.waiting[msg.Seq]
+	delete(r.waiting, msg.Seq)
+	delete(r.owner, msg.Seq)
+	r.mu.Unlock()
+	if ch != nil {
+		ch <- msg
+	}
+}
+
+// drop fails everything that waits for a node whose link is lost.
+func (r *pendingReplies) drop(p *peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for seq, owner := range r.owner {
+		if owner == p {
+			r.waiting[seq] <- &message.WeightsReply{Seq: seq, Error: "link lost"}
+			delete(r.waiting, seq)
+			delete(r.owner, seq)
+		}
+	}
+}
+
+func (m *Mesh) answerWeights(ctx context.Context, p *peer, q *message.WeightsRequest) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-p.conn.Done():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	reply := m.cfg.ServeWeights(ctx, q)
+	reply.Seq = q.Seq
+	if err := p.conn.Send(ctx, reply); err != nil {
+		m.cfg.Log.V(1).Info("weights were not handed out", "peer", p.hello.NodeID, "cause", err.Error())
+	}
+}
+
+// FetchWeights asks a linked node for a chunk or a manifest. It returns ErrWeights when the node is not linked or has none.
+func (m *Mesh) FetchWeights(ctx context.Context, nodeID, model string, version int64, chunk int) (*message.WeightsReply, error) {
+	m.mu.Lock()
+	p := m.links[nodeID]
+	m.mu.Unlock()
+	if p == nil {
+		return nil, errors.Wrapf(ErrWeights, "%s is not linked", nodeID)
+	}
+	seq, ch := m.pending.add(p)
+	defer m.pending.remove(seq)
+	if err := p.conn.Send(ctx, &message.WeightsRequest{Seq: seq, Model: model, Version: version, Chunk: chunk}); err != nil {
+		return nil, errors.Mark(err, ErrWeights)
+	}
+	select {
+	case reply := <-ch:
+		if reply.Error != "" {
+			return nil, errors.Wrapf(ErrWeights, "%s: %s", nodeID, reply.Error)
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return nil, errors.Mark(ctx.Err(), ErrWeights)
+	}
+}
+
+// WeightPeers returns the linked nodes that this node should ask for a version, the best first. An empty list means that it
+// should read the origin itself.
+//
+// In each data centre one entry, the leader for the purpose, reads from an entry of the origin's data centre, and the others
+// read from it. The leader of the origin's data centre reads the origin. Each chunk has its own purpose, so that the leaders
+// share the work.
+func (m *Mesh) WeightPeers(originCentre, purpose string) []string {
+	own := m.cfg.Self.DataCentre
+	local := m.peers(func(p *peer) bool { return isEntry(p) && p.hello.DataCentre == own })
+	if m.cfg.Self.Role == message.RoleAgent {
+		if len(local) == 0 {
+			local = m.peers(isEntry)
+		}
+		return ranked(local, m.cfg.Self.NodeID+purpose) // Agents spread over the entries.
+	}
+	leader := rank(purpose, m.cfg.Self.NodeID)
+	var above []*peer
+	for _, p := range local {
+		if rank(purpose, p.hello.NodeID) > leader {
+			above = append(above, p)
+		}
+	}
+	if len(above) > 0 {
+		return ranked(above, purpose)
+	}
+	if own == originCentre {
+		return nil
+	}
+	return ranked(m.peers(func(p *peer) bool { return isEntry(p) && p.hello.DataCentre == originCentre }), purpose)
+}
+
+func ranked(list []*peer, purpose string) []string {
+	sort.Slice(list, func(i, j int) bool {
+		return rank(purpose, list[i].hello.NodeID) > rank(purpose, list[j].hello.NodeID)
+	})
+	out := make([]string, 0, len(list))
+	for _, p := range list {
+		out = append(out, p.hello.NodeID)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/message/fleet.go
@@ -0,0 +1,106 @@
+package message
+
+import "github.com/pimentohead/pimentohead/internal/catalog"
+
+// FleetState carries facts about the catalog. On a new link each side sends all that it knows; afterwards only what changed.
+type FleetState struct {
+	// Config is nil if the message says nothing of it.
+	Config         *catalog.Config `msgpack:"c,omitempty"`
+	ConfigRevision int64           `msgpack:"cr,omitempty"`
+	Upstreams      []FleetUpstream `msgpack:"u,omitempty"`
+	Versions       []FleetVersion  `msgpack:"v,omitempty"`
+	// Fresh tells that FreshAge is known: the time in ms since the sender knew everything.
+	Fresh    bool  `msgpack:"f,omitempty"`
+	FreshAge int64 `msgpack:"fa,omitempty"`
+	// Listed tells that Upstreams is a complete list.
+	Listed bool `msgpack:"l,omitempty"`
+}
+
+// FleetUpstream is a fact about one upstream. Entry is nil if the upstream is gone.
+type FleetUpstream struct {
+	ID       string            `msgpack:"id"`
+	Revision int64             `msgpack:"r"`
+	Entry    *catalog.Upstream `msgpack:"e,omitempty"`
+}
+
+// FleetVersion is a fact about the named version of a model. Age is the time since it was named, in ms.
+type FleetVersion struct {
+	Model    string `msgpack:"m"`
+	Version  int64  `msgpack:"v"`
+	Revision int64  `msgpack:"r"`
+	Age      int64  `msgpack:"a"`
+}
+
+// Members lists nodes that the sender knows.
+type Members struct {
+	Members []Member `msgpack:"m"`
+}
+
+// Member is a node that accepts links.
+type Member struct {
+	NodeID      string `msgpack:"id"`
+	Role        Role   `msgpack:"ro"`
+	DataCentre  string `msgpack:"dc"`
+	Region      string `msgpack:"rg"`
+	Address     string `msgpack:"a"`
+	Incarnation uint64 `msgpack:"i"`
+}
+
+// UpstreamLoads carries loads of upstreams as their agents see them.
+type UpstreamLoads struct {
+	Loads []UpstreamLoad `msgpack:"l"`
+}
+
+// UpstreamLoad is the load of one upstream.
+type UpstreamLoad struct {
+	Address string `msgpack:"a"`
+	// Born is the start of the upstream in milliseconds since the epoch, 0 if it is not known.
+	Born int64 `msgpack:"b,omitempty"`
+	// Age is the time since the upstream was asked, in ms, grown by each node that passes the load on.
+	Age int64 `msgpack:"g,omitempty"`
+	// Down tells that the upstream does not answer its agent.
+	Down bool `msgpack:"d,omitempty"`
+	// Swapping tells that the upstream loads weights or is about to, and takes nothing new meanwhile.
+	Swapping bool    `msgpack:"s,omitempty"`
+	Active   int     `msgpack:"n,omitempty"`
+	Queued   int     `msgpack:"q,omitempty"`
+	KVUsed   int64   `msgpack:"ku,omitempty"`
+	KVTotal  int64   `msgpack:"kt,omitempty"`
+	Pace     float64 `msgpack:"p,omitempty"`
+	// Models are the layers that the upstream holds.
+	Models []catalog.Loaded `msgpack:"m,omitempty"`
+}
+
+// WholeManifest is the chunk number that asks for the digests of all chunks.
+const WholeManifest = -1
+
+// WeightsRequest asks an entry for one chunk of a version, or for its digests if Chunk is WholeManifest.
+type WeightsRequest struct {
+	Seq     uint64 `msgpack:"s"`
+	Model   string `msgpack:"m"`
+	Version int64  `msgpack:"v"`
+	Chunk   int    `msgpack:"c"`
+}
+
+// WeightsReply answers a WeightsRequest. Error is empty on success.
+type WeightsReply struct {
+	Seq     uint64   `msgpack:"s"`
+	Data    []byte   `msgpack:"d,omitempty"`
+	Digests []string `msgpack:"g,omitempty"`
+	Error   string   `msgpack:"e,omitempty"`
+}
+
+// MessageType implements Message.
+func (*FleetState) MessageType() Type { return TypeFleetState }
+
+// MessageType implements Message.
+func (*Members) MessageType() Type { return TypeMembers }
+
+// MessageType implements Message.
+func (*UpstreamLoads) MessageType() Type { return TypeUpstreamLoads }
+
+// MessageType implements Message.
+func (*WeightsRequest) MessageType() Type { return TypeWeightsRequest }
+
+// MessageType implements Message.
+func (*WeightsReply) MessageType() Type { return TypeWeightsReply }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -39,6 +39,11 @@
 	TypeChunkRequest
 	TypeChunkReply
 	TypeHelloProof
+	TypeFleetState
+	TypeMembers
+	TypeUpstreamLoads
+	TypeWeightsRequest
+	TypeWeightsReply
 )
 
 // Errors returned by Decode.
@@ -111,6 +116,11 @@
 	TypeManifestReply:   func() Message { return new(ManifestReply) },
 	TypeChunkRequest:    func() Message { return new(ChunkRequest) },
 	TypeChunkReply:      func() Message { return new(ChunkReply) },
+	TypeFleetState:      func() Message { return new(FleetState) },
+	TypeMembers:         func() Message { return new(Members) },
+	TypeUpstreamLoads:   func() Message { return new(UpstreamLoads) },
+	TypeWeightsRequest:  func() Message { return new(WeightsRequest) },
+	TypeWeightsReply:    func() Message { return new(WeightsReply) },
 }
 
 func newMessage(t Type) Message {
--- /dev/null
+++ b/internal/pieces/cache.go
@@ -0,0 +1,314 @@
+// Package pieces keeps the chunks of the newest model versions in memory and gets missing ones from peers or from the origin.
+package pieces
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+const (
+	// keptVersions is the number of versions of one model that are kept: the newest one, and the one that is being replaced.
+	keptVersions = 2
+	// peerTimeout is how long a peer may take before the next source is asked. A chunk of 49,152 bytes takes 26 ms of the
+	// origin's link, and several are on their way at once.
+	peerTimeout = 1500 * time.Millisecond
+	// retryPause is the pause after all sources have failed.
+	retryPause = 150 * time.Millisecond
+	// distrustAfter is the number of chunks in a row that do not fit their digests after which the digests are read anew.
+	distrustAfter = 3
+)
+
+// Errors of a Cache.
+var (
+	// ErrNoOrigin means that the configuration names no origin of weights.
+	ErrNoOrigin = errors.New("pieces: no origin is configured")
+	// ErrCorrupt means that a chunk does not fit its digest, or that digests are malformed.
+	ErrCorrupt = errors.New("pieces: corrupt")
+)
+
+// Origin reads weights from where they come from.
+type Origin interface {
+	// Manifest returns the hex SHA-256 digests of all chunks of a version.
+	Manifest(ctx context.Context, at catalog.Origin, model string, version int64) ([]string, error)
+	// Chunk returns the bytes of one chunk. They are not verified.
+	Chunk(ctx context.Context, at catalog.Origin, model string, version int64, chunk int) ([]byte, error)
+}
+
+// Peers reads weights from other nodes.
+type Peers interface {
+	// WeightPeers returns the nodes to ask for a purpose, the best first; none if this node should read the origin.
+	WeightPeers(originCentre, purpose string) []string
+	// FetchWeights asks one node.
+	FetchWeights(ctx context.Context, nodeID, model string, version int64, chunk int) (*message.WeightsReply, error)
+}
+
+// Cache is safe for concurrent use.
+type Cache struct {
+	// where returns the origin in force, or nil.
+	where  func() *catalog.Origin
+	origin Origin
+	peers  Peers
+	log    logr.Logger
+	// useOrigin is false on nodes that never read the origin.
+	useOrigin bool
+
+	mu     sync.Mutex
+	models map[string][]*version
+	copies uint64
+}
+
+type version struct {
+	model  string
+	number int64
+	// mu guards the fields below.
+	mu      sync.Mutex
+	digests []string
+	chunks  map[int][]byte
+	calls   map[int]*call
+	misfits int
+}
+
+// call is a fetch that several callers may wait for.
+type call struct {
+	done chan struct{}
+	err  error
+}
+
+// NewCache returns an empty cache. origin is nil on nodes that read from peers only.
+func NewCache(where func() *catalog.Origin, origin Origin, peers Peers, log logr.Logger) *Cache {
+	return &Cache{where: where, origin: origin, peers: peers, log: log, useOrigin: origin != nil, models: map[string][]*version{}}
+}
+
+// OriginBytes returns the number of bytes of chunks that were read from the origin.
+func (c *Cache) OriginBytes() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copies
+}
+
+// version returns the entry of a version and forgets old ones.
+func (c *Cache) version(model string, number int64) *version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.models[model]
+	for _, v := range list {
+		if v.number == number {
+			return v
+		}
+	}
+	v := &version{model: model, number: number, chunks: map[int][]byte{}, calls: map[int]*call{}}
+	list = append(list, v)
+	for len(list) > keptVersions {
+		oldest := 0
+		for i := range list {
+			if list[i].number < list[oldest].number {
+				oldest = i
+			}
+		}
+		list = append(list[:oldest], list[oldest+1:]...)
+	}
+	c.models[model] = list
+	return v
+}
+
+// Manifest returns the digests of a version. It tries until ctx ends.
+func (c *Cache) Manifest(ctx context.Context, model string, number int64) ([]string, error) {
+	v := c.version(model, number)
+	if err := c.get(ctx, v, message.WholeManifest); err != nil {
+		return nil, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.digests, nil
+}
+
+// Chunk returns a verified chunk. It tries until ctx ends.
+func (c *Cache) Chunk(ctx context.Context, model string, number int64, chunk int) ([]byte, error) {
+	v := c.version(model, number)
+	if err := c.get(ctx, v, chunk); err != nil {
+		return nil, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.chunks[chunk], nil
+}
+
+// get makes sure that a chunk or the manifest is held. One fetch serves all callers.
+func (c *Cache) get(ctx context.Context, v *version, chunk int) error {
+	for {
+		v.mu.Lock()
+		if v.holds(chunk) {
+			v.mu.Unlock()
+			return nil
+		}
+		running := v.calls[chunk]
+		if running == nil {
+			running = &call{done: make(chan struct{})}
+			v.calls[chunk] = running
+			go c.fetch(v, chunk, running)
+		}
+		v.mu.Unlock()
+		select {
+		case <-running.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if running.err != nil {
+			timer := time.NewTimer(retryPause)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				timer.Stop()
+				return errors.CombineErrors(running.err, ctx.Err())
+			}
+		}
+	}
+}
+
+// holds tells whether a chunk or the manifest is there. The caller holds v.mu.
+func (v *version) holds(chunk int) bool {
+	if chunk == message.WholeManifest {
+		return v.digests != nil
+	}
+	return v.chunks[chunk] != nil
+}
+
+// fetch tries each source once.
+func (c *Cache) fetch(v *version, chunk int, running *call) {
+	err := c.fetchAny(v, chunk)
+	v.mu.Lock()
+	running.err = err
+	delete(v.calls, chunk)
+	v.mu.Unlock()
+	close(running.done)
+	if err != nil {
+		c.log.Info("weights could not be read", "model", v.model, "version", v.number, "chunk", chunk, "cause", err.Error())
+	}
+}
+
+func (c *Cache) fetchAny(v *version, chunk int) error {
+	if chunk != message.WholeManifest {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*peerTimeout)
+		defer cancel()
+		if err := c.get(ctx, v, message.WholeManifest); err != nil {
+			return err
+		}
+	}
+	at := c.where()
+	if at == nil {
+		return errors.WithStack(ErrNoOrigin)
+	}
+	var last error
+	for _, id := range c.peers.WeightPeers(at.DataCentre, purpose(v, chunk)) {
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		reply, err := c.peers.FetchWeights(ctx, id, v.model, v.number, chunk)
+		cancel()
+		if err == nil {
+			err = c.keep(v, chunk, reply.Digests, reply.Data)
+		}
+		if err == nil {
+			return nil
+		}
+		last = err
+	}
+	if !c.useOrigin {
+		if last == nil {
+			last = errors.New("pieces: no peer is linked")
+		}
+		return last
+	}
+	return c.fetchOrigin(v, chunk, *at)
+}
+
+func (c *Cache) fetchOrigin(v *version, chunk int, at catalog.Origin) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*peerTimeout)
+	defer cancel()
+	if chunk == message.WholeManifest {
+		digests, err := c.origin.Manifest(ctx, at, v.model, v.number)
+		if err != nil {
+			return err
+		}
+		return c.keep(v, chunk, digests, nil)
+	}
+	data, err := c.origin.Chunk(ctx, at, v.model, v.number, chunk)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.copies += uint64(len(data))
+	c.mu.Unlock()
+	return c.keep(v, chunk, nil, data)
+}
+
+func purpose(v *version, chunk int) string {
+	return v.model + "@" + strconv.FormatInt(v.number, 10) + "#" + strconv.Itoa(chunk)
+}
+
+// keep verifies and stores what a source has sent.
+func (c *Cache) keep(v *version, chunk int, digests []string, data []byte) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if chunk == message.WholeManifest {
+		if !wellFormed(digests) {
+			return errors.Wrapf(ErrCorrupt, "digests of version %d", v.number)
+		}
+		v.digests = digests
+		return nil
+	}
+	if chunk < 0 || chunk >= len(v.digests) {
+		return errors.Wrapf(ErrCorrupt, "version %d has no chunk %d", v.number, chunk)
+	}
+	if !Fits(data, v.digests[chunk]) {
+		v.misfits++
+		if v.misfits >= distrustAfter {
+			v.digests, v.misfits = nil, 0
+			v.chunks = map[int][]byte{}
+		}
+		return errors.Wrapf(ErrCorrupt, "chunk %d of version %d", chunk, v.number)
+	}
+	v.misfits = 0
+	v.chunks[chunk] = data
+	return nil
+}
+
+// Fits tells whether data has the given hex SHA-256 digest.
+func Fits(data []byte, digest string) bool {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]) == digest
+}
+
+func wellFormed(digests []string) bool {
+	for _, d := range digests {
+		if raw, err := hex.DecodeString(d); err != nil || len(raw) != sha256.Size {
+			return false
+		}
+	}
+	return len(digests) > 0
+}
+
+// Serve answers a request of another node.
+func (c *Cache) Serve(ctx context.Context, q *message.WeightsRequest) *message.WeightsReply {
+	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
+	defer cancel()
+	reply := &message.WeightsReply{}
+	var err error
+	if q.Chunk == message.WholeManifest {
+		reply.Digests, err = c.Manifest(ctx, q.Model, q.Version)
+	} else {
+		reply.Data, err = c.Chunk(ctx, q.Model, q.Version, q.Chunk)
+	}
+	if err != nil {
+		reply.Error = err.Error()
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/placement/predict.go
@@ -0,0 +1,77 @@
+// Package placement decides where a request goes, whether it is refused, and when a refused caller should return.
+//
+// Its functions take what the node knows and return a decision; they use neither the network nor a clock of their own.
+package placement
+
+import (
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+)
+
+// Work is what is in progress at one upstream as this node sees it.
+type Work struct {
+	// Running and Waiting count requests as the upstream reported them, Age is the age of that report.
+	Running, Waiting int
+	Age              time.Duration
+	// Known is false if there is no report. Then only the own work counts.
+	Known bool
+	// SentSince and SentTokens are requests that this node has sent since the report, with the prompt tokens to be read.
+	SentSince  int
+	SentTokens float64
+	// OwnWaiting and OwnTokens are all requests of this node that have not had their first event.
+	OwnWaiting int
+	OwnTokens  float64
+	// OwnRunning are all requests of this node in progress.
+	OwnRunning int
+	// Ahead is the share of waiting requests that are at least as urgent as the one to be placed, 0..1.
+	Ahead float64
+	// Pace is the slowness of the upstream, 1 is normal.
+	Pace float64
+}
+
+// FirstEvent predicts the time until the first event of a request with the given prompt at an engine.
+//
+// An engine runs passes. A pass with writers makes Stride steps and reads prompts at ReadPerSecond beside them. A request waits for
+// a slot, then until the running pass ends, then until the prompts before it and its own are read, then one pass for its first
+// event.
+func FirstEvent(e *catalog.Engine, w Work, prompt float64) time.Duration {
+	total := float64(w.Running + w.Waiting + w.SentSince)
+	if !w.Known {
+		total = float64(w.OwnRunning)
+	}
+	slots := float64(max(e.Slots, 1))
+	waiting := max(total-slots, 0)
+	ahead := waiting * w.Ahead
+	pass := PassTime(e, min(total, slots))
+	// Prompts that are not read yet: those of this node are known, those of others are of the usual size.
+	unread := w.OwnTokens
+	if others := float64(w.Waiting) - float64(w.OwnWaiting-w.SentSince); w.Known && others > 0 {
+		unread += min(others, slots) * e.UsualPrompt
+	}
+	unread *= max(w.Ahead, float64(0.25))
+	read := seconds((unread + prompt) / max(e.ReadPerSecond, 1))
+	var slot time.Duration
+	if waiting > 0 || total >= slots {
+		slot = time.Duration((ahead + 1) * float64(slotInterval(e)))
+	}
+	predicted := pass/2 + slot + read + pass
+	return time.Duration(float64(predicted) * max(w.Pace, 1))
+}
+
+// PassTime returns the time of a pass with the given number of writers, without reading.
+func PassTime(e *catalog.Engine, writers float64) time.Duration {
+	context := (e.UsualPrompt + e.UsualAnswer/2) / 1000
+	step := float64(e.StepTime) + writers*(float64(e.PerSequence)+context*float64(e.PerContextK))
+	return time.Duration(step * float64(max(e.Stride, 1)))
+}
+
+// slotInterval returns the mean time between two ends of requests at an engine whose slots are all taken.
+func slotInterval(e *catalog.Engine) time.Duration {
+	slots := float64(max(e.Slots, 1))
+	passes := max(e.UsualAnswer/float64(max(e.Stride, 1)), 1)
+	writing := passes * float64(PassTime(e, slots)) / slots
+	return time.Duration(writing) + seconds(e.UsualPrompt/max(e.ReadPerSecond, 1))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/placement/tracker.go
@@ -0,0 +1,180 @@
+package placement
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// suspectAfter is the number of failures in a row after which an upstream is a suspect.
+	suspectAfter = 2
+	// minSuspicion and maxSuspicion bound the time for which an upstream stays a suspect.
+	minSuspicion = 500 * time.Millisecond
+	maxSuspicion = 4 * time.Second
+	// failureWeight is the weight of the newest outcome in the share of failures.
+	failureWeight = 0.15
+	// suspectShare is the share of failures above which an upstream is a suspect though it also succeeds.
+	suspectShare = 0.3
+	// trackerRetention is how long an idle upstream is remembered.
+	trackerRetention = time.Minute
+)
+
+// Outcome is how an attempt at an upstream has ended.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Succeeded attempts got a whole answer, or their stream began well.
+	Succeeded Outcome = iota
+	// Failed attempts got no answer, a broken one, or a failure of the upstream's.
+	Failed
+	// Declined attempts were refused by the upstream without being run.
+	Declined
+	// Abandoned attempts ended because of the caller.
+	Abandoned
+)
+
+// Attempt is one request that this node has sent to an upstream.
+type Attempt struct {
+	t        *Tracker
+	upstream string
+	rank     int
+	tokens   float64
+	sent     time.Time
+	started  bool
+	ended    bool
+}
+
+// Tracker knows what this node has in progress at each upstream and how it went. It is safe for concurrent use.
+type Tracker struct {
+	now func() time.Time
+	mu  sync.Mutex
+	// ups is guarded by mu.
+	ups map[string]*tracked
+}
+
+type tracked struct {
+	attempts map[*Attempt]struct{}
+	failures int
+	share    float64
+	until    time.Time
+	pause    time.Duration
+	used     time.Time
+}
+
+// NewTracker returns an empty tracker. now is the clock; nil selects time.Now.
+func NewTracker(now func() time.Time) *Tracker {
+	if now == nil {
+		now = time.Now
+	}
+	return &Tracker{now: now, ups: map[string]*tracked{}}
+}
+
+func (t *Tracker) get(upstream string) *tracked {
+	u := t.ups[upstream]
+	if u == nil {
+		u = &tracked{attempts: map[*Attempt]struct{}{}}
+		t.ups[upstream] = u
+		for id, other := range t.ups {
+			if len(other.attempts) == 0 && id != upstream && t.now().Sub(other.used) > trackerRetention {
+				delete(t.ups, id)
+			}
+		}
+	}
+	u.used = t.now()
+	return u
+}
+
+// Begin records that a request is being sent.
+func (t *Tracker) Begin(upstream string, rank int, promptTokens float64) *Attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := &Attempt{t: t, upstream: upstream, rank: rank, tokens: promptTokens, sent: t.now()}
+	t.get(upstream).attempts[a] = struct{}{}
+	return a
+}
+
+// Started records the first event or the head of the answer.
+func (a *Attempt) Started() {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	a.started = true
+}
+
+// End records the outcome. Only the first call counts.
+func (a *Attempt) End(o Outcome) {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	u := a.t.get(a.upstream)
+	delete(u.attempts, a)
+	switch o {
+	case Succeeded:
+		u.failures, u.pause = 0, 0
+		u.share *= 1 - failureWeight
+	case Failed:
+		u.failures++
+		u.share += (1 - u.share) * failureWeight
+		if u.failures >= suspectAfter || u.share > suspectShare {
+			u.pause = min(max(2*u.pause, minSuspicion), maxSuspicion)
+			u.until = a.t.now().Add(u.pause)
+		}
+	case Declined, Abandoned:
+	}
+}
+
+// Suspect marks an upstream that is known to be unreachable for some time.
+func (t *Tracker) Suspect(upstream string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.get(upstream)
+	if until := t.now().Add(d); until.After(u.until) {
+		u.until = until
+	}
+}
+
+// IsSuspect tells whether an upstream has failed lately.
+func (t *Tracker) IsSuspect(upstream string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.ups[upstream]
+	return u != nil && t.now().Before(u.until)
+}
+
+// Fill adds the own work at an upstream to w. reported is the time of the report in w.
+func (t *Tracker) Fill(w *Work, upstream string, rank int, reported time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.ups[upstream]
+	waiting, urgent := 0, 0
+	if u != nil {
+		for a := range u.attempts {
+			w.OwnRunning++
+			if a.sent.After(reported) {
+				w.SentSince++
+				w.SentTokens += a.tokens
+			}
+			if a.started {
+				continue
+			}
+			w.OwnWaiting++
+			w.OwnTokens += a.tokens
+			waiting++
+			if a.rank <= rank {
+				urgent++
+			}
+		}
+	}
+	w.Ahead = aheadShare(rank, waiting, urgent)
+}
+
+// aheadShare estimates which share of the waiting requests is at least as urgent as rank, from this node's own ones and a guess
+// that counts as two of them: requests of the most urgent rank rarely wait, those of the least urgent rank do.
+func aheadShare(rank, waiting, urgent int) float64 {
+	const guessWeight = 2
+	guess := min(0.3+0.35*float64(rank), 1)
+	return (float64(urgent) + guess*guessWeight) / (float64(waiting) + guessWeight)
+}
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -129,3 +129,19 @@
 	// ErrCompacted means that the caller has to read the key and watch from its revision.
 	Watch(ctx context.Context, key string, revision int64, deliver func(Event)) error
 }
+
+// Listing is the content of a prefix at one revision or a little later.
+type Listing struct {
+	KVs []KV
+	// Revision is one from which a watch misses nothing that the listing lacks.
+	Revision int64
+}
+
+// Lister reads whole prefixes. A Store may implement it.
+type Lister interface {
+	// List reads all keys with a prefix. It returns ErrUnavailable.
+	List(ctx context.Context, prefix string) (Listing, error)
+	// Poll waits up to wait for changes after a revision and returns them with the revision to continue from. It returns
+	// ErrCompacted or ErrUnavailable.
+	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/pimentohead/pimentohead/internal/telemetry"
+)
+
+// Metrics counts outcomes. The zero value and nil count nothing.
+type Metrics struct {
+	outcomes metric.Int64Counter
+	latency  metric.Float64Histogram
+}
+
+// NewMetrics registers the instruments of a relay.
+func NewMetrics(meter metric.Meter) (*Metrics, error) {
+	outcomes, err := meter.Int64Counter("pimentohead_relay_requests")
+	if err != nil {
+		return nil, errors.Wrap(err, "relay: metrics")
+	}
+	latency, err := meter.Float64Histogram("pimentohead_relay_latency", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(telemetry.LatencyBucketsSeconds...))
+	if err != nil {
+		return nil, errors.Wrap(err, "relay: metrics")
+	}
+	return &Metrics{outcomes: outcomes, latency: latency}, nil
+}
+
+// Done counts the end of a request.
+func (m *Metrics) Done(kind string, rank int, outcome string, status int, took time.Duration) {
+	if m == nil || m.outcomes == nil {
+		return
+	}
+	set := metric.WithAttributes(attribute.String("kind", kind), attribute.String("rank", strconv.Itoa(rank)),
+		attribute.String("outcome", outcome), attribute.Int("status", status))
+	m.outcomes.Add(context.Background(), 1, set)
+	m.latency.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("kind", kind),
+		attribute.String("rank", strconv.Itoa(rank))))
+}
--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,75 @@
+// Package request holds what a caller's request and an upstream's answer say in their headers, independent of how they are named
+// on the wire.
+package request
+
+import (
+	"net/http"
+	"time"
+)
+
+// Meta is what a caller's request says of itself.
+type Meta struct {
+	// ID names the caller's attempt. Each attempt of a caller has its own.
+	ID string
+	// Deadline is the time that the caller will wait, counted from the sending; 0 if it does not say.
+	Deadline time.Duration
+	// Key is the API key, empty if there is none.
+	Key string
+	// Model and the token counts are set for generations only.
+	Model string
+	// PromptTokens are to be read, MaxAnswerTokens bound the answer.
+	PromptTokens, MaxAnswerTokens int
+	// AnswerHint is the caller's estimate of the answer in tokens, 0 if there is none. It is often far off.
+	AnswerHint int
+	// LastEvent is the last event of the stream that the caller has, 0 if the stream starts from the beginning.
+	LastEvent int64
+}
+
+// Outgoing is what the system tells an upstream beside the caller's own headers.
+type Outgoing struct {
+	// Left is the time in which the answer is of use; 0 sends none.
+	Left time.Duration
+	// Instance is the upstream that may run the request. Another one refuses it.
+	Instance string
+	// Customer owns the API key; empty for public routes.
+	Customer string
+	// Rank is the urgency at the upstream, 0 first.
+	Rank int
+	// Version makes an upstream with other weights refuse the request, unless it is 0.
+	Version int64
+	// LastEvent continues a stream after this event, 0 from the beginning.
+	LastEvent int64
+}
+
+// Answer is what an upstream's answer says of itself.
+type Answer struct {
+	// ID repeats the ID of the request, empty if the upstream does not say.
+	ID string
+	// Stamped answers carry the upstream's signature. An answer without one is not passed on as a success.
+	Stamped bool
+	// NotRun states that the upstream has not run the request and will not.
+	NotRun bool
+	// WrongInstance states that another upstream has the address, or the weights have another version.
+	WrongInstance bool
+	// Instance is the ID of the upstream that answered, empty if it does not say.
+	Instance string
+	// Running, Waiting and Slots are the load when the answer began, valid if HasLoad is set.
+	Running, Waiting, Slots int
+	HasLoad                 bool
+	// Version is the version of the weights, 0 if the answer does not say.
+	Version int64
+	// IdleTimeout is the time after which the upstream closes an idle connection, 0 if it does not say.
+	IdleTimeout time.Duration
+}
+
+// Codec reads and writes these values in HTTP headers.
+type Codec interface {
+	// Meta reads the headers of a caller's request. Values that cannot be read count as absent.
+	Meta(h http.Header) Meta
+	// Prepare turns the headers of a caller into those for an upstream, in place.
+	Prepare(h http.Header, out Outgoing)
+	// Answer reads the head of an upstream's answer.
+	Answer(status int, h http.Header) Answer
+	// Refuse sets the headers of a refusal or failure of the system's own.
+	Refuse(h http.Header, id string, retryAfter time.Duration)
+}
--- /dev/null
+++ b/internal/straight/agent.go
@@ -0,0 +1,142 @@
+package straight
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pimentohead/pimentohead/internal/loader"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// AgentConfig describes an agent.
+type AgentConfig struct {
+	Node
+	// UpstreamAddress is the model server beside the agent, Service the name of its service.
+	UpstreamAddress, Service string
+	Engine                   loader.Engine
+}
+
+const (
+	// firstVersion is loaded into empty servers while the operator has named none.
+	firstVersion = 1
+	// stagingTime is how long a version takes to be staged everywhere. Turns are counted from then on.
+	stagingTime = 2500 * time.Millisecond
+	// turnInterval is the time between the turns of two servers of one data centre: a load takes 300 ms.
+	turnInterval = 400 * time.Millisecond
+	// turnMargin is kept free at the end of the time for a rollout.
+	turnMargin = 2 * time.Second
+	// agentStop bounds the shutdown of an agent.
+	agentStop = time.Second
+)
+
+// Agent is an agent process.
+type Agent struct {
+	cfg AgentConfig
+	*parts
+	loader *loader.Loader
+	lastMu sync.Mutex
+	last   message.UpstreamLoad
+	sentAt time.Time
+}
+
+// NewAgent returns an agent. Run starts it.
+func NewAgent(cfg AgentConfig) (*Agent, error) {
+	a := &Agent{cfg: cfg}
+	p, err := cfg.build(message.RoleAgent, nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	a.parts = p
+	a.loader = loader.New(cfg.Engine, p.cache, cfg.Log, a.target, a.publish)
+	return a, nil
+}
+
+// Run works until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	registry := &registry{store: a.Store, list: a.Store, mesh: a.mesh, self: a.self, log: a.Log}
+	var wg sync.WaitGroup
+	for _, duty := range []func(context.Context){a.mesh.Run, a.discover(registry), a.loader.Run, a.serveMetrics} {
+		wg.Add(1)
+		go func() { defer wg.Done(); duty(ctx) }()
+	}
+	a.Log.Info("agent started", "node", a.ID, "upstream", a.cfg.UpstreamAddress)
+	<-ctx.Done()
+	stopped := make(chan struct{})
+	go func() { wg.Wait(); close(stopped) }()
+	select {
+	case <-stopped:
+	case <-time.After(agentStop):
+	}
+	a.Log.Info("agent stopped", "node", a.ID)
+	return nil
+}
+
+// discover looks in the store only after the seeds had time to answer.
+func (a *Agent) discover(r *registry) func(context.Context) {
+	return func(ctx context.Context) {
+		sleep(ctx, isolationCheck)
+		r.discover(ctx)
+	}
+}
+
+// target returns the version that the upstream should hold.
+func (a *Agent) target() (loader.Target, bool) {
+	snap := a.state.Snapshot()
+	if snap.Index == nil {
+		return loader.Target{}, false
+	}
+	service := snap.Index.Service(a.cfg.Service)
+	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
+		return loader.Target{}, false
+	}
+	t := loader.Target{Model: service.Engine.Models[0], Version: firstVersion, Layers: service.Engine.Layers}
+	if v, ok := snap.Newest(t.Model); ok {
+		t.Version, t.Named = v.Version, v.Since
+		t.Turn = a.turn(v.Version)
+	}
+	return t, true
+}
+
+// turn returns when this server may interrupt its work to load, counted from the naming of the version. The servers of a data
+// centre take turns in an order that all agents compute alike.
+func (a *Agent) turn(version int64) time.Duration {
+	var local []string
+	for _, u := range a.state.Snapshot().Upstreams(a.cfg.Service) {
+		if u.DataCentre == a.DataCentre {
+			local = append(local, u.Address)
+		}
+	}
+	order := func(address string) uint64 { return xxhash.Sum64String(address + string(rune(version))) }
+	sort.Slice(local, func(i, j int) bool { return order(local[i]) < order(local[j]) })
+	interval := min(turnInterval, (a.VersionApply-stagingTime-turnMargin)/time.Duration(max(len(local), 1)))
+	for i, address := range local {
+		if address == a.cfg.UpstreamAddress {
+			return stagingTime + time.Duration(i)*interval
+		}
+	}
+	return stagingTime
+}
+
+// idleReportInterval is the time between reports that say nothing new.
+const idleReportInterval = 500 * time.Millisecond
+
+// publish sends a report to the entries unless it says nothing new.
+func (a *Agent) publish(r loader.Report, swapping, down bool) {
+	l := message.UpstreamLoad{Address: a.cfg.UpstreamAddress, Born: r.Born, Down: down, Swapping: swapping, Active: r.Active,
+		Queued: r.Queued, KVUsed: r.KVUsed, KVTotal: r.KVTotal, Pace: r.Pace, Models: r.Models}
+	a.lastMu.Lock()
+	same := l.Active == a.last.Active && l.Queued == a.last.Queued && l.Down == a.last.Down && l.Swapping == a.last.Swapping &&
+		l.Born == a.last.Born && slices.Equal(l.Models, a.last.Models) && time.Since(a.sentAt) < idleReportInterval
+	if !same {
+		a.last, a.sentAt = l, time.Now()
+	}
+	a.lastMu.Unlock()
+	if !same {
+		a.mesh.ReportLoad(l)
+	}
+}
--- /dev/null
+++ b/internal/straight/entry.go
@@ -0,0 +1,205 @@
+package straight
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
+	"github.com/pimentohead/pimentohead/internal/h1"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/pieces"
+	"github.com/pimentohead/pimentohead/internal/placement"
+	"github.com/pimentohead/pimentohead/internal/relay"
+	"github.com/pimentohead/pimentohead/internal/request"
+)
+
+// EntryConfig describes an entry.
+type EntryConfig struct {
+	Node
+	CallerAddress, ReadyAddress string
+	// ReadyPath is where the balancer asks whether the entry takes callers.
+	ReadyPath string
+	Documents catalogsync.Documents
+	Codec     request.Codec
+	Origin    pieces.Origin
+	// BudgetRatio, BudgetSlack and BudgetWindow bound repeated sends of all entries together.
+	BudgetRatio, BudgetSlack float64
+	BudgetWindow             time.Duration
+}
+
+const (
+	// readHeaderTimeout bounds the head of a request, and the time until the first one on a new connection.
+	readHeaderTimeout = 15 * time.Second
+	// drainDelay is how long a stopping entry takes new connections: the balancer notices within two of its questions.
+	drainDelay = 3 * time.Second
+	// graceShare is the part of the time between SIGTERM and SIGKILL that requests in progress may use.
+	graceShare = 0.92
+	// sweepInterval is the time between looks at idle connections.
+	sweepInterval = time.Second
+)
+
+// Entry is an entry process.
+type Entry struct {
+	cfg EntryConfig
+	*parts
+	pool    *h1.Pool
+	relay   *relay.Relay
+	leaving atomic.Bool
+	conns   idleConns
+}
+
+// NewEntry returns an entry. Run starts it.
+func NewEntry(cfg EntryConfig) (*Entry, error) {
+	e := &Entry{cfg: cfg, pool: h1.NewPool()}
+	p, err := cfg.build(message.RoleEntry, cfg.Origin, e.leaving.Load)
+	if err != nil {
+		return nil, err
+	}
+	e.parts = p
+	metrics, err := relay.NewMetrics(p.metrics.Meter)
+	if err != nil {
+		return nil, err
+	}
+	e.relay = relay.New(relay.Config{
+		Codec: cfg.Codec, State: p.state, Loads: p.loads, Tracker: placement.NewTracker(nil), Pool: e.pool,
+		Budget: relay.NewBudget(cfg.BudgetRatio, cfg.BudgetSlack, cfg.BudgetWindow, p.mesh.Entries, nil),
+		Log:    cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApply: cfg.VersionApply, Leaving: e.leaving.Load,
+	})
+	return e, nil
+}
+
+// Run serves until ctx ends, then drains.
+func (e *Entry) Run(ctx context.Context) error {
+	base, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers, err := listen(ctx, e.cfg.CallerAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(ctx, e.cfg.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	if err := e.serveLinks(base); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	registry := &registry{store: e.Store, list: e.Store, mesh: e.mesh, self: e.self, log: e.Log}
+	for _, duty := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Documents).Run, registry.announce, registry.discover,
+		e.sweep, e.serveMetrics} {
+		wg.Add(1)
+		go func() { defer wg.Done(); duty(base) }()
+	}
+	readyServer := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: time.Second}
+	go func() { _ = readyServer.Serve(ready) }()
+	server := &http.Server{Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, ConnState: e.conns.track,
+		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.Log.V(1)), slog.LevelDebug)}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(callers) }()
+	e.Log.Info("entry started", "node", e.ID, "data_centre", e.DataCentre)
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "straight: serve callers")
+	case <-ctx.Done():
+	}
+	e.drain(server)
+	cancel()
+	_ = readyServer.Close()
+	wg.Wait()
+	return nil
+}
+
+// serveLinks opens the listeners for links.
+func (e *Entry) serveLinks(ctx context.Context) error {
+	for _, address := range []string{e.LinkAddress, e.SeedAddress} {
+		if address == "" {
+			continue
+		}
+		l, err := listen(ctx, address)
+		if err != nil {
+			return err
+		}
+		context.AfterFunc(ctx, func() { _ = l.Close() })
+		go e.mesh.Serve(ctx, l)
+	}
+	return nil
+}
+
+// drain finishes what runs. New connections are taken until the balancer has noticed.
+func (e *Entry) drain(server *http.Server) {
+	e.leaving.Store(true)
+	started := time.Now()
+	e.Log.Info("entry is leaving", "node", e.ID)
+	time.Sleep(min(drainDelay, e.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(float64(e.Grace)*graceShare)))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		e.Log.Info("requests were still in progress at the end of the grace time", "cause", err.Error())
+		_ = server.Close()
+	}
+	e.Log.Info("entry stopped", "node", e.ID, "took_ms", time.Since(started).Milliseconds())
+}
+
+// readiness answers the balancer.
+func (e *Entry) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+e.cfg.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if e.leaving.Load() || !e.state.Snapshot().Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+// sweep closes connections that have been idle for too long, on both sides.
+func (e *Entry) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepInterval)
+		e.pool.Sweep()
+		if index := e.state.Snapshot().Index; index != nil && index.Config.Limits.IdleTimeout > 0 {
+			e.conns.closeIdle(index.Config.Limits.IdleTimeout)
+		}
+	}
+}
+
+// idleConns knows since when callers' connections have been idle.
+type idleConns struct {
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+// track is the ConnState hook of the server.
+func (i *idleConns) track(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.since == nil {
+		i.since = map[net.Conn]time.Time{}
+	}
+	if state == http.StateIdle {
+		i.since[c] = time.Now()
+	} else {
+		delete(i.since, c)
+	}
+}
+
+// closeIdle closes connections that have been idle for longer than limit.
+func (i *idleConns) closeIdle(limit time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, since := range i.since {
+		if time.Since(since) > limit {
+			_ = c.Close()
+			delete(i.since, c)
+		}
+	}
+}
