Weights from the nearest holder, a drain before each swap, short queues for late requests

(2) Requests that came back after a refusal were admitted with a predicted wait of up to 1.8 s, so the queues never emptied and fresh requests were late for 14 s. (3) After a loss of power 692 requests went to servers that had started again under another ID.

Change: the leader for a chunk asks agents whose server has loaded the version before the origin; agents fetch while their server does not answer; digests are read ahead; requests that are late already get a limit of 500 ms and the last rank at the engine; replaced servers are left out until they announce themselves; entries leave older versions 2.3 s before the end of the time; a server gets no new requests for 1.2 s before its turn.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -94,6 +94,8 @@
 	Named time.Time
 	// Turn is the time after Named at which this server may interrupt its work to load.
 	Turn time.Duration
+	// DrainLead is how long before its turn the server should get no new requests.
+	DrainLead time.Duration
 }
 
 const (
@@ -198,6 +200,9 @@
 	for ctx.Err() == nil {
 		report, up := l.current()
 		target, ok := l.target()
+		if !up && ok {
+			l.prepare(ctx, target)
+		}
 		if !up || !ok || report.Holds(target.Model, target.Version, target.Layers) {
 			pause(ctx, loadingInterval)
 			continue
@@ -209,6 +214,28 @@
 	}
 }
 
+// prepare reads weights into memory while the server does not answer: it is about to start or starts again, and then needs them.
+func (l *Loader) prepare(parent context.Context, target Target) {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	go func() {
+		for ctx.Err() == nil {
+			if _, up := l.current(); up {
+				cancel(errAbandoned)
+			}
+			pause(ctx, loadingInterval)
+		}
+	}()
+	digests, err := l.weights.Manifest(ctx, target.Model, target.Version)
+	if err != nil {
+		return
+	}
+	_ = forEach(len(digests), func(chunk int) error {
+		_, err := l.weights.Chunk(ctx, target.Model, target.Version, chunk)
+		return err
+	})
+}
+
 // errAbandoned means that the target or the server has changed meanwhile.
 var errAbandoned = errors.New("loader: abandoned, the target or the upstream has changed")
 
@@ -226,8 +253,8 @@
 	if err == nil {
 		l.setSwapping(true)
 		err = l.verifyAndLoad(ctx, target)
-		l.setSwapping(false)
 	}
+	l.setSwapping(false)
 	if cause := context.Cause(ctx); cause != nil && parent.Err() == nil {
 		return cause
 	}
@@ -253,19 +280,24 @@
 	if err != nil {
 		return err
 	}
-	chunks := make(chan int, len(digests))
-	for i := range digests {
-		chunks <- i
+	return forEach(len(digests), func(chunk int) error { return l.stageChunk(ctx, target, chunk, digests[chunk]) })
+}
+
+// forEach runs f for the numbers below n, several at once, and returns the first error.
+func forEach(n int, f func(int) error) error {
+	numbers := make(chan int, n)
+	for i := range n {
+		numbers <- i
 	}
-	close(chunks)
+	close(numbers)
 	failed := make(chan error, fetchers)
 	var wg sync.WaitGroup
 	for range fetchers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			for chunk := range chunks {
-				if err := l.stageChunk(ctx, target, chunk, digests[chunk]); err != nil {
+			for i := range numbers {
+				if err := f(i); err != nil {
 					failed <- err
 					return
 				}
@@ -295,7 +327,13 @@
 	if !serves(report, target.Model) {
 		return nil
 	}
-	pause(ctx, time.Until(target.Named.Add(target.Turn)))
+	turn := target.Named.Add(target.Turn)
+	pause(ctx, time.Until(turn.Add(-target.DrainLead)))
+	if ctx.Err() == nil {
+		l.setSwapping(true)
+		l.ask(ctx)
+		pause(ctx, time.Until(turn))
+	}
 	return ctx.Err()
 }
 
--- a/internal/mesh/weights.go
+++ b/internal/mesh/weights.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sort"
+	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -105,13 +107,14 @@
 	}
 }
 
-// WeightPeers returns the linked nodes that this node should ask for a version, the best first. An empty list means that it
-// should read the origin itself.
+// WeightPeers returns the linked nodes that this node should ask for a chunk, the best first. An empty list means that it should
+// read the origin itself.
 //
-// In each data centre one entry, the leader for the purpose, reads from an entry of the origin's data centre, and the others
-// read from it. The leader of the origin's data centre reads the origin. Each chunk has its own purpose, so that the leaders
-// share the work.
-func (m *Mesh) WeightPeers(originCentre, purpose string) []string {
+// In each data centre one entry is the leader for a chunk. It reads from an agent beside an upstream that has the version, else
+// from an entry of the origin's data centre; the other entries read from it. The leader of the origin's data centre reads the
+// origin. Each chunk has its own leader, so that the entries share the work.
+func (m *Mesh) WeightPeers(originCentre, model string, version int64, chunk int) []string {
+	purpose := model + "@" + strconv.FormatInt(version, 10) + "#" + strconv.Itoa(chunk)
 	own := m.cfg.Self.DataCentre
 	local := m.peers(func(p *peer) bool { return isEntry(p) && p.hello.DataCentre == own })
 	if m.cfg.Self.Role == message.RoleAgent {
@@ -130,12 +133,42 @@
 	if len(above) > 0 {
 		return ranked(above, purpose)
 	}
+	out := ranked(m.holders(model, version), purpose)
+	if len(out) > maxHolders {
+		out = out[:maxHolders]
+	}
 	if own == originCentre {
-		return nil
+		return out
 	}
-	return ranked(m.peers(func(p *peer) bool { return isEntry(p) && p.hello.DataCentre == originCentre }), purpose)
+	return append(out, ranked(m.peers(func(p *peer) bool { return isEntry(p) && p.hello.DataCentre == originCentre }), purpose)...)
 }
 
+// maxHolders bounds the agents that are asked for one chunk before another source.
+const maxHolders = 2
+
+// holders returns the linked agents of the own data centre whose upstream has loaded a version: what it has loaded is staged
+// beside it.
+func (m *Mesh) holders(model string, version int64) []*peer {
+	snap := m.cfg.State.Snapshot()
+	var out []*peer
+	for _, p := range m.peers(isAgent) {
+		load, age, ok := m.cfg.Loads.Get(p.hello.Address)
+		if !ok || load.Down || age > holderAge || p.hello.DataCentre != m.cfg.Self.DataCentre || snap.Index == nil {
+			continue
+		}
+		for _, l := range load.Models {
+			if l.Model == model && l.Version == version {
+				out = append(out, p)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// holderAge is the age up to which a load tells what an upstream has loaded.
+const holderAge = 2 * time.Second
+
 func ranked(list []*peer, purpose string) []string {
 	sort.Slice(list, func(i, j int) bool {
 		return rank(purpose, list[i].hello.NodeID) > rank(purpose, list[j].hello.NodeID)
--- a/internal/pieces/cache.go
+++ b/internal/pieces/cache.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"strconv"
 	"sync"
 	"time"
 
@@ -46,8 +45,8 @@
 
 // Peers reads weights from other nodes.
 type Peers interface {
-	// WeightPeers returns the nodes to ask for a purpose, the best first; none if this node should read the origin.
-	WeightPeers(originCentre, purpose string) []string
+	// WeightPeers returns the nodes to ask for a chunk, the best first; none if this node should read the origin.
+	WeightPeers(originCentre, model string, version int64, chunk int) []string
 	// FetchWeights asks one node.
 	FetchWeights(ctx context.Context, nodeID, model string, version int64, chunk int) (*message.WeightsReply, error)
 }
@@ -209,7 +208,7 @@
 		return errors.WithStack(ErrNoOrigin)
 	}
 	var last error
-	for _, id := range c.peers.WeightPeers(at.DataCentre, purpose(v, chunk)) {
+	for _, id := range c.peers.WeightPeers(at.DataCentre, v.model, v.number, chunk) {
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		reply, err := c.peers.FetchWeights(ctx, id, v.model, v.number, chunk)
 		cancel()
@@ -250,10 +249,6 @@
 	return c.keep(v, chunk, nil, data)
 }
 
-func purpose(v *version, chunk int) string {
-	return v.model + "@" + strconv.FormatInt(v.number, 10) + "#" + strconv.Itoa(chunk)
-}
-
 // keep verifies and stores what a source has sent.
 func (c *Cache) keep(v *version, chunk int, digests []string, data []byte) error {
 	v.mu.Lock()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -15,9 +15,9 @@
 	nearTie = 12 * time.Millisecond
 	// targetShare is the part of the target that a prediction may take: the answer has to come back, and predictions are off.
 	targetShare = 0.85
-	// lateLimit bounds the predicted wait of a request that cannot be in time any more. Callers leave a stream without events
-	// after two seconds at the earliest.
-	lateLimit = 1800 * time.Millisecond
+	// lateLimit bounds the predicted wait of a request that cannot be in time any more. It is short: if such requests could fill
+	// the queues, those that can still be in time would be late too, and so on for as long as the load lasts.
+	lateLimit = 500 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound when a refused caller should return. A caller waits at most a third of its time.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 1900 * time.Millisecond
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -60,6 +60,9 @@
 	until    time.Time
 	pause    time.Duration
 	used     time.Time
+	// replaced tells that another upstream had the address when the announcement replacedAt was the newest.
+	replaced   bool
+	replacedAt int64
 }
 
 // NewTracker returns an empty tracker. now is the clock; nil selects time.Now.
@@ -136,6 +139,23 @@
 	}
 }
 
+// Replace records that another upstream answers at the address of this one, whose newest announcement has the given number. It
+// is not used again before it announces itself anew.
+func (t *Tracker) Replace(upstream string, beat int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.get(upstream)
+	u.replaced, u.replacedAt = true, beat
+}
+
+// Replaced tells whether the upstream with the given newest announcement has been replaced.
+func (t *Tracker) Replaced(upstream string, beat int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.ups[upstream]
+	return u != nil && u.replaced && beat <= u.replacedAt
+}
+
 // IsSuspect tells whether an upstream has failed lately.
 func (t *Tracker) IsSuspect(upstream string) bool {
 	t.mu.Lock()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -167,7 +167,7 @@
 	header := x.req.Header.Clone()
 	out := request.Outgoing{Left: time.Until(x.until), Instance: a.u.ID, Customer: x.customer, Rank: x.upstreamRank(),
 		LastEvent: x.events.last}
-	if x.engine != nil && x.snap.Required(x.meta.Model, time.Now(), x.r.cfg.VersionApply-versionMargin) > 0 {
+	if x.engine != nil && x.snap.Required(x.meta.Model, time.Now(), x.r.cfg.VersionApply-VersionMargin) > 0 {
 		out.Version = a.believedVersion()
 	}
 	x.r.cfg.Codec.Prepare(header, out)
@@ -185,13 +185,21 @@
 }
 
 // upstreamRank is the urgency at the upstream. A stream that has begun comes first: its caller waits for the next event.
+// One that cannot be in time any more comes last.
 func (x *exchange) upstreamRank() int {
-	if x.begun {
+	switch {
+	case x.begun:
 		return 0
+	case x.elapsedBefore() > x.route.Target:
+		return lateRank + x.rank
+	default:
+		return x.rank + 1
 	}
-	return x.rank + 1
 }
 
+// lateRank is added to the rank of requests that are late already.
+const lateRank = 6
+
 // headWait is how long the head of an answer may take.
 func (a *sent) headWait() time.Duration {
 	x := a.x
@@ -211,15 +219,19 @@
 		x.r.cfg.Log.V(1).Info("body of a refusal is incomplete", "request", x.meta.ID, "cause", err.Error())
 	}
 	x.last = "declined"
-	if answer.WrongInstance {
-		x.last = "wrong instance or version"
-		x.r.cfg.Tracker.Suspect(a.u.ID, wrongInstancePause)
+	switch {
+	case answer.WrongInstance && answer.Instance != "" && answer.Instance != a.u.ID:
+		x.last = "wrong instance"
+		x.r.cfg.Tracker.Replace(a.u.ID, a.u.Beat)
+	case answer.WrongInstance:
+		x.last = "wrong version"
+		x.r.cfg.Tracker.Suspect(a.u.ID, wrongVersionPause)
 	}
 	return result{kind: declined, status: resp.StatusCode}
 }
 
-// wrongInstancePause is how long an upstream is avoided after it had another ID or version. Its list entry or report is old.
-const wrongInstancePause = 400 * time.Millisecond
+// wrongVersionPause is how long an upstream is avoided after it had another version. Its report is old.
+const wrongVersionPause = 400 * time.Millisecond
 
 // plain passes on an answer with a length.
 func (a *sent) plain(resp *http.Response) result {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,8 +28,9 @@
 	defaultDeadline = 30 * time.Second
 	// starting is when a caller should return to an entry that has no configuration yet.
 	starting = 500 * time.Millisecond
-	// versionMargin is taken off the time in which a rollout has to be complete, for the way to the upstream and clocks.
-	versionMargin = 700 * time.Millisecond
+	// VersionMargin is taken off the time in which a rollout has to be complete: a request may wait at the upstream before it
+	// begins, and is given up after firstEventWait.
+	VersionMargin = firstEventWait + 300*time.Millisecond
 )
 
 // errCallerGone and errTimeout are the causes with which the context of a request ends.
@@ -221,7 +222,7 @@
 	x.snap = x.r.cfg.State.Snapshot()
 	required := int64(0)
 	if x.engine != nil {
-		required = x.snap.Required(x.meta.Model, now, x.r.cfg.VersionApply-versionMargin)
+		required = x.snap.Required(x.meta.Model, now, x.r.cfg.VersionApply-VersionMargin)
 	}
 	var list []placement.Candidate
 	seen := 0
@@ -255,7 +256,13 @@
 func (x *exchange) candidate(u *catalog.Upstream, required int64, now time.Time) (placement.Candidate, bool) {
 	c := placement.Candidate{Upstream: u, Local: u.DataCentre == x.r.cfg.DataCentre,
 		Suspect: x.r.cfg.Tracker.IsSuspect(u.ID)}
+	if x.r.cfg.Tracker.Replaced(u.ID, u.Beat) {
+		return c, false
+	}
 	load, age, known := x.r.cfg.Loads.Get(u.Address)
+	if known && age < swapBelief && u.Born != 0 && load.Born > u.Born {
+		return c, false // The upstream has been restarted, the list does not say so yet.
+	}
 	known = known && age < loadRetention && (load.Born == 0 || u.Born == 0 || load.Born == u.Born)
 	if known {
 		c.Work = placement.Work{Known: true, Running: load.Active, Waiting: load.Queued, Age: age, Pace: load.Pace}
--- a/internal/straight/agent.go
+++ b/internal/straight/agent.go
@@ -11,6 +11,8 @@
 
 	"github.com/pimentohead/pimentohead/internal/loader"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/pieces"
+	"github.com/pimentohead/pimentohead/internal/relay"
 )
 
 // AgentConfig describes an agent.
@@ -26,10 +28,12 @@
 	firstVersion = 1
 	// stagingTime is how long a version takes to be staged everywhere. Turns are counted from then on.
 	stagingTime = 2500 * time.Millisecond
-	// turnInterval is the time between the turns of two servers of one data centre: a load takes 300 ms.
-	turnInterval = 400 * time.Millisecond
-	// turnMargin is kept free at the end of the time for a rollout.
-	turnMargin = 2 * time.Second
+	// maxTurnInterval is the longest time between the turns of two servers of one data centre.
+	maxTurnInterval = 600 * time.Millisecond
+	// turnMargin is kept free at the end of the time for a rollout: entries stop using older versions that much earlier.
+	turnMargin = relay.VersionMargin + 300*time.Millisecond
+	// drainLead is how long before its turn a server gets no new requests, so that few streams are cut.
+	drainLead = 1200 * time.Millisecond
 	// agentStop bounds the shutdown of an agent.
 	agentStop = time.Second
 )
@@ -47,7 +51,7 @@
 // NewAgent returns an agent. Run starts it.
 func NewAgent(cfg AgentConfig) (*Agent, error) {
 	a := &Agent{cfg: cfg}
-	p, err := cfg.build(message.RoleAgent, nil, nil)
+	p, err := cfg.build(message.RoleAgent, cfg.UpstreamAddress, nil, nil, a.serveStaged)
 	if err != nil {
 		return nil, err
 	}
@@ -97,7 +101,7 @@
 	t := loader.Target{Model: service.Engine.Models[0], Version: firstVersion, Layers: service.Engine.Layers}
 	if v, ok := snap.Newest(t.Model); ok {
 		t.Version, t.Named = v.Version, v.Since
-		t.Turn = a.turn(v.Version)
+		t.Turn, t.DrainLead = a.turn(v.Version), drainLead
 	}
 	return t, true
 }
@@ -113,7 +117,7 @@
 	}
 	order := func(address string) uint64 { return xxhash.Sum64String(address + string(rune(version))) }
 	sort.Slice(local, func(i, j int) bool { return order(local[i]) < order(local[j]) })
-	interval := min(turnInterval, (a.VersionApply-stagingTime-turnMargin)/time.Duration(max(len(local), 1)))
+	interval := min(maxTurnInterval, (a.VersionApply-stagingTime-turnMargin)/time.Duration(max(len(local), 1)))
 	for i, address := range local {
 		if address == a.cfg.UpstreamAddress {
 			return stagingTime + time.Duration(i)*interval
@@ -125,6 +129,33 @@
 // idleReportInterval is the time between reports that say nothing new.
 const idleReportInterval = 500 * time.Millisecond
 
+// serveStaged hands out a chunk that lies staged beside the upstream, if it fits its digest.
+func (a *Agent) serveStaged(ctx context.Context, q *message.WeightsRequest) *message.WeightsReply {
+	if q.Chunk == message.WholeManifest {
+		return a.cache.Serve(ctx, q)
+	}
+	ctx, cancel := context.WithTimeout(ctx, stagedPatience)
+	defer cancel()
+	digests, err := a.cache.Manifest(ctx, q.Model, q.Version)
+	if err != nil {
+		return &message.WeightsReply{Error: err.Error()}
+	}
+	if q.Chunk < 0 || q.Chunk >= len(digests) {
+		return &message.WeightsReply{Error: "no such chunk"}
+	}
+	data, err := a.cfg.Engine.ReadStaged(ctx, q.Model, q.Chunk)
+	if err != nil {
+		return &message.WeightsReply{Error: err.Error()}
+	}
+	if !pieces.Fits(data, digests[q.Chunk]) {
+		return &message.WeightsReply{Error: "what is staged is of another version or spoilt"}
+	}
+	return &message.WeightsReply{Data: data}
+}
+
+// stagedPatience bounds the time in which an agent hands out a staged chunk.
+const stagedPatience = time.Second
+
 // publish sends a report to the entries unless it says nothing new.
 func (a *Agent) publish(r loader.Report, swapping, down bool) {
 	l := message.UpstreamLoad{Address: a.cfg.UpstreamAddress, Born: r.Born, Down: down, Swapping: swapping, Active: r.Active,
--- a/internal/straight/entry.go
+++ b/internal/straight/entry.go
@@ -59,7 +59,7 @@
 // NewEntry returns an entry. Run starts it.
 func NewEntry(cfg EntryConfig) (*Entry, error) {
 	e := &Entry{cfg: cfg, pool: h1.NewPool()}
-	p, err := cfg.build(message.RoleEntry, cfg.Origin, e.leaving.Load)
+	p, err := cfg.build(message.RoleEntry, cfg.LinkAddress, cfg.Origin, e.leaving.Load, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +94,7 @@
 	var wg sync.WaitGroup
 	registry := &registry{store: e.Store, list: e.Store, mesh: e.mesh, self: e.self, log: e.Log}
 	for _, duty := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Documents).Run, registry.announce, registry.discover,
-		e.sweep, e.serveMetrics} {
+		e.sweep, e.serveMetrics, e.prefetchDigests} {
 		wg.Add(1)
 		go func() { defer wg.Done(); duty(base) }()
 	}
@@ -203,3 +203,50 @@
 		}
 	}
 }
+
+// prefetchDigests reads the digests of the versions in use, so that weights can be verified also while the origin is away.
+func (e *Entry) prefetchDigests(ctx context.Context) {
+	changed := e.state.Changed()
+	have := map[string]int64{}
+	for {
+		for model, version := range e.wantedVersions() {
+			if have[model] == version {
+				continue
+			}
+			attempt, cancel := context.WithTimeout(ctx, digestPatience)
+			if _, err := e.cache.Manifest(attempt, model, version); err == nil {
+				have[model] = version
+			}
+			cancel()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// digestPatience bounds one try to read digests; the next change of the catalog starts another one.
+const digestPatience = 3 * time.Second
+
+// wantedVersions returns the newest version of each model of the configuration.
+func (e *Entry) wantedVersions() map[string]int64 {
+	snap := e.state.Snapshot()
+	out := map[string]int64{}
+	if snap.Index == nil {
+		return out
+	}
+	for _, service := range snap.Index.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for _, model := range service.Engine.Models {
+			out[model] = firstVersion
+			if v, ok := snap.Newest(model); ok {
+				out[model] = v.Version
+			}
+		}
+	}
+	return out
+}
--- a/internal/straight/node.go
+++ b/internal/straight/node.go
@@ -46,6 +46,9 @@
 	Grace time.Duration
 }
 
+// weightsServer answers a request for weights.
+type weightsServer = func(context.Context, *message.WeightsRequest) *message.WeightsReply
+
 // parts are the running parts of a node.
 type parts struct {
 	Node
@@ -57,7 +60,9 @@
 	metrics *telemetry.Metrics
 }
 
-func (n Node) build(role message.Role, origin pieces.Origin, leaving func() bool) (*parts, error) {
+// build composes the parts of a node. address is where others reach it: its links for an entry, its upstream for an agent.
+// serve answers requests for weights; nil serves what the cache holds.
+func (n Node) build(role message.Role, address string, origin pieces.Origin, leaving func() bool, serve weightsServer) (*parts, error) {
 	metrics, err := telemetry.NewMetrics("pimentohead")
 	if err != nil {
 		return nil, err
@@ -65,12 +70,13 @@
 	p := &parts{Node: n, state: fleet.NewState(nil), loads: loadview.NewTable(nil), metrics: metrics}
 	p.self = message.Hello{NodeID: n.ID, Role: role, DataCentre: n.DataCentre, Region: n.Region,
 		Incarnation: uint64(time.Now().UnixNano())}
-	if role == message.RoleEntry {
-		p.self.Address = n.LinkAddress
-	}
+	p.self.Address = address
 	cfg := mesh.Config{Self: p.self, Secret: n.Secret, Seeds: n.Seeds, State: p.state, Loads: p.loads, Log: n.Log, Leaving: leaving}
-	if role == message.RoleEntry {
-		cfg.ServeWeights = func(ctx context.Context, q *message.WeightsRequest) *message.WeightsReply { return p.cache.Serve(ctx, q) }
+	cfg.ServeWeights = serve
+	if serve == nil {
+		cfg.ServeWeights = func(ctx context.Context, q *message.WeightsRequest) *message.WeightsReply {
+			return p.cache.Serve(ctx, q)
+		}
 	}
 	p.mesh = mesh.New(cfg)
 	p.cache = pieces.NewCache(p.origin, origin, p.mesh, n.Log)
