Entries tell each other what they have in progress; urgency within a customer's priority; fallback version

(3) Each configuration with 230 routes crossed the links between regions once for each of 32 links. (4) Chunks in flight held up requests on the 9.4 Mbit/s link: 130 ms to the first event became 220 ms while weights were staged. (5) Drains of 1.2 s took four of seven servers of a data centre out at once.

Change: EntryWork messages every 40 ms within a data centre, and with loads between them; predictions count work of all entries and the share of a pass that goes into reading; an agent loads the previous version if the newest cannot be had for 0.8 s; the end of a rollout counts from the predicted begin; other data centres pull a configuration only if the store does not give it; two chunks in flight, entries read a named version ahead; a drain of 0.4 s; requests of one customer priority are ordered by the route's priority.

--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// pollWait is how long one poll waits for changes. It bounds the time in which a silent connection goes unnoticed.
-	pollWait = time.Second
+	// pollWait is how long one poll waits for changes. It bounds the time in which a silent connection goes unnoticed; the other
+	// data centres watch too and pass on what they see.
+	pollWait = 3 * time.Second
 	// idlePause is the time between looks at whether this node should watch.
 	idlePause = 50 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call.
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -18,6 +18,7 @@
 
 	byService map[string][]*catalog.Upstream
 	byAddress map[string]*catalog.Upstream
+	byID      map[string]*catalog.Upstream
 	versions  map[string][]Version
 }
 
@@ -27,6 +28,9 @@
 // At returns the newest upstream with the given address, or nil.
 func (s *Snapshot) At(address string) *catalog.Upstream { return s.byAddress[address] }
 
+// ByID returns the upstream with the given ID, or nil.
+func (s *Snapshot) ByID(id string) *catalog.Upstream { return s.byID[id] }
+
 // Newest returns the newest named version of a model, and false if none was named.
 func (s *Snapshot) Newest(model string) (Version, bool) {
 	history := s.versions[model]
@@ -36,6 +40,15 @@
 	return history[len(history)-1], true
 }
 
+// Previous returns the version of a model that was named before the newest one, and false if there is none.
+func (s *Snapshot) Previous(model string) (Version, bool) {
+	history := s.versions[model]
+	if len(history) < 2 {
+		return Version{}, false
+	}
+	return history[len(history)-2], true
+}
+
 // Required returns the oldest version on which a request may still begin, given the time that a rollout may take; 0 is any.
 func (s *Snapshot) Required(model string, now time.Time, allowed time.Duration) int64 {
 	var required int64
@@ -54,13 +67,15 @@
 func (s *State) rebuild() {
 	next := &Snapshot{
 		Index: s.index, ConfigRevision: s.configRevision, Listed: s.listed,
-		byService: map[string][]*catalog.Upstream{}, byAddress: map[string]*catalog.Upstream{}, versions: map[string][]Version{},
+		byService: map[string][]*catalog.Upstream{}, byAddress: map[string]*catalog.Upstream{},
+		byID: map[string]*catalog.Upstream{}, versions: map[string][]Version{},
 	}
 	for _, known := range s.upstreams {
 		u := known.Entry
 		if u == nil {
 			continue
 		}
+		next.byID[u.ID] = u
 		next.byService[u.Service] = append(next.byService[u.Service], u)
 		if other := next.byAddress[u.Address]; other == nil || other.Born < u.Born {
 			next.byAddress[u.Address] = u
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -96,6 +96,8 @@
 	Turn time.Duration
 	// DrainLead is how long before its turn the server should get no new requests.
 	DrainLead time.Duration
+	// Next is a newer version that cannot be had yet and is to be fetched meanwhile; 0 if there is none.
+	Next int64
 }
 
 const (
@@ -103,8 +105,9 @@
 	reportInterval = 100 * time.Millisecond
 	// loadingInterval is the time between reports while a load runs, which takes 300 ms.
 	loadingInterval = 25 * time.Millisecond
-	// fetchers is the number of chunks that are fetched at once: enough to fill a link of 9.4 Mbit/s over a few ms.
-	fetchers = 4
+	// fetchers is the number of chunks that are fetched at once. Two fill a link of 9.4 Mbit/s over a few ms; more would only
+	// hold up the requests to the server, which share the link.
+	fetchers = 2
 	// downAfter is the number of failed reports in a row after which the server counts as down.
 	downAfter = 2
 	// orderPatience is how long an order may run before it is given again.
@@ -182,6 +185,12 @@
 	l.publish(last, swapping || last.OrderRunning, down)
 }
 
+// Serves tells whether the server holds layers of a version.
+func (l *Loader) Serves(model string, version int64) bool {
+	report, _ := l.current()
+	return Layers(report.Models, model, version) > 0
+}
+
 // current returns the newest report, and false if the server does not answer.
 func (l *Loader) current() (Report, bool) {
 	l.mu.Lock()
@@ -226,9 +235,14 @@
 			pause(ctx, loadingInterval)
 		}
 	}()
+	l.fetch(ctx, target)
+}
+
+// fetch reads the weights of a version into memory.
+func (l *Loader) fetch(ctx context.Context, target Target) {
 	digests, err := l.weights.Manifest(ctx, target.Model, target.Version)
 	if err != nil {
-		return
+		return // The context has ended.
 	}
 	_ = forEach(len(digests), func(chunk int) error {
 		_, err := l.weights.Chunk(ctx, target.Model, target.Version, chunk)
@@ -244,6 +258,11 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	go l.abandon(ctx, cancel, target, report.Born)
+	if target.Next > 0 {
+		next := target
+		next.Version = target.Next
+		go l.fetch(ctx, next)
+	}
 	started := time.Now()
 	err := l.stage(ctx, target)
 	if err == nil {
@@ -252,7 +271,7 @@
 	}
 	if err == nil {
 		l.setSwapping(true)
-		err = l.verifyAndLoad(ctx, target)
+		err = l.load(ctx, target)
 	}
 	l.setSwapping(false)
 	if cause := context.Cause(ctx); cause != nil && parent.Err() == nil {
@@ -321,7 +340,8 @@
 	return l.engine.Stage(ctx, target.Model, chunk, data)
 }
 
-// waitTurn waits until a server that serves an older version may interrupt its work.
+// waitTurn waits until a server that serves an older version may interrupt its work. Shortly before, what is staged is read back
+// once more and mended where it is spoilt.
 func (l *Loader) waitTurn(ctx context.Context, target Target) error {
 	report, _ := l.current()
 	if !serves(report, target.Model) {
@@ -332,6 +352,9 @@
 	if ctx.Err() == nil {
 		l.setSwapping(true)
 		l.ask(ctx)
+		if err := l.stage(ctx, target); err != nil {
+			return err
+		}
 		pause(ctx, time.Until(turn))
 	}
 	return ctx.Err()
@@ -347,11 +370,8 @@
 	return false
 }
 
-// verifyAndLoad reads everything back, mends what is spoilt, and orders the load.
-func (l *Loader) verifyAndLoad(ctx context.Context, target Target) error {
-	if err := l.stage(ctx, target); err != nil {
-		return err
-	}
+// load orders the load and waits for it.
+func (l *Loader) load(ctx context.Context, target Target) error {
 	report, err := l.engine.Report(ctx)
 	if err != nil {
 		return err
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -35,7 +35,7 @@
 	// loadInterval is the time between load messages to other data centres. They cross narrow links.
 	loadInterval = 400 * time.Millisecond
 	// maxLocalLinks bounds the links of an entry to entries of its own data centre, remoteLinks those to each other one.
-	maxLocalLinks = 8
+	maxLocalLinks = 12
 	remoteLinks   = 2
 	// maxAgentLinks bounds the entries to which an agent links.
 	maxAgentLinks = 12
@@ -53,7 +53,10 @@
 	Seeds []string
 	State *fleet.State
 	Loads *loadview.Table
-	Log   logr.Logger
+	// Others receives what other entries have in progress; Work returns what this one has. Both are nil on agents.
+	Others *loadview.WorkTable
+	Work   func() []message.UpstreamWork
+	Log    logr.Logger
 	// ServeWeights answers requests for weights; nil on agents.
 	ServeWeights func(ctx context.Context, q *message.WeightsRequest) *message.WeightsReply
 	// Leaving tells that the node is shutting down.
@@ -66,7 +69,9 @@
 	linkCfg link.Config
 	changes chan fleet.Change
 	// resync tells that changes were left out.
-	resync  atomic.Bool
+	resync atomic.Bool
+	// pulling tells that a configuration is about to be asked for.
+	pulling atomic.Bool
 	pending pendingReplies
 
 	// mu guards the fields below.
@@ -122,7 +127,7 @@
 	var wg sync.WaitGroup
 	duties := []func(context.Context){m.dialLoop}
 	if m.cfg.Self.Role == message.RoleEntry {
-		duties = append(duties, m.shareChanges, m.shareFreshness, m.shareLoads)
+		duties = append(duties, m.shareChanges, m.shareFreshness, m.shareLoads, m.shareWork)
 	}
 	for _, duty := range duties {
 		wg.Add(1)
@@ -197,7 +202,7 @@
 	defer cancel()
 	_ = p.conn.Send(ctx, &message.Members{Members: m.memberList()})
 	if m.cfg.Self.Role == message.RoleEntry {
-		_ = p.conn.Send(ctx, m.wholeState(p.hello.Role))
+		_ = p.conn.Send(ctx, m.wholeState(p.hello))
 	}
 }
 
@@ -210,6 +215,10 @@
 		m.mergeState(p, msg)
 	case *message.UpstreamLoads:
 		m.cfg.Loads.Apply(msg.Loads)
+	case *message.EntryWork:
+		if m.cfg.Others != nil {
+			m.cfg.Others.Apply(msg)
+		}
 	case *message.WeightsRequest:
 		if m.cfg.ServeWeights != nil {
 			go m.answerWeights(ctx, p, msg)
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
@@ -17,11 +18,15 @@
 	return &catalog.Config{Version: c.Version, Services: c.Services}
 }
 
-// wholeState returns all facts for a node of the given role.
-func (m *Mesh) wholeState(role message.Role) *message.FleetState {
+// wholeState returns all facts for another node. Other data centres get no configuration unless they ask: they watch the store
+// themselves, and the links to them are narrow.
+func (m *Mesh) wholeState(to message.Hello) *message.FleetState {
 	config, revision, upstreams, versions := m.cfg.State.Facts()
-	if role == message.RoleAgent {
+	switch {
+	case to.Role == message.RoleAgent:
 		config = agentConfig(config)
+	case to.DataCentre != m.cfg.Self.DataCentre:
+		config = nil
 	}
 	out := &message.FleetState{Config: config, ConfigRevision: revision, Listed: m.cfg.State.Snapshot().Listed}
 	for _, u := range upstreams {
@@ -41,11 +46,21 @@
 func (m *Mesh) addFreshness(out *message.FleetState) {
 	age, known := m.cfg.State.Freshness()
 	out.Fresh, out.FreshAge = known, age.Milliseconds()
+	if out.Config == nil {
+		out.ConfigRevision = m.cfg.State.Snapshot().ConfigRevision
+	}
 }
 
 // mergeState merges the facts of another node.
 func (m *Mesh) mergeState(p *peer, msg *message.FleetState) {
 	state := m.cfg.State
+	if msg.Pull {
+		m.sendConfig(p)
+		return
+	}
+	if msg.Config == nil && msg.ConfigRevision > state.Snapshot().ConfigRevision && isEntry(p) {
+		m.pullLater(p, msg.ConfigRevision)
+	}
 	if msg.Config != nil && state.ApplyConfig(msg.Config, msg.ConfigRevision) {
 		m.cfg.Log.Info("configuration in force", "version", msg.Config.Version, "revision", msg.ConfigRevision,
 			"routes", len(msg.Config.Routes), "from", p.hello.NodeID)
@@ -79,21 +94,72 @@
 		}
 		if m.resync.Swap(false) {
 			m.drainChanges()
-			m.broadcast(m.wholeState(message.RoleEntry), isEntry)
-			m.broadcast(m.wholeState(message.RoleAgent), isAgent)
+			for _, p := range m.peers(func(*peer) bool { return true }) {
+				m.broadcast(m.wholeState(p.hello), func(other *peer) bool { return other == p })
+			}
 			continue
 		}
-		toEntries, toAgents := m.collect(first)
-		m.broadcast(toEntries, isEntry)
-		m.broadcast(toAgents, isAgent)
+		local, remote, agents := m.collect(first)
+		m.broadcast(local, m.isLocalEntry)
+		m.broadcast(remote, m.isRemoteEntry)
+		m.broadcast(agents, isAgent)
 	}
 }
 
+func (m *Mesh) isLocalEntry(p *peer) bool {
+	return isEntry(p) && p.hello.DataCentre == m.cfg.Self.DataCentre
+}
+
+func (m *Mesh) isRemoteEntry(p *peer) bool {
+	return isEntry(p) && p.hello.DataCentre != m.cfg.Self.DataCentre
+}
+
+// pullDelay is how long the own data centre has to learn a configuration from the store before another one is asked for it.
+const pullDelay = 300 * time.Millisecond
+
+// pullLater asks a node for its configuration unless it has come from elsewhere meanwhile.
+func (m *Mesh) pullLater(p *peer, revision int64) {
+	if m.pulling.Swap(true) {
+		return
+	}
+	delay := pullDelay
+	if m.cfg.State.Snapshot().Index == nil {
+		delay = 0
+	}
+	time.AfterFunc(delay, func() {
+		m.pulling.Store(false)
+		if m.cfg.State.Snapshot().ConfigRevision >= revision {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		defer cancel()
+		if err := p.conn.Send(ctx, &message.FleetState{Pull: true}); err != nil {
+			m.cfg.Log.V(1).Info("configuration was not asked for", "peer", p.hello.NodeID, "cause", err.Error())
+		}
+	})
+}
+
+// sendConfig answers a node that asks for the configuration.
+func (m *Mesh) sendConfig(p *peer) {
+	snap := m.cfg.State.Snapshot()
+	if snap.Index == nil {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), silenceTimeout)
+		defer cancel()
+		msg := &message.FleetState{Config: snap.Index.Config, ConfigRevision: snap.ConfigRevision}
+		if err := p.conn.Send(ctx, msg); err != nil {
+			m.cfg.Log.V(1).Info("configuration was not sent", "peer", p.hello.NodeID, "cause", err.Error())
+		}
+	}()
+}
+
 func isAgent(p *peer) bool { return p.hello.Role == message.RoleAgent }
 
-// collect joins the changes that wait into one message for entries and one for agents.
-func (m *Mesh) collect(first fleet.Change) (toEntries, toAgents *message.FleetState) {
-	toEntries = &message.FleetState{Listed: m.cfg.State.Snapshot().Listed}
+// collect joins the changes that wait into one message for each kind of receiver.
+func (m *Mesh) collect(first fleet.Change) (local, remote, agents *message.FleetState) {
+	toEntries := &message.FleetState{Listed: m.cfg.State.Snapshot().Listed}
 	for c, more := first, true; more; {
 		switch {
 		case c.Config != nil:
@@ -111,9 +177,10 @@
 		}
 	}
 	m.addFreshness(toEntries)
-	forAgents := *toEntries
+	forAgents, forRemote := *toEntries, *toEntries
 	forAgents.Config = agentConfig(toEntries.Config)
-	return toEntries, &forAgents
+	forRemote.Config = nil
+	return toEntries, &forRemote, &forAgents
 }
 
 func (m *Mesh) drainChanges() {
@@ -155,20 +222,74 @@
 		case <-ticker.C:
 			loads := m.ownLoads()
 			if len(loads) > 0 {
-				m.broadcast(&message.UpstreamLoads{Loads: loads}, func(p *peer) bool {
-					return isEntry(p) && p.hello.DataCentre != m.cfg.Self.DataCentre
-				})
+				m.broadcast(&message.UpstreamLoads{Loads: loads}, m.isRemoteEntry)
 			}
 		}
 	}
 }
 
+const (
+	// workInterval is the time between statements of what this entry has in progress while that changes.
+	workInterval = 40 * time.Millisecond
+	// workRepeat is the time after which an unchanged statement is made again, workRemote the time between statements to other
+	// data centres.
+	workRepeat = 600 * time.Millisecond
+	workRemote = 200 * time.Millisecond
+)
+
+// shareWork tells other entries what this one has in progress. Other data centres are told of their own upstreams only.
+func (m *Mesh) shareWork(ctx context.Context) {
+	ticker := time.NewTicker(workInterval)
+	defer ticker.Stop()
+	var last []message.UpstreamWork
+	var sent, sentRemote time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			work := m.cfg.Work()
+			if slices.Equal(work, last) && now.Sub(sent) < workRepeat {
+				continue
+			}
+			last, sent = work, now
+			m.broadcast(&message.EntryWork{NodeID: m.cfg.Self.NodeID, Work: work}, m.isLocalEntry)
+			if remote := m.remoteWork(work); len(remote) > 0 && now.Sub(sentRemote) >= workRemote {
+				sentRemote = now
+				m.broadcast(&message.EntryWork{NodeID: m.cfg.Self.NodeID, Work: remote}, m.isRemoteEntry)
+			}
+		}
+	}
+}
+
+// remoteWork returns the work at upstreams of other data centres.
+func (m *Mesh) remoteWork(work []message.UpstreamWork) []message.UpstreamWork {
+	snap := m.cfg.State.Snapshot()
+	var out []message.UpstreamWork
+	for _, w := range work {
+		if u := snap.ByID(w.ID); u != nil && u.DataCentre != m.cfg.Self.DataCentre {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // ownLoads returns the recent loads of upstreams in the own data centre.
 func (m *Mesh) ownLoads() []message.UpstreamLoad {
 	snap := m.cfg.State.Snapshot()
+	ownWork := map[string]message.UpstreamWork{}
+	for _, w := range m.cfg.Work() {
+		ownWork[w.ID] = w
+	}
 	var out []message.UpstreamLoad
 	for _, l := range m.cfg.Loads.Since(loadInterval) {
 		if u := snap.At(l.Address); u != nil && u.DataCentre == m.cfg.Self.DataCentre {
+			l.Entries = m.cfg.Others.At(u.ID)
+			own := ownWork[u.ID]
+			l.Entries.Running += own.Running
+			l.Entries.Waiting += own.Waiting
+			l.Entries.Tokens += own.Tokens
+			l.Entries.ID = ""
 			out = append(out, l)
 		}
 	}
--- a/internal/mesh/weights.go
+++ b/internal/mesh/weights.go
@@ -114,7 +114,7 @@
 // from an entry of the origin's data centre; the other entries read from it. The leader of the origin's data centre reads the
 // origin. Each chunk has its own leader, so that the entries share the work.
 func (m *Mesh) WeightPeers(originCentre, model string, version int64, chunk int) []string {
-	purpose := model + "@" + strconv.FormatInt(version, 10) + "#" + strconv.Itoa(chunk)
+	purpose := chunkPurpose(model, version, chunk)
 	own := m.cfg.Self.DataCentre
 	local := m.peers(func(p *peer) bool { return isEntry(p) && p.hello.DataCentre == own })
 	if m.cfg.Self.Role == message.RoleAgent {
@@ -143,6 +143,22 @@
 	return append(out, ranked(m.peers(func(p *peer) bool { return isEntry(p) && p.hello.DataCentre == originCentre }), purpose)...)
 }
 
+func chunkPurpose(model string, version int64, chunk int) string {
+	return model + "@" + strconv.FormatInt(version, 10) + "#" + strconv.Itoa(chunk)
+}
+
+// Leads tells whether this entry is the leader for a chunk in its data centre.
+func (m *Mesh) Leads(model string, version int64, chunk int) bool {
+	purpose := chunkPurpose(model, version, chunk)
+	own := rank(purpose, m.cfg.Self.NodeID)
+	for _, p := range m.peers(isEntry) {
+		if p.hello.DataCentre == m.cfg.Self.DataCentre && rank(purpose, p.hello.NodeID) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // maxHolders bounds the agents that are asked for one chunk before another source.
 const maxHolders = 2
 
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -4,11 +4,13 @@
 
 // FleetState carries facts about the catalog. On a new link each side sends all that it knows; afterwards only what changed.
 type FleetState struct {
-	// Config is nil if the message says nothing of it.
+	// Config is nil if the message does not carry it. ConfigRevision is the revision that the sender has in any case.
 	Config         *catalog.Config `msgpack:"c,omitempty"`
 	ConfigRevision int64           `msgpack:"cr,omitempty"`
-	Upstreams      []FleetUpstream `msgpack:"u,omitempty"`
-	Versions       []FleetVersion  `msgpack:"v,omitempty"`
+	// Pull asks for the receiver's configuration.
+	Pull      bool            `msgpack:"p,omitempty"`
+	Upstreams []FleetUpstream `msgpack:"u,omitempty"`
+	Versions  []FleetVersion  `msgpack:"v,omitempty"`
 	// Fresh tells that FreshAge is known: the time in ms since the sender knew everything.
 	Fresh    bool  `msgpack:"f,omitempty"`
 	FreshAge int64 `msgpack:"fa,omitempty"`
@@ -69,6 +71,23 @@
 	Pace     float64 `msgpack:"p,omitempty"`
 	// Models are the layers that the upstream holds.
 	Models []catalog.Loaded `msgpack:"m,omitempty"`
+	// Entries is what the entries of the upstream's data centre have in progress there. It is set between data centres.
+	Entries UpstreamWork `msgpack:"e,omitempty"`
+}
+
+// EntryWork lists what one entry has in progress at each upstream. Each message replaces the one before.
+type EntryWork struct {
+	NodeID string         `msgpack:"id"`
+	Work   []UpstreamWork `msgpack:"w,omitempty"`
+}
+
+// UpstreamWork is what is in progress at one upstream.
+type UpstreamWork struct {
+	ID string `msgpack:"i,omitempty"`
+	// Running counts all requests, Waiting those that have had no event yet, Tokens are the prompts of the latter.
+	Running int `msgpack:"r,omitempty"`
+	Waiting int `msgpack:"w,omitempty"`
+	Tokens  int `msgpack:"t,omitempty"`
 }
 
 // WholeManifest is the chunk number that asks for the digests of all chunks.
@@ -99,6 +118,9 @@
 // MessageType implements Message.
 func (*UpstreamLoads) MessageType() Type { return TypeUpstreamLoads }
 
+// MessageType implements Message.
+func (*EntryWork) MessageType() Type { return TypeEntryWork }
+
 // MessageType implements Message.
 func (*WeightsRequest) MessageType() Type { return TypeWeightsRequest }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -44,6 +44,7 @@
 	TypeUpstreamLoads
 	TypeWeightsRequest
 	TypeWeightsReply
+	TypeEntryWork
 )
 
 // Errors returned by Decode.
@@ -121,6 +122,7 @@
 	TypeUpstreamLoads:   func() Message { return new(UpstreamLoads) },
 	TypeWeightsRequest:  func() Message { return new(WeightsRequest) },
 	TypeWeightsReply:    func() Message { return new(WeightsReply) },
+	TypeEntryWork:       func() Message { return new(EntryWork) },
 }
 
 func newMessage(t Type) Message {
--- a/internal/pieces/cache.go
+++ b/internal/pieces/cache.go
@@ -75,6 +75,8 @@
 	chunks  map[int][]byte
 	calls   map[int]*call
 	misfits int
+	// grown is when the newest chunk was stored.
+	grown time.Time
 }
 
 // call is a fetch that several callers may wait for.
@@ -273,9 +275,21 @@
 	}
 	v.misfits = 0
 	v.chunks[chunk] = data
+	v.grown = time.Now()
 	return nil
 }
 
+// Progress returns the share of a version's chunks that are held, 0..1, and when the newest one came.
+func (c *Cache) Progress(model string, number int64) (share float64, grown time.Time) {
+	v := c.version(model, number)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.digests) == 0 {
+		return 0, v.grown
+	}
+	return float64(len(v.chunks)) / float64(len(v.digests)), v.grown
+}
+
 // Fits tells whether data has the given hex SHA-256 digest.
 func Fits(data []byte, digest string) bool {
 	sum := sha256.Sum256(data)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -9,7 +9,9 @@
 
 const (
 	// remotePenalty is what a shorter wait in another data centre has to gain: bytes between regions are dear.
-	remotePenalty = 80 * time.Millisecond
+	remotePenalty = 50 * time.Millisecond
+	// localShare is the part of the target up to which a wait in the own data centre is taken without a look at others.
+	localShare = 0.28
 	// nearTie is the difference of predictions within which the choice is random, so that several entries that saw the same
 	// report do not all choose the same upstream.
 	nearTie = 12 * time.Millisecond
@@ -60,8 +62,11 @@
 
 // Decision is the outcome. Upstream is nil if the request is refused.
 type Decision struct {
-	Upstream   *catalog.Upstream
-	Predicted  time.Duration
+	Upstream  *catalog.Upstream
+	Predicted time.Duration
+	// Work is what was known of the upstream, or of the best one if the request is refused.
+	Work       Work
+	Local      bool
 	Reason     Reason
 	RetryAfter time.Duration
 }
@@ -72,7 +77,20 @@
 	if len(candidates) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: jittered(minRetryAfter * 2)}
 	}
-	best, cost, wait := Candidate{}, time.Duration(1<<62), time.Duration(0)
+	best, wait := shortest(q, onlyLocal(candidates))
+	if best.Upstream == nil || wait > time.Duration(float64(q.Target)*localShare) {
+		best, wait = shortest(q, candidates)
+	}
+	if limit := allowed(q); !q.MustPlace && wait > limit {
+		return Decision{Predicted: wait, Work: best.Work, Local: best.Local, Reason: NoRoom,
+			RetryAfter: jittered(min(max(wait-limit, minRetryAfter), maxRetryAfter/2))}
+	}
+	return Decision{Upstream: best.Upstream, Predicted: wait, Work: best.Work, Local: best.Local}
+}
+
+// shortest returns the candidate at which the first event is predicted to come first, with the prediction.
+func shortest(q Query, candidates []Candidate) (best Candidate, wait time.Duration) {
+	cost := time.Duration(1 << 62)
 	ties := 0
 	for _, c := range candidates {
 		predicted := predict(q, c)
@@ -91,10 +109,17 @@
 			cost = min(cost, score)
 		}
 	}
-	if limit := allowed(q); !q.MustPlace && wait > limit {
-		return Decision{Predicted: wait, Reason: NoRoom, RetryAfter: jittered(min(max(wait-limit, minRetryAfter), maxRetryAfter/2))}
+	return best, wait
+}
+
+func onlyLocal(list []Candidate) []Candidate {
+	out := make([]Candidate, 0, len(list))
+	for _, c := range list {
+		if c.Local {
+			out = append(out, c)
+		}
 	}
-	return Decision{Upstream: best.Upstream, Predicted: wait}
+	return out
 }
 
 // allowed returns the longest predicted wait with which a request is still taken.
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -24,6 +24,9 @@
 	OwnTokens  float64
 	// OwnRunning are all requests of this node in progress.
 	OwnRunning int
+	// OthersRunning, OthersWaiting and OthersTokens are the same of the other entries, as far as they have told.
+	OthersRunning, OthersWaiting int
+	OthersTokens                 float64
 	// Ahead is the share of waiting requests that are at least as urgent as the one to be placed, 0..1.
 	Ahead float64
 	// Pace is the slowness of the upstream, 1 is normal.
@@ -36,20 +39,19 @@
 // a slot, then until the running pass ends, then until the prompts before it and its own are read, then one pass for its first
 // event.
 func FirstEvent(e *catalog.Engine, w Work, prompt float64) time.Duration {
-	total := float64(w.Running + w.Waiting + w.SentSince)
-	if !w.Known {
-		total = float64(w.OwnRunning)
-	}
 	slots := float64(max(e.Slots, 1))
+	total := float64(w.OwnRunning + w.OthersRunning)
+	if w.Known {
+		total = max(total, float64(w.Running+w.Waiting+w.SentSince))
+	}
+	// Entries have sent requests that they have not told of, about as many as the engine ends in that time.
+	unseen := min(float64(w.Age)/float64(slotInterval(e))*untold, slots)
+	total += unseen
 	waiting := max(total-slots, 0)
 	ahead := waiting * w.Ahead
-	pass := PassTime(e, min(total, slots))
-	// Prompts that are not read yet: those of this node are known, those of others are of the usual size.
-	unread := w.OwnTokens
-	if others := float64(w.Waiting) - float64(w.OwnWaiting-w.SentSince); w.Known && others > 0 {
-		unread += min(others, slots) * e.UsualPrompt
-	}
-	unread *= max(w.Ahead, float64(0.25))
+	// The more requests an engine has, the more of each pass goes into reading the prompts of those that arrive.
+	pass := time.Duration(float64(PassTime(e, min(total, slots))) * (1 + readingShare*min(total/slots, 1)))
+	unread := (w.OwnTokens+w.OthersTokens)*max(w.Ahead, minAhead) + unseen*e.UsualPrompt
 	read := seconds((unread + prompt) / max(e.ReadPerSecond, 1))
 	var slot time.Duration
 	if waiting > 0 || total >= slots {
@@ -59,6 +61,16 @@
 	return time.Duration(float64(predicted) * max(w.Pace, 1))
 }
 
+// readingShare is the time for reading, as a part of the time for writing, at an engine whose slots are all taken: 51 ms of
+// reading for each 57 ms of writing with the usual prompt and answer.
+const readingShare = 0.85
+
+// untold is the part of the requests sent since a report that neither this entry nor another one has told of.
+const untold = 0.3
+
+// minAhead is the least share of unread prompts that count: one that is being read is read to its end.
+const minAhead = 0.25
+
 // PassTime returns the time of a pass with the given number of writers, without reading.
 func PassTime(e *catalog.Engine, writers float64) time.Duration {
 	context := (e.UsualPrompt + e.UsualAnswer/2) / 1000
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -1,8 +1,11 @@
 package placement
 
 import (
+	"sort"
 	"sync"
 	"time"
+
+	"github.com/pimentohead/pimentohead/internal/message"
 )
 
 const (
@@ -191,10 +194,32 @@
 	w.Ahead = aheadShare(rank, waiting, urgent)
 }
 
+// Export returns what this node has in progress at each upstream.
+func (t *Tracker) Export() []message.UpstreamWork {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []message.UpstreamWork
+	for id, u := range t.ups {
+		if len(u.attempts) == 0 {
+			continue
+		}
+		w := message.UpstreamWork{ID: id, Running: len(u.attempts)}
+		for a := range u.attempts {
+			if !a.started {
+				w.Waiting++
+				w.Tokens += int(a.tokens)
+			}
+		}
+		out = append(out, w)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
 // aheadShare estimates which share of the waiting requests is at least as urgent as rank, from this node's own ones and a guess
 // that counts as two of them: requests of the most urgent rank rarely wait, those of the least urgent rank do.
 func aheadShare(rank, waiting, urgent int) float64 {
 	const guessWeight = 2
-	guess := min(0.3+0.35*float64(rank), 1)
+	guess := min(0.3+0.1*float64(rank), 1)
 	return (float64(urgent) + guess*guessWeight) / (float64(waiting) + guessWeight)
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -191,15 +191,12 @@
 	case x.begun:
 		return 0
 	case x.elapsedBefore() > x.route.Target:
-		return lateRank + x.rank
+		return routePriorities * routePriorities
 	default:
-		return x.rank + 1
+		return x.rank
 	}
 }
 
-// lateRank is added to the rank of requests that are late already.
-const lateRank = 6
-
 // headWait is how long the head of an answer may take.
 func (a *sent) headWait() time.Duration {
 	x := a.x
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/placement"
@@ -9,10 +10,10 @@
 // logAttempt writes what was decided, on which grounds, and how it ended.
 func (x *exchange) logAttempt(d placement.Decision, res result) {
 	log := x.r.cfg.Log
-	_, age, known := x.r.cfg.Loads.Get(d.Upstream.Address)
-	values := []any{"request", x.meta.ID, "upstream", d.Upstream.ID, "route", x.route.Name, "rank", x.rank, "sends", x.sends,
+	values := []any{"request", x.meta.ID, "upstream", d.Upstream.ID, "route", x.route.Name, "rank", x.rank, "sends", x.sends, "prompt", x.meta.PromptTokens,
 		"predicted_ms", d.Predicted.Milliseconds(), "first_ms", res.first.Milliseconds(), "took_ms", res.took.Milliseconds(),
-		"status", res.status, "config", x.snap.Index.Config.Version, "load_known", known, "load_age_ms", age.Milliseconds()}
+		"status", res.status, "config", x.snap.Index.Config.Version, "local", d.Local}
+	values = append(values, workValues(d.Work)...)
 	if res.final {
 		log.Info("request answered", values...)
 		return
@@ -24,3 +25,10 @@
 	log.Info("attempt failed", append(values, "how", x.last, "cause", cause, "begun", x.begun, "events", x.events.count,
 		"left_ms", time.Until(x.until).Milliseconds())...)
 }
+
+// workValues are the inputs of a decision.
+func workValues(w placement.Work) []any {
+	return []any{"load_known", w.Known, "load_age_ms", w.Age.Milliseconds(), "running", w.Running, "waiting", w.Waiting,
+		"sent_since", w.SentSince, "own_waiting", w.OwnWaiting, "own_tokens", int(w.OwnTokens),
+		"others_running", w.OthersRunning, "others_waiting", w.OthersWaiting, "others_tokens", int(w.OthersTokens), "ahead", math.Round(w.Ahead*100) / 100}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,9 +28,10 @@
 	defaultDeadline = 30 * time.Second
 	// starting is when a caller should return to an entry that has no configuration yet.
 	starting = 500 * time.Millisecond
-	// VersionMargin is taken off the time in which a rollout has to be complete: a request may wait at the upstream before it
-	// begins, and is given up after firstEventWait.
-	VersionMargin = firstEventWait + 300*time.Millisecond
+	// VersionMargin is taken off the time in which a rollout has to be complete, for the way to the upstream and for clocks.
+	VersionMargin = 400 * time.Millisecond
+	// beginFactor is how much longer than predicted a request may wait before it begins, when the end of a rollout is near.
+	beginFactor = 3
 )
 
 // errCallerGone and errTimeout are the causes with which the context of a request ends.
@@ -44,6 +45,7 @@
 	Codec   request.Codec
 	State   *fleet.State
 	Loads   *loadview.Table
+	Others  *loadview.WorkTable
 	Tracker *placement.Tracker
 	Pool    *h1.Pool
 	Budget  *Budget
@@ -86,6 +88,8 @@
 	tried       map[string]bool
 	// declined and last describe the newest failure, for the final answer.
 	last string
+	// decision is the refusal, if one was decided.
+	decision placement.Decision
 	// begun tells that the head of the answer is out.
 	begun bool
 	// events is the progress of a stream.
@@ -124,11 +128,11 @@
 		x.refuse(http.StatusNotFound, "no-route", 0)
 		return false
 	}
-	x.rank = x.route.Priority
 	if !x.authorise(index) {
 		x.refuse(http.StatusUnauthorized, "unknown-key", 0)
 		return false
 	}
+	x.rank = x.urgency(index)
 	x.service = x.route.PickTarget(rand.Float64())
 	if s := index.Service(x.service); s != nil {
 		x.engine = s.Engine
@@ -153,15 +157,26 @@
 	if x.meta.Key != "" {
 		if c := index.Customer(x.meta.Key); c != nil {
 			x.customer = c.Name
-			if c.HasPriority {
-				x.rank = c.Priority
-			}
 			return true
 		}
 	}
 	return x.route.Public || !index.HasCustomers()
 }
 
+// urgency orders requests, 0 first: by the customer's priority, which replaces that of the route, then by that of the route.
+func (x *exchange) urgency(index *catalog.Index) int {
+	priority := x.route.Priority
+	if c := index.Customer(x.meta.Key); c != nil && c.HasPriority {
+		priority = c.Priority
+	}
+	last := routePriorities - 1
+	return min(max(priority, 0), last)*routePriorities + min(max(x.route.Priority, 0), last)
+}
+
+// routePriorities is the number of priorities that are told apart. An upstream knows ten ranks: nine for these, one for requests
+// that are late already.
+const routePriorities = 3
+
 func (x *exchange) readBody(limit int) bool {
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -220,10 +235,6 @@
 func (x *exchange) place() placement.Decision {
 	now := time.Now()
 	x.snap = x.r.cfg.State.Snapshot()
-	required := int64(0)
-	if x.engine != nil {
-		required = x.snap.Required(x.meta.Model, now, x.r.cfg.VersionApply-VersionMargin)
-	}
 	var list []placement.Candidate
 	seen := 0
 	for _, u := range x.snap.Upstreams(x.service) {
@@ -231,7 +242,7 @@
 			continue
 		}
 		seen++
-		if c, ok := x.candidate(u, required, now); ok {
+		if c, ok := x.candidate(u, now); ok {
 			list = append(list, c)
 		}
 	}
@@ -253,7 +264,7 @@
 }
 
 // candidate describes an upstream, and returns false if it cannot take the request.
-func (x *exchange) candidate(u *catalog.Upstream, required int64, now time.Time) (placement.Candidate, bool) {
+func (x *exchange) candidate(u *catalog.Upstream, now time.Time) (placement.Candidate, bool) {
 	c := placement.Candidate{Upstream: u, Local: u.DataCentre == x.r.cfg.DataCentre,
 		Suspect: x.r.cfg.Tracker.IsSuspect(u.ID)}
 	if x.r.cfg.Tracker.Replaced(u.ID, u.Beat) {
@@ -268,24 +279,29 @@
 		c.Work = placement.Work{Known: true, Running: load.Active, Waiting: load.Queued, Age: age, Pace: load.Pace}
 		c.Suspect = c.Suspect || load.Down
 	}
-	if x.engine != nil {
-		models := u.Models
-		if known {
-			models = load.Models
-			if load.Swapping && age < swapBelief {
-				return c, false
-			}
-		}
-		if !holdsWhole(models, x.meta.Model, x.engine.Layers, required) {
-			return c, false
-		}
-	}
 	reported := now.Add(-age)
 	if !known {
 		reported = time.Time{}
 	}
 	x.r.cfg.Tracker.Fill(&c.Work, u.ID, x.rank, reported)
-	return c, true
+	others := x.r.cfg.Others.At(u.ID)
+	if !c.Local && load.Entries.Running > others.Running {
+		others = load.Entries
+	}
+	c.Work.OthersRunning, c.Work.OthersWaiting, c.Work.OthersTokens = others.Running, others.Waiting, float64(others.Tokens)
+	if x.engine == nil {
+		return c, true
+	}
+	models := u.Models
+	if known {
+		models = load.Models
+		if load.Swapping && age < swapBelief {
+			return c, false
+		}
+	}
+	begins := now.Add(beginFactor * placement.FirstEvent(x.engine, c.Work, float64(x.meta.PromptTokens)))
+	required := x.snap.Required(x.meta.Model, begins, x.r.cfg.VersionApply-VersionMargin)
+	return c, holdsWhole(models, x.meta.Model, x.engine.Layers, required)
 }
 
 const (
--- a/internal/straight/agent.go
+++ b/internal/straight/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/loader"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pieces"
@@ -29,11 +30,11 @@
 	// stagingTime is how long a version takes to be staged everywhere. Turns are counted from then on.
 	stagingTime = 2500 * time.Millisecond
 	// maxTurnInterval is the longest time between the turns of two servers of one data centre.
-	maxTurnInterval = 600 * time.Millisecond
+	maxTurnInterval = 650 * time.Millisecond
 	// turnMargin is kept free at the end of the time for a rollout: entries stop using older versions that much earlier.
-	turnMargin = relay.VersionMargin + 300*time.Millisecond
-	// drainLead is how long before its turn a server gets no new requests, so that few streams are cut.
-	drainLead = 1200 * time.Millisecond
+	turnMargin = relay.VersionMargin + 600*time.Millisecond
+	// drainLead is how long before its turn a server gets no new requests, so that fewer streams are cut.
+	drainLead = 400 * time.Millisecond
 	// agentStop bounds the shutdown of an agent.
 	agentStop = time.Second
 )
@@ -99,13 +100,40 @@
 		return loader.Target{}, false
 	}
 	t := loader.Target{Model: service.Engine.Models[0], Version: firstVersion, Layers: service.Engine.Layers}
-	if v, ok := snap.Newest(t.Model); ok {
-		t.Version, t.Named = v.Version, v.Since
-		t.Turn, t.DrainLead = a.turn(v.Version), drainLead
+	v, ok := snap.Newest(t.Model)
+	if !ok {
+		return t, true
 	}
+	if previous, ok := snap.Previous(t.Model); ok && a.fallsBack(t.Model, v, previous) {
+		t.Next = v.Version
+		v = previous
+	}
+	t.Version, t.Named = v.Version, v.Since
+	t.Turn, t.DrainLead = a.turn(v.Version), drainLead
 	return t, true
 }
 
+const (
+	// stalledAfter is the time without a new chunk after which a version counts as not to be had for now.
+	stalledAfter = 800 * time.Millisecond
+	// fallbackShare is the share of the previous version's chunks that makes it worth loading instead.
+	fallbackShare = 0.5
+)
+
+// fallsBack tells whether the previous version is to be loaded first: the newest one cannot be had for now, such as while the
+// origin is away, and the upstream would soon have no version that may still be used.
+func (a *Agent) fallsBack(model string, newest, previous fleet.Version) bool {
+	share, grown := a.cache.Progress(model, newest.Version)
+	if share >= 1 || time.Since(newest.Since) < stalledAfter || time.Since(grown) < stalledAfter {
+		return false
+	}
+	if a.loader.Serves(model, previous.Version) || a.loader.Serves(model, newest.Version) {
+		return false
+	}
+	held, _ := a.cache.Progress(model, previous.Version)
+	return held >= fallbackShare
+}
+
 // turn returns when this server may interrupt its work to load, counted from the naming of the version. The servers of a data
 // centre take turns in an order that all agents compute alike.
 func (a *Agent) turn(version int64) time.Duration {
--- a/internal/straight/entry.go
+++ b/internal/straight/entry.go
@@ -16,7 +16,6 @@
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pieces"
-	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/relay"
 	"github.com/pimentohead/pimentohead/internal/request"
 )
@@ -69,7 +68,7 @@
 		return nil, err
 	}
 	e.relay = relay.New(relay.Config{
-		Codec: cfg.Codec, State: p.state, Loads: p.loads, Tracker: placement.NewTracker(nil), Pool: e.pool,
+		Codec: cfg.Codec, State: p.state, Loads: p.loads, Others: p.others, Tracker: p.tracker, Pool: e.pool,
 		Budget: relay.NewBudget(cfg.BudgetRatio, cfg.BudgetSlack, cfg.BudgetWindow, p.mesh.Entries, nil),
 		Log:    cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApply: cfg.VersionApply, Leaving: e.leaving.Load,
 	})
@@ -94,7 +93,7 @@
 	var wg sync.WaitGroup
 	registry := &registry{store: e.Store, list: e.Store, mesh: e.mesh, self: e.self, log: e.Log}
 	for _, duty := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Documents).Run, registry.announce, registry.discover,
-		e.sweep, e.serveMetrics, e.prefetchDigests} {
+		e.sweep, e.serveMetrics, e.prefetchDigests, e.prefetchChunks} {
 		wg.Add(1)
 		go func() { defer wg.Done(); duty(base) }()
 	}
@@ -250,3 +249,46 @@
 	}
 	return out
 }
+
+// freshlyNamed is the age up to which a version is read ahead: agents are about to ask for it. An older one is loaded already.
+const freshlyNamed = 3 * time.Second
+
+// prefetchChunks reads a newly named version before agents ask for it, the chunks that this entry leads for first of all.
+func (e *Entry) prefetchChunks(ctx context.Context) {
+	changed := e.state.Changed()
+	begun := map[string]int64{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		for model, version := range e.wantedVersions() {
+			v, ok := e.state.Snapshot().Newest(model)
+			if !ok || begun[model] >= version || time.Since(v.Since) > freshlyNamed {
+				continue
+			}
+			begun[model] = version
+			go e.readAhead(ctx, model, version)
+		}
+	}
+}
+
+// readAhead reads the chunks of a version in order until a newer one is named.
+func (e *Entry) readAhead(ctx context.Context, model string, version int64) {
+	digests, err := e.cache.Manifest(ctx, model, version)
+	if err != nil {
+		return // The process is stopping.
+	}
+	for chunk := range digests {
+		if e.wantedVersions()[model] != version {
+			return
+		}
+		if !e.mesh.Leads(model, version, chunk) {
+			continue
+		}
+		if _, err := e.cache.Chunk(ctx, model, version, chunk); err != nil {
+			return
+		}
+	}
+}
--- a/internal/straight/node.go
+++ b/internal/straight/node.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pieces"
+	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 	"github.com/pimentohead/pimentohead/internal/telemetry"
 )
@@ -55,6 +56,8 @@
 	self    message.Hello
 	state   *fleet.State
 	loads   *loadview.Table
+	others  *loadview.WorkTable
+	tracker *placement.Tracker
 	mesh    *mesh.Mesh
 	cache   *pieces.Cache
 	metrics *telemetry.Metrics
@@ -67,11 +70,15 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &parts{Node: n, state: fleet.NewState(nil), loads: loadview.NewTable(nil), metrics: metrics}
+	p := &parts{Node: n, state: fleet.NewState(nil), loads: loadview.NewTable(nil), others: loadview.NewWorkTable(nil),
+		tracker: placement.NewTracker(nil), metrics: metrics}
 	p.self = message.Hello{NodeID: n.ID, Role: role, DataCentre: n.DataCentre, Region: n.Region,
 		Incarnation: uint64(time.Now().UnixNano())}
 	p.self.Address = address
 	cfg := mesh.Config{Self: p.self, Secret: n.Secret, Seeds: n.Seeds, State: p.state, Loads: p.loads, Log: n.Log, Leaving: leaving}
+	if role == message.RoleEntry {
+		cfg.Others, cfg.Work = p.others, p.tracker.Export
+	}
 	cfg.ServeWeights = serve
 	if serve == nil {
 		cfg.ServeWeights = func(ctx context.Context, q *message.WeightsRequest) *message.WeightsReply {
