--- /dev/null
+++ b/internal/catalog/index_test.go
@@ -0,0 +1,44 @@
+package catalog_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+)
+
+// Guards against requests that go to the service of another route.
+func TestRouteIsTheLongestPrefixOfItsHost(t *testing.T) {
+	g := NewWithT(t)
+	x := catalog.NewIndex(&catalog.Config{Routes: []catalog.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"}, {Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+	}})
+	for path, want := range map[string]string{"/x/1": "short", "/x/y/1": "long", "/x/y/z/1": "long", "/x/y": "short"} {
+		g.Expect(x.Route("A.example:8080", path).Name).To(Equal(want), path)
+	}
+	g.Expect(x.Route("a.example", "/x")).To(BeNil())
+	g.Expect(x.Route("c.example", "/x/")).To(BeNil())
+}
+
+// Guards against a split that ignores its weights or finds no service at the upper end of the draw.
+func TestSplitFollowsWeights(t *testing.T) {
+	g := NewWithT(t)
+	r := catalog.Route{Targets: []catalog.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	g.Expect(r.PickTarget(0)).To(Equal("a"))
+	g.Expect(r.PickTarget(0.899)).To(Equal("a"))
+	g.Expect(r.PickTarget(0.901)).To(Equal("b"))
+	g.Expect(r.PickTarget(0.999999)).To(Equal("b"))
+	g.Expect((&catalog.Route{}).PickTarget(0.5)).To(BeEmpty())
+}
+
+// Guards against orders and streams that may not be resumed being sent twice.
+func TestOnlyIdempotentAndResumableMayRepeat(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect((&catalog.Route{Kind: catalog.AtMostOnce}).MayRepeat()).To(BeFalse())
+	g.Expect((&catalog.Route{Kind: catalog.AtMostOnce, Resumable: true}).MayRepeat()).To(BeFalse())
+	g.Expect((&catalog.Route{Kind: catalog.Stream}).MayRepeat()).To(BeFalse())
+	g.Expect((&catalog.Route{Kind: catalog.Stream, Resumable: true}).MayRepeat()).To(BeTrue())
+	g.Expect((&catalog.Route{Kind: catalog.Idempotent}).MayRepeat()).To(BeTrue())
+}
--- /dev/null
+++ b/internal/h1/conn_test.go
@@ -0,0 +1,215 @@
+package h1_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/h1"
+)
+
+// serve accepts connections and runs the script on each.
+func serve(t *testing.T, script func(nc net.Conn, br *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer func() { _ = nc.Close() }(); script(nc, bufio.NewReader(nc)) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// readRequest reads one request with its body and returns its Id header.
+func readRequest(br *bufio.Reader) (string, error) {
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return req.Header.Get("Id"), err
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func do(t *testing.T, p *h1.Pool, addr, id string, wait time.Duration) (string, *h1.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	c, err := p.Get(ctx, addr, false, time.Second)
+	if err != nil {
+		return "", nil, err
+	}
+	req := &h1.Request{Method: "POST", Target: "/a?b=%2F", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("x")}
+	resp, err := c.Do(ctx, req, wait, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	if err != nil {
+		c.Close()
+		return "", c, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", c, c.Failure(ctx, err)
+	}
+	return string(body), c, nil
+}
+
+// Guards against an answer to another request being taken for that of this one: an extra answer may arrive late, where the next
+// one is expected.
+func TestAnswerOfAnotherRequestIsSkipped(t *testing.T) {
+	g := NewWithT(t)
+	addr := serve(t, func(nc net.Conn, br *bufio.Reader) {
+		id, err := readRequest(br)
+		if err == nil {
+			_, _ = io.WriteString(nc, answer("stranger", "not yours")+answer(id, "yours"))
+			_, _ = readRequest(br)
+		}
+	})
+	body, _, err := do(t, h1.NewPool(), addr, "1", time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("yours"))
+}
+
+// Guards against a connection on which something arrived while it was idle: a late answer, or the upstream's end.
+func TestIdleConnectionThatIsNotQuietIsNotUsed(t *testing.T) {
+	for name, extra := range map[string]string{"late answer": answer("old", "late"), "closed": ""} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			addr := serve(t, func(nc net.Conn, br *bufio.Reader) {
+				id, err := readRequest(br)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(nc, answer(id, "ok"))
+				time.Sleep(50 * time.Millisecond)
+				_, _ = io.WriteString(nc, extra)
+				if extra != "" {
+					_, _ = readRequest(br)
+				}
+			})
+			p := h1.NewPool()
+			_, c, err := do(t, p, addr, "1", time.Second)
+			g.Expect(err).NotTo(HaveOccurred())
+			p.Put(c, 0)
+			time.Sleep(150 * time.Millisecond)
+			body, _, err := do(t, p, addr, "2", time.Second)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(body).To(Equal("ok"))
+			g.Expect(p.Opened()).To(Equal(uint64(2)))
+		})
+	}
+}
+
+// Guards against a new connection for each request.
+func TestQuietConnectionIsUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	addr := serve(t, func(nc net.Conn, br *bufio.Reader) {
+		for {
+			id, err := readRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(nc, answer(id, "ok"))
+		}
+	})
+	p := h1.NewPool()
+	for range 3 {
+		_, c, err := do(t, p, addr, "1", time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+		p.Put(c, 10*time.Second)
+	}
+	g.Expect(p.Opened()).To(Equal(uint64(1)))
+}
+
+// Guards against a claim that a request has not run although it may have, and the reverse.
+func TestErrorsTellWhetherTheRequestMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	broken := serve(t, func(_ net.Conn, br *bufio.Reader) { _, _ = readRequest(br) })
+	_, _, err := do(t, h1.NewPool(), broken, "1", time.Second)
+	g.Expect(errors.Is(err, h1.ErrBroken)).To(BeTrue())
+	silent := serve(t, func(_ net.Conn, br *bufio.Reader) { _, _ = readRequest(br); time.Sleep(2 * time.Second) })
+	_, _, err = do(t, h1.NewPool(), silent, "1", 100*time.Millisecond)
+	g.Expect(errors.Is(err, h1.ErrSilent)).To(BeTrue())
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	nobody := l.Addr().String()
+	_ = l.Close()
+	_, _, err = do(t, h1.NewPool(), nobody, "1", time.Second)
+	g.Expect(errors.Is(err, h1.ErrNotSent)).To(BeTrue())
+}
+
+// Guards against an answer that was cut being taken for a whole one: with a length, in chunks, and without a length.
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	for name, head := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 100\r\n\r\npart",
+		"chunks": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"reset":  "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			addr := serve(t, func(nc net.Conn, br *bufio.Reader) {
+				if _, err := readRequest(br); err != nil {
+					return
+				}
+				_, _ = io.WriteString(nc, head)
+				time.Sleep(50 * time.Millisecond)
+				if name == "reset" {
+					_ = nc.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			_, _, err := do(t, h1.NewPool(), addr, "1", time.Second)
+			g.Expect(errors.Is(err, h1.ErrBroken)).To(BeTrue(), "%v", err)
+		})
+	}
+	g := NewWithT(t)
+	whole := serve(t, func(nc net.Conn, br *bufio.Reader) {
+		_, _ = readRequest(br)
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it")
+	})
+	body, _, err := do(t, h1.NewPool(), whole, "1", time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("all of it"), "an answer without a length ends with its connection")
+}
+
+// Guards against the rest of a long body being read as the next request: an upstream may answer before it has read the body.
+func TestConnectionWithUnsentBodyIsNotUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	addr := serve(t, func(nc net.Conn, br *bufio.Reader) {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(nc, answer(req.Header.Get("Id"), "early"))
+		time.Sleep(time.Second)
+	})
+	p := h1.NewPool()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c, err := p.Get(ctx, addr, false, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	long := &h1.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{"Id": {"1"}}, Body: make([]byte, 32<<20)}
+	resp, err := c.Do(ctx, long, time.Second, func(*http.Response) bool { return true })
+	g.Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("early"))
+	p.Put(c, 0)
+	_, _, err = do(t, p, addr, "2", time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(p.Opened()).To(Equal(uint64(2)))
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -198,6 +198,13 @@
 	return l.report, l.known && l.failures == 0
 }
 
+// silent tells whether the server has been asked and has not answered.
+func (l *Loader) silent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failures > 0
+}
+
 func (l *Loader) setSwapping(swapping bool) {
 	l.mu.Lock()
 	l.swapping = swapping
@@ -209,7 +216,7 @@
 	for ctx.Err() == nil {
 		report, up := l.current()
 		target, ok := l.target()
-		if !up && ok {
+		if !up && ok && l.silent() {
 			l.prepare(ctx, target)
 		}
 		if !up || !ok || report.Holds(target.Model, target.Version, target.Layers) {
--- /dev/null
+++ b/internal/loadview/table_test.go
@@ -0,0 +1,50 @@
+package loadview_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// Guards against an older load, or one of an earlier start, that replaces a newer one after a detour over other nodes.
+func TestNewestLoadWins(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := loadview.NewTable(func() time.Time { return now })
+	table.Apply([]message.UpstreamLoad{{Address: "a", Born: 5, Active: 3}})
+	table.Apply([]message.UpstreamLoad{{Address: "a", Born: 5, Active: 1, Age: 200}})
+	load, age, ok := table.Get("a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(load.Active).To(Equal(3))
+	g.Expect(age).To(BeZero())
+	now = now.Add(time.Second)
+	table.Apply([]message.UpstreamLoad{{Address: "a", Born: 4, Active: 9}})
+	load, age, _ = table.Get("a")
+	g.Expect(load.Active).To(Equal(3))
+	g.Expect(age).To(Equal(time.Second))
+	g.Expect(table.Since(500 * time.Millisecond)).To(BeEmpty())
+	g.Expect(table.Since(2 * time.Second)[0].Age).To(Equal(int64(1000)))
+	now = now.Add(2 * time.Minute)
+	table.Apply(nil)
+	_, _, ok = table.Get("a")
+	g.Expect(ok).To(BeFalse(), "a load that nobody repeats is forgotten")
+}
+
+// Guards against work of an entry that has died counting for ever, and against statements that add up instead of replacing.
+func TestWorkOfEntriesIsSummedAndExpires(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := loadview.NewWorkTable(func() time.Time { return now })
+	table.Apply(&message.EntryWork{NodeID: "e1", Work: []message.UpstreamWork{{ID: "u", Running: 2, Waiting: 1, Tokens: 700}}})
+	table.Apply(&message.EntryWork{NodeID: "e1", Work: []message.UpstreamWork{{ID: "u", Running: 3, Waiting: 1, Tokens: 800}}})
+	table.Apply(&message.EntryWork{NodeID: "e2", Work: []message.UpstreamWork{{ID: "u", Running: 4}}})
+	g.Expect(table.At("u")).To(Equal(message.UpstreamWork{ID: "u", Running: 7, Waiting: 1, Tokens: 800}))
+	now = now.Add(time.Second)
+	table.Apply(&message.EntryWork{NodeID: "e2"})
+	now = now.Add(time.Second)
+	g.Expect(table.At("u").Running).To(BeZero())
+}
--- /dev/null
+++ b/internal/pieces/cache_test.go
@@ -0,0 +1,203 @@
+package pieces_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/pieces"
+)
+
+func data(version int64, chunk int) []byte { return fmt.Appendf(nil, "chunk %d of version %d", chunk, version) }
+
+func digests(version int64, n int) []string {
+	var out []string
+	for i := range n {
+		sum := sha256.Sum256(data(version, i))
+		out = append(out, hex.EncodeToString(sum[:]))
+	}
+	return out
+}
+
+// origin hands out four chunks a version; spoil and badDigests make the next answers wrong.
+type origin struct {
+	mu         sync.Mutex
+	reads      map[int]int
+	manifests  int
+	spoil      int
+	badDigests int
+	down       bool
+}
+
+func (o *origin) Manifest(_ context.Context, _ catalog.Origin, _ string, version int64) ([]string, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.manifests++
+	if o.down {
+		return nil, errors.New("origin is down")
+	}
+	if o.badDigests > 0 {
+		o.badDigests--
+		return digests(version+100, 4), nil
+	}
+	return digests(version, 4), nil
+}
+
+func (o *origin) Chunk(_ context.Context, _ catalog.Origin, _ string, version int64, chunk int) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, errors.New("origin is down")
+	}
+	if o.reads == nil {
+		o.reads = map[int]int{}
+	}
+	o.reads[chunk]++
+	if o.spoil > 0 {
+		o.spoil--
+		return []byte("spoilt"), nil
+	}
+	return data(version, chunk), nil
+}
+
+// peers answers for the nodes in the map.
+type peers struct {
+	order []string
+	nodes map[string]func(chunk int) (*message.WeightsReply, error)
+	asked []string
+	mu    sync.Mutex
+}
+
+func (p *peers) WeightPeers(string, string, int64, int) []string { return p.order }
+
+func (p *peers) FetchWeights(_ context.Context, id, _ string, _ int64, chunk int) (*message.WeightsReply, error) {
+	p.mu.Lock()
+	p.asked = append(p.asked, id)
+	p.mu.Unlock()
+	return p.nodes[id](chunk)
+}
+
+func where() *catalog.Origin { return &catalog.Origin{Address: "o", DataCentre: "z"} }
+
+func patience(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against several copies out of the origin when many agents ask for the same chunk at once.
+func TestOneFetchServesAllWhoWait(t *testing.T) {
+	g := NewWithT(t)
+	o := &origin{}
+	c := pieces.NewCache(where, o, &peers{}, logr.Discard())
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			got, err := c.Chunk(patience(t), "m", 2, 1)
+			if err != nil || string(got) != string(data(2, 1)) {
+				t.Errorf("got %q, %v", got, err)
+			}
+		}()
+	}
+	wg.Wait()
+	g.Expect(o.reads[1]).To(Equal(1))
+	g.Expect(o.manifests).To(Equal(1))
+	g.Expect(c.OriginBytes()).To(Equal(uint64(len(data(2, 1)))))
+}
+
+// Guards against spoilt bytes being handed on: they are read again.
+func TestSpoiltChunkIsReadAgain(t *testing.T) {
+	g := NewWithT(t)
+	o := &origin{spoil: 2}
+	c := pieces.NewCache(where, o, &peers{}, logr.Discard())
+	got, err := c.Chunk(patience(t), "m", 2, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(data(2, 0)))
+	g.Expect(o.reads[0]).To(Equal(3))
+}
+
+// Guards against a version that can never be loaded because its digests were spoilt on the way.
+func TestDigestsThatNothingFitsAreReadAnew(t *testing.T) {
+	g := NewWithT(t)
+	o := &origin{badDigests: 1}
+	c := pieces.NewCache(where, o, &peers{}, logr.Discard())
+	got, err := c.Chunk(patience(t), "m", 2, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(data(2, 0)))
+	g.Expect(o.manifests).To(Equal(2))
+}
+
+// Guards against reading the origin though a peer has the chunk, and against giving up when a peer fails or lies.
+func TestPeersComeBeforeTheOrigin(t *testing.T) {
+	g := NewWithT(t)
+	o := &origin{}
+	reply := func(chunk int) (*message.WeightsReply, error) {
+		if chunk == message.WholeManifest {
+			return &message.WeightsReply{Digests: digests(2, 4)}, nil
+		}
+		return &message.WeightsReply{Data: data(2, chunk)}, nil
+	}
+	p := &peers{order: []string{"dead", "liar", "good"}, nodes: map[string]func(int) (*message.WeightsReply, error){
+		"dead": func(int) (*message.WeightsReply, error) { return nil, errors.New("no link") },
+		"liar": func(chunk int) (*message.WeightsReply, error) {
+			if chunk == message.WholeManifest {
+				return reply(chunk)
+			}
+			return &message.WeightsReply{Data: []byte("wrong")}, nil
+		},
+		"good": reply,
+	}}
+	c := pieces.NewCache(where, o, p, logr.Discard())
+	got, err := c.Chunk(patience(t), "m", 2, 3)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(data(2, 3)))
+	g.Expect(o.reads).To(BeEmpty())
+
+	p.order = []string{"dead"}
+	_, err = c.Chunk(patience(t), "m", 2, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(o.reads[1]).To(Equal(1), "without a peer the origin is read")
+}
+
+// Guards against a cache that grows with each version, and against one that drops the version being replaced.
+func TestTwoNewestVersionsAreKept(t *testing.T) {
+	g := NewWithT(t)
+	o := &origin{}
+	c := pieces.NewCache(where, o, &peers{}, logr.Discard())
+	for _, v := range []int64{1, 2, 3} {
+		_, err := c.Chunk(patience(t), "m", v, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	share, _ := c.Progress("m", 2)
+	g.Expect(share).To(Equal(0.25))
+	g.Expect(o.reads[0]).To(Equal(3))
+	_, err := c.Chunk(patience(t), "m", 2, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(o.reads[0]).To(Equal(3))
+}
+
+// Guards against a wait that outlasts its caller while the origin is away.
+func TestWaitEndsWithItsContext(t *testing.T) {
+	g := NewWithT(t)
+	c := pieces.NewCache(where, &origin{down: true}, &peers{}, logr.Discard())
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	started := time.Now()
+	_, err := c.Chunk(ctx, "m", 2, 0)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
+	reply := c.Serve(ctx, &message.WeightsRequest{Model: "m", Version: 2, Chunk: 0})
+	g.Expect(reply.Error).NotTo(BeEmpty())
+}
