--- a/internal/h1/conn_test.go
+++ b/internal/h1/conn_test.go
@@ -58,6 +58,7 @@
 		return "", nil, err
 	}
 	req := &h1.Request{Method: "POST", Target: "/a?b=%2F", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("x")}
+	//nolint:bodyclose // The connection is closed or put back instead.
 	resp, err := c.Do(ctx, req, wait, func(r *http.Response) bool { return r.Header.Get("Id") == id })
 	if err != nil {
 		c.Close()
@@ -203,6 +204,7 @@
 	c, err := p.Get(ctx, addr, false, time.Second)
 	g.Expect(err).NotTo(HaveOccurred())
 	long := &h1.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{"Id": {"1"}}, Body: make([]byte, 32<<20)}
+	//nolint:bodyclose // The connection is closed or put back instead.
 	resp, err := c.Do(ctx, long, time.Second, func(*http.Response) bool { return true })
 	g.Expect(err).NotTo(HaveOccurred())
 	body, err := io.ReadAll(resp.Body)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -80,7 +80,6 @@
 	links   map[string]*peer
 	dials   map[string]*dialState
 	kick    chan struct{}
-	sharing context.Context
 }
 
 type member struct {
@@ -177,7 +176,7 @@
 	m.mu.Unlock()
 	m.learn([]message.Member{memberOf(hello)})
 	m.cfg.Log.Info("link up", "peer", hello.NodeID, "data_centre", hello.DataCentre, "address", hello.Address)
-	go m.greet(p)
+	go m.greet(ctx, p)
 	err := conn.Serve(ctx, func(_ *link.Conn, msg message.Message) { m.handle(ctx, p, msg) })
 	m.mu.Lock()
 	if m.links[hello.NodeID] == p {
@@ -197,12 +196,15 @@
 }
 
 // greet sends all that this node knows on a new link.
-func (m *Mesh) greet(p *peer) {
-	ctx, cancel := context.WithTimeout(context.Background(), silenceTimeout)
+func (m *Mesh) greet(ctx context.Context, p *peer) {
+	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
 	defer cancel()
-	_ = p.conn.Send(ctx, &message.Members{Members: m.memberList()})
-	if m.cfg.Self.Role == message.RoleEntry {
-		_ = p.conn.Send(ctx, m.wholeState(p.hello))
+	err := p.conn.Send(ctx, &message.Members{Members: m.memberList()})
+	if err == nil && m.cfg.Self.Role == message.RoleEntry {
+		err = p.conn.Send(ctx, m.wholeState(p.hello))
+	}
+	if err != nil {
+		m.cfg.Log.V(1).Info("link failed before the first exchange", "peer", p.hello.NodeID, "cause", err.Error())
 	}
 }
 
--- a/internal/pieces/cache_test.go
+++ b/internal/pieces/cache_test.go
@@ -18,7 +18,9 @@
 	"github.com/pimentohead/pimentohead/internal/pieces"
 )
 
-func data(version int64, chunk int) []byte { return fmt.Appendf(nil, "chunk %d of version %d", chunk, version) }
+func data(version int64, chunk int) []byte {
+	return fmt.Appendf(nil, "chunk %d of version %d", chunk, version)
+}
 
 func digests(version int64, n int) []string {
 	var out []string
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -20,7 +20,9 @@
 	return placement.Query{Engine: engine(), Prompt: 800, Target: target, Left: 6 * time.Second}
 }
 
-func up(id string) *catalog.Upstream { return &catalog.Upstream{ID: id, Slots: 16, State: catalog.Ready} }
+func up(id string) *catalog.Upstream {
+	return &catalog.Upstream{ID: id, Slots: 16, State: catalog.Ready}
+}
 
 func reported(running, waiting int) placement.Work {
 	return placement.Work{Known: true, Running: running, Waiting: waiting, Ahead: 1, Age: 50 * time.Millisecond}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -119,6 +119,7 @@
 func (a *sent) exchange() result {
 	x := a.x
 	x.sends++
+	//nolint:bodyclose // Closing a body reads it to its end; the connection is closed or put back instead.
 	resp, err := a.conn.Do(x.ctx, a.encode(), a.headWait(), func(resp *http.Response) bool {
 		id := x.r.cfg.Codec.Answer(resp.StatusCode, resp.Header.Clone()).ID
 		return id == "" || id == x.meta.ID
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -270,8 +270,11 @@
 		"unsigned": func(nc net.Conn, r *http.Request) {
 			_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 x\r\nId: %s\r\nContent-Length: 4\r\n\r\nlies", r.Header.Get("Id"))
 		},
-		"garbage": func(nc net.Conn, _ *http.Request) { _, _ = io.WriteString(nc, "no answer at all\r\n\r\n"); _ = nc.Close() },
-		"silent":  func(net.Conn, *http.Request) { time.Sleep(2 * time.Second) },
+		"garbage": func(nc net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(nc, "no answer at all\r\n\r\n")
+			_ = nc.Close()
+		},
+		"silent": func(net.Conn, *http.Request) { time.Sleep(2 * time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
