Less urgent kinds leave room for urgent ones, with a floor for each kind

Change: placement.Floors limits the predicted wait of less urgent kinds to a part of the tightest target at the service, unless a kind is served less than 0.55 times as often as all. Waits are compared without the own prompt, so that long prompts are not refused more often. Late requests rank with the least urgent kind instead of last. A refusal without any upstream asks to return after 1.5 s, not 0.6 to 0.9 s: reloading takes 2.5 s. A silent stream is continued elsewhere after 0.85 s instead of 1.1 s.

--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 )
 
 // Index answers look-ups on one configuration. It is immutable and safe for concurrent use.
@@ -10,14 +11,21 @@
 	byHost    map[string][]*Route
 	byKey     map[string]*Customer
 	byService map[string]*Service
+	tightest  map[string]time.Duration
 }
 
 // NewIndex prepares look-ups on a configuration, which must not change afterwards.
 func NewIndex(c *Config) *Index {
-	x := &Index{Config: c, byHost: map[string][]*Route{}, byKey: map[string]*Customer{}, byService: map[string]*Service{}}
+	x := &Index{Config: c, byHost: map[string][]*Route{}, byKey: map[string]*Customer{}, byService: map[string]*Service{},
+		tightest: map[string]time.Duration{}}
 	for i := range c.Routes {
 		host := canonicalHost(c.Routes[i].Host)
 		x.byHost[host] = append(x.byHost[host], &c.Routes[i])
+		for _, t := range c.Routes[i].Targets {
+			if known := x.tightest[t.Service]; c.Routes[i].Target > 0 && (known == 0 || c.Routes[i].Target < known) {
+				x.tightest[t.Service] = c.Routes[i].Target
+			}
+		}
 	}
 	for i := range c.Customers {
 		for _, key := range c.Customers[i].Keys {
@@ -50,6 +58,9 @@
 // Service returns the service with the given name, or nil.
 func (x *Index) Service(name string) *Service { return x.byService[name] }
 
+// TightestTarget returns the shortest target of the routes to a service, 0 if none has one.
+func (x *Index) TightestTarget(service string) time.Duration { return x.tightest[service] }
+
 // PickTarget selects a service of the route by weight; draw is uniform in [0, 1).
 func (r *Route) PickTarget(draw float64) string {
 	total := 0.0
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -23,6 +23,9 @@
 	// minRetryAfter and maxRetryAfter bound when a refused caller should return. A caller waits at most a third of its time.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 1900 * time.Millisecond
+	// absentRetryAfter is when a caller should return while no upstream can take its request at all: servers that have lost
+	// their weights need 2.5 s for them. A caller that returns too soon has used up its only repeat.
+	absentRetryAfter = 1500 * time.Millisecond
 	// plainCost is the assumed time of a request at a plain service, for comparison only.
 	plainCost = 30 * time.Millisecond
 )
@@ -56,6 +59,8 @@
 	Target, Elapsed time.Duration
 	// Left is the time until the caller gives up.
 	Left time.Duration
+	// Room is the longest predicted wait with which the request is taken beside more urgent kinds; 0 is no such limit. See Floors.
+	Room time.Duration
 	// MustPlace tells that the request has begun and has to be continued somewhere: it is never refused for lack of room.
 	MustPlace bool
 }
@@ -75,15 +80,15 @@
 func Choose(q Query, candidates []Candidate) Decision {
 	candidates = preferSound(candidates)
 	if len(candidates) == 0 {
-		return Decision{Reason: NoUpstream, RetryAfter: jittered(minRetryAfter * 2)}
+		return Decision{Reason: NoUpstream, RetryAfter: jittered(absentRetryAfter)}
 	}
 	best, wait := shortest(q, onlyLocal(candidates))
 	if best.Upstream == nil || wait > time.Duration(float64(q.Target)*localShare) {
 		best, wait = shortest(q, candidates)
 	}
-	if limit := allowed(q); !q.MustPlace && wait > limit {
+	if limit := allowed(q); !q.MustPlace && usual(q, wait) > limit {
 		return Decision{Predicted: wait, Work: best.Work, Local: best.Local, Reason: NoRoom,
-			RetryAfter: jittered(min(max(wait-limit, minRetryAfter), maxRetryAfter/2))}
+			RetryAfter: jittered(min(max(wait-limit, minRetryAfter), maxRetryAfter))}
 	}
 	return Decision{Upstream: best.Upstream, Predicted: wait, Work: best.Work, Local: best.Local}
 }
@@ -127,6 +132,23 @@
 	if q.Engine == nil {
 		return q.Left
 	}
+	limit := inTimeLimit(q)
+	if q.Room > 0 {
+		limit = min(limit, q.Room)
+	}
+	return limit
+}
+
+// usual returns the wait that a request with a prompt of the usual size would have. Long prompts must not be refused more often
+// than short ones: they are worth more.
+func usual(q Query, wait time.Duration) time.Duration {
+	if q.Engine == nil {
+		return wait
+	}
+	return wait - seconds((q.Prompt-q.Engine.UsualPrompt)/max(q.Engine.ReadPerSecond, 1))
+}
+
+func inTimeLimit(q Query) time.Duration {
 	inTime := time.Duration(float64(q.Target)*targetShare) - q.Elapsed
 	if inTime > 0 && q.Elapsed < q.Target/2 {
 		return min(inTime, q.Left)
@@ -157,5 +179,5 @@
 
 // jittered spreads callers that are refused together, so that they do not return together.
 func jittered(d time.Duration) time.Duration {
-	return d + rand.N(d/2+1)
+	return min(d+rand.N(d/2+1), maxRetryAfter)
 }
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -98,5 +98,8 @@
 	if x.route != nil {
 		kind = x.route.Kind.String()
 	}
+	if x.engine != nil && outcome != "caller-left" {
+		x.r.cfg.Floors.Record(x.kind(), status > 0 && status < http.StatusMultipleChoices)
+	}
 	x.r.cfg.Metrics.Done(kind, x.rank, outcome, status, time.Since(x.received))
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -49,7 +49,7 @@
 	// the earliest.
 	firstEventWait = 2 * time.Second
 	// pauseWait is how long a stream may pause. Events come every 50 to 150 ms, a load of weights takes 300 ms.
-	pauseWait = 1100 * time.Millisecond
+	pauseWait = 850 * time.Millisecond
 	// plainPatience is the number of targets that an answer may take before it is tried elsewhere.
 	plainPatience = 2.5
 	// maxWholeAnswer is the largest answer that is read to its end before it is passed on, in bytes.
@@ -186,13 +186,13 @@
 }
 
 // upstreamRank is the urgency at the upstream. A stream that has begun comes first: its caller waits for the next event.
-// One that cannot be in time any more comes last.
+// One that cannot be in time any more comes after the other kinds of its customer's priority.
 func (x *exchange) upstreamRank() int {
 	switch {
 	case x.begun:
 		return 0
 	case x.elapsedBefore() > x.route.Target:
-		return routePriorities * routePriorities
+		return x.rank/routePriorities*routePriorities + routePriorities - 1
 	default:
 		return x.rank
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -48,6 +49,7 @@
 	Others  *loadview.WorkTable
 	Tracker *placement.Tracker
 	Pool    *h1.Pool
+	Floors  *placement.Floors
 	Budget  *Budget
 	Log     logr.Logger
 	Metrics *Metrics
@@ -247,7 +249,8 @@
 		}
 	}
 	q := placement.Query{Engine: x.engine, Prompt: float64(x.meta.PromptTokens), Target: x.route.Target,
-		Elapsed: now.Sub(x.received) + x.elapsedBefore(), Left: x.until.Sub(now), MustPlace: x.begun}
+		Elapsed: now.Sub(x.received) + x.elapsedBefore(), Left: x.until.Sub(now), MustPlace: x.begun,
+		Room: x.r.cfg.Floors.Room(x.kind(), x.route.Priority, x.snap.Index.TightestTarget(x.service))}
 	d := placement.Choose(q, list)
 	if d.Reason == placement.NoUpstream && seen > 0 {
 		d.Reason = placement.NoVersion
@@ -263,6 +266,11 @@
 	return x.route.Timeout - x.meta.Deadline
 }
 
+// kind is the kind of request for floors: routes of one service with equal priority and target are one kind.
+func (x *exchange) kind() string {
+	return x.service + "/" + strconv.Itoa(x.route.Priority) + "/" + x.route.Target.String()
+}
+
 // candidate describes an upstream, and returns false if it cannot take the request.
 func (x *exchange) candidate(u *catalog.Upstream, now time.Time) (placement.Candidate, bool) {
 	c := placement.Candidate{Upstream: u, Local: u.DataCentre == x.r.cfg.DataCentre,
--- a/internal/straight/entry.go
+++ b/internal/straight/entry.go
@@ -16,6 +16,7 @@
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pieces"
+	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/relay"
 	"github.com/pimentohead/pimentohead/internal/request"
 )
@@ -69,6 +70,7 @@
 	}
 	e.relay = relay.New(relay.Config{
 		Codec: cfg.Codec, State: p.state, Loads: p.loads, Others: p.others, Tracker: p.tracker, Pool: e.pool,
+		Floors: placement.NewFloors(nil),
 		Budget: relay.NewBudget(cfg.BudgetRatio, cfg.BudgetSlack, cfg.BudgetWindow, p.mesh.Entries, nil),
 		Log:    cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApply: cfg.VersionApply, Leaving: e.leaving.Load,
 	})
