--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,194 @@
+package mesh_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/mesh"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// node is one member of a mesh on loopback.
+type node struct {
+	*mesh.Mesh
+	id, addr string
+	state    *fleet.State
+	loads    *loadview.Table
+	others   *loadview.WorkTable
+	stop     context.CancelFunc
+}
+
+// options describe a node. seeds are link addresses; serve answers requests for weights.
+type options struct {
+	id, centre string
+	role       message.Role
+	addr       string
+	seeds      []string
+	work       []message.UpstreamWork
+	serve      func(context.Context, *message.WeightsRequest) *message.WeightsReply
+}
+
+func startNode(t *testing.T, o options) *node {
+	n := &node{id: o.id, state: fleet.NewState(nil), loads: loadview.NewTable(nil), others: loadview.NewWorkTable(nil), addr: o.addr}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	t.Cleanup(cancel)
+	var listener net.Listener
+	if o.role == message.RoleEntry {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listener, n.addr = l, l.Addr().String()
+		t.Cleanup(func() { _ = l.Close() })
+	}
+	cfg := mesh.Config{Self: message.Hello{NodeID: o.id, Role: o.role, DataCentre: o.centre, Region: o.centre, Address: n.addr,
+		Incarnation: uint64(time.Now().UnixNano())}, Secret: []byte("sixteen byte key"), Seeds: o.seeds, State: n.state, Loads: n.loads,
+		Log: logr.Discard(), ServeWeights: o.serve}
+	if o.role == message.RoleEntry {
+		cfg.Others, cfg.Work = n.others, func() []message.UpstreamWork { return o.work }
+	}
+	n.Mesh = mesh.New(cfg)
+	if listener != nil {
+		go n.Serve(ctx, listener)
+	}
+	go n.Run(ctx)
+	return n
+}
+
+func entryNode(t *testing.T, id, centre string, seeds ...string) *node {
+	return startNode(t, options{id: id, centre: centre, role: message.RoleEntry, seeds: seeds})
+}
+
+func configVersion(n *node) func() int64 {
+	return func() int64 {
+		if x := n.state.Snapshot().Index; x != nil {
+			return x.Config.Version
+		}
+		return 0
+	}
+}
+
+// Guards against nodes that learn nothing because only one of them reaches the store.
+func TestFactsReachAllNodes(t *testing.T) {
+	g := NewWithT(t)
+	a := entryNode(t, "a", "z1")
+	b := entryNode(t, "b", "z1", a.addr)
+	c := entryNode(t, "c", "z2", a.addr)
+	agent := startNode(t, options{id: "s", centre: "z2", role: message.RoleAgent, addr: "10.0.0.1:1", seeds: []string{a.addr}})
+	g.Eventually(b.LinkedEntries, "3s").Should(Equal(2), "b finds c through a")
+	g.Eventually(agent.LinkedEntries, "3s").Should(BeNumerically(">=", 1))
+	a.state.ApplyConfig(&catalog.Config{Version: 3, Routes: []catalog.Route{{Name: "r"}}, Services: []catalog.Service{{Name: "s"}}}, 9)
+	a.state.ApplyUpstream(fleet.Upstream{ID: "u", Revision: 10, Entry: &catalog.Upstream{ID: "u", Service: "s", DataCentre: "z1"}})
+	a.state.ApplyVersion(fleet.Version{NamedVersion: catalog.NamedVersion{Model: "m", Version: 2}, Revision: 11, Since: time.Now().Add(-3 * time.Second)})
+	a.state.SetFresh(time.Now())
+	for _, n := range []*node{b, c, agent} {
+		g.Eventually(configVersion(n), "3s").Should(Equal(int64(3)), n.id)
+		g.Eventually(func() *catalog.Upstream { return n.state.Snapshot().ByID("u") }, "2s").ShouldNot(BeNil(), n.id)
+		v, ok := n.state.Snapshot().Newest("m")
+		g.Expect(ok).To(BeTrue())
+		g.Expect(time.Since(v.Since)).To(BeNumerically("~", 3500*time.Millisecond, time.Second), "the age goes along")
+	}
+	g.Expect(agent.state.Snapshot().Index.Config.Routes).To(BeEmpty(), "agents need no routes")
+	g.Eventually(func() bool { _, known := c.state.Freshness(); return known }, "2s").Should(BeTrue())
+}
+
+// Guards against all entries of a data centre watching the store, and against none when the one that does is gone.
+func TestOneEntryOfADataCentreWatches(t *testing.T) {
+	g := NewWithT(t)
+	a := entryNode(t, "a", "z1")
+	b := entryNode(t, "b", "z1", a.addr)
+	g.Eventually(a.LinkedEntries, "3s").Should(Equal(1))
+	a.state.SetFresh(time.Now())
+	b.state.SetFresh(time.Now())
+	watching := func() (n int) {
+		for _, x := range []*node{a, b} {
+			if x.Watches() {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(watching()).To(Equal(1))
+	g.Eventually(watching, "3s").Should(Equal(2), "nobody is current any more")
+	last, first := a, b
+	if a.Watches() {
+		last, first = b, a
+	}
+	last.state.SetFresh(time.Now())
+	first.stop()
+	g.Eventually(last.Watches, "3s").Should(BeTrue())
+}
+
+// Guards against work of other entries that is not counted.
+func TestEntriesShareTheirWork(t *testing.T) {
+	g := NewWithT(t)
+	a := startNode(t, options{id: "a", centre: "z1", role: message.RoleEntry, work: []message.UpstreamWork{{ID: "u", Running: 3, Waiting: 2, Tokens: 900}}})
+	b := entryNode(t, "b", "z1", a.addr)
+	g.Eventually(func() message.UpstreamWork { return b.others.At("u") }, "3s").Should(Equal(message.UpstreamWork{ID: "u", Running: 3, Waiting: 2, Tokens: 900}))
+}
+
+// Guards against several copies out of the origin: in each data centre one entry leads for a chunk, and only the leader of the
+// origin's data centre reads the origin.
+func TestWeightsHaveOneLeader(t *testing.T) {
+	g := NewWithT(t)
+	a := entryNode(t, "a", "z1")
+	b := entryNode(t, "b", "z1", a.addr)
+	c := entryNode(t, "c", "z2", a.addr)
+	g.Eventually(func() int { return a.LinkedEntries() + b.LinkedEntries() + c.LinkedEntries() }, "3s").Should(Equal(6))
+	readers := 0
+	for chunk := range 20 {
+		leaders := 0
+		for _, n := range []*node{a, b} {
+			if n.Leads("m", 2, chunk) {
+				leaders++
+			}
+			if len(n.WeightPeers("z1", "m", 2, chunk)) == 0 {
+				readers++
+			}
+		}
+		g.Expect(leaders).To(Equal(1))
+		g.Expect(c.WeightPeers("z1", "m", 2, chunk)).NotTo(BeEmpty(), "another data centre reads from the origin's")
+	}
+	g.Expect(readers).To(Equal(20))
+}
+
+// Guards against a request for weights that waits for a node that is gone, or that hides its error.
+func TestFetchWeights(t *testing.T) {
+	g := NewWithT(t)
+	a := startNode(t, options{id: "a", centre: "z1", role: message.RoleEntry, serve: func(ctx context.Context, q *message.WeightsRequest) *message.WeightsReply {
+		switch q.Chunk {
+		case 0:
+			return &message.WeightsReply{Data: []byte("weights")}
+		case 1:
+			return &message.WeightsReply{Error: "none"}
+		default:
+			<-ctx.Done()
+			return &message.WeightsReply{Error: "too late"}
+		}
+	}})
+	b := entryNode(t, "b", "z1", a.addr)
+	g.Eventually(b.LinkedEntries, "3s").Should(Equal(1))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := b.FetchWeights(ctx, "a", "m", 1, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(reply.Data)).To(Equal("weights"))
+	_, err = b.FetchWeights(ctx, "a", "m", 1, 1)
+	g.Expect(err).To(MatchError(mesh.ErrWeights))
+	_, err = b.FetchWeights(ctx, "nobody", "m", 1, 0)
+	g.Expect(err).To(MatchError(mesh.ErrWeights))
+	go func() { time.Sleep(100 * time.Millisecond); a.stop() }()
+	started := time.Now()
+	_, err = b.FetchWeights(ctx, "a", "m", 1, 2)
+	g.Expect(err).To(MatchError(mesh.ErrWeights))
+	g.Expect(time.Since(started)).To(BeNumerically("<", 3*time.Second))
+}
