--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -35,7 +35,7 @@
 
 func commands() []command {
 	return []command{
-		initCommand(), generateCommand(), explainCommand(), validateCommand(), diffCommand(), submitCommand(),
+		initCommand(), generateCommand(), explainCommand(), explainRequestCommand(), validateCommand(), diffCommand(), submitCommand(),
 		statusCommand(), rolloutCommand(), drainCommand(), historyCommand(), keyCommand(),
 	}
 }
@@ -103,7 +103,7 @@
 func usage(w io.Writer) {
 	fmt.Fprint(w, "pimentoctl generates, checks and submits fleet configurations and shows the fleet.\n\nSubcommands:\n")
 	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-9s %s\n", c.name, c.summary)
+		fmt.Fprintf(w, "  %-15s %s\n", c.name, c.summary)
 	}
 	fmt.Fprint(w, `
 pimentoctl SUBCOMMAND -help shows flags and examples.
