--- a/bench/main.go
+++ b/bench/main.go
@@ -29,6 +29,8 @@
 	seed     int64
 	baseline bool
 	verbose  bool
+	// plot is a directory for plots, empty for none.
+	plot string
 	// nodes is the size of the fleet, 0 for the scenario's own.
 	nodes int
 }
@@ -52,6 +54,7 @@
 	flags.Int64Var(&opts.seed, "seed", 1, "seed of the load and of the faults")
 	flags.BoolVar(&opts.baseline, "baseline", false, "also run with the measured mechanism switched off")
 	flags.BoolVar(&opts.verbose, "v", false, "print the logs of the processes to standard error")
+	flags.StringVar(&opts.plot, "plot", "", "`directory` for plots (scenario heavy)")
 	flags.IntVar(&opts.nodes, "n", 0, "size of the fleet; 0 is the scenario's own")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
