--- a/internal/testbed/address.go
+++ b/internal/testbed/address.go
@@ -39,6 +39,24 @@
 	return nil, errors.Wrap(last, "testbed: reserve a loopback address")
 }
 
+// Addresses gives out ports of one loopback IP address that nothing else uses at the same time.
+type Addresses struct{ inner *addresses }
+
+// ReserveAddresses returns an IP address of its own.
+func ReserveAddresses() (*Addresses, error) {
+	inner, err := reserveAddresses()
+	return &Addresses{inner}, err
+}
+
+// IP returns the address without a port.
+func (a *Addresses) IP() string { return a.inner.ip }
+
+// Take returns the next address with a port.
+func (a *Addresses) Take() string { return a.inner.take() }
+
+// Release lets others use the address.
+func (a *Addresses) Release() { a.inner.release() }
+
 // take returns the next address.
 func (a *addresses) take() string {
 	a.next++
--- a/internal/testbed/build.go
+++ b/internal/testbed/build.go
@@ -41,6 +41,12 @@
 	return dir, nil
 }
 
+// Daemon builds the programs on the first call and returns the path of pimentoheadd.
+func Daemon() (string, error) {
+	dir, err := binaryDirectory()
+	return filepath.Join(dir, "pimentoheadd"), err
+}
+
 // RemoveBinaries deletes the built programs. Call it after the last test, for example in TestMain.
 func RemoveBinaries() {
 	binaries.mu.Lock()
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -33,7 +33,9 @@
 	Name string
 	path string
 	args []string
-	log  string
+	// env is added to the environment of this process.
+	env []string
+	log string
 
 	// mu guards cmd, ended and paused.
 	mu     sync.Mutex
@@ -42,6 +44,11 @@
 	paused bool
 }
 
+// NewProcess describes a program that is not started yet. env is added to the environment; log is the file for its output.
+func NewProcess(name, path string, args, env []string, log string) *Process {
+	return &Process{Name: name, path: path, args: args, env: env, log: log}
+}
+
 // Start starts the process; it must not be running.
 func (p *Process) Start() error {
 	p.mu.Lock()
@@ -56,6 +63,7 @@
 	defer func() { _ = log.Close() }()     // The child has its own descriptor.
 	cmd := exec.Command(p.path, p.args...) //nolint:gosec // a program that was built here
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), p.env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
 	launches() <- func() { started <- cmd.Start() }
