--- a/internal/simulate/engine.go
+++ b/internal/simulate/engine.go
@@ -16,9 +16,7 @@
 	arrived time.Duration
 	// unread are prompt tokens that are not read yet, unwritten answer tokens that are not written yet.
 	unread, unwritten float64
-	// last is when the newest event was written, 0 before the first.
-	last time.Duration
-	gone bool
+	gone              bool
 }
 
 // engine runs the published pass: it admits by rank, reads prompts in chunks beside the steps, and writes Stride tokens of each
--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/xml"
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -79,7 +80,7 @@
 	d := xml.NewDecoder(strings.NewReader(b.String()))
 	for {
 		_, err := d.Token()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		g.Expect(err).NotTo(HaveOccurred())
--- a/soak/world.go
+++ b/soak/world.go
@@ -114,7 +114,7 @@
 }
 
 // configure writes the next configuration. It has one route whose path names its version.
-func (w *world) configure() int64 {
+func (w *world) configure() {
 	version := w.config.Add(1)
 	route := func(name, prefix, kind, service string, extra map[string]any) map[string]any {
 		r := map[string]any{"name": name, "host": "h.example", "prefix": prefix, "route_kind": kind, "timeout_ms": 4000,
@@ -137,7 +137,6 @@
 			map[string]any{"name": "desk"},
 			map[string]any{"name": "weights", "origin": w.proxies["origin"].Address(), "zone": zone(0), "link_mbps": 100}},
 		"tenants": []any{map[string]any{"name": "t", "api_keys": []string{"k"}}}})
-	return version
 }
 
 // announce writes all servers into the list, as they do themselves.
