mesh: a node without links dials every 0.2 s; begun requests are placed also without room

Change: pauses stay at 0.2 s while there is no link; a request that has run is placed like a begun stream. Test fails without the change.

--- a/internal/mesh/dial.go
+++ b/internal/mesh/dial.go
@@ -104,6 +104,15 @@
 	return false
 }
 
+// longestPause bounds the pause between attempts. A node without any link tries often: after a loss of power all nodes start at
+// about the same time, and agents cannot load weights before they have found an entry. The caller holds mu.
+func (m *Mesh) longestPause() time.Duration {
+	if len(m.links) == 0 {
+		return dialInterval
+	}
+	return maxDialPause
+}
+
 // startDial dials an address unless it is being dialled or has to wait.
 func (m *Mesh) startDial(ctx context.Context, address string) {
 	if address == m.cfg.Self.Address || address == "" {
@@ -126,7 +135,7 @@
 		m.mu.Lock()
 		state.busy = false
 		if err != nil {
-			state.pause = min(max(2*state.pause, dialInterval), maxDialPause)
+			state.pause = min(max(2*state.pause, dialInterval), m.longestPause())
 			state.next = time.Now().Add(state.pause/2 + jitterOf(address+m.cfg.Self.NodeID)/2)
 		} else {
 			state.pause, state.next = 0, time.Now().Add(dialInterval)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -192,3 +192,25 @@
 	g.Expect(err).To(MatchError(mesh.ErrWeights))
 	g.Expect(time.Since(started)).To(BeNumerically("<", 3*time.Second))
 }
+
+// Pattern: after a loss of power agents start before entries. They are linked within a third of a second of the entry's start, as
+// loading weights waits for that. Trace: an agent that had doubled its pauses found the entry 0.5 s after it was up.
+func TestIsolatedAgentFindsLateEntrySoon(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	seed := l.Addr().String()
+	g.Expect(l.Close()).To(Succeed())
+	agent := startNode(t, options{id: "s", centre: "z1", role: message.RoleAgent, addr: "10.0.0.1:1", seeds: []string{seed}})
+	time.Sleep(2500 * time.Millisecond)
+	entry := mesh.New(mesh.Config{Self: message.Hello{NodeID: "a", Role: message.RoleEntry, DataCentre: "z1", Address: seed, Incarnation: 1},
+		Secret: []byte("sixteen byte key"), State: fleet.NewState(nil), Loads: loadview.NewTable(nil), Log: logr.Discard(),
+		Work: func() []message.UpstreamWork { return nil }})
+	l, err = net.Listen("tcp", seed)
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	go entry.Serve(ctx, l)
+	g.Eventually(agent.LinkedEntries, "450ms", "10ms").Should(Equal(1))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -249,7 +249,7 @@
 		}
 	}
 	q := placement.Query{Engine: x.engine, Prompt: float64(x.meta.PromptTokens), Target: x.route.Target,
-		Elapsed: now.Sub(x.received) + x.elapsedBefore(), Left: x.until.Sub(now), MustPlace: x.begun,
+		Elapsed: now.Sub(x.received) + x.elapsedBefore(), Left: x.until.Sub(now), MustPlace: x.begun || x.runs > 0,
 		Room: x.r.cfg.Floors.Room(x.kind(), x.route.Priority, x.snap.Index.TightestTarget(x.service))}
 	d := placement.Choose(q, list)
 	if d.Reason == placement.NoUpstream && seen > 0 {
