Leave out upstreams whose machine is silent

Change: an upstream of which neither its agent's report (0.75 s, 1.5 s from other data centres) nor an event was heard is a suspect.

--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -63,6 +63,8 @@
 	until    time.Time
 	pause    time.Duration
 	used     time.Time
+	// heard is when the newest event or answer came.
+	heard time.Time
 	// replaced tells that another upstream had the address when the announcement replacedAt was the newest.
 	replaced   bool
 	replacedAt int64
@@ -107,6 +109,27 @@
 	a.started = true
 }
 
+// Heard records an event or the head of an answer.
+func (a *Attempt) Heard() {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	a.t.get(a.upstream).heard = a.t.now()
+}
+
+// HeardAge returns the time since the newest event or answer of an upstream came to this node.
+func (t *Tracker) HeardAge(upstream string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.ups[upstream]
+	if u == nil || u.heard.IsZero() {
+		return silence
+	}
+	return t.now().Sub(u.heard)
+}
+
+// silence stands for the age of an event that never came.
+const silence = time.Hour
+
 // End records the outcome. Only the first call counts.
 func (a *Attempt) End(o Outcome) {
 	a.t.mu.Lock()
--- a/internal/placement/tracker_test.go
+++ b/internal/placement/tracker_test.go
@@ -60,6 +60,18 @@
 	g.Expect(tr.Replaced("b", 1)).To(BeFalse())
 }
 
+// Pattern: a machine stands still. Its upstream is left out as soon as neither reports nor events come, not only when requests fail.
+func TestHeardAge(t *testing.T) {
+	g := NewWithT(t)
+	c := newClock()
+	tr := placement.NewTracker(c.now)
+	g.Expect(tr.HeardAge("a")).To(BeNumerically(">", time.Minute))
+	a := tr.Begin("a", 0, 10)
+	a.Heard()
+	c.at = c.at.Add(300 * time.Millisecond)
+	g.Expect(tr.HeardAge("a")).To(Equal(300 * time.Millisecond))
+}
+
 // Guards against own requests that are counted twice or not at all beside a report.
 func TestFillAndExportCountOwnWork(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -285,7 +285,7 @@
 	known = known && age < loadRetention && (load.Born == 0 || u.Born == 0 || load.Born == u.Born)
 	if known {
 		c.Work = placement.Work{Known: true, Running: load.Active, Waiting: load.Queued, Age: age, Pace: load.Pace}
-		c.Suspect = c.Suspect || load.Down
+		c.Suspect = c.Suspect || load.Down || x.silent(u, c.Local, age)
 	}
 	reported := now.Add(-age)
 	if !known {
@@ -312,7 +312,21 @@
 	return c, holdsWhole(models, x.meta.Model, x.engine.Layers, required)
 }
 
+// silent tells whether neither the agent beside an upstream nor the upstream itself has been heard of for too long: its machine stands
+// still or is cut off. An upstream whose agent alone is gone goes on serving.
+func (x *exchange) silent(u *catalog.Upstream, local bool, loadAge time.Duration) bool {
+	limit := silentAfter
+	if !local {
+		limit = remoteSilentAfter
+	}
+	return loadAge > limit && x.r.cfg.Tracker.HeardAge(u.ID) > limit
+}
+
 const (
+	// silentAfter is longer than the time between two reports of an agent, remoteSilentAfter than that with the way over other
+	// entries.
+	silentAfter       = 750 * time.Millisecond
+	remoteSilentAfter = 1500 * time.Millisecond
 	// loadRetention is the age up to which a load describes an upstream.
 	loadRetention = 3 * time.Second
 	// swapBelief is the age up to which an upstream is believed to load weights.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -46,6 +46,9 @@
 		var passed int
 		var perr error
 		pending, passed, perr = x.passEvents(resp, pending)
+		if passed > 0 {
+			a.track.Heard()
+		}
 		if passed > 0 && firstWait {
 			firstWait, first = false, time.Since(a.started)
 			a.track.Started()
