mesh: two speakers of a data centre tell the others

Each of 33 entries sent the loads of its data centre (2 KB) every 0.4 s over four links, its freshness every 0.3 s, and each change of the list.

Change: the two first-ranked entries of a data centre speak to others; who hears them passes it on in its own data centre. Freshness goes out every 0.9 s there.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -32,6 +32,8 @@
 	maxDialPause = 2 * time.Second
 	// freshInterval is the time between statements of how current a node is.
 	freshInterval = 300 * time.Millisecond
+	// freshRemoteRounds is the number of rounds after which other data centres are told too.
+	freshRemoteRounds = 3
 	// loadInterval is the time between load messages to other data centres. They cross narrow links.
 	loadInterval = 400 * time.Millisecond
 	// maxLocalLinks bounds the links of an entry to entries of its own data centre, remoteLinks those to each other one.
@@ -216,10 +218,12 @@
 	case *message.FleetState:
 		m.mergeState(p, msg)
 	case *message.UpstreamLoads:
+		m.relayLocally(p, passedOn(msg))
 		m.cfg.Loads.Apply(msg.Loads)
 	case *message.EntryWork:
 		if m.cfg.Others != nil {
 			m.cfg.Others.Apply(msg)
+			m.relayLocally(p, msg)
 		}
 	case *message.WeightsRequest:
 		if m.cfg.ServeWeights != nil {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -136,6 +136,32 @@
 	g.Eventually(func() message.UpstreamWork { return b.others.At("u") }, "3s").Should(Equal(message.UpstreamWork{ID: "u", Running: 3, Waiting: 2, Tokens: 900}))
 }
 
+// Guards against entries that know nothing of another data centre because only its speakers talk, and only to some.
+func TestLoadsReachEntriesOfOtherDataCentres(t *testing.T) {
+	g := NewWithT(t)
+	a := entryNode(t, "a", "z1")
+	all := []*node{a}
+	for _, id := range []string{"b", "c", "d"} {
+		all = append(all, entryNode(t, id, "z1", a.addr))
+	}
+	var far []*node
+	for _, id := range []string{"x", "y", "z"} {
+		far = append(far, entryNode(t, id, "z2", a.addr))
+	}
+	agent := startNode(t, options{id: "s", centre: "z1", role: message.RoleAgent, addr: "10.0.0.1:1", seeds: []string{a.addr}})
+	for _, n := range append(append([]*node(nil), all...), far...) {
+		n.state.ApplyUpstream(fleet.Upstream{ID: "u", Revision: 1, Entry: &catalog.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:1", DataCentre: "z1"}})
+	}
+	g.Eventually(agent.LinkedEntries, "3s").Should(Equal(4))
+	for _, n := range far {
+		g.Eventually(func() int {
+			agent.ReportLoad(message.UpstreamLoad{Address: "10.0.0.1:1", Active: 7})
+			load, _, _ := n.loads.Get("10.0.0.1:1")
+			return load.Active
+		}, "4s", "100ms").Should(Equal(7), n.id)
+	}
+}
+
 // Guards against several copies out of the origin: in each data centre one entry leads for a chunk, and only the leader of the
 // origin's data centre reads the origin.
 func TestWeightsHaveOneLeader(t *testing.T) {
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -101,11 +101,36 @@
 		}
 		local, remote, agents := m.collect(first)
 		m.broadcast(local, m.isLocalEntry)
-		m.broadcast(remote, m.isRemoteEntry)
+		if m.speaks() {
+			m.broadcast(remote, m.isRemoteEntry)
+		}
 		m.broadcast(agents, isAgent)
 	}
 }
 
+// speakers is the number of entries of a data centre that tell the others what goes on in it. Links between regions are narrow and
+// dear; all entries together would send everything many times.
+const speakers = 2
+
+// speaks tells whether this entry is a speaker of its data centre.
+func (m *Mesh) speaks() bool {
+	own := rank("speak", m.cfg.Self.NodeID)
+	before := 0
+	for _, p := range m.peers(m.isLocalEntry) {
+		if rank("speak", p.hello.NodeID) > own {
+			before++
+		}
+	}
+	return before < speakers
+}
+
+// relayLocally passes on to the own data centre what an entry of another one has said.
+func (m *Mesh) relayLocally(p *peer, msg message.Message) {
+	if m.isRemoteEntry(p) {
+		go m.broadcast(msg, m.isLocalEntry)
+	}
+}
+
 func (m *Mesh) isLocalEntry(p *peer) bool {
 	return isEntry(p) && p.hello.DataCentre == m.cfg.Self.DataCentre
 }
@@ -197,6 +222,7 @@
 func (m *Mesh) shareFreshness(ctx context.Context) {
 	ticker := time.NewTicker(freshInterval)
 	defer ticker.Stop()
+	rounds := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -204,8 +230,12 @@
 		case <-ticker.C:
 			msg := &message.FleetState{}
 			m.addFreshness(msg)
-			if msg.Fresh {
-				m.broadcast(msg, isEntry)
+			if !msg.Fresh {
+				continue
+			}
+			m.broadcast(msg, m.isLocalEntry)
+			if rounds++; rounds%freshRemoteRounds == 0 && m.speaks() {
+				m.broadcast(msg, m.isRemoteEntry)
 			}
 		}
 	}
@@ -221,7 +251,7 @@
 			return
 		case <-ticker.C:
 			loads := m.ownLoads()
-			if len(loads) > 0 {
+			if len(loads) > 0 && m.speaks() {
 				m.broadcast(&message.UpstreamLoads{Loads: loads}, m.isRemoteEntry)
 			}
 		}
@@ -234,7 +264,7 @@
 	// workRepeat is the time after which an unchanged statement is made again, workRemote the time between statements to other
 	// data centres.
 	workRepeat = 600 * time.Millisecond
-	workRemote = 200 * time.Millisecond
+	workRemote = 300 * time.Millisecond
 )
 
 // shareWork tells other entries what this one has in progress. Other data centres are told of their own upstreams only.
@@ -243,6 +273,7 @@
 	defer ticker.Stop()
 	var last []message.UpstreamWork
 	var sent, sentRemote time.Time
+	toldRemote := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -254,8 +285,8 @@
 			}
 			last, sent = work, now
 			m.broadcast(&message.EntryWork{NodeID: m.cfg.Self.NodeID, Work: work}, m.isLocalEntry)
-			if remote := m.remoteWork(work); len(remote) > 0 && now.Sub(sentRemote) >= workRemote {
-				sentRemote = now
+			if remote := m.remoteWork(work); (len(remote) > 0 || toldRemote) && now.Sub(sentRemote) >= workRemote {
+				sentRemote, toldRemote = now, len(remote) > 0
 				m.broadcast(&message.EntryWork{NodeID: m.cfg.Self.NodeID, Work: remote}, m.isRemoteEntry)
 			}
 		}
@@ -300,3 +331,8 @@
 func (m *Mesh) ReportLoad(l message.UpstreamLoad) {
 	m.broadcast(&message.UpstreamLoads{Loads: []message.UpstreamLoad{l}}, isEntry)
 }
+
+// passedOn copies a message so that it can be sent while its original is merged.
+func passedOn(msg *message.UpstreamLoads) *message.UpstreamLoads {
+	return &message.UpstreamLoads{Loads: append([]message.UpstreamLoad(nil), msg.Loads...)}
+}
