Less urgent kinds are limited only while urgent ones miss their targets

Change: Floors.Room is 0 unless other kinds are in time in less than 85 of 100; untold work of other data centres counts 0.6.

--- a/internal/placement/floors.go
+++ b/internal/placement/floors.go
@@ -14,6 +14,8 @@
 	floorShare = 0.55
 	// floorAsked is the number of requests in the window that make a share meaningful.
 	floorAsked = 5
+	// pressedShare is the share of requests in time below which other kinds count as pressed.
+	pressedShare = 0.85
 )
 
 // roomShare is the part of the tightest target at a service that a request may have to wait, by the priority of its route. The
@@ -32,8 +34,8 @@
 
 // served counts requests with weights that fade.
 type served struct {
-	asked, served float64
-	at            time.Time
+	asked, served, inTime float64
+	at                    time.Time
 }
 
 // NewFloors returns empty floors. now is the clock; nil selects time.Now.
@@ -44,8 +46,8 @@
 	return &Floors{now: now, kinds: map[string]*served{}}
 }
 
-// Record counts the final answer of a request of a kind.
-func (f *Floors) Record(kind string, wasServed bool) {
+// Record counts the final answer of a request of a kind, and whether it began within its target.
+func (f *Floors) Record(kind string, wasServed, inTime bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.kinds[kind]
@@ -58,17 +60,20 @@
 	if wasServed {
 		k.served++
 	}
+	if inTime {
+		k.inTime++
+	}
 }
 
 func (k *served) fade(now time.Time) {
 	rest := math.Exp(-float64(now.Sub(k.at)) / float64(floorWindow))
-	k.asked, k.served, k.at = k.asked*rest, k.served*rest, now
+	k.asked, k.served, k.inTime, k.at = k.asked*rest, k.served*rest, k.inTime*rest, now
 }
 
-// Room returns the longest wait with which a request of a kind is taken beside more urgent ones, 0 if there is no limit. tightest is
-// the shortest target at the service.
+// Room returns the longest wait with which a request of a kind is taken beside more urgent ones, 0 if there is no limit. There is one
+// only while other kinds miss their targets. tightest is the shortest target at the service.
 func (f *Floors) Room(kind string, priority int, tightest time.Duration) time.Duration {
-	if priority <= 0 || tightest <= 0 || f.starved(kind) {
+	if priority <= 0 || tightest <= 0 || !f.pressed(kind) || f.starved(kind) {
 		return 0
 	}
 	share := roomShare[min(priority, len(roomShare)-1)]
@@ -88,3 +93,18 @@
 	k := f.kinds[kind]
 	return k != nil && k.asked >= floorAsked && asked > 0 && k.served/k.asked < floorShare*got/asked
 }
+
+// pressed tells whether other kinds miss their targets.
+func (f *Floors) pressed(kind string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var asked, inTime float64
+	for name, k := range f.kinds {
+		if name != kind {
+			k.fade(f.now())
+			asked += k.asked
+			inTime += k.inTime
+		}
+	}
+	return asked >= floorAsked && inTime < pressedShare*asked
+}
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -49,7 +49,7 @@
 	// Entries have sent requests that they have not told of, about as many as the engine ends in that time.
 	share := untold
 	if w.Remote {
-		share = 1
+		share = untoldRemote
 	}
 	unseen := min(float64(w.Age)/float64(slotInterval(e))*share, slots)
 	total += unseen
@@ -74,6 +74,9 @@
 // untold is the part of the requests sent since a report that neither this entry nor another one of the data centre has told of.
 const untold = 0.3
 
+// untoldRemote is the same for upstreams of other data centres, whose entries tell of their work with a delay.
+const untoldRemote = 0.6
+
 // minAhead is the least share of unread prompts that count: one that is being read is read to its end.
 const minAhead = 0.25
 
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -99,7 +99,8 @@
 		kind = x.route.Kind.String()
 	}
 	if x.engine != nil && outcome != "caller-left" {
-		x.r.cfg.Floors.Record(x.kind(), status > 0 && status < http.StatusMultipleChoices)
+		served := status > 0 && status < http.StatusMultipleChoices
+		x.r.cfg.Floors.Record(x.kind(), served, served && x.firstEvent+x.elapsedBefore() <= x.route.Target)
 	}
 	x.r.cfg.Metrics.Done(kind, x.rank, outcome, status, time.Since(x.received))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,6 +94,8 @@
 	decision placement.Decision
 	// begun tells that the head of the answer is out.
 	begun bool
+	// firstEvent is the time until the answer began.
+	firstEvent time.Duration
 	// events is the progress of a stream.
 	events progress
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -96,6 +96,7 @@
 	x.head(resp)
 	x.w.WriteHeader(resp.StatusCode)
 	x.begun = true
+	x.firstEvent = time.Since(x.received)
 }
 
 // passEvents sends the whole events at the start of data and returns the rest with the number of events passed on.
--- a/internal/simulate/run.go
+++ b/internal/simulate/run.go
@@ -311,7 +311,7 @@
 
 func (r *request) refuse(after time.Duration) {
 	left := r.asked + r.kind.Deadline - r.w.now
-	r.entry.floors.Record(r.kind.Name, false)
+	r.entry.floors.Record(r.kind.Name, false, false)
 	if r.attempt > 1 || left <= 0 {
 		r.ended = true
 		r.w.tally.refused(r)
@@ -360,7 +360,7 @@
 	}
 	r.ended = true
 	r.track.End(placement.Succeeded)
-	r.entry.floors.Record(r.kind.Name, true)
+	r.entry.floors.Record(r.kind.Name, true, r.first-r.asked <= r.kind.Target)
 	r.w.tally.served(r)
 }
 
