soak: a fault that ends a process waits for that life only

Cause: seed 37 hung: a stopped process was started again by another fault before the first one asked for its end. A fault of the harness; the seed is kept.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -21,8 +21,9 @@
 	{"agent killed", func(w *world, rng *rand.Rand) func() { return killed(w.agents[rng.IntN(len(w.agents))]) }},
 	{"entry stopped", func(w *world, rng *rand.Rand) func() {
 		n := w.entries[rng.IntN(len(w.entries))]
-		go func() { _ = n.Stop(4 * time.Second) }()
-		return func() { <-n.Ended(); _ = n.Start() }
+		ended := n.Ended()
+		go func() { _ = n.Stop(stopPatience) }()
+		return again(n, ended)
 	}},
 	{"entry paused", func(w *world, rng *rand.Rand) func() {
 		n := w.entries[rng.IntN(len(w.entries))]
@@ -91,10 +92,21 @@
 }
 
 func killed(n *node) func() {
+	ended := n.Ended()
 	n.Kill()
+	return again(n, ended)
+}
+
+// stopPatience is how long a process may take to stop before it is killed.
+const stopPatience = 4 * time.Second
+
+// again starts a process once the life that was ended is over. Another fault may have started it before.
+func again(n *node, ended <-chan struct{}) func() {
 	return func() {
-		<-n.Ended()
-		_ = n.Start() // Another fault may have started it already.
+		<-ended
+		if !n.Running() {
+			_ = n.Start() // Lost against another fault that starts it at the same moment.
+		}
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,7 +16,8 @@
 
 // keptSeeds are seeds that once failed, with the cause, and one that never did.
 var keptSeeds = map[uint64]string{
-	1: "no failure so far; covers stops, pauses, a silent and a refusing store, a version and a configuration",
+	37: "the harness waited for the end of a process that another fault had started again",
+	1:  "no failure so far; covers stops, pauses, a silent and a refusing store, a version and a configuration",
 }
 
 // Guards against promises that hold only while nothing fails: at-most-once, true refusals, whole answers, return to full service.
