Weights after restarts come from entries that hold them; changes of the list are read together

Change: the leader for a chunk first asks two entries of its data centre for what they hold; an entry that restarts during a rollout reads ahead what it leads for; a watch pauses 0.12 s after changes of the list.

--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -21,6 +21,9 @@
 	// pollWait is how long one poll waits for changes. It bounds the time in which a silent connection goes unnoticed; the other
 	// data centres watch too and pass on what they see.
 	pollWait = 3 * time.Second
+	// changePause is the pause after changes of the list of upstreams, so that several changes come in one call: calls are priced, and
+	// the list changes often when upstreams are replaced.
+	changePause = 120 * time.Millisecond
 	// idlePause is the time between looks at whether this node should watch.
 	idlePause = 50 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call.
@@ -163,6 +166,9 @@
 	}
 	w.revision = next
 	w.markFresh(w.prefix.Name)
+	if len(events) > 0 && w.prefix.Upstreams {
+		pause(ctx, changePause)
+	}
 	return nil
 }
 
--- a/internal/mesh/weights.go
+++ b/internal/mesh/weights.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/pieces"
 )
 
 // ErrWeights means that a node did not hand out weights.
@@ -84,7 +85,8 @@
 }
 
 // FetchWeights asks a linked node for a chunk or a manifest. It returns ErrWeights when the node is not linked or has none.
-func (m *Mesh) FetchWeights(ctx context.Context, nodeID, model string, version int64, chunk int) (*message.WeightsReply, error) {
+func (m *Mesh) FetchWeights(ctx context.Context, from pieces.Source, model string, version int64, chunk int) (*message.WeightsReply, error) {
+	nodeID := from.NodeID
 	m.mu.Lock()
 	p := m.links[nodeID]
 	m.mu.Unlock()
@@ -93,7 +95,7 @@
 	}
 	seq, ch := m.pending.add(p)
 	defer m.pending.remove(seq)
-	if err := p.conn.Send(ctx, &message.WeightsRequest{Seq: seq, Model: model, Version: version, Chunk: chunk}); err != nil {
+	if err := p.conn.Send(ctx, &message.WeightsRequest{Seq: seq, Model: model, Version: version, Chunk: chunk, HeldOnly: from.HeldOnly}); err != nil {
 		return nil, errors.Mark(err, ErrWeights)
 	}
 	select {
@@ -113,7 +115,7 @@
 // In each data centre one entry is the leader for a chunk. It reads from an agent beside an upstream that has the version, else
 // from an entry of the origin's data centre; the other entries read from it. The leader of the origin's data centre reads the
 // origin. Each chunk has its own leader, so that the entries share the work.
-func (m *Mesh) WeightPeers(originCentre, model string, version int64, chunk int) []string {
+func (m *Mesh) WeightPeers(originCentre, model string, version int64, chunk int) []pieces.Source {
 	purpose := chunkPurpose(model, version, chunk)
 	own := m.cfg.Self.DataCentre
 	local := m.peers(func(p *peer) bool { return isEntry(p) && p.hello.DataCentre == own })
@@ -133,10 +135,8 @@
 	if len(above) > 0 {
 		return ranked(above, purpose)
 	}
-	out := ranked(m.holders(model, version), purpose)
-	if len(out) > maxHolders {
-		out = out[:maxHolders]
-	}
+	out := heldOnly(ranked(local, purpose))
+	out = append(out, first(maxHolders, ranked(m.holders(model, version), purpose))...)
 	if own == originCentre {
 		return out
 	}
@@ -159,7 +159,7 @@
 	return true
 }
 
-// maxHolders bounds the agents that are asked for one chunk before another source.
+// maxHolders bounds the entries, and the agents, that are asked for one chunk before another source.
 const maxHolders = 2
 
 // holders returns the linked agents of the own data centre whose upstream has loaded a version: what it has loaded is staged
@@ -185,13 +185,25 @@
 // holderAge is the age up to which a load tells what an upstream has loaded.
 const holderAge = 2 * time.Second
 
-func ranked(list []*peer, purpose string) []string {
+// heldOnly turns the first nodes into sources that are asked for what they hold: after a restart the leader gets back from them what
+// it had handed out.
+func heldOnly(list []pieces.Source) []pieces.Source {
+	list = first(maxHolders, list)
+	for i := range list {
+		list[i].HeldOnly = true
+	}
+	return list
+}
+
+func first(n int, list []pieces.Source) []pieces.Source { return list[:min(n, len(list))] }
+
+func ranked(list []*peer, purpose string) []pieces.Source {
 	sort.Slice(list, func(i, j int) bool {
 		return rank(purpose, list[i].hello.NodeID) > rank(purpose, list[j].hello.NodeID)
 	})
-	out := make([]string, 0, len(list))
+	out := make([]pieces.Source, 0, len(list))
 	for _, p := range list {
-		out = append(out, p.hello.NodeID)
+		out = append(out, pieces.Source{NodeID: p.hello.NodeID})
 	}
 	return out
 }
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -101,6 +101,8 @@
 	Model   string `msgpack:"m"`
 	Version int64  `msgpack:"v"`
 	Chunk   int    `msgpack:"c"`
+	// HeldOnly asks for what the node holds already; it reads nothing for the sender.
+	HeldOnly bool `msgpack:"h,omitempty"`
 }
 
 // WeightsReply answers a WeightsRequest. Error is empty on success.
--- a/internal/pieces/cache.go
+++ b/internal/pieces/cache.go
@@ -46,9 +46,16 @@
 // Peers reads weights from other nodes.
 type Peers interface {
 	// WeightPeers returns the nodes to ask for a chunk, the best first; none if this node should read the origin.
-	WeightPeers(originCentre, model string, version int64, chunk int) []string
+	WeightPeers(originCentre, model string, version int64, chunk int) []Source
 	// FetchWeights asks one node.
-	FetchWeights(ctx context.Context, nodeID, model string, version int64, chunk int) (*message.WeightsReply, error)
+	FetchWeights(ctx context.Context, from Source, model string, version int64, chunk int) (*message.WeightsReply, error)
+}
+
+// Source is a node to ask for weights.
+type Source struct {
+	NodeID string
+	// HeldOnly asks only for what the node holds already.
+	HeldOnly bool
 }
 
 // Cache is safe for concurrent use.
@@ -210,9 +217,9 @@
 		return errors.WithStack(ErrNoOrigin)
 	}
 	var last error
-	for _, id := range c.peers.WeightPeers(at.DataCentre, v.model, v.number, chunk) {
+	for _, from := range c.peers.WeightPeers(at.DataCentre, v.model, v.number, chunk) {
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-		reply, err := c.peers.FetchWeights(ctx, id, v.model, v.number, chunk)
+		reply, err := c.peers.FetchWeights(ctx, from, v.model, v.number, chunk)
 		cancel()
 		if err == nil {
 			err = c.keep(v, chunk, reply.Digests, reply.Data)
@@ -305,11 +312,23 @@
 	return len(digests) > 0
 }
 
+// has tells whether a chunk or the digests are held.
+func (c *Cache) has(model string, number int64, chunk int) bool {
+	v := c.version(model, number)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.holds(chunk)
+}
+
 // Serve answers a request of another node.
 func (c *Cache) Serve(ctx context.Context, q *message.WeightsRequest) *message.WeightsReply {
 	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
 	defer cancel()
 	reply := &message.WeightsReply{}
+	if q.HeldOnly && !c.has(q.Model, q.Version, q.Chunk) {
+		reply.Error = "not held"
+		return reply
+	}
 	var err error
 	if q.Chunk == message.WholeManifest {
 		reply.Digests, err = c.Manifest(ctx, q.Model, q.Version)
--- a/internal/straight/entry.go
+++ b/internal/straight/entry.go
@@ -252,10 +252,8 @@
 	return out
 }
 
-// freshlyNamed is the age up to which a version is read ahead: agents are about to ask for it. An older one is loaded already.
-const freshlyNamed = 3 * time.Second
-
-// prefetchChunks reads a newly named version before agents ask for it, the chunks that this entry leads for first of all.
+// prefetchChunks reads a version that is being rolled out before agents ask for it: the chunks that this entry leads for. A version
+// whose time for a rollout has passed is loaded already.
 func (e *Entry) prefetchChunks(ctx context.Context) {
 	changed := e.state.Changed()
 	begun := map[string]int64{}
@@ -267,7 +265,7 @@
 		}
 		for model, version := range e.wantedVersions() {
 			v, ok := e.state.Snapshot().Newest(model)
-			if !ok || begun[model] >= version || time.Since(v.Since) > freshlyNamed {
+			if !ok || begun[model] >= version || time.Since(v.Since) > e.VersionApply {
 				continue
 			}
 			begun[model] = version
