--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -14,6 +14,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 )
 
@@ -130,12 +131,12 @@
 	for ctx.Err() == nil {
 		if w.first && !w.active() {
 			w.revision, w.failingSince = 0, time.Time{}
-			pause(ctx, idlePause)
+			pause.For(ctx, idlePause)
 			continue
 		}
 		if err := w.step(ctx); err != nil && ctx.Err() == nil {
 			w.failed(err)
-			pause(ctx, w.backoff/2+rand.N(w.backoff))
+			pause.For(ctx, w.backoff/2+rand.N(w.backoff))
 		}
 	}
 }
@@ -167,7 +168,7 @@
 	w.revision = next
 	w.markFresh(w.prefix.Name)
 	if len(events) > 0 && w.prefix.Upstreams {
-		pause(ctx, changePause)
+		pause.For(ctx, changePause)
 	}
 	return nil
 }
@@ -262,12 +263,3 @@
 	}
 	w.log.Info("store is back", "prefix", w.prefix.Name, "away_ms", away.Milliseconds())
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/pieces"
 )
 
@@ -153,7 +154,7 @@
 func (l *Loader) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.ask(ctx)
-		pause(ctx, reportInterval)
+		pause.For(ctx, reportInterval)
 	}
 }
 
@@ -220,12 +221,12 @@
 			l.prepare(ctx, target)
 		}
 		if !up || !ok || report.Holds(target.Model, target.Version, target.Layers) {
-			pause(ctx, loadingInterval)
+			pause.For(ctx, loadingInterval)
 			continue
 		}
 		if err := l.bring(ctx, target, report); err != nil && ctx.Err() == nil {
 			l.log.Info("load failed, trying again", "model", target.Model, "version", target.Version, "cause", err.Error())
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 }
@@ -239,7 +240,7 @@
 			if _, up := l.current(); up {
 				cancel(errAbandoned)
 			}
-			pause(ctx, loadingInterval)
+			pause.For(ctx, loadingInterval)
 		}
 	}()
 	l.fetch(ctx, target)
@@ -296,7 +297,7 @@
 			cancel(errAbandoned)
 			return
 		}
-		pause(ctx, loadingInterval)
+		pause.For(ctx, loadingInterval)
 	}
 }
 
@@ -355,14 +356,14 @@
 		return nil
 	}
 	turn := target.Named.Add(target.Turn)
-	pause(ctx, time.Until(turn.Add(-target.DrainLead)))
+	pause.For(ctx, time.Until(turn.Add(-target.DrainLead)))
 	if ctx.Err() == nil {
 		l.setSwapping(true)
 		l.ask(ctx)
 		if err := l.stage(ctx, target); err != nil {
 			return err
 		}
-		pause(ctx, time.Until(turn))
+		pause.For(ctx, time.Until(turn))
 	}
 	return ctx.Err()
 }
@@ -398,7 +399,7 @@
 func (l *Loader) awaitLoad(ctx context.Context, target Target, before int64) error {
 	started := time.Now()
 	for time.Since(started) < orderPatience {
-		pause(ctx, loadingInterval)
+		pause.For(ctx, loadingInterval)
 		l.ask(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -417,15 +418,3 @@
 	}
 	return errors.New("loader: the order takes too long")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/pause"
 )
 
 const (
@@ -146,7 +147,7 @@
 				return
 			}
 			m.cfg.Log.Error(err, "accept of a link failed", "address", listener.Addr().String())
-			wait(ctx, dialInterval)
+			pause.For(ctx, dialInterval)
 			continue
 		}
 		go func() {
@@ -346,12 +347,3 @@
 	}
 	return err.Error()
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/straight/agent.go
+++ b/internal/straight/agent.go
@@ -12,6 +12,7 @@
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/loader"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/pieces"
 	"github.com/pimentohead/pimentohead/internal/relay"
 )
@@ -84,7 +85,7 @@
 // discover looks in the store only after the seeds had time to answer.
 func (a *Agent) discover(r *registry) func(context.Context) {
 	return func(ctx context.Context) {
-		sleep(ctx, isolationCheck)
+		pause.For(ctx, isolationCheck)
 		r.discover(ctx)
 	}
 }
--- a/internal/straight/entry.go
+++ b/internal/straight/entry.go
@@ -15,6 +15,7 @@
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/pieces"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/relay"
@@ -165,7 +166,7 @@
 // sweep closes connections that have been idle for too long, on both sides.
 func (e *Entry) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, sweepInterval)
+		pause.For(ctx, sweepInterval)
 		e.pool.Sweep()
 		if index := e.state.Snapshot().Index; index != nil && index.Config.Limits.IdleTimeout > 0 {
 			e.conns.closeIdle(index.Config.Limits.IdleTimeout)
--- a/internal/straight/node.go
+++ b/internal/straight/node.go
@@ -17,6 +17,7 @@
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/pieces"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
@@ -110,7 +111,7 @@
 			return l, nil
 		}
 		last = err
-		sleep(ctx, interval)
+		pause.For(ctx, interval)
 	}
 	return nil, errors.Wrapf(last, "straight: listen on %s", address)
 }
--- a/internal/straight/registry.go
+++ b/internal/straight/registry.go
@@ -10,6 +10,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 )
 
@@ -48,10 +49,10 @@
 			}
 		}
 		if err != nil {
-			sleep(ctx, registryRetry)
+			pause.For(ctx, registryRetry)
 			continue
 		}
-		sleep(ctx, registryRenew)
+		pause.For(ctx, registryRenew)
 	}
 	if lease != 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), registryRetry)
@@ -90,7 +91,7 @@
 				first = false
 			}
 		}
-		sleep(ctx, isolationCheck)
+		pause.For(ctx, isolationCheck)
 	}
 }
 
@@ -111,12 +112,3 @@
 	r.mesh.Learn(members)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/testbed/address.go
+++ b/internal/testbed/address.go
@@ -18,47 +18,30 @@
 	firstOctet, octets = 10, 200
 )
 
-// addresses gives out ports of one loopback IP address that no other test bed uses at the same time. Ports of 127.0.0.1 could be
+// Addresses gives out ports of one loopback IP address that no other test bed uses at the same time. Ports of 127.0.0.1 could be
 // taken by other processes between their choice and their use.
-type addresses struct {
+type Addresses struct {
 	reservation net.Listener
 	ip          string
 	next        int
 }
 
-func reserveAddresses() (*addresses, error) {
+// ReserveAddresses returns an IP address of its own.
+func ReserveAddresses() (*Addresses, error) {
 	var last error
 	for range maxReservationTries {
 		ip := fmt.Sprintf("127.%d.%d.%d", firstOctet+rand.IntN(octets), 1+rand.IntN(250), 1+rand.IntN(250))
 		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, reservationPort))
 		if err == nil {
-			return &addresses{reservation: listener, ip: ip, next: firstPort}, nil
+			return &Addresses{reservation: listener, ip: ip, next: firstPort}, nil
 		}
 		last = err
 	}
 	return nil, errors.Wrap(last, "testbed: reserve a loopback address")
 }
 
-// Addresses gives out ports of one loopback IP address that nothing else uses at the same time.
-type Addresses struct{ inner *addresses }
-
-// ReserveAddresses returns an IP address of its own.
-func ReserveAddresses() (*Addresses, error) {
-	inner, err := reserveAddresses()
-	return &Addresses{inner}, err
-}
-
-// IP returns the address without a port.
-func (a *Addresses) IP() string { return a.inner.ip }
-
 // Take returns the next address with a port.
-func (a *Addresses) Take() string { return a.inner.take() }
-
-// Release lets others use the address.
-func (a *Addresses) Release() { a.inner.release() }
-
-// take returns the next address.
-func (a *addresses) take() string {
+func (a *Addresses) Take() string {
 	a.next++
 	if a.next > lastPort {
 		panic("testbed: more addresses than ports")
@@ -66,4 +49,5 @@
 	return fmt.Sprintf("%s:%d", a.ip, a.next)
 }
 
-func (a *addresses) release() { _ = a.reservation.Close() } // It is released with the process at the latest.
+// Release lets others use the address.
+func (a *Addresses) Release() { _ = a.reservation.Close() } // It is released with the process at the latest.
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -27,7 +27,7 @@
 	fleet       Fleet
 	dir         string
 	binaries    string
-	addresses   *addresses
+	addresses   *Addresses
 	nodes       []*Node
 	processes   map[string]*Process
 	order       []string
@@ -94,7 +94,7 @@
 	if b.dir, err = os.MkdirTemp("", "pimentohead-bed-"); err != nil {
 		return err
 	}
-	if b.addresses, err = reserveAddresses(); err != nil {
+	if b.addresses, err = ReserveAddresses(); err != nil {
 		return err
 	}
 	if err := b.plan(); err != nil {
@@ -193,7 +193,7 @@
 		proxy.Close()
 	}
 	if b.addresses != nil {
-		b.addresses.release()
+		b.addresses.Release()
 	}
 	b.client.CloseIdleConnections()
 	if b.dir != "" {
--- a/internal/testbed/bed_test.go
+++ b/internal/testbed/bed_test.go
@@ -34,7 +34,7 @@
 // Guards against settings that the daemon refuses, and against parts that are connected past their proxies.
 func TestSettingsOfAllRolesAreValid(t *testing.T) {
 	g := NewWithT(t)
-	addresses, err := reserveAddresses()
+	addresses, err := ReserveAddresses()
 	g.Expect(err).NotTo(HaveOccurred())
 	bed := &Bed{
 		addresses: addresses, processes: map[string]*Process{}, fakes: map[string]string{}, places: map[string]place{},
--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -77,14 +77,14 @@
 func (b *Bed) newEntry(id string, dc DataCentre) *Node {
 	return &Node{
 		ID: id, Role: message.RoleEntry, DataCentre: dc.Name, Region: dc.Region,
-		Admin: b.addresses.take(), Caller: b.addresses.take(), Link: b.addresses.take(), endpoints: make(map[string]string),
+		Admin: b.addresses.Take(), Caller: b.addresses.Take(), Link: b.addresses.Take(), endpoints: make(map[string]string),
 	}
 }
 
 func (b *Bed) newAgent(id, upstream, kind string, dc DataCentre) *Node {
 	n := &Node{
 		ID: id, Role: message.RoleAgent, DataCentre: dc.Name, Region: dc.Region, Kind: kind, Upstream: upstream,
-		Admin: b.addresses.take(), endpoints: make(map[string]string),
+		Admin: b.addresses.Take(), endpoints: make(map[string]string),
 	}
 	where := place{dc.Name, dc.Region}
 	journal := "-journal=" + b.journalPath(upstream)
@@ -92,7 +92,7 @@
 		b.addFake(upstream, where, "service", journal, fmt.Sprintf("-duration=%s", b.fleet.ServiceDuration))
 		return n
 	}
-	n.Link, n.Weights = b.addresses.take(), b.addresses.take()
+	n.Link, n.Weights = b.addresses.Take(), b.addresses.Take()
 	b.addFake(upstream, where, "engine", append(b.fleet.Engine.flags(), journal)...)
 	return n
 }
@@ -116,7 +116,7 @@
 
 // addFake plans one stand-in.
 func (b *Bed) addFake(name string, where place, command string, flags ...string) {
-	address := b.addresses.take()
+	address := b.addresses.Take()
 	b.fakes[name], b.places[name] = address, where
 	b.addProcess(name, "pimentofake", append([]string{command, "-address=" + address}, flags...))
 }
@@ -139,7 +139,7 @@
 	for _, name := range names {
 		address := b.fakes[name]
 		if b.fleet.Proxies {
-			proxy, err := faultproxy.New(b.addresses.take(), address, n.source())
+			proxy, err := faultproxy.New(b.addresses.Take(), address, n.source())
 			if err != nil {
 				return err
 			}
@@ -152,7 +152,7 @@
 	if !b.fleet.Proxies || n.Link == "" {
 		return nil
 	}
-	proxy, err := faultproxy.NewLink(b.addresses.take(), n.Link)
+	proxy, err := faultproxy.NewLink(b.addresses.Take(), n.Link)
 	if err != nil {
 		return err
 	}
--- a/soak/play.go
+++ b/soak/play.go
@@ -106,7 +106,7 @@
 		return t
 	}
 	req.Host = "h.example"
-	platform.StandInRequest(req.Header, t.id, "k", "m", callPatience)
+	platform.SetCallerHeaders(req.Header, t.id, "k", "m", callPatience)
 	resp, err := client.Do(req)
 	if err != nil {
 		return t
