relay: the time that a caller has waited is learned from callers, not from the route's limit

Cause: elapsed time was the route's time limit less the caller's deadline. The operator changes limits (config_change timeout): over the callers' patience of 6 s every new request counts as late, loses its rank and is refused at 0.5 s; under it, returning callers count as new.

Change: the usual deadline of a kind, found by majority vote, less the deadline of the request.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -191,7 +191,7 @@
 	switch {
 	case x.begun:
 		return 0
-	case x.elapsedBefore() > x.route.Target:
+	case x.waited > x.route.Target:
 		return x.rank/routePriorities*routePriorities + routePriorities - 1
 	default:
 		return x.rank
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,7 +62,10 @@
 }
 
 // Relay is the handler for callers.
-type Relay struct{ cfg Config }
+type Relay struct {
+	cfg      Config
+	patience patience
+}
 
 // New returns a Relay.
 func New(cfg Config) *Relay { return &Relay{cfg: cfg} }
@@ -82,6 +85,8 @@
 	rank     int
 	snap     *fleet.Snapshot
 	received time.Time
+	// waited is the time that the caller had waited before this attempt of its.
+	waited time.Duration
 	// until is when the caller or the route gives up.
 	until time.Time
 
@@ -147,6 +152,7 @@
 			x.until = earlier(x.until, x.received.Add(limit))
 		}
 	}
+	x.waited = x.r.patience.waited(x.kind(), x.meta.Deadline)
 	return x.readBody(index.Config.Limits.MaxBodyBytes)
 }
 
@@ -251,7 +257,7 @@
 		}
 	}
 	q := placement.Query{Engine: x.engine, Prompt: float64(x.meta.PromptTokens), Target: x.route.Target,
-		Elapsed: now.Sub(x.received) + x.elapsedBefore(), Left: x.until.Sub(now), MustPlace: x.begun || x.runs > 0,
+		Elapsed: now.Sub(x.received) + x.waited, Left: x.until.Sub(now), MustPlace: x.begun || x.runs > 0,
 		Room: x.r.cfg.Floors.Room(x.kind(), x.route.Priority, x.snap.Index.TightestTarget(x.service))}
 	d := placement.Choose(q, list)
 	if d.Reason == placement.NoUpstream && seen > 0 {
@@ -260,14 +266,6 @@
 	return d
 }
 
-// elapsedBefore returns the time that the caller had waited before this attempt of its: the deadline shrinks on a later one.
-func (x *exchange) elapsedBefore() time.Duration {
-	if x.meta.Deadline <= 0 || x.route.Timeout <= 0 || x.meta.Deadline >= x.route.Timeout {
-		return 0
-	}
-	return x.route.Timeout - x.meta.Deadline
-}
-
 // kind is the kind of request for floors: routes of one service with equal priority and target are one kind.
 func (x *exchange) kind() string {
 	return x.service + "/" + strconv.Itoa(x.route.Priority) + "/" + x.route.Target.String()
