Tests that failed once on a busy machine: log that never blocks, restart of crashed upstreams

Cause 1: TestLogNeverBlocksAndCountsWhatItDrops read the count of dropped lines while part of it was already in a line that the stuck reader held (3,736 instead of over 5,000). It now accounts for each of the 10,000 lines: written, counted in a line, or not yet reported. Cause 2: test/requests, crash spec: the end of the second crashed process was noticed after the last restart, which then waited for five upstreams in vain (goroutine dump: line 55 with 4 of 5 serving; the same lateness is handled earlier in the spec). restart now starts what is noticed later too, and fails on more than the two crashes that one request may cause. Traced by reading; not reproduced.

--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -1,8 +1,8 @@
 package telemetry_test
 
 import (
+	"encoding/json"
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,13 +39,21 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	g.Expect(time.Since(started)).To(BeNumerically("<", 2*time.Second))
-	dropped := w.Dropped()
-	g.Expect(dropped).To(BeNumerically(">", lines/2))
 	close(out.release)
 	w.Close(5 * time.Second)
 	out.mu.Lock()
 	defer out.mu.Unlock()
-	all := strings.Join(out.lines, "")
-	g.Expect(all).To(ContainSubstring(fmt.Sprintf(`"count":%d`, dropped)))
-	g.Expect(out.lines).To(HaveLen(lines - int(dropped) + 1))
+	passed, dropped := 0, 0
+	for _, line := range out.lines {
+		var count struct {
+			Count int `json:"count"`
+		}
+		if json.Unmarshal([]byte(line), &count) == nil {
+			dropped += count.Count
+		} else {
+			passed++
+		}
+	}
+	g.Expect(passed+dropped+int(w.Dropped())).To(Equal(lines), "every line is written or counted")
+	g.Expect(dropped + int(w.Dropped())).To(BeNumerically(">", lines/2))
 }
--- a/test/requests/crash_test.go
+++ b/test/requests/crash_test.go
@@ -47,12 +47,19 @@
 		}
 		return running, crashed
 	}
+	// restart starts what has crashed, also what is noticed only now, and fails if more has crashed than one request may.
 	restart := func(ctx context.Context) {
-		_, crashed := upstreams()
-		for _, name := range crashed {
-			Expect(bed.Process(name).Start()).To(Succeed())
-		}
-		Eventually(func() int { return serving(ctx, bed, "entry-1") }).WithContext(ctx).WithTimeout(wait).Should(Equal(5))
+		const mostCrashes = 2
+		started := 0
+		Eventually(func(g Gomega) {
+			_, crashed := upstreams()
+			for _, name := range crashed {
+				g.Expect(bed.Process(name).Start()).To(Succeed())
+				started++
+			}
+			g.Expect(serving(ctx, bed, "entry-1")).To(Equal(5))
+		}).WithContext(ctx).WithTimeout(wait).Should(Succeed())
+		Expect(started).To(BeNumerically("<=", mostCrashes))
 	}
 	call := func(ctx context.Context, entry string, r testbed.Request) string {
 		r.Entry = entry
