mesh: held chunks are not asked for while a version spreads

A data centre was cut off at 33.5 s before the others had the last chunks.

Change: nobody is asked in the first 4 s after the naming.

--- a/internal/mesh/weights.go
+++ b/internal/mesh/weights.go
@@ -135,7 +135,10 @@
 	if len(above) > 0 {
 		return ranked(above, purpose)
 	}
-	out := heldOnly(ranked(local, purpose))
+	var out []pieces.Source
+	if v, ok := m.cfg.State.Snapshot().Newest(model); !ok || time.Since(v.Since) > spreadingTime {
+		out = heldOnly(ranked(local, purpose))
+	}
 	out = append(out, first(maxHolders, ranked(m.holders(model, version), purpose))...)
 	if own == originCentre {
 		return out
@@ -159,6 +162,10 @@
 	return true
 }
 
+// spreadingTime is the time after the naming of a version in which nobody holds a chunk before its leader does. To ask would only
+// cost a wait behind the chunks that are on their way.
+const spreadingTime = 4 * time.Second
+
 // maxHolders bounds the entries, and the agents, that are asked for one chunk before another source.
 const maxHolders = 2
 
