--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -237,8 +237,10 @@
 	defer cancel(nil)
 	go func() {
 		for ctx.Err() == nil {
-			if _, up := l.current(); up {
+			now, ok := l.target()
+			if _, up := l.current(); up || !ok || now.Version != target.Version || now.Model != target.Model {
 				cancel(errAbandoned)
+				return
 			}
 			pause.For(ctx, loadingInterval)
 		}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -109,6 +109,8 @@
 type weights struct {
 	mu    sync.Mutex
 	reads int
+	// newest is the highest version that was read.
+	newest int64
 	// block holds back a version until it is closed.
 	block map[int64]chan struct{}
 }
@@ -124,6 +126,7 @@
 func (w *weights) Chunk(ctx context.Context, _ string, version int64, chunk int) ([]byte, error) {
 	w.mu.Lock()
 	w.reads++
+	w.newest = max(w.newest, version)
 	block := w.block[version]
 	w.mu.Unlock()
 	if block != nil {
@@ -185,6 +188,18 @@
 	g.Eventually(func() int { w.mu.Lock(); defer w.mu.Unlock(); return w.reads }, "3s").Should(BeNumerically(">=", chunks))
 }
 
+// Pattern: after a loss of power an agent learns the named version late. It must not go on asking for the version that it assumed, which
+// nobody has any more. Trace: 557 failed reads of version 1 in 18 s at one entry.
+func TestFetchBeforeTheServerAnswersFollowsTheTarget(t *testing.T) {
+	g := NewWithT(t)
+	e, want, w := &engine{born: 1, dead: true}, &wanted{}, &weights{block: map[int64]chan struct{}{1: make(chan struct{})}}
+	want.set(1)
+	start(t, e, w, want)
+	g.Eventually(func() int { w.mu.Lock(); defer w.mu.Unlock(); return w.reads }, "3s").Should(BeNumerically(">", 0))
+	want.set(2)
+	g.Eventually(func() int64 { w.mu.Lock(); defer w.mu.Unlock(); return w.newest }, "3s").Should(Equal(int64(2)))
+}
+
 // Guards against weights that turned bad while they lay staged: what does not fit is staged again before the order.
 func TestSpoiltStagedChunkIsMended(t *testing.T) {
 	g := NewWithT(t)
