--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -39,6 +39,15 @@
 	g.Expect(d.Upstream.ID).To(Equal("busy"))
 }
 
+// Pattern: the same, seen in the prediction: unread prompts of other entries are read first.
+func TestUnreadPromptsOfOtherEntriesAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	w := reported(8, 0)
+	alone := placement.FirstEvent(engine(), w, 500)
+	w.OthersTokens = 10 * 977
+	g.Expect(placement.FirstEvent(engine(), w, 500)).To(BeNumerically(">=", alone+500*time.Millisecond), "9,770 tokens take 511 ms")
+}
+
 // Pattern: a burst over the capacity. Callers that were refused come back late; if they may fill the queues, callers that could
 // still be in time are refused, come back late too, and everybody is late for as long as the load lasts.
 func TestLateRequestsDoNotKeepQueuesFull(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -320,6 +320,22 @@
 	g.Expect(half.requests()).NotTo(BeEmpty())
 }
 
+// Guards against a stream without a length that ends within an event and looks whole.
+func TestUnframedStreamThatEndsWithinAnEventGoesOnElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	half := newUpstream(t, "u1", func(nc net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 x\r\nId: %s\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n%sid: 2\nda", r.Header.Get("Id"), event(1))
+		_ = nc.Close()
+	})
+	e := newEntry(t, half, newUpstream(t, "u2", streams(3)))
+	for range 4 {
+		a := e.send(context.Background(), "/stream/", nil)
+		g.Expect(a.err).NotTo(HaveOccurred())
+		g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
+	}
+	g.Expect(half.requests()).NotTo(BeEmpty())
+}
+
 // Guards against a stream that looks whole though its end is missing, where it may not be continued.
 func TestStreamThatCannotBeContinuedIsBrokenOff(t *testing.T) {
 	g := NewWithT(t)
