straight: entries read every newest version ahead, also the first one and after a restart

All agents of a data centre asked for the same two chunks at a time through three hops and finished together, 2.8 s after their start, against 2.0 s that their own link needs. Change: prefetcher, a module of its own, reads the chunks that an entry leads for of each newest version, 1.5 s after the start of the process. Before the traffic they come from agents whose servers hold the version, not from the origin.

--- a/internal/straight/entry.go
+++ b/internal/straight/entry.go
@@ -94,9 +94,10 @@
 		return err
 	}
 	var wg sync.WaitGroup
+	ahead := &prefetcher{state: e.state, cache: e.cache, leads: e.mesh.Leads, settle: settleTime}
 	registry := &registry{store: e.Store, list: e.Store, mesh: e.mesh, self: e.self, log: e.Log}
 	for _, duty := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Documents).Run, registry.announce, registry.discover,
-		e.sweep, e.serveMetrics, e.prefetchDigests, e.prefetchChunks} {
+		e.sweep, e.serveMetrics, ahead.digests, ahead.chunks} {
 		wg.Add(1)
 		go func() { defer wg.Done(); duty(base) }()
 	}
@@ -205,91 +206,3 @@
 		}
 	}
 }
-
-// prefetchDigests reads the digests of the versions in use, so that weights can be verified also while the origin is away.
-func (e *Entry) prefetchDigests(ctx context.Context) {
-	changed := e.state.Changed()
-	have := map[string]int64{}
-	for {
-		for model, version := range e.wantedVersions() {
-			if have[model] == version {
-				continue
-			}
-			attempt, cancel := context.WithTimeout(ctx, digestPatience)
-			if _, err := e.cache.Manifest(attempt, model, version); err == nil {
-				have[model] = version
-			}
-			cancel()
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
-// digestPatience bounds one try to read digests; the next change of the catalog starts another one.
-const digestPatience = 3 * time.Second
-
-// wantedVersions returns the newest version of each model of the configuration.
-func (e *Entry) wantedVersions() map[string]int64 {
-	snap := e.state.Snapshot()
-	out := map[string]int64{}
-	if snap.Index == nil {
-		return out
-	}
-	for _, service := range snap.Index.Config.Services {
-		if service.Engine == nil {
-			continue
-		}
-		for _, model := range service.Engine.Models {
-			out[model] = firstVersion
-			if v, ok := snap.Newest(model); ok {
-				out[model] = v.Version
-			}
-		}
-	}
-	return out
-}
-
-// prefetchChunks reads a version that is being rolled out before agents ask for it: the chunks that this entry leads for. A version
-// whose time for a rollout has passed is loaded already.
-func (e *Entry) prefetchChunks(ctx context.Context) {
-	changed := e.state.Changed()
-	begun := map[string]int64{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-		for model, version := range e.wantedVersions() {
-			v, ok := e.state.Snapshot().Newest(model)
-			if !ok || begun[model] >= version || time.Since(v.Since) > e.VersionApply {
-				continue
-			}
-			begun[model] = version
-			go e.readAhead(ctx, model, version)
-		}
-	}
-}
-
-// readAhead reads the chunks of a version in order until a newer one is named.
-func (e *Entry) readAhead(ctx context.Context, model string, version int64) {
-	digests, err := e.cache.Manifest(ctx, model, version)
-	if err != nil {
-		return // The process is stopping.
-	}
-	for chunk := range digests {
-		if e.wantedVersions()[model] != version {
-			return
-		}
-		if !e.mesh.Leads(model, version, chunk) {
-			continue
-		}
-		if _, err := e.cache.Chunk(ctx, model, version, chunk); err != nil {
-			return
-		}
-	}
-}
--- /dev/null
+++ b/internal/straight/prefetch.go
@@ -0,0 +1,116 @@
+package straight
+
+import (
+	"context"
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/pause"
+)
+
+const (
+	// digestPatience bounds one try to read digests; the next change of the catalog starts another one.
+	digestPatience = 3 * time.Second
+	// settleTime is how long after its start an entry waits for links before it reads chunks ahead: without links each entry takes
+	// itself for the leader of all chunks. Links are up within a second.
+	settleTime = 1500 * time.Millisecond
+)
+
+// weightsCache is the part of a cache that reading ahead needs. Both calls try until ctx ends.
+type weightsCache interface {
+	Manifest(ctx context.Context, model string, version int64) ([]string, error)
+	Chunk(ctx context.Context, model string, version int64, chunk int) ([]byte, error)
+}
+
+// prefetcher reads weights into the cache of an entry before agents ask for them.
+type prefetcher struct {
+	state *fleet.State
+	cache weightsCache
+	// leads tells whether this entry is the one of its data centre that reads a chunk for the others.
+	leads  func(model string, version int64, chunk int) bool
+	settle time.Duration
+}
+
+// digests reads the digests of the versions in use, so that weights can be verified also while the origin is away.
+func (p *prefetcher) digests(ctx context.Context) {
+	changed := p.state.Changed()
+	have := map[string]int64{}
+	for {
+		for model, version := range p.wantedVersions() {
+			if have[model] == version {
+				continue
+			}
+			attempt, cancel := context.WithTimeout(ctx, digestPatience)
+			if _, err := p.cache.Manifest(attempt, model, version); err == nil {
+				have[model] = version
+			}
+			cancel()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// chunks reads the chunks that this entry leads for, of each newest version: of one that is being rolled out, of one that was rolled
+// out before this process began, as all upstreams may have lost it, and of the first one, which added upstreams need.
+func (p *prefetcher) chunks(ctx context.Context) {
+	changed := p.state.Changed()
+	pause.For(ctx, p.settle)
+	begun := map[string]int64{}
+	for {
+		for model, version := range p.wantedVersions() {
+			if begun[model] < version {
+				begun[model] = version
+				go p.readAhead(ctx, model, version)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// readAhead reads the chunks of a version in order until a newer one is named.
+func (p *prefetcher) readAhead(ctx context.Context, model string, version int64) {
+	digests, err := p.cache.Manifest(ctx, model, version)
+	if err != nil {
+		return // The process is stopping.
+	}
+	for chunk := range digests {
+		if p.wantedVersions()[model] != version {
+			return
+		}
+		if !p.leads(model, version, chunk) {
+			continue
+		}
+		if _, err := p.cache.Chunk(ctx, model, version, chunk); err != nil {
+			return
+		}
+	}
+}
+
+// wantedVersions returns the newest version of each model of the configuration.
+func (p *prefetcher) wantedVersions() map[string]int64 {
+	snap := p.state.Snapshot()
+	out := map[string]int64{}
+	if snap.Index == nil {
+		return out
+	}
+	for _, service := range snap.Index.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for _, model := range service.Engine.Models {
+			out[model] = firstVersion
+			if v, ok := snap.Newest(model); ok {
+				out[model] = v.Version
+			}
+		}
+	}
+	return out
+}
