weights: entries read in order, agents take what is there, a newer version ends reads of the older one

Changes: (1) Cache ends the fetches of older versions when a newer one is first asked for, the prefetcher its reading. (2) Every entry goes through the chunks in order, four at a time; the leader of a chunk is asked by the others, so that the origin sends first what everybody waits for. (3) collector in internal/loader: an agent asks for what entries hold (Offered), the first missing chunks first, and lets them wait for a chunk only after 0.6 s without any.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -82,8 +82,11 @@
 
 // Weights hands out verified weights.
 type Weights interface {
+	// Manifest and Chunk try until ctx ends. A fetch that was begun goes on after that, and serves the next call.
 	Manifest(ctx context.Context, model string, version int64) ([]string, error)
 	Chunk(ctx context.Context, model string, version int64, chunk int) ([]byte, error)
+	// Offered returns a chunk that can be had without waiting, else pieces.ErrNotOffered.
+	Offered(ctx context.Context, model string, version int64, chunk int) ([]byte, error)
 }
 
 // Target is the version that the server should hold.
@@ -106,9 +109,6 @@
 	reportInterval = 100 * time.Millisecond
 	// loadingInterval is the time between reports while a load runs, which takes 300 ms.
 	loadingInterval = 25 * time.Millisecond
-	// fetchers is the number of chunks that are fetched at once. Two fill a link of 9.4 Mbit/s over a few ms; more would only
-	// hold up the requests to the server, which share the link.
-	fetchers = 2
 	// downAfter is the number of failed reports in a row after which the server counts as down.
 	downAfter = 2
 	// orderPatience is how long an order may run before it is given again.
@@ -254,10 +254,10 @@
 	if err != nil {
 		return // The context has ended.
 	}
-	_ = forEach(len(digests), func(chunk int) error {
-		_, err := l.weights.Chunk(ctx, target.Model, target.Version, chunk)
-		return err
-	})
+	c := &collector{weights: l.weights, target: target}
+	if err := c.run(ctx, len(digests)); err != nil && ctx.Err() == nil {
+		l.log.Info("weights were not read ahead", "model", target.Model, "version", target.Version, "cause", err.Error())
+	}
 }
 
 // errAbandoned means that the target or the server has changed meanwhile.
@@ -309,45 +309,19 @@
 	if err != nil {
 		return err
 	}
-	return forEach(len(digests), func(chunk int) error { return l.stageChunk(ctx, target, chunk, digests[chunk]) })
-}
-
-// forEach runs f for the numbers below n, several at once, and returns the first error.
-func forEach(n int, f func(int) error) error {
-	numbers := make(chan int, n)
-	for i := range n {
-		numbers <- i
-	}
-	close(numbers)
-	failed := make(chan error, fetchers)
-	var wg sync.WaitGroup
-	for range fetchers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for i := range numbers {
-				if err := f(i); err != nil {
-					failed <- err
-					return
-				}
-			}
-		}()
+	c := &collector{weights: l.weights, target: target,
+		present: func(ctx context.Context, chunk int) bool { return l.isStaged(ctx, target, chunk, digests[chunk]) },
+		place: func(ctx context.Context, chunk int, data []byte) error {
+			return l.engine.Stage(ctx, target.Model, chunk, data)
+		},
 	}
-	wg.Wait()
-	close(failed)
-	return <-failed
+	return c.run(ctx, len(digests))
 }
 
-// stageChunk stages one chunk unless it lies there already.
-func (l *Loader) stageChunk(ctx context.Context, target Target, chunk int, digest string) error {
-	if data, err := l.engine.ReadStaged(ctx, target.Model, chunk); err == nil && data != nil && pieces.Fits(data, digest) {
-		return nil
-	}
-	data, err := l.weights.Chunk(ctx, target.Model, target.Version, chunk)
-	if err != nil {
-		return err
-	}
-	return l.engine.Stage(ctx, target.Model, chunk, data)
+// isStaged reads back what lies at the server and tells whether it fits.
+func (l *Loader) isStaged(ctx context.Context, target Target, chunk int, digest string) bool {
+	data, err := l.engine.ReadStaged(ctx, target.Model, chunk)
+	return err == nil && data != nil && pieces.Fits(data, digest)
 }
 
 // waitTurn waits until a server that serves an older version may interrupt its work. Shortly before, what is staged is read back
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/loader"
+	"github.com/pimentohead/pimentohead/internal/pieces"
 )
 
 const (
@@ -139,6 +140,16 @@
 	return chunkData(version, chunk), nil
 }
 
+func (w *weights) Offered(ctx context.Context, model string, version int64, chunk int) ([]byte, error) {
+	w.mu.Lock()
+	blocked := w.block[version] != nil
+	w.mu.Unlock()
+	if blocked {
+		return nil, errors.WithStack(pieces.ErrNotOffered)
+	}
+	return w.Chunk(ctx, model, version, chunk)
+}
+
 type wanted struct {
 	mu sync.Mutex
 	t  loader.Target
--- a/internal/mesh/weights.go
+++ b/internal/mesh/weights.go
@@ -150,18 +150,6 @@
 	return model + "@" + strconv.FormatInt(version, 10) + "#" + strconv.Itoa(chunk)
 }
 
-// Leads tells whether this entry is the leader for a chunk in its data centre.
-func (m *Mesh) Leads(model string, version int64, chunk int) bool {
-	purpose := chunkPurpose(model, version, chunk)
-	own := rank(purpose, m.cfg.Self.NodeID)
-	for _, p := range m.peers(isEntry) {
-		if p.hello.DataCentre == m.cfg.Self.DataCentre && rank(purpose, p.hello.NodeID) > own {
-			return false
-		}
-	}
-	return true
-}
-
 // spreadingTime is the time after the naming of a version in which nobody holds a chunk before its leader does. To ask would only
 // cost a wait behind the chunks that are on their way.
 const spreadingTime = 4 * time.Second
--- a/internal/pieces/cache.go
+++ b/internal/pieces/cache.go
@@ -25,6 +25,8 @@
 	retryPause = 150 * time.Millisecond
 	// distrustAfter is the number of chunks in a row that do not fit their digests after which the digests are read anew.
 	distrustAfter = 3
+	// offers is the number of peers that are asked for what they hold before a chunk counts as not to be had now.
+	offers = 2
 )
 
 // Errors of a Cache.
@@ -33,6 +35,8 @@
 	ErrNoOrigin = errors.New("pieces: no origin is configured")
 	// ErrCorrupt means that a chunk does not fit its digest, or that digests are malformed.
 	ErrCorrupt = errors.New("pieces: corrupt")
+	// ErrNotOffered means that nobody who was asked holds a chunk now.
+	ErrNotOffered = errors.New("pieces: not offered")
 )
 
 // Origin reads weights from where they come from.
@@ -84,6 +88,17 @@
 	misfits int
 	// grown is when the newest chunk was stored.
 	grown time.Time
+	// ctx bounds the fetches of this version that are in progress.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// abandon ends the fetches in progress. Who still waits for one of them begins another.
+func (v *version) abandon() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cancel()
+	v.ctx, v.cancel = context.WithCancel(context.Background())
 }
 
 // call is a fetch that several callers may wait for.
@@ -104,7 +119,8 @@
 	return c.copies
 }
 
-// version returns the entry of a version and forgets old ones.
+// version returns the entry of a version and forgets old ones. The first call for a version ends the fetches of older ones: they would
+// hold up the newer one on the link of the origin.
 func (c *Cache) version(model string, number int64) *version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -115,6 +131,12 @@
 		}
 	}
 	v := &version{model: model, number: number, chunks: map[int][]byte{}, calls: map[int]*call{}}
+	v.ctx, v.cancel = context.WithCancel(context.Background())
+	for _, other := range list {
+		if other.number < number {
+			other.abandon()
+		}
+	}
 	list = append(list, v)
 	for len(list) > keptVersions {
 		oldest := 0
@@ -123,6 +145,7 @@
 				oldest = i
 			}
 		}
+		list[oldest].cancel()
 		list = append(list[:oldest], list[oldest+1:]...)
 	}
 	c.models[model] = list
@@ -151,6 +174,46 @@
 	return v.chunks[chunk], nil
 }
 
+// Offered returns a verified chunk that this node or one of its best sources holds now, else ErrNotOffered.
+func (c *Cache) Offered(ctx context.Context, model string, number int64, chunk int) ([]byte, error) {
+	v := c.version(model, number)
+	if err := c.get(ctx, v, message.WholeManifest); err != nil {
+		return nil, err
+	}
+	at := c.where()
+	if at == nil {
+		return nil, errors.Mark(ErrNoOrigin, ErrNotOffered)
+	}
+	if !c.has(model, number, chunk) {
+		sources := c.peers.WeightPeers(at.DataCentre, model, number, chunk)
+		if err := c.fetchHeld(ctx, v, chunk, sources[:min(offers, len(sources))]); err != nil {
+			return nil, err
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.chunks[chunk], nil
+}
+
+// fetchHeld asks sources for a chunk that they hold. It returns ErrNotOffered if none of them does.
+func (c *Cache) fetchHeld(ctx context.Context, v *version, chunk int, sources []Source) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	last := errors.New("pieces: no peer is linked")
+	for _, from := range sources {
+		from.HeldOnly = true
+		reply, err := c.peers.FetchWeights(ctx, from, v.model, v.number, chunk)
+		if err == nil {
+			err = c.keep(v, chunk, reply.Digests, reply.Data)
+		}
+		if err == nil {
+			return nil
+		}
+		last = err
+	}
+	return errors.Mark(last, ErrNotOffered)
+}
+
 // get makes sure that a chunk or the manifest is held. One fetch serves all callers.
 func (c *Cache) get(ctx context.Context, v *version, chunk int) error {
 	for {
@@ -163,7 +226,7 @@
 		if running == nil {
 			running = &call{done: make(chan struct{})}
 			v.calls[chunk] = running
-			go c.fetch(v, chunk, running)
+			go c.fetch(v.ctx, v, chunk, running)
 		}
 		v.mu.Unlock()
 		select {
@@ -192,23 +255,23 @@
 }
 
 // fetch tries each source once.
-func (c *Cache) fetch(v *version, chunk int, running *call) {
-	err := c.fetchAny(v, chunk)
+func (c *Cache) fetch(ctx context.Context, v *version, chunk int, running *call) {
+	err := c.fetchAny(ctx, v, chunk)
 	v.mu.Lock()
 	running.err = err
 	delete(v.calls, chunk)
 	v.mu.Unlock()
 	close(running.done)
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		c.log.Info("weights could not be read", "model", v.model, "version", v.number, "chunk", chunk, "cause", err.Error())
 	}
 }
 
-func (c *Cache) fetchAny(v *version, chunk int) error {
+func (c *Cache) fetchAny(ctx context.Context, v *version, chunk int) error {
 	if chunk != message.WholeManifest {
-		ctx, cancel := context.WithTimeout(context.Background(), 2*peerTimeout)
+		waiting, cancel := context.WithTimeout(ctx, 2*peerTimeout)
 		defer cancel()
-		if err := c.get(ctx, v, message.WholeManifest); err != nil {
+		if err := c.get(waiting, v, message.WholeManifest); err != nil {
 			return err
 		}
 	}
@@ -218,8 +281,8 @@
 	}
 	var last error
 	for _, from := range c.peers.WeightPeers(at.DataCentre, v.model, v.number, chunk) {
-		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-		reply, err := c.peers.FetchWeights(ctx, from, v.model, v.number, chunk)
+		asking, cancel := context.WithTimeout(ctx, peerTimeout)
+		reply, err := c.peers.FetchWeights(asking, from, v.model, v.number, chunk)
 		cancel()
 		if err == nil {
 			err = c.keep(v, chunk, reply.Digests, reply.Data)
@@ -228,6 +291,9 @@
 			return nil
 		}
 		last = err
+		if ctx.Err() != nil {
+			return last
+		}
 	}
 	if !c.useOrigin {
 		if last == nil {
@@ -235,11 +301,11 @@
 		}
 		return last
 	}
-	return c.fetchOrigin(v, chunk, *at)
+	return c.fetchOrigin(ctx, v, chunk, *at)
 }
 
-func (c *Cache) fetchOrigin(v *version, chunk int, at catalog.Origin) error {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*peerTimeout)
+func (c *Cache) fetchOrigin(ctx context.Context, v *version, chunk int, at catalog.Origin) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
 	defer cancel()
 	if chunk == message.WholeManifest {
 		digests, err := c.origin.Manifest(ctx, at, v.model, v.number)
--- a/internal/straight/entry.go
+++ b/internal/straight/entry.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	ahead := &prefetcher{state: e.state, cache: e.cache, leads: e.mesh.Leads, settle: settleTime}
+	ahead := &prefetcher{state: e.state, cache: e.cache, settle: settleTime}
 	registry := &registry{store: e.Store, list: e.Store, mesh: e.mesh, self: e.self, log: e.Log}
 	for _, duty := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Documents).Run, registry.announce, registry.discover,
 		e.sweep, e.serveMetrics, ahead.digests, ahead.chunks} {
--- a/internal/straight/prefetch.go
+++ b/internal/straight/prefetch.go
@@ -14,6 +14,9 @@
 	// settleTime is how long after its start an entry waits for links before it reads chunks ahead: without links each entry takes
 	// itself for the leader of all chunks. Links are up within a second.
 	settleTime = 1500 * time.Millisecond
+	// readers is the number of chunks that an entry reads at once. Four keep the link of the origin busy, with 44 ms for a chunk, and
+	// are far from the patience of 1.5 s.
+	readers = 4
 )
 
 // weightsCache is the part of a cache that reading ahead needs. Both calls try until ctx ends.
@@ -24,10 +27,8 @@
 
 // prefetcher reads weights into the cache of an entry before agents ask for them.
 type prefetcher struct {
-	state *fleet.State
-	cache weightsCache
-	// leads tells whether this entry is the one of its data centre that reads a chunk for the others.
-	leads  func(model string, version int64, chunk int) bool
+	state  *fleet.State
+	cache  weightsCache
 	settle time.Duration
 }
 
@@ -54,18 +55,24 @@
 	}
 }
 
-// chunks reads the chunks that this entry leads for, of each newest version: of one that is being rolled out, of one that was rolled
+// chunks reads the chunks of each newest version: of one that is being rolled out, of one that was rolled
 // out before this process began, as all upstreams may have lost it, and of the first one, which added upstreams need.
 func (p *prefetcher) chunks(ctx context.Context) {
 	changed := p.state.Changed()
 	pause.For(ctx, p.settle)
 	begun := map[string]int64{}
+	abandon := map[string]context.CancelFunc{}
 	for {
 		for model, version := range p.wantedVersions() {
-			if begun[model] < version {
-				begun[model] = version
-				go p.readAhead(ctx, model, version)
+			if begun[model] >= version {
+				continue
+			}
+			if abandon[model] != nil {
+				abandon[model]()
 			}
+			reading, cancel := context.WithCancel(ctx)
+			begun[model], abandon[model] = version, cancel
+			go p.readAhead(reading, model, version)
 		}
 		select {
 		case <-ctx.Done():
@@ -75,21 +82,28 @@
 	}
 }
 
-// readAhead reads the chunks of a version in order until a newer one is named.
+// readAhead reads the chunks of a version in order until ctx ends. All entries go through them in the same order, so that the source
+// sends those first that everybody waits for, and nobody waits long for one.
 func (p *prefetcher) readAhead(ctx context.Context, model string, version int64) {
 	digests, err := p.cache.Manifest(ctx, model, version)
 	if err != nil {
-		return // The process is stopping.
+		return // ctx has ended.
 	}
+	chunks := make(chan int, len(digests))
 	for chunk := range digests {
-		if p.wantedVersions()[model] != version {
-			return
-		}
-		if !p.leads(model, version, chunk) {
-			continue
-		}
+		chunks <- chunk
+	}
+	close(chunks)
+	for range readers {
+		go p.read(ctx, model, version, chunks)
+	}
+}
+
+// read reads chunks until there are no more or ctx ends.
+func (p *prefetcher) read(ctx context.Context, model string, version int64, chunks <-chan int) {
+	for chunk := range chunks {
 		if _, err := p.cache.Chunk(ctx, model, version, chunk); err != nil {
-			return
+			return // ctx has ended.
 		}
 	}
 }
