--- a/internal/pieces/cache.go
+++ b/internal/pieces/cache.go
@@ -195,25 +195,6 @@
 	return v.chunks[chunk], nil
 }
 
-// fetchHeld asks sources for a chunk that they hold. It returns ErrNotOffered if none of them does.
-func (c *Cache) fetchHeld(ctx context.Context, v *version, chunk int, sources []Source) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	last := errors.New("pieces: no peer is linked")
-	for _, from := range sources {
-		from.HeldOnly = true
-		reply, err := c.peers.FetchWeights(ctx, from, v.model, v.number, chunk)
-		if err == nil {
-			err = c.keep(v, chunk, reply.Digests, reply.Data)
-		}
-		if err == nil {
-			return nil
-		}
-		last = err
-	}
-	return errors.Mark(last, ErrNotOffered)
-}
-
 // get makes sure that a chunk or the manifest is held. One fetch serves all callers.
 func (c *Cache) get(ctx context.Context, v *version, chunk int) error {
 	for {
@@ -254,76 +235,6 @@
 	return v.chunks[chunk] != nil
 }
 
-// fetch tries each source once.
-func (c *Cache) fetch(ctx context.Context, v *version, chunk int, running *call) {
-	err := c.fetchAny(ctx, v, chunk)
-	v.mu.Lock()
-	running.err = err
-	delete(v.calls, chunk)
-	v.mu.Unlock()
-	close(running.done)
-	if err != nil && ctx.Err() == nil {
-		c.log.Info("weights could not be read", "model", v.model, "version", v.number, "chunk", chunk, "cause", err.Error())
-	}
-}
-
-func (c *Cache) fetchAny(ctx context.Context, v *version, chunk int) error {
-	if chunk != message.WholeManifest {
-		waiting, cancel := context.WithTimeout(ctx, 2*peerTimeout)
-		defer cancel()
-		if err := c.get(waiting, v, message.WholeManifest); err != nil {
-			return err
-		}
-	}
-	at := c.where()
-	if at == nil {
-		return errors.WithStack(ErrNoOrigin)
-	}
-	var last error
-	for _, from := range c.peers.WeightPeers(at.DataCentre, v.model, v.number, chunk) {
-		asking, cancel := context.WithTimeout(ctx, peerTimeout)
-		reply, err := c.peers.FetchWeights(asking, from, v.model, v.number, chunk)
-		cancel()
-		if err == nil {
-			err = c.keep(v, chunk, reply.Digests, reply.Data)
-		}
-		if err == nil {
-			return nil
-		}
-		last = err
-		if ctx.Err() != nil {
-			return last
-		}
-	}
-	if !c.useOrigin {
-		if last == nil {
-			last = errors.New("pieces: no peer is linked")
-		}
-		return last
-	}
-	return c.fetchOrigin(ctx, v, chunk, *at)
-}
-
-func (c *Cache) fetchOrigin(ctx context.Context, v *version, chunk int, at catalog.Origin) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
-	defer cancel()
-	if chunk == message.WholeManifest {
-		digests, err := c.origin.Manifest(ctx, at, v.model, v.number)
-		if err != nil {
-			return err
-		}
-		return c.keep(v, chunk, digests, nil)
-	}
-	data, err := c.origin.Chunk(ctx, at, v.model, v.number, chunk)
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	c.copies += uint64(len(data))
-	c.mu.Unlock()
-	return c.keep(v, chunk, nil, data)
-}
-
 // keep verifies and stores what a source has sent.
 func (c *Cache) keep(v *version, chunk int, digests []string, data []byte) error {
 	v.mu.Lock()
