pieces: a version that is mostly there is finished though a newer one is named

Change: reads of an older version end only while less than half of its chunks are there (WorthFinishing). Test: TestAVersionThatIsNearlyThereIsFinished, seen failing without the check.

--- a/internal/pieces/cache.go
+++ b/internal/pieces/cache.go
@@ -93,10 +93,17 @@
 	cancel context.CancelFunc
 }
 
-// abandon ends the fetches in progress. Who still waits for one of them begins another.
+// WorthFinishing is the share of a version's chunks from which its reading goes on when a newer version is named: upstreams need it
+// if the newer one cannot be had.
+const WorthFinishing = 0.5
+
+// abandon ends the fetches in progress, unless most of the version is there. Who still waits for one of them begins another.
 func (v *version) abandon() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.digests != nil && float64(len(v.chunks)) >= WorthFinishing*float64(len(v.digests)) {
+		return
+	}
 	v.cancel()
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 }
--- a/internal/pieces/cache_test.go
+++ b/internal/pieces/cache_test.go
@@ -199,6 +199,32 @@
 	g.Eventually(got, "1s").Should(Receive(Equal(data(2, 0))), "version 2 is read again for who still wants it")
 }
 
+// Guards against a version that is nearly there and is given up for one that the origin, away a moment later, cannot give: upstreams would
+// have neither (vandhane-finder-grown, scale-1 --seed 931177724620).
+func TestAVersionThatIsNearlyThereIsFinished(t *testing.T) {
+	g := NewWithT(t)
+	o := &origin{}
+	c := pieces.NewCache(where, o, &peers{}, logr.Discard())
+	ctx := patience(t)
+	for chunk := range 3 {
+		_, err := c.Chunk(ctx, "m", 2, chunk)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	o.mu.Lock()
+	o.stall = map[int64]bool{2: true}
+	o.mu.Unlock()
+	go func() { _, _ = c.Chunk(ctx, "m", 2, 3) }()
+	stalled := func() int {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.stalled
+	}
+	g.Eventually(stalled, "1s").Should(Equal(1))
+	_, err := c.Manifest(ctx, "m", 3)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Consistently(stalled, "300ms").Should(Equal(1), "the read of version 2 has ended")
+}
+
 // Guards against spoilt bytes being handed on: they are read again.
 func TestSpoiltChunkIsReadAgain(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/straight/prefetch.go
+++ b/internal/straight/prefetch.go
@@ -6,6 +6,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/pause"
+	"github.com/pimentohead/pimentohead/internal/pieces"
 )
 
 const (
@@ -19,10 +20,12 @@
 	readers = 4
 )
 
-// weightsCache is the part of a cache that reading ahead needs. Both calls try until ctx ends.
+// weightsCache is the part of a cache that reading ahead needs. Manifest and Chunk try until ctx ends.
 type weightsCache interface {
 	Manifest(ctx context.Context, model string, version int64) ([]string, error)
 	Chunk(ctx context.Context, model string, version int64, chunk int) ([]byte, error)
+	// Progress returns the share of a version's chunks that are held, 0..1, and when the newest one came.
+	Progress(model string, version int64) (float64, time.Time)
 }
 
 // prefetcher reads weights into the cache of an entry before agents ask for them.
@@ -67,7 +70,7 @@
 			if begun[model] >= version {
 				continue
 			}
-			if abandon[model] != nil {
+			if share, _ := p.cache.Progress(model, begun[model]); abandon[model] != nil && share < pieces.WorthFinishing {
 				abandon[model]()
 			}
 			reading, cancel := context.WithCancel(ctx)
--- a/internal/straight/prefetch_test.go
+++ b/internal/straight/prefetch_test.go
@@ -37,6 +37,8 @@
 	return []byte{1}, nil
 }
 
+func (c *recordingCache) Progress(string, int64) (float64, time.Time) { return 0, time.Time{} }
+
 func (c *recordingCache) chunksOf(version int64) func() []int {
 	return func() []int {
 		c.mu.Lock()
