relay: log and count requests that begin on an outdated version

Nothing in logs or metrics told that a request had begun on a version of the weights whose time was over, nor why. Each attempt at an engine now logs the version that the entry assumed, the age of the report it was read from, the version that the upstream named in its response and the oldest one allowed at that moment. A line and a counter of their own mark outdated starts; with the load orders in the agents' logs they tell a long wait, a wrong time of naming, an outdated report and a late load apart. No decision is changed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,6 +44,7 @@
 	duration  time.Duration
 	// timeToFirstEvent is measured from the start of the attempt. It is 0 if no event has been forwarded.
 	timeToFirstEvent time.Duration
+	weights          weightsTrace
 }
 
 const (
@@ -91,7 +92,7 @@
 		x.relay.cfg.Pool.Put(conn, a.idleTimeout)
 	}
 	tracked.End(a.outcome(res))
-	res.duration = time.Since(started)
+	res.duration, res.weights = time.Since(started), a.weights
 	return res
 }
 
@@ -102,6 +103,7 @@
 	conn     *h1.Conn
 	tracked  *placement.Attempt
 	started  time.Time
+	weights  weightsTrace
 	// complete is set when the response has been read to its end.
 	complete bool
 	// serverError is set when the upstream itself responded with a status of 500 or above.
@@ -144,7 +146,7 @@
 		return attemptResult{kind: mayHaveRun, cause: err, extraRuns: extraRunsAfter(err)}
 	}
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
-	a.idleTimeout = parsed.IdleTimeout
+	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
 		return a.handleDeclined(resp, parsed)
 	}
@@ -181,24 +183,17 @@
 	header := x.req.Header.Clone()
 	out := request.UpstreamMetadata{Remaining: time.Until(x.deadline), Instance: a.upstream.ID, Customer: x.customer,
 		Rank: x.upstreamRank(), LastEventID: x.events.lastID}
-	if x.engine != nil && x.snapshot.MinVersion(x.meta.Model, time.Now(), x.relay.cfg.VersionApplyWindow-VersionMargin) > 0 {
-		out.Version = a.lastKnownVersion()
+	if x.engine != nil {
+		a.weights.assumed, a.weights.reportAge = a.lastKnownVersion()
+		if x.snapshot.MinVersion(x.meta.Model, time.Now(), x.relay.cfg.VersionApplyWindow-VersionMargin) > 0 {
+			out.Version = a.weights.assumed
+		}
 	}
 	x.relay.cfg.Codec.PrepareUpstreamHeaders(header, out)
 	return &h1.Request{Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host, Header: header, Body: x.body,
 		HasBody: x.req.ContentLength != 0 || len(x.req.TransferEncoding) > 0}
 }
 
-// lastKnownVersion returns the newest version of the weights that the upstream holds completely, as far as this entry knows, or 0 if
-// there is none.
-func (a *upstreamAttempt) lastKnownVersion() int64 {
-	models := a.upstream.Models
-	if load, age, ok := a.x.relay.cfg.Loads.Get(a.upstream.Address); ok && age < maxLoadAge {
-		models = load.Models
-	}
-	return newestCompleteVersion(models, a.x.meta.Model, a.x.engine.Layers)
-}
-
 // upstreamRank returns the scheduling rank at the upstream, from 0, the most urgent, to 8; see priorityLevels. A stream that has
 // started gets rank 0, because its caller waits for the next event. A request whose caller had already waited longer than the latency
 // target before sending it can no longer meet the target and gets the last rank of its customer priority: 2, 5 or 8.
@@ -251,7 +246,7 @@
 // that a server error or a truncated response can still be retried elsewhere.
 func (a *upstreamAttempt) forwardResponse(resp *http.Response) attemptResult {
 	x := a.x
-	a.tracked.RecordStart()
+	a.recordStart()
 	a.conn.SetReadTimeout(a.headTimeout())
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -14,6 +14,9 @@
 		"prompt", x.meta.PromptTokens, "predicted_ms", d.PredictedWait.Milliseconds(), "first_ms", res.timeToFirstEvent.Milliseconds(),
 		"took_ms", res.duration.Milliseconds(), "status", res.status, "config", x.snapshot.Index.Config.Version, "local", d.Local}
 	values = append(values, workValues(d.Work)...)
+	if x.engine != nil {
+		values = append(values, res.weights.values()...)
+	}
 	if res.final {
 		log.Info("request answered", values...)
 		return
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -16,6 +16,8 @@
 type Metrics struct {
 	outcomes metric.Int64Counter
 	latency  metric.Float64Histogram
+	// outdatedStarts counts the requests that began on a version of the weights whose time was over.
+	outdatedStarts metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -29,7 +31,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "relay: create the latency histogram")
 	}
-	return &Metrics{outcomes: outcomes, latency: latency}, nil
+	outdatedStarts, err := meter.Int64Counter("pimentohead_relay_outdated_starts")
+	if err != nil {
+		return nil, errors.Wrap(err, "relay: create the counter of outdated starts")
+	}
+	return &Metrics{outcomes: outcomes, latency: latency, outdatedStarts: outdatedStarts}, nil
 }
 
 // RecordOutcome records a finished request. kind is the kind of its route, rank its scheduling rank, outcome its result, status the
@@ -44,3 +50,11 @@
 	m.latency.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("kind", kind),
 		attribute.String("rank", strconv.Itoa(rank))))
 }
+
+// RecordOutdatedStart counts a request that began on a version of the weights whose time was over.
+func (m *Metrics) RecordOutdatedStart(service string) {
+	if m == nil || m.outdatedStarts == nil {
+		return
+	}
+	m.outdatedStarts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -351,29 +351,6 @@
 	maxSwapAge = time.Second
 )
 
-// hasCompleteVersion reports whether all layers of the required version or a newer one are loaded. With required 0, any
-// completely loaded version will do.
-func hasCompleteVersion(models []catalog.LoadedLayers, model string, layers int, required int64) bool {
-	return newestCompleteVersion(models, model, layers) >= max(required, 1)
-}
-
-// newestCompleteVersion returns the newest version of model of which all layers are loaded, 0 if there is none. An empty model
-// matches any model.
-func newestCompleteVersion(models []catalog.LoadedLayers, model string, layers int) int64 {
-	layersLoaded := map[int64]int{}
-	var newest int64
-	for _, m := range models {
-		if m.Model != model && model != "" {
-			continue
-		}
-		layersLoaded[m.Version] += m.To - m.From
-		if layersLoaded[m.Version] >= layers && m.Version > newest {
-			newest = m.Version
-		}
-	}
-	return newest
-}
-
 // mayRetry reports whether another attempt is allowed after one without a final response. It takes a retry from the budget,
 // except after an attempt that was not sent.
 func (x *exchange) mayRetry(res attemptResult) bool {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -51,7 +51,7 @@
 		}
 		if forwarded > 0 && awaitingFirst {
 			awaitingFirst, timeToFirst = false, time.Since(a.started)
-			a.tracked.RecordStart()
+			a.recordStart()
 		}
 		switch {
 		case forwardErr != nil:
--- /dev/null
+++ b/internal/relay/version.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+)
+
+// weightsTrace tells on which version of the weights an attempt was expected to run, and on which it did. All versions are 0 at services
+// without an engine.
+type weightsTrace struct {
+	// assumed is the version that the upstream held when the attempt was sent, as far as this entry knew. reportAge is the age of the
+	// load report that this was read from, or -1 if it was read from the list of upstreams.
+	assumed   int64
+	reportAge time.Duration
+	// served is the version that the upstream named in its response, 0 if it named none.
+	served int64
+	// required is the oldest version on which a request could begin when the attempt began, 0 if any could.
+	required int64
+}
+
+// values returns the trace as log keys and values.
+func (t weightsTrace) values() []any {
+	age := t.reportAge.Milliseconds()
+	if t.reportAge < 0 {
+		age = -1
+	}
+	return []any{"assumed_version", t.assumed, "version_report_age_ms", age, "version", t.served, "required_version", t.required}
+}
+
+// recordStart records that the attempt has begun: its first event or the head of its response has arrived. It logs and counts an
+// attempt that began on a version whose time was over.
+func (a *upstreamAttempt) recordStart() {
+	a.tracked.RecordStart()
+	x := a.x
+	if x.engine == nil {
+		return
+	}
+	snapshot := x.relay.cfg.State.Snapshot()
+	a.weights.required = snapshot.MinVersion(x.meta.Model, time.Now(), x.relay.cfg.VersionApplyWindow)
+	if a.weights.served == 0 || a.weights.served >= a.weights.required {
+		return
+	}
+	x.relay.cfg.Metrics.RecordOutdatedStart(a.upstream.Service)
+	newest, _ := snapshot.NewestVersion(x.meta.Model)
+	x.relay.cfg.Log.Info("request began on an outdated version", append([]any{"request", x.meta.ID, "upstream", a.upstream.ID,
+		"waited_ms", time.Since(a.started).Milliseconds(), "newest", newest.Version,
+		"newest_age_ms", time.Since(newest.NamedAt).Milliseconds()}, a.weights.values()...)...)
+}
+
+// lastKnownVersion returns the newest version of the weights that the upstream holds completely, as far as this entry knows, or 0 if
+// there is none. reportAge is the age of the load report it was read from, or -1 if it was read from the list of upstreams.
+func (a *upstreamAttempt) lastKnownVersion() (version int64, reportAge time.Duration) {
+	models, reportAge := a.upstream.Models, time.Duration(-1)
+	if load, age, ok := a.x.relay.cfg.Loads.Get(a.upstream.Address); ok && age < maxLoadAge {
+		models, reportAge = load.Models, age
+	}
+	return newestCompleteVersion(models, a.x.meta.Model, a.x.engine.Layers), reportAge
+}
+
+// hasCompleteVersion reports whether all layers of the required version or a newer one are loaded. With required 0, any
+// completely loaded version will do.
+func hasCompleteVersion(models []catalog.LoadedLayers, model string, layers int, required int64) bool {
+	return newestCompleteVersion(models, model, layers) >= max(required, 1)
+}
+
+// newestCompleteVersion returns the newest version of model of which all layers are loaded, 0 if there is none. An empty model
+// matches any model.
+func newestCompleteVersion(models []catalog.LoadedLayers, model string, layers int) int64 {
+	layersLoaded := map[int64]int{}
+	var newest int64
+	for _, m := range models {
+		if m.Model != model && model != "" {
+			continue
+		}
+		layersLoaded[m.Version] += m.To - m.From
+		if layersLoaded[m.Version] >= layers && m.Version > newest {
+			newest = m.Version
+		}
+	}
+	return newest
+}
