relay: reproduce requests that begin on an outdated version

Callers' requests that wait in the queue of an upstream begin there on an older version after its time, because the entry compares versions only when it sends an attempt.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -32,7 +32,7 @@
 func (codec) ParseRequest(h http.Header) request.Metadata {
 	ms, _ := strconv.Atoi(h.Get("Wait"))
 	last, _ := strconv.ParseInt(h.Get("After"), 10, 64)
-	return request.Metadata{ID: h.Get("Id"), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get("Key"), LastEventID: last,
+	return request.Metadata{ID: h.Get("Id"), Model: h.Get("Model"), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get("Key"), LastEventID: last,
 		PromptTokens: 100}
 }
 
--- /dev/null
+++ b/internal/relay/version_test.go
@@ -0,0 +1,153 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/fleet"
+)
+
+// rolloutTime is the time allowed for a rollout in newEntry.
+const rolloutTime = 8 * time.Second
+
+// engineEntry starts a relay whose upstreams are engines with one layer.
+func engineEntry(t *testing.T) *entry {
+	e := newEntry(t)
+	config := *e.state.Snapshot().Index.Config
+	config.Version, config.Services = 2, []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 16, Layers: 1,
+		StepTime: time.Millisecond, StepsPerPass: 1, PrefillTokensPerSecond: 1e6, MeanPromptTokens: 100, MeanAnswerTokens: 10,
+		Models: []string{"m"}}}}
+	NewWithT(t).Expect(e.state.ApplyConfig(&config, 100)).To(BeTrue())
+	return e
+}
+
+// announce adds an upstream that has loaded a version, or changes the version of a known one.
+func (e *entry) announce(u *upstream, version, sequence int64) {
+	e.state.ApplyUpstream(fleet.UpstreamRecord{ID: u.id, Revision: 100 + sequence, Announcement: &catalog.Upstream{ID: u.id,
+		Service: "s", Address: u.addr, DataCentre: "z", State: catalog.Ready, Slots: 16, Sequence: sequence,
+		Models: []catalog.LoadedLayers{{Model: "m", Version: version, From: 0, To: 1}}}})
+}
+
+// nameVersion records that a version was named the given time ago.
+func (e *entry) nameVersion(version int64, age time.Duration) {
+	e.state.ApplyVersion(fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: "m", Version: version}, Revision: 100 + version,
+		NamedAt: time.Now().Add(-age)})
+}
+
+func generate(e *entry) callResult {
+	return e.send(context.Background(), "/stream/", func(r *http.Request) { r.Header.Set("Model", "m"); r.Header.Set("Wait", "3000") })
+}
+
+// waitsFor returns a script that does not answer for the given time and then streams. The result of the read that
+// ends when the entry closes the connection, or nil if it did not in that time, is sent to the channel.
+func waitsFor(d time.Duration, received chan<- struct{}, closed chan<- time.Time) func(net.Conn, *http.Request) {
+	return func(nc net.Conn, req *http.Request) {
+		received <- struct{}{}
+		_ = nc.SetReadDeadline(time.Now().Add(d))
+		if _, err := nc.Read(make([]byte, 1)); err == io.EOF || !isTimeout(err) {
+			closed <- time.Now()
+			return
+		}
+		streamUpTo(3)(nc, req)
+	}
+}
+
+func isTimeout(err error) bool {
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
+
+// Guards against a request that begins on an outdated version: it was sent in time, waited in the queue of its upstream, and would
+// begin there after the time of the version.
+func TestAttemptThatHasNotBegunEndsWithTheTimeOfItsVersion(t *testing.T) {
+	g := NewWithT(t)
+	received, closed := make(chan struct{}, 1), make(chan time.Time, 1)
+	outdated := newUpstream(t, "u1", waitsFor(1600*time.Millisecond, received, closed))
+	current := newUpstream(t, "u2", streamUpTo(3))
+	e := engineEntry(t)
+	e.announce(outdated, 1, 1)
+	e.nameVersion(2, rolloutTime-time.Second)
+	mustEndBy := time.Now().Add(time.Second)
+	go func() {
+		<-received
+		e.announce(current, 2, 2)
+	}()
+	a := generate(e)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
+	var at time.Time
+	g.Expect(closed).To(Receive(&at), "the entry lets the attempt begin on version 1")
+	g.Expect(at).To(BeTemporally("<", mustEndBy))
+	g.Expect(current.requests()).To(HaveLen(1))
+}
+
+// Guards against ending attempts for which there is no reason: the upstream has loaded the newer version while they waited, or they
+// have begun.
+func TestAttemptGoesOnIfItsVersionIsAllowed(t *testing.T) {
+	for name, test := range map[string]struct {
+		script     func(received chan<- struct{}, closed chan<- time.Time) func(net.Conn, *http.Request)
+		loadsNewer bool
+	}{
+		"loaded meanwhile": {loadsNewer: true, script: func(received chan<- struct{}, closed chan<- time.Time) func(net.Conn, *http.Request) {
+			return waitsFor(1300*time.Millisecond, received, closed)
+		}},
+		"begun": {script: func(received chan<- struct{}, _ chan<- time.Time) func(net.Conn, *http.Request) {
+			return func(nc net.Conn, req *http.Request) {
+				received <- struct{}{}
+				streamHead(nc, req)
+				for id := 1; id <= 3; id++ {
+					chunk(nc, event(id))
+					time.Sleep(400 * time.Millisecond)
+				}
+				_, _ = fmt.Fprint(nc, "0\r\n\r\n")
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			received, closed := make(chan struct{}, 1), make(chan time.Time, 1)
+			u := newUpstream(t, "u1", test.script(received, closed))
+			e := engineEntry(t)
+			e.announce(u, 1, 1)
+			e.nameVersion(2, rolloutTime-time.Second)
+			go func() {
+				<-received
+				if test.loadsNewer {
+					e.announce(u, 2, 2)
+				}
+			}()
+			a := generate(e)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
+			g.Expect(u.requests()).To(HaveLen(1))
+			g.Expect(closed).NotTo(Receive())
+		})
+	}
+}
+
+// Guards against an attempt that waits on an older version while a newer one is named, whose time then ends.
+func TestVersionNamedDuringAnAttemptEndsIt(t *testing.T) {
+	g := NewWithT(t)
+	received, closed := make(chan struct{}, 1), make(chan time.Time, 1)
+	outdated := newUpstream(t, "u1", waitsFor(1600*time.Millisecond, received, closed))
+	current := newUpstream(t, "u2", streamUpTo(3))
+	e := engineEntry(t)
+	e.announce(outdated, 1, 1)
+	go func() {
+		<-received
+		e.nameVersion(2, rolloutTime-time.Second) // The record arrived late.
+		e.announce(current, 2, 2)
+	}()
+	a := generate(e)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
+	g.Expect(closed).To(Receive(), "the entry lets the attempt begin on version 1")
+}
