relay: end attempts that have not begun when the time of their version ends

What callers saw: requests began on an older version of the weights after the time allowed for the rollout of a newer one. Cause: the entry compared versions only when it sent an attempt, at the predicted beginning. An attempt that then waits in the queue of its upstream (through a load, behind more urgent requests, at a server that became slow) begins on whatever is loaded, however late. The class of fault: a condition with a time limit that is checked once, before a wait of unknown length. Why it works: until its first event arrives, an attempt is checked against the version that its upstream holds now, at the end of the time of that version and every 250 ms, so that late records and an upstream that goes back to an older version count too. The upstream's failure statistics do not count such an attempt.

--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -62,6 +62,17 @@
 	return minVersion
 }
 
+// UsableUntil returns the time from which no request may start on a version: rolloutTime after the naming of the first newer one. It
+// returns false while no newer version is named.
+func (s *Snapshot) UsableUntil(model string, version int64, rolloutTime time.Duration) (until time.Time, ok bool) {
+	for _, v := range s.versions[model] {
+		if end := v.NamedAt.Add(rolloutTime); v.Version > version && (!ok || end.Before(until)) {
+			until, ok = end, true
+		}
+	}
+	return until, ok
+}
+
 // Ready reports whether the node has a configuration and a complete list of upstreams, which it needs to serve callers.
 func (s *Snapshot) Ready() bool { return s.Index != nil && s.UpstreamsComplete }
 
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -33,7 +33,8 @@
 	Failed
 	// Declined means that the upstream refused the request without running it.
 	Declined
-	// Abandoned means that the attempt ended because of the caller: it disconnected, or the deadline of the request passed.
+	// Abandoned means that the node ended the attempt for a reason that says nothing about the upstream: the caller disconnected, the
+	// deadline of the request passed, or the request had not begun when the time of the upstream's version ended.
 	Abandoned
 )
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,8 +84,14 @@
 		x.lastFailure = "unreachable"
 		return attemptResult{kind: notSent, cause: err, duration: time.Since(started)}
 	}
-	stop := context.AfterFunc(x.ctx, conn.Close)
-	a := &upstreamAttempt{x: x, upstream: u, conn: conn, tracked: tracked, started: started}
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(ctx, conn.Close)
+	a := &upstreamAttempt{x: x, ctx: ctx, upstream: u, conn: conn, tracked: tracked, started: started}
+	if x.engine != nil {
+		a.weights.assumed, a.weights.reportAge = x.lastKnownVersion(u)
+		go a.endWithVersion(cancel)
+	}
 	res := a.roundTrip()
 	if !stop() || !res.final || !a.complete {
 		conn.Close()
@@ -93,12 +100,17 @@
 	}
 	tracked.End(a.outcome(res))
 	res.duration, res.weights = time.Since(started), a.weights
+	if errors.Is(res.cause, errVersionExpired) {
+		x.lastFailure = "version expired"
+	}
 	return res
 }
 
 // upstreamAttempt is one attempt on an open connection.
 type upstreamAttempt struct {
-	x        *exchange
+	x *exchange
+	// ctx ends with the request, or when the attempt has to end before it has begun (see endWithVersion).
+	ctx      context.Context
 	upstream *catalog.Upstream
 	conn     *h1.Conn
 	tracked  *placement.Attempt
@@ -108,6 +120,8 @@
 	complete bool
 	// serverError is set when the upstream itself responded with a status of 500 or above.
 	serverError bool
+	// begun is set when the first event or the head of the response has arrived.
+	begun atomic.Bool
 	// idleTimeout is the time after which the upstream closes an idle connection, 0 if not given.
 	idleTimeout time.Duration
 }
@@ -115,7 +129,7 @@
 // outcome returns the outcome of the attempt for the upstream's failure statistics.
 func (a *upstreamAttempt) outcome(res attemptResult) placement.Outcome {
 	switch {
-	case context.Cause(a.x.ctx) != nil && !res.final:
+	case context.Cause(a.ctx) != nil && !res.final:
 		return placement.Abandoned
 	case res.final && !a.serverError:
 		return placement.Succeeded
@@ -131,7 +145,7 @@
 	x := a.x
 	x.sends++
 	//nolint:bodyclose // Closing a body reads it to its end; the connection is closed or returned to the pool instead.
-	resp, err := a.conn.Do(x.ctx, a.buildRequest(), a.headTimeout(), func(resp *http.Response) bool {
+	resp, err := a.conn.Do(a.ctx, a.buildRequest(), a.headTimeout(), func(resp *http.Response) bool {
 		id := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header.Clone()).ID
 		return id == "" || id == x.meta.ID
 	})
@@ -183,11 +197,8 @@
 	header := x.req.Header.Clone()
 	out := request.UpstreamMetadata{Remaining: time.Until(x.deadline), Instance: a.upstream.ID, Customer: x.customer,
 		Rank: x.upstreamRank(), LastEventID: x.events.lastID}
-	if x.engine != nil {
-		a.weights.assumed, a.weights.reportAge = a.lastKnownVersion()
-		if x.snapshot.MinVersion(x.meta.Model, time.Now(), x.relay.cfg.VersionApplyWindow-VersionMargin) > 0 {
-			out.Version = a.weights.assumed
-		}
+	if x.engine != nil && x.snapshot.MinVersion(x.meta.Model, time.Now(), x.relay.cfg.VersionApplyWindow-VersionMargin) > 0 {
+		out.Version = a.weights.assumed
 	}
 	x.relay.cfg.Codec.PrepareUpstreamHeaders(header, out)
 	return &h1.Request{Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host, Header: header, Body: x.body,
@@ -251,7 +262,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
 		x.lastFailure = "answer broke off"
-		return attemptResult{kind: mayHaveRun, cause: a.conn.ClassifyReadError(x.ctx, err), status: resp.StatusCode}
+		return attemptResult{kind: mayHaveRun, cause: a.conn.ClassifyReadError(a.ctx, err), status: resp.StatusCode}
 	}
 	a.serverError = resp.StatusCode >= 500
 	if a.serverError && x.route.MayRepeat() && x.mayRetryServerError() {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -59,7 +59,7 @@
 		case errors.Is(err, io.EOF):
 			return a.finishStream(resp, pending, timeToFirst)
 		case err != nil:
-			return a.failStream(a.conn.ClassifyReadError(x.ctx, err), timeToFirst)
+			return a.failStream(a.conn.ClassifyReadError(a.ctx, err), timeToFirst)
 		case len(pending) > maxEventSize:
 			return a.failStream(errors.New("relay: event exceeds the size limit"), timeToFirst)
 		}
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/pause"
 )
 
 // weightsTrace tells on which version of the weights an attempt was expected to run, and on which it did. All versions are 0 at services
@@ -32,6 +36,7 @@
 // attempt that began on a version whose time was over.
 func (a *upstreamAttempt) recordStart() {
 	a.tracked.RecordStart()
+	a.begun.Store(true)
 	x := a.x
 	if x.engine == nil {
 		return
@@ -48,14 +53,55 @@
 		"newest_age_ms", time.Since(newest.NamedAt).Milliseconds()}, a.weights.values()...)...)
 }
 
-// lastKnownVersion returns the newest version of the weights that the upstream holds completely, as far as this entry knows, or 0 if
+// errVersionExpired is the cause with which an attempt is cancelled that would begin on a version whose time is over.
+var errVersionExpired = errors.New("relay: the time of the upstream's version ended before the request began")
+
+// versionCheckInterval is the longest time between checks of the version that an attempt waits for. It bounds the delay with which a
+// record of a newer version that arrived late, or an upstream that went back to an older version, takes effect.
+const versionCheckInterval = 250 * time.Millisecond
+
+// endWithVersion cancels the attempt with errVersionExpired if it has not begun when the time of its upstream's version ends. The
+// version is compared when an attempt is sent, but the attempt may wait long in the queue of the upstream, and then begins on
+// whatever is loaded. It returns once the attempt has begun or a.ctx has ended.
+func (a *upstreamAttempt) endWithVersion(cancel context.CancelCauseFunc) {
+	for !a.begun.Load() && a.ctx.Err() == nil {
+		remaining := a.untilVersionEnds()
+		if remaining <= 0 {
+			cancel(errVersionExpired)
+			return
+		}
+		pause.For(a.ctx, min(remaining, versionCheckInterval))
+	}
+}
+
+// untilVersionEnds returns the time for which a request may still begin on the version that the upstream holds, or
+// versionCheckInterval if no newer version is named.
+func (a *upstreamAttempt) untilVersionEnds() time.Duration {
+	x := a.x
+	snapshot := x.relay.cfg.State.Snapshot()
+	upstream := snapshot.ByID(a.upstream.ID)
+	if upstream == nil {
+		upstream = a.upstream
+	}
+	version, _ := x.lastKnownVersion(upstream)
+	if version == 0 {
+		version = a.weights.assumed // An upstream may report no version while it loads one.
+	}
+	until, ok := snapshot.UsableUntil(x.meta.Model, version, x.relay.cfg.VersionApplyWindow-VersionMargin)
+	if !ok {
+		return versionCheckInterval
+	}
+	return time.Until(until)
+}
+
+// lastKnownVersion returns the newest version of the weights that an upstream holds completely, as far as this entry knows, or 0 if
 // there is none. reportAge is the age of the load report it was read from, or -1 if it was read from the list of upstreams.
-func (a *upstreamAttempt) lastKnownVersion() (version int64, reportAge time.Duration) {
-	models, reportAge := a.upstream.Models, time.Duration(-1)
-	if load, age, ok := a.x.relay.cfg.Loads.Get(a.upstream.Address); ok && age < maxLoadAge {
+func (x *exchange) lastKnownVersion(upstream *catalog.Upstream) (version int64, reportAge time.Duration) {
+	models, reportAge := upstream.Models, time.Duration(-1)
+	if load, age, ok := x.relay.cfg.Loads.Get(upstream.Address); ok && age < maxLoadAge {
 		models, reportAge = load.Models, age
 	}
-	return newestCompleteVersion(models, a.x.meta.Model, a.x.engine.Layers), reportAge
+	return newestCompleteVersion(models, x.meta.Model, x.engine.Layers), reportAge
 }
 
 // hasCompleteVersion reports whether all layers of the required version or a newer one are loaded. With required 0, any
