relay, placement: leave out upstreams on which attempts begin late

What callers saw: requests began on an older version of the weights after the time allowed for the rollout, at servers whose link was slow: sent in time, they reached the server 1.4 to 2 s later. Cause: the entry predicts the beginning from the engine's figures and reports. Neither shows the way to the server, where a request waits behind the chunks of the new version; closing the connection at the end of the time waits there as well. The entry's own attempts had shown the delay for seconds (predicted 140 to 370 ms, first event after 735 to 1,650 ms) and it was not used. Why it works: an entry keeps the shortest delay with which its recent attempts at an upstream began, or the time for which they have been waiting while none began. It is what no attempt can avoid; requests that others overtake do not raise it. Entries send it to each other with their work. Three times this delay, and 1 s at least, must be left for an upstream with an older version, and waiting attempts are ended earlier by it.

--- a/internal/loadview/work.go
+++ b/internal/loadview/work.go
@@ -56,10 +56,7 @@
 			delete(t.entries, id)
 			continue
 		}
-		w := e.work[upstream]
-		sum.Running += w.Running
-		sum.Waiting += w.Waiting
-		sum.WaitingTokens += w.WaitingTokens
+		sum = sum.Plus(e.work[upstream])
 	}
 	return sum
 }
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -337,11 +337,7 @@
 	var out []message.UpstreamLoad
 	for _, l := range m.cfg.Loads.Recent(loadInterval) {
 		if u := snap.ByAddress(l.Address); u != nil && u.DataCentre == m.cfg.Self.DataCentre {
-			l.DataCentreWork = m.cfg.PeerWork.Total(u.ID)
-			work := ownWork[u.ID]
-			l.DataCentreWork.Running += work.Running
-			l.DataCentreWork.Waiting += work.Waiting
-			l.DataCentreWork.WaitingTokens += work.WaitingTokens
+			l.DataCentreWork = m.cfg.PeerWork.Total(u.ID).Plus(ownWork[u.ID])
 			l.DataCentreWork.ID, l.HasDataCentreWork = "", true
 			out = append(out, l)
 		}
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -100,6 +100,20 @@
 	Running       int `msgpack:"r,omitempty"`
 	Waiting       int `msgpack:"w,omitempty"`
 	WaitingTokens int `msgpack:"t,omitempty"`
+	// StartDelayMillis is the time that an attempt takes at least to begin, see placement.Tracker.StartDelay. It is 0 if unknown.
+	StartDelayMillis int64 `msgpack:"d,omitempty"`
+}
+
+// Plus returns the work of two entries, or groups of entries, at the same upstream. The shorter start delay counts, as an entry
+// whose requests are less urgent sees longer ones.
+func (w UpstreamWork) Plus(other UpstreamWork) UpstreamWork {
+	w.Running += other.Running
+	w.Waiting += other.Waiting
+	w.WaitingTokens += other.WaitingTokens
+	if w.StartDelayMillis == 0 || other.StartDelayMillis > 0 && other.StartDelayMillis < w.StartDelayMillis {
+		w.StartDelayMillis = other.StartDelayMillis
+	}
+	return w
 }
 
 // WholeManifest is the value of WeightsRequest.Chunk that requests the digests of all chunks.
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -72,6 +72,7 @@
 	lastUsed    time.Time
 	// lastActivity is when the newest event or answer arrived.
 	lastActivity time.Time
+	delays       startDelays
 	// replaced is set when another upstream was found at the address. replacedSequence is the sequence number of the newest
 	// announcement of the old upstream at that time.
 	replaced         bool
@@ -116,7 +117,12 @@
 func (a *Attempt) RecordStart() {
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
+	if a.started {
+		return
+	}
 	a.started = true
+	now := a.tracker.now()
+	a.tracker.getOrCreate(a.upstream).delays.record(now, now.Sub(a.sent))
 }
 
 // RecordActivity records that an event or the head of an answer has arrived from the upstream.
@@ -230,6 +236,16 @@
 	w.AheadShare = estimateAheadShare(rank, waiting, urgent)
 }
 
+// exportedDelayMillis returns a start delay as it is sent to other entries: rounded down to 100 ms, and 1 ms below 300 ms. Each change is
+// a message to all entries, and shorter delays are usual and vary.
+func exportedDelayMillis(delay time.Duration) int64 {
+	const shortest, step = 300 * time.Millisecond, 100 * time.Millisecond
+	if delay < shortest {
+		return 1
+	}
+	return delay.Truncate(step).Milliseconds()
+}
+
 // Export returns the work that this node has in progress at each upstream, sorted by the ID of the upstream.
 func (t *Tracker) Export() []message.UpstreamWork {
 	t.mu.Lock()
@@ -240,6 +256,9 @@
 			continue
 		}
 		w := message.UpstreamWork{ID: id, Running: len(u.attempts)}
+		if delay, known := u.startDelay(t.now()); known {
+			w.StartDelayMillis = exportedDelayMillis(delay)
+		}
 		for a := range u.attempts {
 			if !a.started {
 				w.Waiting++
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,9 +33,11 @@
 	// VersionMargin is subtracted from Config.VersionApplyWindow, the time in which a rollout has to be complete. It covers the
 	// latency to the upstream and clock skew.
 	VersionMargin = 400 * time.Millisecond
-	// startDelayFactor times the predicted time to the first event is assumed to be the longest delay until a request starts. Near
-	// the end of a rollout, an upstream is a candidate only if its version is still allowed after that delay.
+	// startDelayFactor times the predicted time to the first event, or the delay with which attempts at the upstream begin if that is
+	// longer, is assumed to be the longest delay until a request starts. It is at least minVersionLead, for delays that no attempt
+	// has shown yet. Near the end of a rollout, an upstream is a candidate only if its version is still allowed after that delay.
 	startDelayFactor = 3
+	minVersionLead   = time.Second
 )
 
 // errCallerGone and errTimeout are the causes with which the context of a request is cancelled.
@@ -324,7 +326,8 @@
 			return c, false
 		}
 	}
-	latestStart := now.Add(startDelayFactor * placement.PredictFirstEvent(x.engine, c.Work, float64(x.meta.PromptTokens)))
+	delay := max(placement.PredictFirstEvent(x.engine, c.Work, float64(x.meta.PromptTokens)), x.startDelay(u))
+	latestStart := now.Add(max(startDelayFactor*delay, minVersionLead))
 	required := x.snapshot.MinVersion(x.meta.Model, latestStart, x.relay.cfg.VersionApplyWindow-VersionMargin)
 	return c, hasCompleteVersion(models, x.meta.Model, x.engine.Layers, required)
 }
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// untilVersionEnds returns the time for which a request may still begin on the version that the upstream holds, or
+// untilVersionEnds returns the time for which the attempt may still be left waiting on the version that the upstream holds, or
 // versionCheckInterval if no newer version is named.
 func (a *upstreamAttempt) untilVersionEnds() time.Duration {
 	x := a.x
@@ -91,7 +91,20 @@
 	if !ok {
 		return versionCheckInterval
 	}
-	return time.Until(until)
+	return time.Until(until) - x.startDelay(upstream)
+}
+
+// startDelay returns the time that an attempt at an upstream takes at least to begin, as attempts of this entry show it, or else those
+// of other entries. It is 0 if nothing is known. Closing a connection may take as long to reach the upstream.
+func (x *exchange) startDelay(upstream *catalog.Upstream) time.Duration {
+	if delay, known := x.relay.cfg.Tracker.StartDelay(upstream.ID); known {
+		return delay
+	}
+	work := x.relay.cfg.PeerWork.Total(upstream.ID)
+	if remote, _, ok := x.relay.cfg.Loads.DataCentreWork(upstream.Address); ok {
+		work = work.Plus(remote)
+	}
+	return time.Duration(work.StartDelayMillis) * time.Millisecond
 }
 
 // lastKnownVersion returns the newest version of the weights that an upstream holds completely, as far as this entry knows, or 0 if
