directpath, loader: do not load a previous version whose use ends before it could serve

Cause: shouldFallBack looked only at what was cached and whether chunks arrived, not at how long the previous version may still be used (until the naming of the newest one + VersionApply - relay.VersionMargin).

As staging can take longer than estimated, the loader checks the end of use (Target.UsableUntil) once more right before the load order.

--- a/internal/directpath/agent.go
+++ b/internal/directpath/agent.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pimentohead/pimentohead/internal/chunkcache"
-	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/loader"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
@@ -110,8 +109,8 @@
 	if !ok {
 		return t, true
 	}
-	if previous, ok := snap.PreviousVersion(t.Model); ok && a.shouldFallBack(t.Model, v, previous) {
-		t.NextVersion = v.Version
+	if previous, ok := snap.PreviousVersion(t.Model); ok && a.rollout(t.Model, v, previous).shouldFallBack(time.Now()) {
+		t.NextVersion, t.UsableUntil = v.Version, a.endOfUse(v)
 		v = previous
 	}
 	t.Version, t.NamedAt = v.Version, v.NamedAt
@@ -119,28 +118,6 @@
 	return t, true
 }
 
-const (
-	// stalledAfter is the time without a new chunk after which a version counts as unavailable for now.
-	stalledAfter = 800 * time.Millisecond
-	// fallbackShare is the fraction of the previous version's chunks that must be cached for it to be loaded instead.
-	fallbackShare = 0.5
-)
-
-// shouldFallBack reports whether the previous version should be loaded first: the newest one is unavailable for now, for example
-// while the origin is unreachable, and the upstream has loaded neither of the two, so that it would soon have no version that may
-// be used.
-func (a *Agent) shouldFallBack(model string, newest, previous fleet.VersionRecord) bool {
-	share, lastChunkAt := a.cache.Progress(model, newest.Version)
-	if share >= 1 || time.Since(newest.NamedAt) < stalledAfter || time.Since(lastChunkAt) < stalledAfter {
-		return false
-	}
-	if a.loader.ServesVersion(model, previous.Version) || a.loader.ServesVersion(model, newest.Version) {
-		return false
-	}
-	previousShare, _ := a.cache.Progress(model, previous.Version)
-	return previousShare >= fallbackShare
-}
-
 // turnDelay returns the time after the naming of the version from which the upstream may interrupt its requests to load. The
 // upstreams of a data centre take turns in the order of a hash of address and version, which all agents compute alike.
 func (a *Agent) turnDelay(version int64) time.Duration {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -108,13 +108,22 @@
 	DrainLead time.Duration
 	// NextVersion is a newer version that is not fully available yet and is fetched in the background; 0 if there is none.
 	NextVersion int64
+	// UsableUntil is the time from which no request may begin on the version, because a newer one is named; zero if there is none.
+	UsableUntil time.Time
 }
 
+// isTooLate reports whether a load that is ordered now would complete when the version may not be used any more.
+func (t Target) isTooLate(now time.Time) bool {
+	return !t.UsableUntil.IsZero() && now.Add(LoadDuration).After(t.UsableUntil)
+}
+
+// LoadDuration is how long a model server takes to load a version that is staged.
+const LoadDuration = 300 * time.Millisecond
+
 const (
 	// reportInterval is the time between requests for a report. They cost nothing, as the upstream runs on the same instance.
 	reportInterval = 100 * time.Millisecond
-	// loadingInterval is the time between requests for a report during a load, which takes 300 ms, and between checks of the
-	// target.
+	// loadingInterval is the time between requests for a report during a load, and between checks of the target.
 	loadingInterval = 25 * time.Millisecond
 	// maxFailedReports is the number of consecutive failed report requests after which the upstream counts as down.
 	maxFailedReports = 2
@@ -203,6 +212,12 @@
 	return CountLoadedLayers(report.Models, model, version) > 0
 }
 
+// ServesAnyVersion reports whether layers of any version of a model are loaded, according to the newest report.
+func (l *Loader) ServesAnyVersion(model string) bool {
+	report, _ := l.current()
+	return servesAnyVersion(report, model)
+}
+
 // current returns the newest report, and whether the upstream is answering: false if the last request for a report failed or none
 // has succeeded yet.
 func (l *Loader) current() (Report, bool) {
@@ -276,6 +291,9 @@
 // errAbandoned means that work on a version ended because the target changed or the upstream restarted.
 var errAbandoned = errors.New("loader: load abandoned because the target changed or the upstream restarted")
 
+// errTooLate means that a version was not loaded because it may not be used any more once it is loaded.
+var errTooLate = errors.New("loader: load not ordered because the version may not be used any more when it completes")
+
 // stageAndLoad stages and loads one version. It returns errAbandoned as soon as the target changes or the upstream restarts.
 func (l *Loader) stageAndLoad(parent context.Context, target Target, report Report) error {
 	ctx, cancel := context.WithCancelCause(parent)
@@ -344,8 +362,7 @@
 // upstream as swapping, verifies the staged chunks once more, and stages corrupt ones again. An upstream without a version need
 // not wait.
 func (l *Loader) waitTurn(ctx context.Context, target Target) error {
-	report, _ := l.current()
-	if !servesAnyVersion(report, target.Model) {
+	if !l.ServesAnyVersion(target.Model) {
 		return nil
 	}
 	turn := target.NamedAt.Add(target.TurnDelay)
@@ -371,12 +388,16 @@
 	return false
 }
 
-// load sends the load order and waits until the load has completed. An order with an unknown outcome is treated as accepted.
+// load sends the load order and waits until the load has completed. An order with an unknown outcome is treated as accepted. It
+// returns errTooLate without an order if the version could not be used any more.
 func (l *Loader) load(ctx context.Context, target Target) error {
 	report, err := l.engine.Report(ctx)
 	if err != nil {
 		return err
 	}
+	if target.isTooLate(time.Now()) {
+		return errTooLate
+	}
 	order := Order{Model: target.Model, Version: target.Version, Interrupt: true, OrdersAccepted: report.OrdersAccepted}
 	l.log.Info("load ordered", "model", target.Model, "version", target.Version, "active", report.Active, "queued", report.Queued)
 	if err := l.engine.Load(ctx, order); err != nil {
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -177,7 +177,7 @@
 }
 
 // start runs a loader until the test ends.
-func start(t *testing.T, e *fakeEngine, w *fakeWeights, target *targetVersion) *loader.Loader {
+func start(t *testing.T, e *fakeEngine, w loader.Weights, target *targetVersion) *loader.Loader {
 	l := loader.New(e, w, logr.Discard(), target.get, func(loader.Report, bool, bool) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -283,3 +283,26 @@
 	g.Consistently(loadedVersion(e), "600ms").Should(Equal(int64(1)))
 	g.Eventually(loadedVersion(e), "2s").Should(Equal(int64(2)))
 }
+
+// Guards against an older version that is loaded when no request may begin on it any more: staging can take longer than expected.
+func TestVersionIsNotLoadedAfterTheEndOfItsUse(t *testing.T) {
+	for name, test := range map[string]struct {
+		use  time.Duration
+		want int64
+	}{"use ends while a chunk is missing": {loader.LoadDuration + 100*time.Millisecond, 0}, "long use": {time.Hour, 2}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e, target := &fakeEngine{startedAtMillis: 1}, &targetVersion{}
+			w := &partialWeights{missing: map[int]bool{0: true}, released: make(chan struct{})}
+			target.set(2)
+			target.target.NextVersion, target.target.UsableUntil = 3, time.Now().Add(test.use)
+			start(t, e, w, target)
+			time.Sleep(200 * time.Millisecond)
+			close(w.released)
+			time.Sleep(500 * time.Millisecond)
+			g.Expect(loadedVersion(e)()).To(Equal(test.want))
+			target.set(3)
+			g.Eventually(loadedVersion(e), "2s").Should(Equal(int64(3)))
+		})
+	}
+}
