directpath: finish a previous version that an agent has begun to stage

The agent now compares with the target that the loader last began to stage (Loader.LastTarget): a previous version that was begun because the newest one was unavailable is finished as long as it can serve in time, unless the newest one is cached completely. The chunks of the newest one go on being fetched meanwhile. A previous version that is being staged when a newer one is named is still abandoned at once, as before.

TestFallBackIsNotAbandonedForSingleChunks fails without the rule. The unused field Loader.changed is removed.

--- a/internal/directpath/fallback.go
+++ b/internal/directpath/fallback.go
@@ -26,6 +26,8 @@
 	newestShare, previousShare float64
 	// lastChunkAt is when a chunk of the newest version was last cached.
 	lastChunkAt time.Time
+	// fallingBack is set if the agent last began to stage the previous version because the newest one was unavailable.
+	fallingBack bool
 	// loaded is set if the upstream has loaded layers of either version.
 	loaded bool
 	// previousTurn is the time before which the upstream must not load the previous version, zero if it need not wait.
@@ -37,10 +39,16 @@
 // shouldFallBack reports whether the previous version should be loaded first: the newest one is unavailable for now, for example
 // while the origin is unreachable, the upstream has loaded neither of the two, so that it would soon have no version that may be
 // used, and the previous one can be loaded early enough to be of use.
+//
+// An agent that has begun to fall back continues until the newest version is cached completely, even if its chunks arrive again. The
+// chunks of one version replace those of the other beside the upstream, so that alternating would complete neither.
 func (r rollout) shouldFallBack(now time.Time) bool {
 	if r.newestShare >= 1 || r.loaded || !r.previousServesInTime(now) {
 		return false
 	}
+	if r.fallingBack {
+		return true
+	}
 	stalled := now.Sub(r.newest.NamedAt) >= stalledAfter && now.Sub(r.lastChunkAt) >= stalledAfter
 	return stalled && r.previousShare >= fallbackShare
 }
@@ -58,6 +66,8 @@
 func (a *Agent) rollout(model string, newest, previous fleet.VersionRecord) rollout {
 	r := rollout{newest: newest, previousUsableUntil: a.endOfUse(newest),
 		loaded: a.loader.ServesVersion(model, previous.Version) || a.loader.ServesVersion(model, newest.Version)}
+	last := a.loader.LastTarget()
+	r.fallingBack = last.Model == model && last.Version == previous.Version && last.NextVersion == newest.Version
 	r.newestShare, r.lastChunkAt = a.cache.Progress(model, newest.Version)
 	r.previousShare, _ = a.cache.Progress(model, previous.Version)
 	if a.loader.ServesAnyVersion(model) {
--- a/internal/directpath/fallback_test.go
+++ b/internal/directpath/fallback_test.go
@@ -56,3 +56,18 @@
 	r.previousTurn = at(7000)
 	g.Expect(r.shouldFallBack(at(1000))).To(BeFalse(), "the turn of the upstream comes too late")
 }
+
+// Guards against agents that alternate between two versions while chunks of the newest one arrive with pauses, and load neither.
+func TestFallBackIsNotAbandonedForSingleChunks(t *testing.T) {
+	g := NewWithT(t)
+	now := rolloutTestStart.Add(2 * time.Second)
+	r := stalledRollout()
+	r.previousShare, r.newestShare, r.lastChunkAt = 0.9, 0.2, now.Add(-100*time.Millisecond)
+	g.Expect(r.shouldFallBack(now)).To(BeFalse(), "the newest version arrives, and the previous one was not begun")
+	r.fallingBack = true
+	g.Expect(r.shouldFallBack(now)).To(BeTrue(), "the previous version is almost staged")
+	r.newestShare = 1
+	g.Expect(r.shouldFallBack(now)).To(BeFalse(), "the newest version can be staged at once")
+	r.newestShare = 0.2
+	g.Expect(r.shouldFallBack(rolloutTestStart.Add(7*time.Second))).To(BeFalse(), "the use of the previous version ends")
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -151,14 +151,14 @@
 	// failures counts consecutive failed report requests.
 	failures int
 	swapping bool
-	// changed is not used.
-	changed chan struct{}
+	// lastTarget is the target that was last staged, whether or not that has completed.
+	lastTarget Target
 }
 
 // New returns a Loader for engine. target and publish are called from the goroutines of Run; see the fields of Loader.
 func New(engine Engine, weights Weights, log logr.Logger, target func() (Target, bool),
 	publish func(report Report, swapping, down bool)) *Loader {
-	return &Loader{engine: engine, weights: weights, log: log, target: target, publish: publish, changed: make(chan struct{}, 1)}
+	return &Loader{engine: engine, weights: weights, log: log, target: target, publish: publish}
 }
 
 // Run polls the upstream and loads the target version whenever the upstream lacks it, until ctx ends.
@@ -233,6 +233,19 @@
 	return l.failures > 0
 }
 
+// LastTarget returns the target whose staging began last, whether or not it has completed. It is zero before the first one.
+func (l *Loader) LastTarget() Target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastTarget
+}
+
+func (l *Loader) setLastTarget(target Target) {
+	l.mu.Lock()
+	l.lastTarget = target
+	l.mu.Unlock()
+}
+
 func (l *Loader) setSwapping(swapping bool) {
 	l.mu.Lock()
 	l.swapping = swapping
@@ -298,6 +311,7 @@
 func (l *Loader) stageAndLoad(parent context.Context, target Target, report Report) error {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
+	l.setLastTarget(target)
 	go l.cancelWhenObsolete(ctx, cancel, target, report.StartedAtMillis)
 	if target.NextVersion > 0 {
 		next := target
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -306,3 +306,17 @@
 		})
 	}
 }
+
+// Guards against an agent that cannot tell which version it has begun to stage, and abandons it halfway.
+func TestLastTargetIsTheOneBeingStaged(t *testing.T) {
+	g := NewWithT(t)
+	e, target := &fakeEngine{startedAtMillis: 1}, &targetVersion{}
+	w := &partialWeights{missing: map[int]bool{0: true}, released: make(chan struct{})}
+	target.set(2)
+	target.target.NextVersion = 3
+	l := start(t, e, w, target)
+	g.Eventually(func() int64 { return l.LastTarget().Version }, "1s").Should(Equal(int64(2)))
+	g.Expect(l.LastTarget().NextVersion).To(Equal(int64(3)))
+	close(w.released)
+	g.Eventually(loadedVersion(e), "2s").Should(Equal(int64(2)))
+}
