fleet, catalogsync, mesh: known ages of versions replace assumed ones

After all entries of a deployment had restarted, callers' requests began on weights long past their time.

The agents, which had not restarted, knew the age but sent entries nothing. And of two ages the greater one counted, so that an assumed age hid a known one.

- VersionRecord and the link message say whether the age is assumed (msgpack field aa, ignored by nodes of earlier builds).
A known age replaces an assumed one in both directions, on all nodes: the change is sent on, and so is a known age that is greater by 100 ms or more, which a node reports that heard of the version earlier.
Before, such a correction stayed on the node that received it.
- Agents send their records of versions on a new link.
- Without any report, a version that was named before the start is assumed to be as old as VersionApply - contact_ms at the start of the process, however late the listing comes.
A version found by a later listing, as after the store has dropped its history, is assumed to be no older than the time since the state was last up to date.

TestKnownAgeReplacesAnAssumedOne, TestObserversAreToldOfACorrectedAge, TestVersionNamedBeforeTheStartIsAssumedToBeOld, TestVersionFoundByALaterListingIsNotAssumedToBeOld and TestAgentTellsEntriesTheAgeOfAVersion fail with the earlier rules.

--- a/cmd/pimentoheadd/platform.go
+++ b/cmd/pimentoheadd/platform.go
@@ -87,7 +87,7 @@
 	node := directpath.Node{
 		ID: s.NodeName, DataCentre: s.DataCentre, Region: s.Region, LinkAddress: address(s.LinkPort), SeedAddress: s.SeedAddress,
 		MetricsAddress: address(s.MetricsPort), Secret: []byte(secret), Seeds: s.Seeds, Store: platform.NewStore(s.StoreAddress), Log: log,
-		VersionApply: s.Bounds.VersionApply, GracePeriod: s.Bounds.GracePeriod,
+		VersionApply: s.Bounds.VersionApply, RecoveryGrace: s.Bounds.RecoveryGrace, GracePeriod: s.Bounds.GracePeriod,
 	}
 	if role == message.RoleAgent {
 		agent, err := directpath.NewAgent(directpath.AgentConfig{Node: node, UpstreamAddress: s.UpstreamAddress, Service: s.Service,
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -76,8 +76,9 @@
 	log     logr.Logger
 	// isActive reports whether this node has to watch the store.
 	isActive func() bool
-	// assumedVersionAge is the time that is assumed to have passed since a model version that a listing returns was named.
+	// assumedVersionAge is the age that is assumed for model versions at startedAt; see watcher.assumedNaming.
 	assumedVersionAge time.Duration
+	startedAt         time.Time
 
 	// mu guards freshAt, the time as of which all documents under each prefix are known.
 	mu      sync.Mutex
@@ -85,14 +86,14 @@
 }
 
 // New returns a Syncer. isActive reports whether this node has to watch the store; it must be safe for concurrent use.
-// assumedVersionAge is the age that is assumed for model versions that a listing returns, because the store does not say when they
-// were named.
+// assumedVersionAge is the age that model versions which were named before this call are assumed to have now, because the store does
+// not say when they were named.
 func New(
 	lister store.Lister, decoder Decoder, state *fleet.State, log logr.Logger, isActive func() bool,
 	assumedVersionAge time.Duration,
 ) *Syncer {
 	return &Syncer{lister: lister, decoder: decoder, state: state, log: log, isActive: isActive, assumedVersionAge: assumedVersionAge,
-		freshAt: map[string]time.Time{}}
+		startedAt: time.Now(), freshAt: map[string]time.Time{}}
 }
 
 // Run keeps the state up to date until ctx ends. On every node it lists each prefix until one listing has succeeded. After that it
@@ -180,7 +181,7 @@
 		if event.Deleted && w.prefix.HoldsUpstreams && !w.reannounceUntil.IsZero() {
 			continue // The listing at the end of the reannounce period removes upstreams that are still missing.
 		}
-		w.apply(event.KV, event.Deleted, 0)
+		w.apply(event.KV, event.Deleted, naming{at: time.Now()})
 	}
 	w.revision = next
 	w.markFresh(w.prefix.Name)
@@ -219,8 +220,9 @@
 		w.reannounceUntil = time.Time{}
 	}
 	var upstreams []fleet.UpstreamRecord
+	assumed := w.assumedNaming()
 	for _, kv := range listing.KVs {
-		if upstream, ok := w.apply(kv, false, w.assumedVersionAge); ok {
+		if upstream, ok := w.apply(kv, false, assumed); ok {
 			upstreams = append(upstreams, upstream)
 		}
 	}
@@ -233,9 +235,25 @@
 	return nil
 }
 
-// apply decodes a document and merges it into the state. age is the assumed time since a model version was named. It returns
-// the upstream and true if the document describes one.
-func (w *watcher) apply(kv store.KV, deleted bool, age time.Duration) (fleet.UpstreamRecord, bool) {
+// naming is the time at which a model version was named. assumed is set if the time is not known.
+type naming struct {
+	at      time.Time
+	assumed bool
+}
+
+// assumedNaming returns the time at which a version that a listing returns, and that is new to this node, is assumed to have been
+// named. The version was named after the state was last up to date. If it never was, the version is assumed to have been named
+// assumedVersionAge before the start: the later the listing comes, the older the version.
+func (w *watcher) assumedNaming() naming {
+	if age, known := w.state.Staleness(); known {
+		return naming{at: time.Now().Add(-min(age, w.assumedVersionAge)), assumed: true}
+	}
+	return naming{at: w.startedAt.Add(-w.assumedVersionAge), assumed: true}
+}
+
+// apply decodes a document and merges it into the state. named is the time at which a model version was named. It returns the
+// upstream and true if the document describes one.
+func (w *watcher) apply(kv store.KV, deleted bool, named naming) (fleet.UpstreamRecord, bool) {
 	document, err := w.decoder.Decode(kv.Key, kv.Value, deleted)
 	if err != nil {
 		w.log.Info("document in the store cannot be read", "key", kv.Key, "revision", kv.ModRevision, "cause", err.Error())
@@ -247,13 +265,14 @@
 				"routes", len(document.Config.Routes), "from", "store")
 		}
 	case document.Version != nil:
-		version := fleet.VersionRecord{NamedVersion: *document.Version, Revision: kv.ModRevision, NamedAt: time.Now().Add(-age)}
+		version := fleet.VersionRecord{NamedVersion: *document.Version, Revision: kv.ModRevision, NamedAt: named.at,
+			AgeAssumed: named.assumed}
 		if newest, ok := w.state.Snapshot().NewestVersion(document.Version.Model); ok && newest.Version == version.Version {
-			break // The recorded age is more accurate than the assumed one.
+			break // The recorded time is at least as reliable.
 		}
 		if w.state.ApplyVersion(version) {
-			w.log.Info("model version named", "model", version.Model, "version", version.Version, "age_ms", age.Milliseconds(),
-				"from", "store")
+			w.log.Info("model version named", "model", version.Model, "version", version.Version,
+				"age_ms", time.Since(named.at).Milliseconds(), "age_assumed", named.assumed, "from", "store")
 		}
 	case document.UpstreamID != "":
 		upstream := fleet.UpstreamRecord{ID: document.UpstreamID, Revision: kv.ModRevision, Announcement: document.Upstream}
--- a/internal/controller/catalogsync/sync_test.go
+++ b/internal/controller/catalogsync/sync_test.go
@@ -19,8 +19,9 @@
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 )
 
-// testDecoder decodes the key "conf", whose value is the version of the configuration, and the keys "up/ID", whose value is the
-// sequence number of the upstream's announcement. A value that is not a number cannot be decoded.
+// testDecoder decodes the key "conf", whose value is the version of the configuration, the key "conf/weights", whose value is the
+// named version of model m, and the keys "up/ID", whose value is the sequence number of the upstream's announcement. A value that is
+// not a number cannot be decoded.
 type testDecoder struct{}
 
 func (testDecoder) Prefixes() []catalogsync.Prefix {
@@ -32,6 +33,9 @@
 	if key == "conf" {
 		return catalogsync.Document{Config: &catalog.Config{Version: n}}, err
 	}
+	if key == "conf/weights" {
+		return catalogsync.Document{Version: &catalog.NamedVersion{Model: "m", Version: n}}, err
+	}
 	document := catalogsync.Document{UpstreamID: strings.TrimPrefix(key, "up/")}
 	if deleted || err != nil {
 		return document, err
@@ -126,7 +130,7 @@
 // startSyncer runs a Syncer until the test ends and returns the state that it keeps up to date.
 func startSyncer(t *testing.T, m *memoryStore, active func() bool) *fleet.State {
 	state := fleet.NewState(nil)
-	syncer := catalogsync.New(m, testDecoder{}, state, logr.Discard(), active, 0)
+	syncer := catalogsync.New(m, testDecoder{}, state, logr.Discard(), active, testVersionAge)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); syncer.Run(ctx) }()
@@ -134,6 +138,9 @@
 	return state
 }
 
+// testVersionAge is the age that versions named before the start of the syncer are assumed to have then.
+const testVersionAge = 5 * time.Second
+
 func alwaysActive() bool { return true }
 
 // configVersion returns a function that reads the version of the configuration in force, or 0.
@@ -234,3 +241,49 @@
 	active.Store(true)
 	g.Eventually(configVersion(s), "2s").Should(Equal(int64(2)), "a node that becomes active lists again first")
 }
+
+// namedVersion returns a function that reads the newest version of model m.
+func namedVersion(s *fleet.State) func() int64 {
+	return func() int64 { v, _ := s.Snapshot().NewestVersion("m"); return v.Version }
+}
+
+// Guards against requests that begin on old weights long after all entries have restarted: a version that was named before the start
+// has to be assumed the older, the later the store is read.
+func TestVersionNamedBeforeTheStartIsAssumedToBeOld(t *testing.T) {
+	g := NewWithT(t)
+	m := newMemoryStore()
+	m.put("conf/weights", "2")
+	m.down = true
+	started := time.Now()
+	s := startSyncer(t, m, alwaysActive)
+	time.Sleep(300 * time.Millisecond)
+	m.withLock(func() { m.down = false })
+	g.Eventually(namedVersion(s), "3s").Should(Equal(int64(2)))
+	v, _ := s.Snapshot().NewestVersion("m")
+	g.Expect(v.AgeAssumed).To(BeTrue())
+	g.Expect(v.NamedAt).To(BeTemporally("~", started.Add(-testVersionAge), 50*time.Millisecond))
+	g.Eventually(func() bool { _, known := s.Staleness(); return known }, "2s").Should(BeTrue())
+	m.put("conf/weights", "3")
+	g.Eventually(namedVersion(s), "2s").Should(Equal(int64(3)))
+	v, _ = s.Snapshot().NewestVersion("m")
+	g.Expect(v.AgeAssumed).To(BeFalse(), "the naming was seen")
+	g.Expect(time.Since(v.NamedAt)).To(BeNumerically("<", time.Second))
+}
+
+// Guards against a rollout that is cut short because the node that watches the store had to list it again: the version was named after
+// the state was last up to date.
+func TestVersionFoundByALaterListingIsNotAssumedToBeOld(t *testing.T) {
+	g := NewWithT(t)
+	m := newMemoryStore()
+	s := startSyncer(t, m, alwaysActive)
+	g.Eventually(func() bool { _, known := s.Staleness(); return known }, "2s").Should(BeTrue())
+	m.withLock(func() {
+		m.revision++
+		m.keys["conf/weights"] = store.KV{Key: "conf/weights", Value: []byte("2"), ModRevision: m.revision}
+		m.compactedBefore = m.revision
+	})
+	g.Eventually(namedVersion(s), "4s").Should(Equal(int64(2)))
+	v, _ := s.Snapshot().NewestVersion("m")
+	g.Expect(v.AgeAssumed).To(BeTrue())
+	g.Expect(time.Since(v.NamedAt)).To(BeNumerically("<", testVersionAge/2))
+}
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -48,6 +48,8 @@
 	Log   logr.Logger
 	// VersionApply is the time after the naming of a version from which no request may begin on older weights.
 	VersionApply time.Duration
+	// RecoveryGrace is the time after its start in which a node need not keep VersionApply yet.
+	RecoveryGrace time.Duration
 	// GracePeriod is the time between SIGTERM and SIGKILL in which the process has to shut down.
 	GracePeriod time.Duration
 }
@@ -139,12 +141,10 @@
 	}
 }
 
-// assumedAgeFraction is the fraction of VersionApply that is assumed to have passed since the naming of a version that the node
-// finds in a listing of the store, as the listing does not say when it was named.
-const assumedAgeFraction = 0.5
-
-// syncer returns the syncer that copies the configuration and the named versions from the store into the state of the node.
+// syncer returns the syncer that copies the configuration and the named versions from the store into the state of the node. The store
+// does not say when a version was named. A version that the node finds there after its start is assumed to be so old that requests
+// begin on no older one from RecoveryGrace after the start.
 func (c *components) syncer(decoder catalogsync.Decoder) *catalogsync.Syncer {
-	age := time.Duration(float64(c.VersionApply) * assumedAgeFraction)
+	age := max(c.VersionApply-c.RecoveryGrace, 0)
 	return catalogsync.New(c.Store, decoder, c.state, c.Log, c.mesh.ShouldWatchStore, age)
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -26,8 +26,10 @@
 type VersionRecord struct {
 	catalog.NamedVersion
 	Revision int64
-	// NamedAt is the earliest time reported for the naming.
-	NamedAt time.Time
+	// NamedAt is the earliest time reported for the naming. AgeAssumed is set if no node is known to have seen the naming: NamedAt is
+	// then an assumption.
+	NamedAt    time.Time
+	AgeAssumed bool
 }
 
 // Change describes the effect of one merge: a new configuration with its revision, an upstream record or a version record.
@@ -169,22 +171,17 @@
 	s.rebuild()
 }
 
-// ApplyVersion merges a named version and reports whether it was added. For a version that is known already, NamedAt may only
-// move back in time, and observers are not called. A new version that is older than the newest one is rejected.
+// ApplyVersion merges a named version and reports whether it was added. For a version that is known already, the time of its naming
+// is merged; see mergeNaming. A new version that is older than the newest one is rejected.
 func (s *State) ApplyVersion(v VersionRecord) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	history := s.versions[v.Model]
 	for i := range history {
-		if history[i].Version != v.Version {
-			continue
-		}
-		if !v.NamedAt.Before(history[i].NamedAt) {
+		if history[i].Version == v.Version {
+			s.mergeNaming(&history[i], v)
 			return false
 		}
-		history[i].NamedAt = v.NamedAt
-		s.rebuild()
-		return false
 	}
 	if n := len(history); n > 0 && v.Version < history[n-1].Version {
 		return false
@@ -194,6 +191,29 @@
 	return true
 }
 
+// namingTolerance is the difference between two times of a naming up to which other nodes are not notified. It covers the time that a
+// record takes from node to node.
+const namingTolerance = 100 * time.Millisecond
+
+// mergeNaming replaces the time at which a recorded version was named by the one in v if that is more reliable: a reported time
+// replaces an assumed one, and of two times of the same kind the earlier one counts. Observers are called, so that other nodes learn
+// it, unless the times differ by less than namingTolerance. The caller holds mu.
+func (s *State) mergeNaming(recorded *VersionRecord, v VersionRecord) {
+	replacesAssumed := recorded.AgeAssumed && !v.AgeAssumed
+	sameKind := recorded.AgeAssumed == v.AgeAssumed
+	if !replacesAssumed && !(sameKind && v.NamedAt.Before(recorded.NamedAt)) {
+		return
+	}
+	difference := recorded.NamedAt.Sub(v.NamedAt)
+	recorded.NamedAt, recorded.AgeAssumed = v.NamedAt, v.AgeAssumed
+	if replacesAssumed || difference >= namingTolerance {
+		merged := *recorded
+		s.publish(Change{Version: &merged})
+		return
+	}
+	s.rebuild()
+}
+
 // MarkUpToDate records that the state was up to date at the given time. A time earlier than the recorded one is ignored.
 func (s *State) MarkUpToDate(at time.Time) {
 	s.mu.Lock()
--- a/internal/fleet/state_test.go
+++ b/internal/fleet/state_test.go
@@ -105,3 +105,48 @@
 	g.Expect(upstreams).To(HaveLen(1), "the removal of an upstream is sent too")
 	g.Expect(upstreams[0].Announcement).To(BeNil())
 }
+
+// Guards against an age that one node only assumes and that hides the age another node knows, so that requests begin on old weights for
+// too long or a rollout is cut short on all nodes.
+func TestKnownAgeReplacesAnAssumedOne(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	for _, known := range []time.Duration{time.Second, 7 * time.Second} {
+		s := fleet.NewState(func() time.Time { return now })
+		apply := func(age time.Duration, assumed bool) time.Duration {
+			s.ApplyVersion(fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: "m", Version: 2}, Revision: 5,
+				NamedAt: now.Add(-age), AgeAssumed: assumed})
+			v, _ := s.Snapshot().NewestVersion("m")
+			return now.Sub(v.NamedAt)
+		}
+		g.Expect(apply(4*time.Second, true)).To(Equal(4 * time.Second))
+		g.Expect(apply(3*time.Second, true)).To(Equal(4*time.Second), "of two assumed ages the greater one counts")
+		g.Expect(apply(5*time.Second, true)).To(Equal(5 * time.Second))
+		g.Expect(apply(known, false)).To(Equal(known))
+		g.Expect(apply(9*time.Second, true)).To(Equal(known), "a known age is not replaced by an assumed one")
+		g.Expect(apply(8*time.Second, false)).To(Equal(8*time.Second), "of two known ages the greater one counts")
+	}
+}
+
+// Guards against a corrected age that stays on the node that received it, and against small differences that nodes send each other
+// without end.
+func TestObserversAreToldOfACorrectedAge(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s := fleet.NewState(func() time.Time { return now })
+	var observed []fleet.Change
+	s.Observe(func(c fleet.Change) { observed = append(observed, c) })
+	apply := func(age time.Duration, assumed bool) {
+		s.ApplyVersion(fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: "m", Version: 2}, Revision: 5,
+			NamedAt: now.Add(-age), AgeAssumed: assumed})
+	}
+	apply(5*time.Second, true)
+	apply(time.Second, false)
+	g.Expect(observed).To(HaveLen(2))
+	g.Expect(observed[1].Version.NamedAt).To(Equal(now.Add(-time.Second)))
+	g.Expect(observed[1].Version.AgeAssumed).To(BeFalse())
+	apply(1050*time.Millisecond, false)
+	g.Expect(observed).To(HaveLen(2), "the record took this long on its way")
+	apply(3*time.Second, false)
+	g.Expect(observed).To(HaveLen(3), "a node heard of the version late")
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -223,19 +223,28 @@
 		Incarnation: h.Incarnation}
 }
 
-// sendInitialState sends the members on a new link and, from an entry, the full state.
+// sendInitialState sends the members on a new link and, from an entry, the full state. An agent sends its records of versions.
 func (m *Mesh) sendInitialState(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
 	defer cancel()
 	err := p.conn.Send(ctx, &message.Members{Members: m.memberList()})
-	if err == nil && m.cfg.Self.Role == message.RoleEntry {
-		err = p.conn.Send(ctx, m.fullState(p.hello))
+	if err == nil {
+		err = p.conn.Send(ctx, m.initialState(p.hello))
 	}
 	if err != nil {
 		m.cfg.Log.V(1).Info("initial state was not sent", "peer", p.hello.NodeID, "cause", err.Error())
 	}
 }
 
+// initialState returns the records to send on a new link.
+func (m *Mesh) initialState(to message.Hello) *message.FleetState {
+	if m.cfg.Self.Role == message.RoleEntry {
+		return m.fullState(to)
+	}
+	_, _, _, versions := m.cfg.State.Records()
+	return &message.FleetState{Versions: versionMessages(versions)}
+}
+
 // handle processes one message on the read goroutine of its link.
 func (m *Mesh) handle(ctx context.Context, p *peer, msg message.Message) {
 	switch msg := msg.(type) {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -312,3 +312,33 @@
 	go entry.Serve(ctx, l)
 	g.Eventually(agent.LinkedEntryCount, "450ms", "10ms").Should(Equal(1))
 }
+
+// Guards against entries that have all restarted and assume an age for a version although agents know when it was named.
+func TestAgentTellsEntriesTheAgeOfAVersion(t *testing.T) {
+	g := NewWithT(t)
+	a := entryNode(t, "a", "z1")
+	b := entryNode(t, "b", "z1", a.addr)
+	g.Eventually(b.LinkedEntryCount, "3s").Should(Equal(1))
+	record := fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: "m", Version: 2}, Revision: 11}
+	age := func(n *node) func() time.Duration {
+		return func() time.Duration {
+			v, _ := n.state.Snapshot().NewestVersion("m")
+			return time.Since(v.NamedAt).Round(time.Second)
+		}
+	}
+	assumed := record
+	assumed.NamedAt, assumed.AgeAssumed = time.Now().Add(-20*time.Second), true
+	a.state.ApplyVersion(assumed)
+	g.Eventually(age(b), "2s").Should(BeNumerically("~", 20*time.Second, 2*time.Second))
+	agent := startNode(t, options{id: "s", dataCentre: "z1", role: message.RoleAgent, addr: "10.0.0.1:1"})
+	known := record
+	known.NamedAt = time.Now().Add(-5 * time.Second)
+	agent.state.ApplyVersion(known)
+	agent.AddMembers([]message.Member{{NodeID: "a", Role: message.RoleEntry, DataCentre: "z1", Region: "z1", Address: a.addr}})
+	for _, n := range []*node{a, b} {
+		g.Eventually(age(n), "3s").Should(BeNumerically("~", 5*time.Second, 2*time.Second), n.id)
+		v, _ := n.state.Snapshot().NewestVersion("m")
+		g.Expect(v.AgeAssumed).To(BeFalse(), n.id)
+	}
+	g.Expect(age(agent)()).To(BeNumerically("~", 5*time.Second, 2*time.Second))
+}
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -21,16 +21,24 @@
 	for _, u := range upstreams {
 		out.Upstreams = append(out.Upstreams, message.FleetUpstream{ID: u.ID, Revision: u.Revision, Announcement: u.Announcement})
 	}
-	for _, v := range versions {
-		out.Versions = append(out.Versions, versionMessage(v))
-	}
+	out.Versions = versionMessages(versions)
 	m.setStaleness(out)
 	return out
 }
 
+// versionMessages returns the wire form of version records.
+func versionMessages(records []fleet.VersionRecord) []message.FleetVersion {
+	var out []message.FleetVersion
+	for _, v := range records {
+		out = append(out, versionMessage(v))
+	}
+	return out
+}
+
 // versionMessage returns the wire form of a version record, with its age instead of a point in time.
 func versionMessage(v fleet.VersionRecord) message.FleetVersion {
-	return message.FleetVersion{Model: v.Model, Version: v.Version, Revision: v.Revision, AgeMillis: time.Since(v.NamedAt).Milliseconds()}
+	return message.FleetVersion{Model: v.Model, Version: v.Version, Revision: v.Revision,
+		AgeMillis: time.Since(v.NamedAt).Milliseconds(), AgeAssumed: v.AgeAssumed}
 }
 
 // setStaleness sets the staleness of this node's state. It also sets the revision of its configuration unless out has a revision.
@@ -61,11 +69,7 @@
 		state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Revision: u.Revision, Announcement: u.Announcement})
 	}
 	for _, v := range msg.Versions {
-		version := fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: v.Model, Version: v.Version}, Revision: v.Revision,
-			NamedAt: time.Now().Add(-time.Duration(v.AgeMillis) * time.Millisecond)}
-		if state.ApplyVersion(version) {
-			m.cfg.Log.Info("model version named", "model", v.Model, "version", v.Version, "age_ms", v.AgeMillis, "from", p.hello.NodeID)
-		}
+		m.mergeVersion(p, v)
 	}
 	if msg.UpstreamsComplete {
 		state.MarkUpstreamsComplete()
@@ -75,6 +79,24 @@
 	}
 }
 
+// mergeVersion merges a version record of another node. It logs versions that are new to this node, and ages that were only assumed
+// before.
+func (m *Mesh) mergeVersion(p *peer, v message.FleetVersion) {
+	state := m.cfg.State
+	before, _ := state.Snapshot().NewestVersion(v.Model)
+	record := fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: v.Model, Version: v.Version}, Revision: v.Revision,
+		NamedAt: time.Now().Add(-time.Duration(v.AgeMillis) * time.Millisecond), AgeAssumed: v.AgeAssumed}
+	if state.ApplyVersion(record) {
+		m.cfg.Log.Info("model version named", "model", v.Model, "version", v.Version, "age_ms", v.AgeMillis,
+			"age_assumed", v.AgeAssumed, "from", p.hello.NodeID)
+		return
+	}
+	if before.Version == v.Version && before.AgeAssumed && !v.AgeAssumed {
+		m.cfg.Log.Info("age of model version known", "model", v.Model, "version", v.Version, "age_ms", v.AgeMillis,
+			"assumed_age_ms", time.Since(before.NamedAt).Milliseconds(), "from", p.hello.NodeID)
+	}
+}
+
 // mergeConfig decodes the configuration of another node and puts it in force if it is newer.
 func (m *Mesh) mergeConfig(p *peer, msg *message.FleetState) {
 	config, err := message.UnpackConfig(msg.Config)
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -3,8 +3,8 @@
 import "github.com/pimentohead/pimentohead/internal/catalog"
 
 // FleetState carries the sender's configuration and its records of upstreams and of named model versions. An entry sends all its
-// records on a new link and after its queue of changes has overflowed, and otherwise only those that changed. An agent sends no
-// records.
+// records on a new link and after its queue of changes has overflowed, and otherwise only those that changed. An agent sends only its
+// records of versions, on a new link: entries that have restarted may not know when a version was named.
 type FleetState struct {
 	// Config is the configuration as encoded by PackConfig, or nil if the message does not carry it. ConfigRevision is the
 	// revision of the sender's configuration in either case.
@@ -31,12 +31,13 @@
 }
 
 // FleetVersion is the record of a version that the operator named for a model. Revision is the revision of the store at which it
-// was named, and AgeMillis is the time since then.
+// was named, and AgeMillis is the time since then. AgeAssumed is set if the sender only assumes this time.
 type FleetVersion struct {
-	Model     string `msgpack:"m"`
-	Version   int64  `msgpack:"v"`
-	Revision  int64  `msgpack:"r"`
-	AgeMillis int64  `msgpack:"a"`
+	Model      string `msgpack:"m"`
+	Version    int64  `msgpack:"v"`
+	Revision   int64  `msgpack:"r"`
+	AgeMillis  int64  `msgpack:"a"`
+	AgeAssumed bool   `msgpack:"aa,omitempty"`
 }
 
 // Members lists the nodes that the sender knows.
