loader: fetch one chunk at a time over a slow link

Cause: an agent and its upstream share a link. The agent had two chunks of 49,152 bytes in transfer (four in blocking fetches), each of which takes 330 ms on such a link. Requests and the close of a connection wait behind them.

--- a/internal/loader/collect.go
+++ b/internal/loader/collect.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// fetchWorkers is the number of chunks that are fetched concurrently. Two saturate a link of 9.4 Mbit/s with a latency of a few
-	// ms; more would only delay the requests to the upstream, which share the link.
+	// fetchWorkers is the number of chunks that are fetched concurrently, if the link is fast enough (see linkMeter). Two saturate a
+	// link of 9.4 Mbit/s with a latency of a few ms; more would only delay the requests to the upstream, which share the link.
 	fetchWorkers = 2
 	// missRetryDelay is the time after which a chunk that was not available is requested again, and lookAhead the number of
 	// pending chunks, from the lowest, that are tried. Entries receive chunks roughly in order; the limits reduce the load on
@@ -29,8 +29,8 @@
 	// blockingTimeout bounds the time a worker spends on one blocking fetch. The source continues that fetch while the worker
 	// tries another chunk.
 	blockingTimeout = 400 * time.Millisecond
-	// maxBlocking bounds the number of chunks in blocking fetches. All of them may arrive at once, over a link of 1.2 Mbit/s at
-	// worst, and each has to arrive within the timeout of 1.5 s that package chunkcache sets for a request to a peer.
+	// maxBlocking bounds the number of chunks in blocking fetches. All of them may arrive at once, so that linkMeter allows fewer on
+	// a slow link.
 	maxBlocking = 4
 )
 
@@ -39,6 +39,8 @@
 type collector struct {
 	weights Weights
 	target  Target
+	// link limits the chunks in transfer.
+	link *linkMeter
 	// store is called with each fetched chunk. isStored reports whether a chunk is stored already and need not be fetched. Both
 	// may be nil.
 	store    func(ctx context.Context, chunk int, data []byte) error
@@ -105,13 +107,29 @@
 	if c.startBlocking(chunk) {
 		fetch = c.fetchBlocking
 	}
-	data, err := fetch(ctx, c.target.Model, c.target.Version, chunk)
+	data, err := c.measure(ctx, chunk, fetch)
 	if err != nil || c.store == nil {
 		return err
 	}
 	return c.store(ctx, chunk, data)
 }
 
+// fetchFunc is the signature of the methods of Weights that fetch a chunk.
+type fetchFunc func(ctx context.Context, model string, version int64, chunk int) ([]byte, error)
+
+// measure fetches a chunk and records the time of its transfer.
+func (c *collector) measure(ctx context.Context, chunk int, fetch fetchFunc) ([]byte, error) {
+	started := time.Now()
+	data, err := fetch(ctx, c.target.Model, c.target.Version, chunk)
+	if err == nil {
+		c.mu.Lock()
+		concurrent := c.inFlight
+		c.mu.Unlock()
+		c.link.record(time.Since(started), concurrent)
+	}
+	return data, err
+}
+
 // fetchBlocking waits up to blockingTimeout for a chunk; after that it returns chunkcache.ErrNotAvailable while the fetch continues.
 func (c *collector) fetchBlocking(ctx context.Context, model string, version int64, chunk int) ([]byte, error) {
 	attempt, cancel := context.WithTimeout(ctx, blockingTimeout)
@@ -124,11 +142,12 @@
 }
 
 // startBlocking reports whether to fetch a chunk with fetchBlocking, and if so records it in blocking. This is the case if no chunk
-// was completed within stallTimeout and the chunk is in blocking already or blocking holds fewer than maxBlocking chunks.
+// was completed within stallTimeout and the chunk is in blocking already or one more is allowed there.
 func (c *collector) startBlocking(chunk int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.lastProgress) < stallTimeout || !c.blocking[chunk] && len(c.blocking) >= maxBlocking {
+	oneMore := len(c.blocking) < maxBlocking && c.link.allows(len(c.blocking)+1)
+	if time.Since(c.lastProgress) < stallTimeout || !c.blocking[chunk] && !oneMore {
 		return false
 	}
 	c.blocking[chunk] = true
@@ -153,6 +172,9 @@
 	if c.err != nil || len(c.pending)+c.inFlight == 0 {
 		return noChunk, false
 	}
+	if !c.link.allows(c.inFlight + 1) {
+		return noChunk, true
+	}
 	for i, candidate := range c.pending[:min(lookAhead, len(c.pending))] {
 		if time.Since(c.lastMiss[candidate]) >= missRetryDelay {
 			c.pending = slices.Delete(c.pending, i, i+1)
--- a/internal/loader/collect_test.go
+++ b/internal/loader/collect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -70,3 +71,66 @@
 	g.Eventually(func() int64 { loaded, _ := e.state(); return loaded }, "2s", "5ms").Should(Equal(int64(1)))
 	g.Expect(time.Since(releasedAt)).To(BeNumerically("<", time.Second), "chunks that become available late are fetched at once")
 }
+
+// narrowWeights delivers chunks over a link on which each takes transferTime and waits for those before it. It records the largest
+// number of chunks that were on the link at once.
+type narrowWeights struct {
+	fakeWeights
+	transferTime time.Duration
+	link         sync.Mutex
+
+	mu sync.Mutex
+	// onLink and most are guarded by mu.
+	onLink, most int
+}
+
+// enter counts a chunk that starts to use the link, leave one that has arrived.
+func (n *narrowWeights) enter() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onLink++
+	n.most = max(n.most, n.onLink)
+}
+
+func (n *narrowWeights) leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onLink--
+}
+
+func (n *narrowWeights) TryChunk(ctx context.Context, model string, version int64, chunk int) ([]byte, error) {
+	n.enter()
+	defer n.leave()
+	n.link.Lock()
+	defer n.link.Unlock()
+	time.Sleep(n.transferTime)
+	return n.fakeWeights.Chunk(ctx, model, version, chunk)
+}
+
+func (n *narrowWeights) Chunk(ctx context.Context, model string, version int64, chunk int) ([]byte, error) {
+	return n.TryChunk(ctx, model, version, chunk)
+}
+
+// Guards against requests that reach the upstream long after their callers have left, because they wait on a slow link behind several
+// chunks. On a fast link, two chunks are fetched at once.
+func TestChunksOnLinkAreLimitedByItsSpeed(t *testing.T) {
+	for name, tc := range map[string]struct {
+		transferTime time.Duration
+		most         int
+	}{"slow link": {330 * time.Millisecond, 1}, "fast link": {40 * time.Millisecond, 2}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := &fakeEngine{startedAtMillis: 1}
+			n := &narrowWeights{transferTime: tc.transferTime}
+			target := &targetVersion{}
+			target.set(1)
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			go loader.New(e, n, logr.Discard(), target.get, func(loader.Report, bool, bool) {}).Run(ctx)
+			g.Eventually(func() int64 { loaded, _ := e.state(); return loaded }, "10s", "5ms").Should(Equal(int64(1)))
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			g.Expect(n.most).To(Equal(tc.most), "chunks on the link at once")
+		})
+	}
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -134,6 +134,8 @@
 	// publish receives the newest report after each poll. swapping is set while a load is imminent or running, down once
 	// maxFailedReports consecutive requests for a report have failed.
 	publish func(report Report, swapping, down bool)
+	// link limits the chunks in transfer, over all versions.
+	link linkMeter
 
 	mu     sync.Mutex
 	report Report
@@ -267,7 +269,7 @@
 	if err != nil {
 		return // The context has ended.
 	}
-	c := &collector{weights: l.weights, target: target}
+	c := &collector{weights: l.weights, target: target, link: &l.link}
 	if err := c.run(ctx, len(digests)); err != nil && ctx.Err() == nil {
 		l.log.Info("weights prefetch failed", "model", target.Model, "version", target.Version, "cause", err.Error())
 	}
@@ -325,7 +327,7 @@
 	if err != nil {
 		return err
 	}
-	c := &collector{weights: l.weights, target: target,
+	c := &collector{weights: l.weights, target: target, link: &l.link,
 		isStored: func(ctx context.Context, chunk int) bool { return l.isStaged(ctx, target, chunk, digests[chunk]) },
 		store: func(ctx context.Context, chunk int, data []byte) error {
 			return l.engine.Stage(ctx, target.Model, chunk, data)
