h1: bound the head of a response in bytes and time

An upstream in trouble may send bytes without end where a head is expected. http.ReadResponse has no limit, so an entry read header lines, a status line or interim responses into memory for as long as the upstream sent them. A request that cannot be repeated has no head timeout: it occupied the connection until its deadline, also with one byte at a time, and the upstream was not counted as failed because the deadline ended the attempt.

The heads of all responses to a request may now have 64 KiB together, and a head must be complete 1.5 s after its first byte. The wait for the first byte keeps its own limits, so that an upstream may work for long before it responds and after an interim response. The connection is closed after such an error.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -21,6 +21,8 @@
 	ErrNotSent = errors.New("h1: request not sent")
 	// ErrBroken means that at least part of the request may have been sent and no complete response was received.
 	ErrBroken = errors.New("h1: connection broken")
+	// errHeadTooLarge means that the heads of the responses to a request exceed maxHeadBytes.
+	errHeadTooLarge = errors.New("h1: response head exceeds the size limit")
 	// ErrTimeout means that a read did not complete before the read timeout. The request may have run.
 	ErrTimeout = errors.New("h1: no response in time")
 )
@@ -33,6 +35,10 @@
 	maxInlineBody = 2 << 10
 	// maxReadResponses bounds the responses that Do reads: interim responses, responses to other requests, and the one to the request.
 	maxReadResponses = 3
+	// maxHeadBytes bounds the heads of all responses to a request together, in bytes. Bytes that are read ahead count too.
+	maxHeadBytes = 64 << 10
+	// maxHeadTime bounds the time from the first byte of a response until its head is complete. Heads fit into a few packets.
+	maxHeadTime = 1500 * time.Millisecond
 	// maxSkippedBytes bounds the body of a skipped response, in bytes.
 	maxSkippedBytes = 1 << 20
 )
@@ -51,9 +57,11 @@
 
 // Conn is a connection to an upstream. It carries one request at a time and is not safe for concurrent use.
 type Conn struct {
-	nc   net.Conn
-	br   *bufio.Reader
-	addr string
+	nc net.Conn
+	// input reads from nc, br from input.
+	input *inputReader
+	br    *bufio.Reader
+	addr  string
 	// idleSince is when the connection became idle, idleLimit how long it may stay idle and still be reused.
 	idleSince time.Time
 	idleLimit time.Duration
@@ -65,11 +73,18 @@
 	closeAfter bool
 }
 
+// newConn returns a Conn on an open connection to addr.
+func newConn(nc net.Conn, addr string) *Conn {
+	input := &inputReader{nc: nc}
+	return &Conn{nc: nc, input: input, br: bufio.NewReaderSize(input, readBufferSize), addr: addr}
+}
+
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.nc.Close() }
 
 // Do sends a request and returns the head of its response. accept reports whether a response belongs to the request; others are
-// skipped. headTimeout bounds the time until the head has arrived; 0 is unlimited. The caller reads resp.Body itself and passes
+// skipped. headTimeout bounds the time until the head has arrived; 0 is unlimited, but once a response has begun, its head must be
+// complete within maxHeadTime. The caller reads resp.Body itself and passes
 // read errors to ClassifyReadError. Do does not watch ctx: the caller closes the connection when ctx ends, and the error then has
 // the cause of ctx. Errors are marked as ErrNotSent, ErrBroken or ErrTimeout.
 func (c *Conn) Do(ctx context.Context, req *Request, headTimeout time.Duration, accept func(*http.Response) bool) (*http.Response, error) {
@@ -91,12 +106,26 @@
 			c.bodyWritten <- err
 		}()
 	}
-	c.SetReadTimeout(headTimeout)
+	return c.readResponse(ctx, req.Method, headTimeout, accept)
+}
+
+// readResponse reads responses until accept returns true for one, and returns its head; see Do.
+func (c *Conn) readResponse(ctx context.Context, method string, headTimeout time.Duration, accept func(*http.Response) bool,
+) (*http.Response, error) {
+	deadline := time.Time{}
+	if headTimeout > 0 {
+		deadline = time.Now().Add(headTimeout)
+	}
+	headBytes := maxHeadBytes
 	for range maxReadResponses {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: req.Method})
+		c.input.limit(headBytes)
+		resp, err := c.readHead(method, deadline)
 		if err != nil {
 			return nil, c.classifyError(ctx, err, "read head")
 		}
+		headBytes = c.input.remaining
+		c.input.removeLimit()
+		_ = c.nc.SetReadDeadline(deadline)
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
@@ -111,6 +140,18 @@
 	return nil, errors.Wrap(ErrBroken, "received no response to the request")
 }
 
+// readHead waits for a response until deadline, the zero time being unlimited, and reads its head. It may change the read deadline.
+func (c *Conn) readHead(method string, deadline time.Time) (*http.Response, error) {
+	_ = c.nc.SetReadDeadline(deadline)
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, err
+	}
+	if latest := time.Now().Add(maxHeadTime); deadline.IsZero() || latest.Before(deadline) {
+		_ = c.nc.SetReadDeadline(latest)
+	}
+	return http.ReadResponse(c.br, &http.Request{Method: method})
+}
+
 // SetReadTimeout sets the deadline of reads to d from now; 0 is unlimited.
 func (c *Conn) SetReadTimeout(d time.Duration) {
 	deadline := time.Time{}
--- a/internal/h1/conn_test.go
+++ b/internal/h1/conn_test.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		return "", nil, err
 	}
+	context.AfterFunc(ctx, c.Close) // Do does not watch ctx.
 	req := &h1.Request{Method: "POST", Target: "/a?b=%2F", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("x")}
 	//nolint:bodyclose // The connection is closed or put back instead.
 	resp, err := c.Do(ctx, req, headTimeout, func(r *http.Response) bool { return r.Header.Get("Id") == id })
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -1,7 +1,6 @@
 package h1
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -73,7 +72,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &Conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), addr: addr}, nil
+	return newConn(nc, addr), nil
 }
 
 // Opened returns the number of connections opened since the pool was created.
