h1: end the connection if a skipped response does not end

A response to another request is skipped before the response to a request is read. Of a body over 1 MiB only the first MiB was read, and the rest was then parsed as the next response: a caller could have received bytes of another request's body as its answer. A body without end held back the request until its deadline, even if the connection could carry no further response.

The connection now ends if the body does not end within 1 MiB and 1.5 s, and at once if it is delimited by the end of the connection.

Before: TestBodyOfSkippedResponseIsNotAResponse accepted the forged response; TestUnframedResponseToAnotherRequestIsNotRead and TestSlowBodyOfSkippedResponseIsAnError ended with the deadline of the test (5.0 s). After: all pass, in less than 1 s, 1 s and 4 s.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -39,8 +39,9 @@
 	maxHeadBytes = 64 << 10
 	// maxHeadTime bounds the time from the first byte of a response until its head is complete. Heads fit into a few packets.
 	maxHeadTime = 1500 * time.Millisecond
-	// maxSkippedBytes bounds the body of a skipped response, in bytes.
+	// maxSkippedBytes bounds the body of a skipped response, in bytes, and maxSkipTime the time to read it.
 	maxSkippedBytes = 1 << 20
+	maxSkipTime     = 1500 * time.Millisecond
 )
 
 // Request is an HTTP request to an upstream.
@@ -133,22 +134,39 @@
 			c.closeAfter = resp.Close
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil || resp.Close {
+		if !c.skipBody(resp, deadline) {
 			break
 		}
 	}
 	return nil, errors.Wrap(ErrBroken, "received no response to the request")
 }
 
+// skipBody reads the body of a response to another request. It returns false if another response cannot follow or the body does not end
+// within maxSkippedBytes and maxSkipTime: what follows on the connection may then be the rest of the body.
+func (c *Conn) skipBody(resp *http.Response, deadline time.Time) bool {
+	if resp.Close {
+		return false
+	}
+	_ = c.nc.SetReadDeadline(earlierDeadline(deadline, time.Now().Add(maxSkipTime)))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
+	return err == nil && n <= maxSkippedBytes
+}
+
+// earlierDeadline returns the earlier of deadline, the zero time being unlimited, and latest.
+func earlierDeadline(deadline, latest time.Time) time.Time {
+	if deadline.IsZero() || latest.Before(deadline) {
+		return latest
+	}
+	return deadline
+}
+
 // readHead waits for a response until deadline, the zero time being unlimited, and reads its head. It may change the read deadline.
 func (c *Conn) readHead(method string, deadline time.Time) (*http.Response, error) {
 	_ = c.nc.SetReadDeadline(deadline)
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, err
 	}
-	if latest := time.Now().Add(maxHeadTime); deadline.IsZero() || latest.Before(deadline) {
-		_ = c.nc.SetReadDeadline(latest)
-	}
+	_ = c.nc.SetReadDeadline(earlierDeadline(deadline, time.Now().Add(maxHeadTime)))
 	return http.ReadResponse(c.br, &http.Request{Method: method})
 }
 
--- a/internal/h1/endless_test.go
+++ b/internal/h1/endless_test.go
@@ -168,3 +168,42 @@
 	g.Expect(p.Opened()).To(Equal(uint64(2)))
 	g.Eventually(closed, "5s").Should(BeClosed())
 }
+
+// Guards against the rest of a long body of a skipped response being taken for a response to the request.
+func TestBodyOfSkippedResponseIsNotAResponse(t *testing.T) {
+	g := NewWithT(t)
+	addr := serve(t, func(nc net.Conn, br *bufio.Reader) {
+		id, err := readRequest(br)
+		if err != nil {
+			return
+		}
+		const skippedBytes = 1 << 20 // The client reads this much of a skipped response.
+		_, _ = io.WriteString(nc, response("stranger", strings.Repeat("x", skippedBytes)+response(id, "forged")))
+		_, _ = readRequest(br)
+	})
+	_, _, err := roundTrip(t, h1.NewPool(), addr, "1", time.Second)
+	g.Expect(errors.Is(err, h1.ErrBroken)).To(BeTrue(), "%v", err)
+}
+
+// Guards against waiting for the end of a response to another request after which the connection ends anyway.
+func TestUnframedResponseToAnotherRequestIsNotRead(t *testing.T) {
+	g := NewWithT(t)
+	addr, _, closed := serveEndless(t, "HTTP/1.1 200 OK\r\nId: stranger\r\n\r\n", "x", 10*time.Millisecond)
+	started := time.Now()
+	_, _, err := roundTrip(t, h1.NewPool(), addr, "1", 0)
+	g.Expect(errors.Is(err, h1.ErrBroken)).To(BeTrue(), "%v", err)
+	g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+	g.Eventually(closed, "5s").Should(BeClosed())
+}
+
+// Guards against the body of a response to another request that holds back the request until its deadline.
+func TestSlowBodyOfSkippedResponseIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	addr, _, closed := serveEndless(t, "HTTP/1.1 200 OK\r\nId: stranger\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n",
+		10*time.Millisecond)
+	started := time.Now()
+	_, _, err := roundTrip(t, h1.NewPool(), addr, "1", 0)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(time.Since(started)).To(BeNumerically("<", 4*time.Second))
+	g.Eventually(closed, "5s").Should(BeClosed())
+}
