relay: do not read the body of a refusal

Callers of requests that cannot be repeated got 504 with the outcome unknown at their deadline although the only upstream that they were sent to had stated that it did not run them, and another upstream was free. The relay read the body of the refusal, up to 512 KiB, without a time limit for such requests. The body has no use: the connection is closed after every refusal.

Before: TestEndlessBodyOfRefusalIsNotRead/slow got 504 after 1.0 s. After: 200 from the other upstream, 503 if there is none, and the connection is closed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -225,12 +225,10 @@
 	return max(time.Duration(headTimeoutFactor*float64(x.route.LatencyTarget)), dialTimeout)
 }
 
-// handleDeclined handles a response which states that the request has not run.
+// handleDeclined handles a response which states that the request has not run. It does not read the body, because the connection is
+// not reused.
 func (a *upstreamAttempt) handleDeclined(resp *http.Response, parsed request.Response) attemptResult {
 	x := a.x
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponse)); err != nil {
-		x.relay.cfg.Log.V(1).Info("body of an upstream refusal could not be read", "request", x.meta.ID, "cause", err.Error())
-	}
 	x.lastFailure = "declined"
 	switch {
 	case parsed.Misdirected && parsed.Instance != "" && parsed.Instance != a.upstream.ID:
