relay: measure the pauses of a stream between new events

The read timeout of a stream was set anew before each read. An upstream in trouble that sent a byte from time to time, an event without end, comments, events without an ID or events that the caller had received kept the stream of a caller open until its deadline, after which it was cut off, although another upstream could have continued it after 0.85 s.

The timeout is now set once for the first event, and anew only after an event with a new ID. Streams whose events never have an ID, on routes that cannot be resumed, still count each event.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -53,7 +53,7 @@
 	// firstEventTimeout is how long to wait for the first event of a stream before retrying elsewhere. Callers time out after
 	// two seconds at the earliest.
 	firstEventTimeout = 2 * time.Second
-	// streamIdleTimeout is the longest pause between reads of a stream. Events arrive every 50 to 150 ms; loading weights pauses a
+	// streamIdleTimeout is the longest pause between new events of a stream. Events arrive every 50 to 150 ms; loading weights pauses a
 	// stream for 300 ms.
 	streamIdleTimeout = 850 * time.Millisecond
 	// headTimeoutFactor times the route's latency target is how long to wait for a response that is not a stream before retrying
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -55,3 +55,59 @@
 	}
 }
 
+// Guards against bytes that form no new event and keep a stream open: before the first event, after it, as parts of an event without
+// end, as comments, as events without an ID, and as events that the caller has received.
+func TestStreamWithoutNewEventsResumes(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	for name, c := range map[string]struct{ prefix, part string }{
+		"no event":              {"", "x"},
+		"event without end":     {event(1) + event(2) + "id: 3\ndata: ", "x"},
+		"comments":              {event(1), ": x\n\n"},
+		"events without an ID":  {event(1), "data: x\n\n"},
+		"events received twice": {event(1) + event(2), event(1)},
+		"no event with an ID":   {"", "data: x\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			script, closed := trackClose(func(nc net.Conn, req *http.Request) {
+				streamHead(nc, req)
+				if c.prefix != "" {
+					chunk(nc, c.prefix)
+				}
+				for err := error(nil); err == nil; {
+					_, err = fmt.Fprintf(nc, "%x\r\n%s\r\n", len(c.part), c.part)
+					time.Sleep(pause)
+				}
+			})
+			failing, healthy := newUpstream(t, "u1", script), newUpstream(t, "u2", streamUpTo(5))
+			e := newEntry(t, failing, healthy)
+			for i := 0; len(failing.requests()) == 0 && i < 64; i++ {
+				a := e.send(context.Background(), "/stream/", func(r *http.Request) { r.Header.Set("Wait", "3000") })
+				g.Expect(a.err).NotTo(HaveOccurred())
+				g.Expect(a.elapsed).To(BeNumerically("<", 2700*time.Millisecond))
+				for id := 1; id <= 5; id++ {
+					g.Expect(strings.Count(a.body, event(id))).To(Equal(1), "event %d", id)
+				}
+			}
+			g.Eventually(closed, "2s").Should(Receive())
+		})
+	}
+}
+
+// Guards against taking a stream whose events have no IDs for a stalled one.
+func TestStreamOfEventsWithoutIDs(t *testing.T) {
+	g := NewWithT(t)
+	const part, count = "data: x\n\n", 5
+	u := newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
+		streamHead(nc, req)
+		for range count {
+			chunk(nc, part)
+			time.Sleep(300 * time.Millisecond)
+		}
+		_, _ = nc.Write([]byte("0\r\n\r\n"))
+	})
+	a := newEntry(t, u).send(context.Background(), "/once/", nil)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(strings.Repeat(part, count)))
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -35,21 +35,18 @@
 	buf := make([]byte, streamReadSize)
 	awaitingFirst := true
 	timeToFirst := time.Duration(0)
+	a.conn.SetReadTimeout(max(firstEventTimeout-time.Since(a.started), dialTimeout))
 	for {
-		if awaitingFirst {
-			a.conn.SetReadTimeout(max(firstEventTimeout-time.Since(a.started), dialTimeout))
-		} else {
-			a.conn.SetReadTimeout(streamIdleTimeout)
-		}
 		n, err := resp.Body.Read(buf)
 		pending = append(pending, buf[:n]...)
-		var forwarded int
+		var newEvents int
 		var forwardErr error
-		pending, forwarded, forwardErr = x.forwardEvents(resp, pending)
-		if forwarded > 0 {
+		pending, newEvents, forwardErr = x.forwardEvents(resp, pending)
+		if newEvents > 0 {
 			a.tracked.RecordActivity()
+			a.conn.SetReadTimeout(streamIdleTimeout) // Bytes that form no new event do not extend it.
 		}
-		if forwarded > 0 && awaitingFirst {
+		if newEvents > 0 && awaitingFirst {
 			awaitingFirst, timeToFirst = false, time.Since(a.started)
 			a.tracked.RecordStart()
 		}
@@ -102,9 +99,10 @@
 	x.timeToFirstEvent = time.Since(x.received)
 }
 
-// forwardEvents sends the complete events at the start of data to the caller. It returns the remaining data and the number of
-// events forwarded. Events that the caller already has are skipped; a gap in the event IDs is an error.
-func (x *exchange) forwardEvents(resp *http.Response, data []byte) (rest []byte, forwarded int, err error) {
+// forwardEvents sends the complete events at the start of data to the caller. It returns the remaining data and the number of new events.
+// Events that the caller already has are skipped; a gap in the event IDs is an error. Where the events of a stream have IDs, one without
+// an ID is forwarded but does not count as new: it could be a comment or not belong to the answer.
+func (x *exchange) forwardEvents(resp *http.Response, data []byte) (rest []byte, newEvents int, err error) {
 	end := 0
 	start := 0
 	var out []byte
@@ -121,24 +119,26 @@
 		case ok && id <= x.events.lastID:
 			continue // The caller already has this event.
 		case ok && x.events.lastID > 0 && id != x.events.lastID+1:
-			return nil, forwarded, errors.Wrapf(errMissingEvent, "event %d after %d", id, x.events.lastID)
+			return nil, newEvents, errors.Wrapf(errMissingEvent, "event %d after %d", id, x.events.lastID)
 		case ok:
 			x.events.lastID = id
 		}
 		x.events.count++
-		forwarded++
+		if ok || x.events.lastID == 0 && !x.route.Resumable {
+			newEvents++
+		}
 		out = append(out, event...)
 	}
 	if len(out) > 0 {
 		x.startStreamResponse(resp)
 		if _, err := x.w.Write(out); err != nil {
-			return nil, forwarded, errors.Mark(errors.Wrap(err, "relay: write to the caller"), errCallerGone)
+			return nil, newEvents, errors.Mark(errors.Wrap(err, "relay: write to the caller"), errCallerGone)
 		}
 		if err := http.NewResponseController(x.w).Flush(); err != nil {
-			return nil, forwarded, errors.Mark(errors.Wrap(err, "relay: write to the caller"), errCallerGone)
+			return nil, newEvents, errors.Mark(errors.Wrap(err, "relay: write to the caller"), errCallerGone)
 		}
 	}
-	return append(data[:0], data[end:]...), forwarded, nil
+	return append(data[:0], data[end:]...), newEvents, nil
 }
 
 // eventSize returns the length of the event at the start of data including the blank line that ends it, 0 if it is incomplete.
