h1, relay: count a run that ends in malformed bytes

A run on an upstream that has ended does not count against the route's limit of attempts. The relay took every failure but a timeout for the end of the upstream, also bytes that are no response, a head or an event over its limit and interim responses without end: such a request ran on one upstream more than its route allows.

h1 marks such errors as ErrMalformed, and only a connection that was closed or reset, or a body that ends with it, lets another run be added.

Before: TestMalformedResponsesCountAsRuns failed for four of five cases: three upstreams received the request, the route allows two. After: two, and an order reaches one; the connections are closed.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -21,6 +21,9 @@
 	ErrNotSent = errors.New("h1: request not sent")
 	// ErrBroken means that at least part of the request may have been sent and no complete response was received.
 	ErrBroken = errors.New("h1: connection broken")
+	// ErrMalformed means that bytes arrived which are no response to the request. The upstream has not necessarily ended, and the request
+	// may have run. Such an error is marked ErrBroken too.
+	ErrMalformed = errors.New("h1: malformed response")
 	// errHeadTooLarge means that the heads of the responses to a request exceed maxHeadBytes.
 	errHeadTooLarge = errors.New("h1: response head exceeds the size limit")
 	// ErrTimeout means that a read did not complete before the read timeout. The request may have run.
@@ -138,7 +141,7 @@
 			break
 		}
 	}
-	return nil, errors.Wrap(ErrBroken, "received no response to the request")
+	return nil, errors.Mark(errors.Wrap(ErrMalformed, "received no response to the request"), ErrBroken)
 }
 
 // skipBody reads the body of a response to another request. It returns false if another response cannot follow or the body does not end
@@ -179,21 +182,27 @@
 	_ = c.nc.SetReadDeadline(deadline)
 }
 
-// ClassifyReadError marks an error of reading the body as ErrBroken or ErrTimeout.
+// ClassifyReadError marks an error of reading the body as ErrBroken, also as ErrMalformed where it applies, or as ErrTimeout.
 func (c *Conn) ClassifyReadError(ctx context.Context, err error) error {
 	return c.classifyError(ctx, err, "read body")
 }
 
-// classifyError marks err as ErrBroken, or as ErrTimeout if a read timed out. If ctx has ended, its cause replaces err.
+// classifyError marks err as ErrBroken, or as ErrTimeout if a read timed out. If ctx has ended, its cause replaces err; otherwise err is
+// also marked as ErrMalformed unless the connection failed.
 func (c *Conn) classifyError(ctx context.Context, err error, operation string) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return errors.Mark(errors.Wrap(cause, operation), ErrBroken)
 	}
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	var network net.Error
+	isNetwork := errors.As(err, &network)
+	switch {
+	case isNetwork && network.Timeout():
 		return errors.Mark(errors.Wrap(err, operation), ErrTimeout)
+	case isNetwork || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return errors.Mark(errors.Wrap(err, operation), ErrBroken)
+	default:
+		return errors.Mark(errors.Mark(errors.Wrap(err, operation), ErrMalformed), ErrBroken)
 	}
-	return errors.Mark(errors.Wrap(err, operation), ErrBroken)
 }
 
 // reusable reports whether the connection can carry another request after a complete response.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -165,13 +165,13 @@
 	}
 }
 
-// extraRunsAfter returns attemptResult.extraRuns for a failed attempt: 0 after a timeout and 1 after any other error, which usually is
-// a connection that was closed or reset because the upstream has terminated.
+// extraRunsAfter returns attemptResult.extraRuns for a failed attempt: 1 if the connection was closed or reset, which usually means that
+// the upstream has terminated, and 0 otherwise.
 func extraRunsAfter(err error) int {
-	if errors.Is(err, h1.ErrTimeout) {
-		return 0
+	if errors.Is(err, h1.ErrBroken) && !errors.Is(err, h1.ErrMalformed) {
+		return 1
 	}
-	return 1
+	return 0
 }
 
 // buildRequest returns the request to the upstream. Once a minimum version of the weights applies, the request names the version that
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -111,3 +111,54 @@
 	g.Expect(a.err).NotTo(HaveOccurred())
 	g.Expect(a.body).To(Equal(strings.Repeat(part, count)))
 }
+
+// Guards against running a request on more upstreams than its route allows because bytes that are no response are taken for the end of an
+// upstream: only a run on an upstream that has ended does not count.
+func TestMalformedResponsesCountAsRuns(t *testing.T) {
+	garbage := func(nc net.Conn, _ *http.Request) {
+		for err := error(nil); err == nil; {
+			_, err = nc.Write([]byte("no response at all\r\n"))
+		}
+	}
+	const signed = "200 x\r\nStamp: s"
+	for name, c := range map[string]struct {
+		path   string
+		script func(net.Conn, *http.Request)
+	}{
+		"garbage": {"/look/", garbage},
+		"head without end": {"/look/", func(nc net.Conn, _ *http.Request) {
+			_, err := nc.Write([]byte("HTTP/1.1 200 OK\r\n"))
+			for err == nil {
+				_, err = nc.Write([]byte("Name: value\r\n"))
+			}
+		}},
+		"interim responses": {"/look/", func(nc net.Conn, _ *http.Request) {
+			for err := error(nil); err == nil; {
+				_, err = nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
+		}},
+		"chunks": {"/look/", func(nc net.Conn, req *http.Request) {
+			_, err := fmt.Fprintf(nc, "HTTP/1.1 %s\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", signed, req.Header.Get("Id"))
+			for err == nil {
+				_, err = nc.Write([]byte("no chunk\r\n"))
+			}
+		}},
+		"event without end": {"/stream/", sendEndlessly(signed+"\r\nContent-Type: text/event-stream", strings.Repeat("x", 1000), 0)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			script, closed := trackClose(c.script)
+			u1, u2, u3 := newUpstream(t, "u1", script), newUpstream(t, "u2", script), newUpstream(t, "u3", script)
+			a := newEntry(t, u1, u2, u3).send(context.Background(), c.path, nil)
+			g.Expect(a.status).To(Equal(502))
+			g.Expect(totalRequests(u1, u2, u3)).To(Equal(2), "the route allows two")
+			for range 2 {
+				g.Eventually(closed, "2s").Should(Receive())
+			}
+			u1, u2 = newUpstream(t, "u1", script), newUpstream(t, "u2", script)
+			a = newEntry(t, u1, u2).send(context.Background(), "/order/", nil)
+			g.Expect(a.status).To(Equal(502))
+			g.Expect(totalRequests(u1, u2)).To(Equal(1), "an order may run once")
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/h1"
 )
 
 // streamProgress is the part of a stream that the caller has received.
@@ -69,7 +71,7 @@
 	// A body without a length or chunked encoding ends with the connection, so that a truncated one cannot be detected otherwise.
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if len(pending) > 0 && unframed {
-		return a.failStream(errors.New("relay: stream ended within an event"), timeToFirst)
+		return a.failStream(errors.Wrap(h1.ErrBroken, "relay: stream ended within an event"), timeToFirst)
 	}
 	x.startStreamResponse(resp)
 	if len(pending) > 0 {
