relay: abort a response over 64 MiB

A body without end was copied to the caller, as fast as both sides could, until the deadline of the request.

The body of a response may now have 64 MiB. A longer one is aborted, which the caller sees as a closed connection, and counts as a failure of the upstream.

After: at most 67,108,864, and the connection to the upstream is closed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,6 +61,8 @@
 	headTimeoutFactor = 2.5
 	// maxBufferedResponse is the largest response that is read completely before it is forwarded, in bytes.
 	maxBufferedResponse = 512 << 10
+	// maxResponseBytes bounds the body of a response. A longer one is taken for bytes without end and aborted.
+	maxResponseBytes = 64 << 20
 	// unreachableSuspectTime is how long an upstream that cannot be dialled is marked as suspect.
 	unreachableSuspectTime = 1500 * time.Millisecond
 )
@@ -149,6 +151,7 @@
 		return a.handleDeclined(resp, parsed)
 	}
 	x.possibleRuns++
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxResponseBytes)
 	switch {
 	case resp.StatusCode < 300 && !parsed.Signed:
 		x.lastFailure = "unsigned answer"
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -162,3 +162,21 @@
 		})
 	}
 }
+
+// Guards against forwarding a response without end until the deadline of the request, and against one that looks complete afterwards.
+func TestResponseOverTheSizeLimitIsAborted(t *testing.T) {
+	const maxResponseBytes = 64 << 20
+	const signed = "200 x\r\nStamp: s"
+	for name, head := range map[string]string{"body": signed, "events without an ID": signed + "\r\nContent-Type: text/event-stream"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			script, closed := trackClose(sendEndlessly(head, strings.Repeat("data: x\n\n", 10_000), 0))
+			u := newUpstream(t, "u1", script)
+			a := newEntry(t, u).send(context.Background(), "/once/", func(r *http.Request) { r.Header.Set("Wait", "20000") })
+			g.Expect(a.err).To(HaveOccurred())
+			g.Expect(len(a.body)).To(BeNumerically("<=", maxResponseBytes))
+			g.Expect(totalRequests(u)).To(Equal(1))
+			g.Eventually(closed, "2s").Should(Receive())
+		})
+	}
+}
