relay: never append a second response to one that has begun

On a resumable route, a response that is not a stream of events and broke off after its first 512 KiB was sent to another upstream, and the caller received the bytes of both as one response. The relay allowed a retry of any response that had begun on such a route; only a stream whose events have been counted can be resumed.

Before: TestBrokenResponseOfStreamRouteIsNotRetried received 1,048,578 bytes, two bodies of 524,289. After: one body, cut off, and one request.

--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -180,3 +180,21 @@
 		})
 	}
 }
+
+// Guards against a second response that is appended to one which has begun: only a stream of events can be resumed.
+func TestBrokenResponseOfStreamRouteIsNotRetried(t *testing.T) {
+	g := NewWithT(t)
+	const bufferedBytes = 512 << 10 // The relay forwards a response once it has read this much.
+	script := func(nc net.Conn, req *http.Request) {
+		const head = "HTTP/1.1 200 x\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+		_, _ = fmt.Fprintf(nc, head, req.Header.Get("Id"))
+		chunk(nc, strings.Repeat("x", bufferedBytes+1))
+		time.Sleep(50 * time.Millisecond)
+		_ = nc.Close()
+	}
+	u1, u2 := newUpstream(t, "u1", script), newUpstream(t, "u2", script)
+	a := newEntry(t, u1, u2).send(context.Background(), "/stream/", nil)
+	g.Expect(a.err).To(HaveOccurred())
+	g.Expect(len(a.body)).To(BeNumerically("<=", bufferedBytes+1))
+	g.Expect(totalRequests(u1, u2)).To(Equal(1))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -383,8 +383,10 @@
 	switch {
 	case res.kind == notSent:
 		return len(x.tried) < maxSends
-	case x.sends >= maxSends || x.responseStarted && x.route.Kind != catalog.Stream:
+	case x.sends >= maxSends:
 		return false
+	case x.responseStarted && (x.route.Kind != catalog.Stream || x.events.count == 0):
+		return false // Only a stream of events can be resumed.
 	case res.kind == mayHaveRun && (!x.route.MayRepeat() || x.possibleRuns >= max(x.route.MaxAttempts, 1)+res.extraRuns):
 		return false
 	default:
