relay: count a body that is incomplete at the deadline as a failure

An upstream whose bodies never end was used again for every request: the deadline of the request ended the attempt, which counted as the caller's doing. A deadline that passes within a body now counts as a failure of the upstream, so that after two of them other upstreams are preferred. A deadline that passes before the response has begun still counts for neither.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -106,6 +106,8 @@
 	started  time.Time
 	// complete is set when the response has been read to its end.
 	complete bool
+	// bodyOverdue is set when the deadline of the request passed while its response was being read.
+	bodyOverdue bool
 	// serverError is set when the upstream itself responded with a status of 500 or above.
 	serverError bool
 	// idleTimeout is the time after which the upstream closes an idle connection, 0 if not given.
@@ -115,7 +117,7 @@
 // outcome returns the outcome of the attempt for the upstream's failure statistics.
 func (a *upstreamAttempt) outcome(res attemptResult) placement.Outcome {
 	switch {
-	case context.Cause(a.x.ctx) != nil && !res.final:
+	case context.Cause(a.x.ctx) != nil && !res.final && !a.bodyOverdue:
 		return placement.Abandoned
 	case res.final && !a.serverError:
 		return placement.Succeeded
@@ -257,6 +259,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
 		x.lastFailure = "answer broke off"
+		a.bodyOverdue = errors.Is(context.Cause(x.ctx), errTimeout)
 		return attemptResult{kind: mayHaveRun, cause: a.conn.ClassifyReadError(x.ctx, err), status: resp.StatusCode}
 	}
 	a.serverError = resp.StatusCode >= 500
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -198,3 +198,33 @@
 	g.Expect(len(a.body)).To(BeNumerically("<=", bufferedBytes+1))
 	g.Expect(totalRequests(u1, u2)).To(Equal(1))
 }
+
+// Guards against an upstream that is used again and again although its bodies never end: a deadline that passes within a body is a failure
+// of the upstream.
+func TestUpstreamWithEndlessBodiesIsAvoided(t *testing.T) {
+	for name, wait := range map[string]string{"deadline within the body": "300", "route timeout": "20000"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			script, closed := trackClose(sendEndlessly("200 x\r\nStamp: s", "x", 20*time.Millisecond))
+			failing, healthy := newUpstream(t, "u1", script), newUpstream(t, "u2", respondOK)
+			e := newEntry(t, failing, healthy)
+			order := func() callResult {
+				return e.send(context.Background(), "/order/", func(r *http.Request) { r.Header.Set("Wait", wait) })
+			}
+			const failuresUntilAvoided, requestsWhileAvoided = 2, 10
+			for i := 0; len(failing.requests()) < failuresUntilAvoided && i < 64; i++ {
+				before := len(failing.requests())
+				if a := order(); len(failing.requests()) > before {
+					g.Expect(a.status).To(Equal(504))
+				}
+			}
+			for range requestsWhileAvoided {
+				g.Expect(order().status).To(Equal(200))
+			}
+			g.Expect(failing.requests()).To(HaveLen(failuresUntilAvoided))
+			for range failuresUntilAvoided {
+				g.Eventually(closed, "2s").Should(Receive())
+			}
+		})
+	}
+}
