store: bound a message of a watch

Nodes on the product's own path follow keys of the store over a watch. A message without end was read into memory without a limit (only the 5 s without messages ended it), and messages without events kept a watch on its connection for ever, although the pause is meant to detect a connection on which events no longer arrive.

A message may now have 16 MiB, like the response to a call, and only events extend the time of a watch.

--- a/internal/platform/store/watch.go
+++ b/internal/platform/store/watch.go
@@ -60,8 +60,10 @@
 		body, _ := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 		return statusError(readCall, etcdjson.PathWatch, response.StatusCode, body)
 	}
-	decoder := json.NewDecoder(response.Body)
+	limited := &io.LimitedReader{R: response.Body}
+	decoder := json.NewDecoder(limited)
 	for {
+		limited.N = maxResponseBytes // The limit applies to one message; bytes that the decoder has read ahead count for the one before.
 		var message etcdjson.WatchResponse
 		if err := decoder.Decode(&message); err != nil {
 			if errors.Is(context.Cause(ctx), errIdleWatch) {
@@ -69,7 +71,9 @@
 			}
 			return c.classifyError(err, readCall, true, etcdjson.PathWatch)
 		}
-		idleTimer.Reset(watchIdleTimeout)
+		if len(message.Result.Events) > 0 {
+			idleTimer.Reset(watchIdleTimeout)
+		}
 		if err := state.apply(message.Result); err != nil {
 			return err
 		}
