clients: bound the heads of responses to 64 KiB

The clients built on net/http accepted heads of 10 MiB, its default. An agent may have 128 requests at its upstream, so that an upstream that sent heads without end could take 1.28 GB of it; an entry has clients for the store, the origin and the agents one for the model server.

Heads, with the interim responses before them, may now have 64 KiB.

--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/platform/bodyread"
 )
 
 // Config holds the parameters of an Upstream. The zero value of a field selects its default.
@@ -89,11 +90,12 @@
 func newTransport(connections int) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     keepAliveTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        keepAliveTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: bodyread.MaxHeadBytes,
 	}
 }
 
--- a/internal/platform/bodyread/bodyread.go
+++ b/internal/platform/bodyread/bodyread.go
@@ -1,4 +1,5 @@
-// Package bodyread reads HTTP response bodies with limits on the size, the rate and the time without progress.
+// Package bodyread reads HTTP response bodies with limits on the size, the rate and the time without progress. It also has the limit on
+// response heads.
 package bodyread
 
 import (
@@ -16,6 +17,9 @@
 // ReadBufferBytes is the size of one read; a rate limiter must allow a burst of at least this size.
 const ReadBufferBytes = 32 << 10
 
+// MaxHeadBytes is the value for http.Transport.MaxResponseHeaderBytes, whose default is 10 MiB. It also bounds interim responses.
+const MaxHeadBytes = 64 << 10
+
 // Errors of ReadAll.
 var (
 	// ErrStalled means that no bytes arrived within IdleTimeout.
--- a/internal/platform/instancelist/client.go
+++ b/internal/platform/instancelist/client.go
@@ -62,7 +62,8 @@
 
 // NewClient returns a client of the service at baseURL, which serves the list at /instances.
 func NewClient(baseURL string) *Client {
-	transport := &http.Transport{ResponseHeaderTimeout: headerTimeout, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{ResponseHeaderTimeout: headerTimeout, IdleConnTimeout: time.Minute,
+		MaxResponseHeaderBytes: bodyread.MaxHeadBytes}
 	return &Client{url: strings.TrimRight(baseURL, "/") + "/instances", http: &http.Client{Transport: transport}}
 }
 
--- a/internal/platform/origin/client.go
+++ b/internal/platform/origin/client.go
@@ -61,7 +61,8 @@
 
 // NewClient returns a client that reads at most bytesPerSecond in all its calls together; 0 means unlimited.
 func NewClient(baseURL string, bytesPerSecond int64) *Client {
-	transport := &http.Transport{ResponseHeaderTimeout: headerTimeout, IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: 16}
+	transport := &http.Transport{ResponseHeaderTimeout: headerTimeout, IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: 16,
+		MaxResponseHeaderBytes: bodyread.MaxHeadBytes}
 	client := &Client{baseURL: strings.TrimRight(baseURL, "/"), http: &http.Client{Transport: transport}}
 	if bytesPerSecond > 0 {
 		burst := max(bodyread.ReadBufferBytes, int(float64(bytesPerSecond)*burstSeconds))
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
+	"github.com/pimentohead/pimentohead/internal/platform/bodyread"
 	"github.com/pimentohead/pimentohead/internal/platform/store/etcdjson"
 )
 
@@ -55,10 +56,11 @@
 // NewClient returns a client of the service at baseURL that sends at most callsPerSecond calls.
 func NewClient(baseURL string, callsPerSecond float64, log logr.Logger) *Client {
 	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost:   maxIdleConns,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: callTimeout,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleTimeout,
+		ResponseHeaderTimeout:  callTimeout,
+		MaxResponseHeaderBytes: bodyread.MaxHeadBytes,
 	}
 	burst := int(math.Max(1, math.Ceil(callsPerSecond*budgetBurstSeconds)))
 	return &Client{
