engine: take an endless response to a health check for a failure

The body of a response to a health check or a control request was cut off after 64 KiB and counted as complete. An upstream that answered every request with bytes without end was healthy for its agent, which kept sending requests to it.

Before: TestEndlessHealthResponseIsUnhealthy/fast: the upstream was healthy. After: it is not.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -14,7 +14,7 @@
 	"github.com/pimentohead/pimentohead/internal/swap"
 )
 
-// maxControlResponseBytes bounds the response body of a control request. A longer body is truncated.
+// maxControlResponseBytes bounds the response body of a control request. A longer body is an error.
 const maxControlResponseBytes = 64 << 10
 
 var _ swap.Engine = (*Upstream)(nil)
@@ -101,9 +101,12 @@
 		return 0, nil, errors.Mark(classify(ctx, errors.Wrapf(err, "engine: %s", path)), ErrControl)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxControlResponseBytes))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxControlResponseBytes+1))
 	if err != nil {
 		return 0, nil, errors.Mark(classify(ctx, errors.Wrapf(err, "engine: %s", path)), ErrControl)
 	}
+	if len(answer) > maxControlResponseBytes {
+		return 0, nil, errors.Wrapf(ErrControl, "engine: %s: response is larger than %d bytes", path, maxControlResponseBytes)
+	}
 	return resp.StatusCode, answer, nil
 }
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -80,6 +80,20 @@
 	}
 }
 
+// Guards against taking an upstream for healthy whose responses to health checks have no end.
+func TestEndlessHealthResponseIsUnhealthy(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"fast": 0, "slow": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			u, sent, _ := newEndlessUpstream(t, "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1000), pause)
+			started := time.Now()
+			g.Expect(u.Health(context.Background())).To(matchErr(engine.ErrControl))
+			g.Expect(time.Since(started)).To(BeNumerically("<", 3*time.Second))
+			g.Expect(sent.Load()).To(BeNumerically("<", maxAcceptedBytes))
+		})
+	}
+}
+
 // Guards against a body without end that is read after the request has been cancelled.
 func TestEndlessBodyEndsWithItsContext(t *testing.T) {
 	g := NewWithT(t)
