bodyread: require a minimum rate of a body

Reads of the origin of weights and of the list of instances on the product's own path failed only if no byte arrived for 2 s. A body without end of which a byte came from time to time kept a read, and with it a chunk or the list, waiting until the size limit of up to 32 MiB.

8 KiB or the end of the body must now arrive every 2 s. The wait for the rate limiter does not count.

Before: TestSlowBodyWithoutEndStalls was ended by the context of the test after 6 s. After: ErrStalled after 2 s. TestBodyOnSlowLinkIsRead (32 KiB/s for 4 s) passes with both.

--- a/internal/platform/bodyread/bodyread.go
+++ b/internal/platform/bodyread/bodyread.go
@@ -11,9 +11,12 @@
 	"golang.org/x/time/rate"
 )
 
-// IdleTimeout is the time without received bytes after which ReadAll fails with ErrStalled.
+// IdleTimeout is the time in which ReadAll must receive progressBytes or the rest of the body; otherwise it fails with ErrStalled.
 const IdleTimeout = 2 * time.Second
 
+// progressBytes is the number of bytes that extend the time of ReadAll.
+const progressBytes = 8 << 10
+
 // ReadBufferBytes is the size of one read; a rate limiter must allow a burst of at least this size.
 const ReadBufferBytes = 32 << 10
 
@@ -22,7 +25,7 @@
 
 // Errors of ReadAll.
 var (
-	// ErrStalled means that no bytes arrived within IdleTimeout.
+	// ErrStalled means that too few bytes arrived within IdleTimeout.
 	ErrStalled = errors.New("body stalled")
 	// ErrTooLarge means that the body is larger than the limit.
 	ErrTooLarge = errors.New("body too large")
@@ -36,7 +39,10 @@
 	defer idle.Stop()
 	var content []byte
 	buffer := make([]byte, ReadBufferBytes)
+	// remaining is the time left to receive the rest of progressBytes, of which received have arrived.
+	remaining, received := IdleTimeout, 0
 	for {
+		started := time.Now()
 		n, err := body.Read(buffer)
 		if n > 0 && !idle.Stop() {
 			return nil, errors.WithStack(ErrStalled)
@@ -51,6 +57,10 @@
 		if err != nil {
 			return nil, readError(err, stalled)
 		}
+		remaining, received = remaining-time.Since(started), received+n
+		if received >= progressBytes {
+			remaining, received = IdleTimeout, 0
+		}
 		// The idle timer is stopped here: the wait for the limiter does not count as time without progress.
 		if limiter != nil {
 			if err := limiter.WaitN(ctx, n); err != nil {
@@ -58,7 +68,7 @@
 			}
 		}
 		if n > 0 {
-			idle.Reset(IdleTimeout)
+			idle.Reset(remaining)
 		}
 	}
 }
