--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -55,7 +55,7 @@
 	// firstEventTimeout is how long to wait for the first event of a stream before retrying elsewhere. Callers time out after
 	// two seconds at the earliest.
 	firstEventTimeout = 2 * time.Second
-	// streamIdleTimeout is the longest pause between reads of a stream. Events arrive every 50 to 150 ms; loading weights pauses a
+	// streamIdleTimeout is the longest pause between new events of a stream. Events arrive every 50 to 150 ms; loading weights pauses a
 	// stream for 300 ms.
 	streamIdleTimeout = 850 * time.Millisecond
 	// headTimeoutFactor times the route's latency target is how long to wait for a response that is not a stream before retrying
@@ -63,6 +63,8 @@
 	headTimeoutFactor = 2.5
 	// maxBufferedResponse is the largest response that is read completely before it is forwarded, in bytes.
 	maxBufferedResponse = 512 << 10
+	// maxResponseBytes bounds the body of a response. A longer one is taken for bytes without end and aborted.
+	maxResponseBytes = 64 << 20
 	// unreachableSuspectTime is how long an upstream that cannot be dialled is marked as suspect.
 	unreachableSuspectTime = 1500 * time.Millisecond
 )
@@ -118,6 +120,8 @@
 	weights  weightsTrace
 	// complete is set when the response has been read to its end.
 	complete bool
+	// bodyOverdue is set when the deadline of the request passed while its response was being read.
+	bodyOverdue bool
 	// serverError is set when the upstream itself responded with a status of 500 or above.
 	serverError bool
 	// begun is set when the first event or the head of the response has arrived.
@@ -129,7 +133,7 @@
 // outcome returns the outcome of the attempt for the upstream's failure statistics.
 func (a *upstreamAttempt) outcome(res attemptResult) placement.Outcome {
 	switch {
-	case context.Cause(a.ctx) != nil && !res.final:
+	case context.Cause(a.ctx) != nil && !res.final && !a.bodyOverdue:
 		return placement.Abandoned
 	case res.final && !a.serverError:
 		return placement.Succeeded
@@ -165,6 +169,7 @@
 		return a.handleDeclined(resp, parsed)
 	}
 	x.possibleRuns++
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxResponseBytes)
 	switch {
 	case resp.StatusCode < 300 && !parsed.Signed:
 		x.lastFailure = "unsigned answer"
@@ -181,13 +186,13 @@
 	}
 }
 
-// extraRunsAfter returns attemptResult.extraRuns for a failed attempt: 0 after a timeout and 1 after any other error, which usually is
-// a connection that was closed or reset because the upstream has terminated.
+// extraRunsAfter returns attemptResult.extraRuns for a failed attempt: 1 if the connection was closed or reset, which usually means that
+// the upstream has terminated, and 0 otherwise.
 func extraRunsAfter(err error) int {
-	if errors.Is(err, h1.ErrTimeout) {
-		return 0
+	if errors.Is(err, h1.ErrBroken) && !errors.Is(err, h1.ErrMalformed) {
+		return 1
 	}
-	return 1
+	return 0
 }
 
 // buildRequest returns the request to the upstream. Once a minimum version of the weights applies, the request names the version that
@@ -231,12 +236,10 @@
 	return max(time.Duration(headTimeoutFactor*float64(x.route.LatencyTarget)), dialTimeout)
 }
 
-// handleDeclined handles a response which states that the request has not run.
+// handleDeclined handles a response which states that the request has not run. It does not read the body, because the connection is
+// not reused.
 func (a *upstreamAttempt) handleDeclined(resp *http.Response, parsed request.Response) attemptResult {
 	x := a.x
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponse)); err != nil {
-		x.relay.cfg.Log.V(1).Info("body of an upstream refusal could not be read", "request", x.meta.ID, "cause", err.Error())
-	}
 	x.lastFailure = "declined"
 	switch {
 	case parsed.Misdirected && parsed.Instance != "" && parsed.Instance != a.upstream.ID:
@@ -262,6 +265,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
 		x.lastFailure = "answer broke off"
+		a.bodyOverdue = errors.Is(context.Cause(x.ctx), errTimeout)
 		return attemptResult{kind: mayHaveRun, cause: a.conn.ClassifyReadError(a.ctx, err), status: resp.StatusCode}
 	}
 	a.serverError = resp.StatusCode >= 500
