fleet: record versions that arrive after a newer one

Cause: a restarted entry finds only the newest version in the store and rejected records of older ones. The time from which no request may begin on version 1 depends on when version 2 was named.

A record of an older version is now inserted in its place.

--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -5,6 +5,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,21 +174,19 @@
 }
 
 // ApplyVersion merges a named version and reports whether it was added. For a version that is known already, the time of its naming
-// is merged; see mergeNaming. A new version that is older than the newest one is rejected.
+// is merged; see mergeNaming. A version older than the newest one is added too: after a restart, a node finds only the newest one in
+// the store, but the time in which still older ones may be used depends on when it was named.
 func (s *State) ApplyVersion(v VersionRecord) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	history := s.versions[v.Model]
-	for i := range history {
-		if history[i].Version == v.Version {
-			s.mergeNaming(&history[i], v)
-			return false
-		}
-	}
-	if n := len(history); n > 0 && v.Version < history[n-1].Version {
+	position, found := slices.BinarySearchFunc(history, v.Version,
+		func(recorded VersionRecord, version int64) int { return cmp.Compare(recorded.Version, version) })
+	if found {
+		s.mergeNaming(&history[position], v)
 		return false
 	}
-	s.versions[v.Model] = append(history, v)
+	s.versions[v.Model] = slices.Insert(history, position, v)
 	s.publish(Change{Version: &v})
 	return true
 }
@@ -200,8 +200,8 @@
 // it, unless the times differ by less than namingTolerance. The caller holds mu.
 func (s *State) mergeNaming(recorded *VersionRecord, v VersionRecord) {
 	replacesAssumed := recorded.AgeAssumed && !v.AgeAssumed
-	sameKind := recorded.AgeAssumed == v.AgeAssumed
-	if !replacesAssumed && !(sameKind && v.NamedAt.Before(recorded.NamedAt)) {
+	isEarlier := recorded.AgeAssumed == v.AgeAssumed && v.NamedAt.Before(recorded.NamedAt)
+	if !replacesAssumed && !isEarlier {
 		return
 	}
 	difference := recorded.NamedAt.Sub(v.NamedAt)
