catalogsync: claim nothing while failed calls to the store are retried

Cause: the three entries that watch the store were cut off from it. Each poll marked the state as up to date every 0.2 s for up to 3 s while it waited, also polls that retried after a failed call. The three backoffs differ, so one of the three always claimed to be up to date; the others passed that on, and no other entry reached the age at which it takes over the watch.

Fix: a poll marks the state as up to date while it waits only if the previous call succeeded. After a failure the staleness grows until a call has succeeded, so another entry takes over.

Test: TestRetriesOfFailedCallsDoNotMarkTheStateUpToDate.

--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -164,7 +164,9 @@
 		return w.list(ctx)
 	}
 	done := make(chan struct{})
-	go w.markFreshWhilePolling(done)
+	if w.failingSince.IsZero() {
+		go w.markFreshWhilePolling(done)
+	}
 	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.revision, pollTimeout)
 	close(done)
 	if errors.Is(err, store.ErrCompacted) {
--- a/internal/controller/catalogsync/sync_test.go
+++ b/internal/controller/catalogsync/sync_test.go
@@ -16,6 +16,7 @@
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
 	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 )
 
@@ -48,8 +49,9 @@
 	events   []store.Event
 	// compactedBefore is the revision below which polls return store.ErrCompacted.
 	compactedBefore int64
-	// down makes all calls return store.ErrUnavailable.
-	down bool
+	// down makes all calls return store.ErrUnavailable, after failureDelay.
+	down         bool
+	failureDelay time.Duration
 	// calls counts the calls of List and Poll.
 	calls int
 }
@@ -101,7 +103,9 @@
 	for {
 		m.mu.Lock()
 		if m.down {
+			delay := m.failureDelay
 			m.mu.Unlock()
+			pause.For(ctx, delay)
 			return nil, 0, errors.WithStack(store.ErrUnavailable)
 		}
 		if after < m.compactedBefore {
@@ -234,3 +238,30 @@
 	active.Store(true)
 	g.Eventually(configVersion(s), "2s").Should(Equal(int64(2)), "a node that becomes active lists again first")
 }
+
+// Guards against a node that is cut off from the store and still counts as up to date while it retries, so that no other node
+// starts to watch.
+func TestRetriesOfFailedCallsDoNotMarkTheStateUpToDate(t *testing.T) {
+	g := NewWithT(t)
+	m := newMemoryStore()
+	m.put("conf", "1")
+	s := startSyncer(t, m, alwaysActive)
+	g.Eventually(isUpToDate(s), "2s").Should(BeTrue())
+	m.withLock(func() { m.down, m.failureDelay = true, 500*time.Millisecond })
+	// The polls that were under way have failed after 600 ms.
+	time.Sleep(600 * time.Millisecond)
+	start, _ := s.Staleness()
+	time.Sleep(2 * time.Second)
+	end, _ := s.Staleness()
+	g.Expect(end-start).To(BeNumerically(">=", 1900*time.Millisecond))
+	m.withLock(func() { m.down = false })
+	g.Eventually(isUpToDate(s), "5s").Should(BeTrue())
+}
+
+// isUpToDate returns a function that reports whether the state was up to date within the last 100 ms.
+func isUpToDate(s *fleet.State) func() bool {
+	return func() bool {
+		staleness, known := s.Staleness()
+		return known && staleness < 100*time.Millisecond
+	}
+}
