catalogsync: a state is as up to date as the store's last answer

What callers saw: after a silent loss of the connection between the watching entries and the store, no entry read a change for up to 4.1 s: 3 s in which the waiting poll marked the state as up to date, and 0.8 to 1.1 s until another entry took over. A configuration, a key, a drained server and a named version have to be known 2 s after their acknowledgement.

Cause: a poll that waits cannot tell a store without changes from a silent connection, and was taken for the former until its timeout of 3 s.

Fix: the state is marked as up to date only when the store answers. Polls of op/ wait for at most 0.6 s instead of 3 s, so the staleness at other entries rises to 0.9 s (0.3 s until they are told) while there are no changes, and they take over at 1.2 s plus a jitter of up to 0.3 s: a change is read 1.2 to 1.6 s after the last answer. The claim comes from the watch itself, since a separate check could be answered on another connection. Polls of servers/ keep their 3 s, of which 2.4 s count as up to date while the poll is under way: a node that has lost the store gets no answers for op/ either. The first poll after a failure waits for 0.6 s only. A node that stops watching ends the extension; otherwise it would be up to date again before it has read servers/.

TestSilentPollOfUpstreamsEndsFreshness and TestStateStaysUpToDateWithoutChanges guard the new mechanism: the former passes on the code before, too, the latter's bound on the calls holds for the new poll times.

--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -20,9 +20,13 @@
 )
 
 const (
-	// pollTimeout is the longest time that one poll waits for changes. It bounds how long a connection that has gone silent
-	// remains undetected. Until it is detected, changes arrive from nodes of other data centres, which also watch the store.
-	pollTimeout = 3 * time.Second
+	// pollTimeout is the longest time that one poll waits for changes, and thus the longest time between two answers of the store.
+	// The age at which another node takes over the watch has to be larger.
+	pollTimeout = 600 * time.Millisecond
+	// upstreamPollTimeout replaces pollTimeout for the list of upstreams. It is longer because calls are billed, and because the
+	// polls of the other prefixes detect that the store is unreachable. It bounds how long a connection that has gone silent for
+	// this prefix only remains undetected.
+	upstreamPollTimeout = 3 * time.Second
 	// changeBatchDelay is the delay before the next poll after changes in the list of upstreams, so that one call returns
 	// several changes: calls are billed, and the list changes often while upstreams are replaced.
 	changeBatchDelay = 120 * time.Millisecond
@@ -59,6 +63,14 @@
 	HoldsUpstreams bool
 }
 
+// pollTimeout returns the longest time that a poll of the prefix waits for changes.
+func (p Prefix) pollTimeout() time.Duration {
+	if p.HoldsUpstreams {
+		return upstreamPollTimeout
+	}
+	return pollTimeout
+}
+
 // Decoder decodes the documents of the store.
 type Decoder interface {
 	// Prefixes returns the key prefixes to synchronise.
@@ -79,9 +91,18 @@
 	// assumedVersionAge is the time that is assumed to have passed since a model version that a listing returns was named.
 	assumedVersionAge time.Duration
 
-	// mu guards freshAt, the time as of which all documents under each prefix are known.
-	mu      sync.Mutex
-	freshAt map[string]time.Time
+	// mu guards freshness, the freshness of each prefix.
+	mu        sync.Mutex
+	freshness map[string]freshness
+}
+
+// freshness is the freshness of one prefix.
+type freshness struct {
+	// answeredAt is the time of the store's last answer, as of which all documents under the prefix are known.
+	answeredAt time.Time
+	// extension is the time after answeredAt for which the prefix still counts as fresh: the time by which the poll that is under
+	// way may wait longer than pollTimeout.
+	extension time.Duration
 }
 
 // New returns a Syncer. isActive reports whether this node has to watch the store; it must be safe for concurrent use.
@@ -92,7 +113,7 @@
 	assumedVersionAge time.Duration,
 ) *Syncer {
 	return &Syncer{lister: lister, decoder: decoder, state: state, log: log, isActive: isActive, assumedVersionAge: assumedVersionAge,
-		freshAt: map[string]time.Time{}}
+		freshness: map[string]freshness{}}
 }
 
 // Run keeps the state up to date until ctx ends. On every node it lists each prefix until one listing has succeeded. After that it
@@ -110,20 +131,33 @@
 	wg.Wait()
 }
 
-// markFresh records that all documents under a prefix are known as of now. The state is as fresh as the prefix that was read
-// longest ago, and counts as never fresh until every prefix has been read.
-func (s *Syncer) markFresh(prefix string) {
+// markFresh records an answer of the store for a prefix. The state is as fresh as its least fresh prefix, and counts as never fresh
+// until every prefix has been read.
+func (s *Syncer) markFresh(prefix Prefix) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.freshAt[prefix] = time.Now()
-	oldest := time.Now()
+	now := time.Now()
+	s.freshness[prefix.Name] = freshness{answeredAt: now, extension: prefix.pollTimeout() - pollTimeout}
+	oldest := now
 	for _, p := range s.decoder.Prefixes() {
-		if freshAt := s.freshAt[p.Name]; freshAt.Before(oldest) {
-			oldest = freshAt
+		f, answered := s.freshness[p.Name]
+		if !answered {
+			return
+		}
+		if freshUntil := f.answeredAt.Add(f.extension); freshUntil.Before(oldest) {
+			oldest = freshUntil
 		}
 	}
-	if !oldest.IsZero() {
-		s.state.MarkUpToDate(oldest)
+	s.state.MarkUpToDate(oldest)
+}
+
+// endExtension records that no poll of the prefix is under way, so that it is only as fresh as the store's last answer.
+func (s *Syncer) endExtension(prefix Prefix) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f, answered := s.freshness[prefix.Name]; answered {
+		f.extension = 0
+		s.freshness[prefix.Name] = f
 	}
 }
 
@@ -147,6 +181,7 @@
 	for ctx.Err() == nil {
 		if w.listedOnce && !w.isActive() {
 			w.revision, w.failingSince = 0, time.Time{}
+			w.endExtension(w.prefix)
 			pause.For(ctx, activeCheckInterval)
 			continue
 		}
@@ -163,12 +198,11 @@
 	if w.revision == 0 || (!w.reannounceUntil.IsZero() && time.Now().After(w.reannounceUntil)) {
 		return w.list(ctx)
 	}
-	done := make(chan struct{})
-	if w.failingSince.IsZero() {
-		go w.markFreshWhilePolling(done)
+	wait := w.prefix.pollTimeout()
+	if !w.failingSince.IsZero() {
+		wait = pollTimeout // An answer is needed soon, because the prefix is not fresh until then.
 	}
-	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.revision, pollTimeout)
-	close(done)
+	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.revision, wait)
 	if errors.Is(err, store.ErrCompacted) {
 		w.log.Info("history of the store is gone, listing again", "prefix", w.prefix.Name, "revision", w.revision)
 		w.revision = 0
@@ -185,29 +219,13 @@
 		w.apply(event.KV, event.Deleted, 0)
 	}
 	w.revision = next
-	w.markFresh(w.prefix.Name)
+	w.markFresh(w.prefix)
 	if len(events) > 0 && w.prefix.HoldsUpstreams {
 		pause.For(ctx, changeBatchDelay)
 	}
 	return nil
 }
 
-// markFreshWhilePolling marks the prefix as fresh while a poll waits for changes: the store answered the previous call, and
-// would return a change at once. It stops after pollTimeout.
-func (w *watcher) markFreshWhilePolling(done <-chan struct{}) {
-	const interval = 200 * time.Millisecond
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for range int(pollTimeout / interval) {
-		select {
-		case <-done:
-			return
-		case <-ticker.C:
-			w.markFresh(w.prefix.Name)
-		}
-	}
-}
-
 // list reads all documents under the prefix and applies them. It removes upstreams that are not listed, except in the
 // reannounce period.
 func (w *watcher) list(ctx context.Context) error {
@@ -231,7 +249,7 @@
 	}
 	w.listedOnce = true
 	w.revision = max(listing.Revision, 1)
-	w.markFresh(w.prefix.Name)
+	w.markFresh(w.prefix)
 	return nil
 }
 
@@ -265,8 +283,9 @@
 	return fleet.UpstreamRecord{}, false
 }
 
-// recordFailure increases the backoff. It logs only the first of consecutive failures.
+// recordFailure ends the extension of the prefix's freshness and increases the backoff. It logs only the first of consecutive failures.
 func (w *watcher) recordFailure(err error) {
+	w.endExtension(w.prefix)
 	now := time.Now()
 	if w.failingSince.IsZero() {
 		w.failingSince = now
--- a/internal/controller/catalogsync/sync_test.go
+++ b/internal/controller/catalogsync/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,6 +53,8 @@
 	// down makes all calls return store.ErrUnavailable, after failureDelay.
 	down         bool
 	failureDelay time.Duration
+	// silentPrefixes are the prefixes for which calls get no answer: they fail 1.2 s after the end of their wait.
+	silentPrefixes []string
 	// calls counts the calls of List and Poll.
 	calls int
 }
@@ -81,10 +84,16 @@
 	f()
 }
 
-func (m *memoryStore) List(_ context.Context, prefix string) (store.Listing, error) {
+func (m *memoryStore) List(ctx context.Context, prefix string) (store.Listing, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
+	if slices.Contains(m.silentPrefixes, prefix) {
+		m.mu.Unlock()
+		err := m.awaitTimeout(ctx, time.Now())
+		m.mu.Lock()
+		return store.Listing{}, err
+	}
 	if m.down {
 		return store.Listing{}, errors.WithStack(store.ErrUnavailable)
 	}
@@ -102,6 +111,10 @@
 	m.withLock(func() { m.calls++ })
 	for {
 		m.mu.Lock()
+		if slices.Contains(m.silentPrefixes, prefix) {
+			m.mu.Unlock()
+			return nil, 0, m.awaitTimeout(ctx, deadline)
+		}
 		if m.down {
 			delay := m.failureDelay
 			m.mu.Unlock()
@@ -127,6 +140,12 @@
 	}
 }
 
+// awaitTimeout returns the error of a call that gets no answer, 1.2 s after the end of the call's wait.
+func (*memoryStore) awaitTimeout(ctx context.Context, deadline time.Time) error {
+	pause.For(ctx, time.Until(deadline)+1200*time.Millisecond)
+	return errors.WithStack(store.ErrUnavailable)
+}
+
 // startSyncer runs a Syncer until the test ends and returns the state that it keeps up to date.
 func startSyncer(t *testing.T, m *memoryStore, active func() bool) *fleet.State {
 	state := fleet.NewState(nil)
@@ -253,11 +272,81 @@
 	start, _ := s.Staleness()
 	time.Sleep(2 * time.Second)
 	end, _ := s.Staleness()
-	g.Expect(end-start).To(BeNumerically(">=", 1900*time.Millisecond))
+	g.Expect(end - start).To(BeNumerically(">=", 1900*time.Millisecond))
 	m.withLock(func() { m.down = false })
 	g.Eventually(isUpToDate(s), "5s").Should(BeTrue())
 }
 
+// Guards against a node whose connections to the store have gone silent and that counts as up to date until its polls fail, so that
+// no other node reads a change within 2 s.
+func TestSilentPollDoesNotMarkTheStateUpToDate(t *testing.T) {
+	g := NewWithT(t)
+	m := newMemoryStore()
+	m.put("conf", "1")
+	s := startSyncer(t, m, alwaysActive)
+	g.Eventually(isUpToDate(s), "2s").Should(BeTrue())
+	m.withLock(func() { m.silentPrefixes = []string{"conf", "up/"} })
+	time.Sleep(1200 * time.Millisecond)
+	staleness, _ := s.Staleness()
+	g.Expect(staleness).To(BeNumerically(">=", 1200*time.Millisecond))
+}
+
+// Guards against a node that counts as up to date though the connection for one of the prefixes has gone silent.
+func TestSilentPollOfUpstreamsEndsFreshness(t *testing.T) {
+	g := NewWithT(t)
+	m := newMemoryStore()
+	m.put("conf", "1")
+	s := startSyncer(t, m, alwaysActive)
+	g.Eventually(isUpToDate(s), "2s").Should(BeTrue())
+	m.withLock(func() { m.silentPrefixes = []string{"up/"} })
+	time.Sleep(4 * time.Second) // Longer than upstreamPollTimeout, 3 s.
+	staleness, _ := s.Staleness()
+	g.Expect(staleness).To(BeNumerically(">=", time.Second))
+	time.Sleep(2 * time.Second) // The first poll has failed and is being retried.
+	staleness, _ = s.Staleness()
+	g.Expect(staleness).To(BeNumerically(">=", 1500*time.Millisecond))
+}
+
+// Guards against a node that becomes active again and counts as up to date before it has read the list of upstreams.
+func TestReactivatedNodeIsUpToDateOnlyAfterReadingEveryPrefix(t *testing.T) {
+	g := NewWithT(t)
+	m := newMemoryStore()
+	m.put("conf", "1")
+	var active atomic.Bool
+	active.Store(true)
+	s := startSyncer(t, m, active.Load)
+	g.Eventually(isUpToDate(s), "2s").Should(BeTrue())
+	active.Store(false)
+	// A change ends the polls that are under way, so that both watchers find that the node is inactive.
+	m.put("conf", "2")
+	m.put("up/a", "1")
+	time.Sleep(400 * time.Millisecond)
+	m.withLock(func() { m.silentPrefixes = []string{"up/"} })
+	active.Store(true)
+	time.Sleep(500 * time.Millisecond)
+	staleness, _ := s.Staleness()
+	g.Expect(staleness).To(BeNumerically(">=", 800*time.Millisecond))
+}
+
+// Guards against nodes that take over the watch of a healthy store because it has no changes, and against many calls to keep them
+// from it.
+func TestStateStaysUpToDateWithoutChanges(t *testing.T) {
+	g := NewWithT(t)
+	m := newMemoryStore()
+	m.put("conf", "1")
+	s := startSyncer(t, m, alwaysActive)
+	g.Eventually(isUpToDate(s), "2s").Should(BeTrue())
+	var before, after int
+	m.withLock(func() { before = m.calls })
+	staleness := func() time.Duration {
+		age, _ := s.Staleness()
+		return age
+	}
+	g.Consistently(staleness, "6s", "20ms").Should(BeNumerically("<", 800*time.Millisecond))
+	m.withLock(func() { after = m.calls })
+	g.Expect(after - before).To(BeNumerically("<=", 13)) // Ten polls of one prefix and two of the other in 6 s.
+}
+
 // isUpToDate returns a function that reports whether the state was up to date within the last 100 ms.
 func isUpToDate(s *fleet.State) func() bool {
 	return func() bool {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -368,8 +368,9 @@
 	return !known || age > watchTakeoverAge+nodeJitter(m.cfg.Self.NodeID)
 }
 
-// watchTakeoverAge is the staleness, plus a jitter, after which a node watches the store though another one ranks higher.
-const watchTakeoverAge = 800 * time.Millisecond
+// watchTakeoverAge is the staleness, plus a jitter, after which a node watches the store though another one ranks higher. While the
+// store has no changes, the staleness rises to the poll timeout of catalogsync (0.6 s) plus stalenessInterval.
+const watchTakeoverAge = 1200 * time.Millisecond
 
 // errorText returns the text of an error, or an empty text for nil.
 func errorText(err error) string {
