--- a/internal/loader/collect.go
+++ b/internal/loader/collect.go
@@ -117,18 +117,15 @@
 // fetchFunc is the signature of the methods of Weights that fetch a chunk.
 type fetchFunc func(ctx context.Context, model string, version int64, chunk int) ([]byte, error)
 
-// measure fetches a chunk and records the time of its transfer, or that it was abandoned.
+// measure fetches a chunk and records the time of its transfer.
 func (c *collector) measure(ctx context.Context, chunk int, fetch fetchFunc) ([]byte, error) {
 	started := time.Now()
 	data, err := fetch(ctx, c.target.Model, c.target.Version, chunk)
-	c.mu.Lock()
-	concurrent := c.inFlight
-	c.mu.Unlock()
-	switch {
-	case err == nil:
+	if err == nil {
+		c.mu.Lock()
+		concurrent := c.inFlight
+		c.mu.Unlock()
 		c.link.record(time.Since(started), concurrent)
-	case ctx.Err() != nil:
-		c.link.recordAbandoned(concurrent)
 	}
 	return data, err
 }
--- a/internal/loader/collect_test.go
+++ b/internal/loader/collect_test.go
@@ -98,23 +98,13 @@
 	n.onLink--
 }
 
-// TryChunk returns when ctx ends, but the chunk stays on the link until its transfer is complete.
 func (n *narrowWeights) TryChunk(ctx context.Context, model string, version int64, chunk int) ([]byte, error) {
-	arrived := make(chan struct{})
 	n.enter()
-	go func() {
-		n.link.Lock()
-		time.Sleep(n.transferTime)
-		n.link.Unlock()
-		n.leave()
-		close(arrived)
-	}()
-	select {
-	case <-arrived:
-		return n.fakeWeights.Chunk(ctx, model, version, chunk)
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	defer n.leave()
+	n.link.Lock()
+	defer n.link.Unlock()
+	time.Sleep(n.transferTime)
+	return n.fakeWeights.Chunk(ctx, model, version, chunk)
 }
 
 func (n *narrowWeights) Chunk(ctx context.Context, model string, version int64, chunk int) ([]byte, error) {
@@ -144,25 +134,3 @@
 		})
 	}
 }
-
-// Guards against chunks of an abandoned version that are still on a slow link when the chunks of the next version begin to arrive.
-func TestNextVersionWaitsForAbandonedChunks(t *testing.T) {
-	g := NewWithT(t)
-	e := &fakeEngine{startedAtMillis: 1}
-	n := &narrowWeights{transferTime: 200 * time.Millisecond}
-	target := &targetVersion{}
-	target.set(1)
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go loader.New(e, n, logr.Discard(), target.get, func(loader.Report, bool, bool) {}).Run(ctx)
-	g.Eventually(func() int {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		return len(e.staged)
-	}, "3s", "5ms").Should(Equal(2))
-	target.set(2)
-	g.Eventually(func() int64 { loaded, _ := e.state(); return loaded }, "10s", "5ms").Should(Equal(int64(2)))
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	g.Expect(n.most).To(Equal(1), "chunks on the link at once")
-}
--- a/internal/loader/link_meter.go
+++ b/internal/loader/link_meter.go
@@ -15,8 +15,6 @@
 	mu sync.Mutex
 	// chunkTime is the time that the most recent chunk occupied the link, 0 before the first chunk.
 	chunkTime time.Duration
-	// abandonedUntil is when chunks whose fetch was cancelled have left the link.
-	abandonedUntil time.Time
 }
 
 // record stores the time in which a chunk was transferred while concurrent chunks, including this one, shared the link.
@@ -26,21 +24,9 @@
 	m.chunkTime = transfer / time.Duration(max(concurrent, 1))
 }
 
-// recordAbandoned records that the fetch of a chunk was cancelled while concurrent chunks, including this one, shared the link. Their
-// data keeps arriving.
-func (m *linkMeter) recordAbandoned(concurrent int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.abandonedUntil = time.Now().Add(time.Duration(max(concurrent, 1)) * m.chunkTime)
-}
-
-// allows reports whether n chunks may be in transfer at once. One may, unless abandoned chunks are still arriving; more may only once
-// the speed of the link is known.
+// allows reports whether n chunks may be in transfer at once. One always may; more may only once the speed of the link is known.
 func (m *linkMeter) allows(n int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if time.Now().Before(m.abandonedUntil) {
-		return false
-	}
 	return n <= 1 || m.chunkTime > 0 && time.Duration(n)*m.chunkTime <= maxFetchQueueTime
 }
