--- a/internal/loader/collect_test.go
+++ b/internal/loader/collect_test.go
@@ -134,3 +134,29 @@
 		})
 	}
 }
+
+// cachedWeights delivers the chunks with an even index from memory, without using the link.
+type cachedWeights struct{ narrowWeights }
+
+func (c *cachedWeights) TryChunk(ctx context.Context, model string, version int64, chunk int) ([]byte, error) {
+	if chunk%2 == 0 {
+		return c.fakeWeights.Chunk(ctx, model, version, chunk)
+	}
+	return c.narrowWeights.TryChunk(ctx, model, version, chunk)
+}
+
+// Guards against a slow link that is taken for a fast one because a chunk came from the cache of the node.
+func TestCachedChunkDoesNotCountAsTransfer(t *testing.T) {
+	g := NewWithT(t)
+	e := &fakeEngine{startedAtMillis: 1}
+	c := &cachedWeights{narrowWeights{transferTime: 330 * time.Millisecond}}
+	target := &targetVersion{}
+	target.set(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go loader.New(e, c, logr.Discard(), target.get, func(loader.Report, bool, bool) {}).Run(ctx)
+	g.Eventually(func() int64 { loaded, _ := e.state(); return loaded }, "10s", "5ms").Should(Equal(int64(1)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.Expect(c.most).To(Equal(1), "chunks on the link at once")
+}
