relay: do not end attempts because of the report of an earlier process

A caller got 502 although the only upstream held the required version: the upstream had restarted and announced itself with that version, and the newest load report, up to 3 s old, was still the one of the earlier process with an older version.

Cause: exchange.candidate ignores such a report, but exchange.lastKnownVersion does not. So the upstream was selected by what it had announced, and the attempt was ended at once by what the earlier process had held. Both now use isCurrentLoad.

Before: TestReportOfEarlierProcessDoesNotEndAttempt: "Expected 502 to equal 200" (1 of 1 runs). After: it and the other tests of internal/relay pass, 1 of 1 runs with the race detector.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -297,7 +297,7 @@
 	if known && age < maxSwapAge && u.StartedAtMillis != 0 && load.StartedAtMillis > u.StartedAtMillis {
 		return c, false // The upstream has restarted; its entry in the listing is outdated.
 	}
-	known = known && age < maxLoadAge && (load.StartedAtMillis == 0 || u.StartedAtMillis == 0 || load.StartedAtMillis == u.StartedAtMillis)
+	known = known && isCurrentLoad(load, age, u)
 	if known {
 		c.Work = placement.Work{HasReport: true, Running: load.Active, Waiting: load.Queued, ReportAge: age, Slowdown: load.Slowdown}
 		c.Suspect = c.Suspect || load.Down || x.unresponsive(u, c.Local, age)
@@ -332,6 +332,12 @@
 	return c, hasCompleteVersion(models, x.meta.Model, x.engine.Layers, required)
 }
 
+// isCurrentLoad reports whether a load of the given age describes an upstream now: it is recent and not of an earlier process.
+func isCurrentLoad(load loadview.Load, age time.Duration, u *catalog.Upstream) bool {
+	sameProcess := load.StartedAtMillis == 0 || u.StartedAtMillis == 0 || load.StartedAtMillis == u.StartedAtMillis
+	return sameProcess && age < maxLoadAge
+}
+
 // unresponsive reports whether neither a report from the agent of an upstream nor an event or answer from the upstream itself has
 // arrived for too long, as happens when its instance stalls or is partitioned. An upstream that has lost only its agent keeps
 // serving.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -140,6 +140,7 @@
 type entry struct {
 	url   string
 	state *fleet.State
+	loads *loadview.Table
 	host  string
 }
 
@@ -168,14 +169,15 @@
 			Address: u.addr, DataCentre: "z", State: catalog.Ready, Slots: 6}})
 	}
 	state.ApplyListing(list, 9)
-	r := relay.New(relay.Config{Codec: codec{}, State: state, Loads: loadview.NewTable(nil), PeerWork: loadview.NewWorkTable(nil),
+	loads := loadview.NewTable(nil)
+	r := relay.New(relay.Config{Codec: codec{}, State: state, Loads: loads, PeerWork: loadview.NewWorkTable(nil),
 		Tracker: placement.NewTracker(nil), PriorityLimiter: placement.NewPriorityLimiter(nil), Pool: h1.NewPool(), Log: logr.Discard(),
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget:  relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
 		ShuttingDown: func() bool { return false }})
 	server := httptest.NewServer(r)
 	t.Cleanup(server.Close)
-	return &entry{url: server.URL, state: state, host: "h"}
+	return &entry{url: server.URL, state: state, loads: loads, host: "h"}
 }
 
 // callResult is the caller's view of a response.
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -111,7 +111,7 @@
 // there is none. reportAge is the age of the load report it was read from, or -1 if it was read from the list of upstreams.
 func (x *exchange) lastKnownVersion(upstream *catalog.Upstream) (version int64, reportAge time.Duration) {
 	models, reportAge := upstream.Models, time.Duration(-1)
-	if load, age, ok := x.relay.cfg.Loads.Get(upstream.Address); ok && age < maxLoadAge {
+	if load, age, ok := x.relay.cfg.Loads.Get(upstream.Address); ok && isCurrentLoad(load, age, upstream) {
 		models, reportAge = load.Models, age
 	}
 	return newestCompleteVersion(models, x.meta.Model, x.engine.Layers), reportAge
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/message"
 )
 
 // rolloutTime is the time allowed for a rollout in newEntry.
@@ -175,3 +176,23 @@
 	g.Expect(slow.requests()).To(HaveLen(1), "only the request before the version was named")
 	g.Expect(current.requests()).To(HaveLen(8))
 }
+
+// Guards against ending an attempt because of the version that the upstream held before it restarted: the newest load report is from the
+// earlier process, but the upstream has announced itself again with the version that is required.
+func TestReportOfEarlierProcessDoesNotEndAttempt(t *testing.T) {
+	g := NewWithT(t)
+	received, closed := make(chan struct{}, 1), make(chan time.Time, 1)
+	u := newUpstream(t, "u1", waitsFor(300*time.Millisecond, received, closed))
+	e := engineEntry(t)
+	e.loads.Apply([]message.UpstreamLoad{{Address: u.addr, StartedAtMillis: 1,
+		Models: []catalog.LoadedLayers{{Model: "m", Version: 1, From: 0, To: 1}}}})
+	e.state.ApplyUpstream(fleet.UpstreamRecord{ID: u.id, Revision: 101, Announcement: &catalog.Upstream{ID: u.id, Service: "s",
+		Address: u.addr, DataCentre: "z", State: catalog.Ready, Slots: 16, Sequence: 1, StartedAtMillis: 2,
+		Models: []catalog.LoadedLayers{{Model: "m", Version: 2, From: 0, To: 1}}}})
+	e.nameVersion(2, rolloutTime+time.Second)
+	a := generate(e)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.status).To(Equal(http.StatusOK))
+	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
+	g.Expect(closed).NotTo(Receive())
+}
