relay, fleet: satisfy the linter

golangci-lint reported three issues in the new code: an exported constant without a comment, a type assertion on an error in a test, and a negated conjunction. No behaviour changes; the linter reports no issues after it, and the tests of internal/fleet and the version and attempt tests of internal/relay pass.

--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -201,7 +201,7 @@
 func (s *State) mergeNaming(recorded *VersionRecord, v VersionRecord) {
 	replacesAssumed := recorded.AgeAssumed && !v.AgeAssumed
 	sameKind := recorded.AgeAssumed == v.AgeAssumed
-	if !replacesAssumed && !(sameKind && v.NamedAt.Before(recorded.NamedAt)) {
+	if !replacesAssumed && (!sameKind || !v.NamedAt.Before(recorded.NamedAt)) {
 		return
 	}
 	difference := recorded.NamedAt.Sub(v.NamedAt)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,10 +34,11 @@
 	// latency to the upstream and clock skew.
 	VersionMargin = 400 * time.Millisecond
 	// startDelayFactor times the predicted time to the first event, or the delay with which attempts at the upstream begin if that is
-	// longer, is assumed to be the longest delay until a request starts. It is at least MinVersionLead, for delays that no attempt
-	// has shown yet. Near the end of a rollout, an upstream is a candidate only if its version is still allowed after that delay.
+	// longer, is assumed to be the longest delay until a request starts. Near the end of a rollout, an upstream is a candidate only if
+	// its version is still allowed after that delay.
 	startDelayFactor = 3
-	MinVersionLead   = time.Second
+	// MinVersionLead is the shortest delay that is assumed until a request starts, for delays that no attempt has shown yet.
+	MinVersionLead = time.Second
 )
 
 // errCallerGone and errTimeout are the causes with which the context of a request is cancelled.
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
@@ -65,8 +66,8 @@
 }
 
 func isTimeout(err error) bool {
-	timeout, ok := err.(net.Error)
-	return ok && timeout.Timeout()
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // Guards against a request that begins on an outdated version: it was sent in time, waited in the queue of its upstream, and would
