--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -143,7 +143,7 @@
 	// publish receives the newest report after each poll. swapping is set while a load is imminent or running, down once
 	// maxFailedReports consecutive requests for a report have failed.
 	publish func(report Report, swapping, down bool)
-	// link limits the chunks in transfer, over all versions.
+	// link limits the chunks that are in transfer for one version.
 	link linkMeter
 
 	mu     sync.Mutex
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -187,7 +187,7 @@
 }
 
 // extraRunsAfter returns attemptResult.extraRuns for a failed attempt: 1 if the connection was closed or reset, which usually means that
-// the upstream has terminated, and 0 otherwise.
+// the upstream has terminated, or if the attempt was ended before it began (see endWithVersion), and 0 otherwise.
 func extraRunsAfter(err error) int {
 	if errors.Is(err, h1.ErrBroken) && !errors.Is(err, h1.ErrMalformed) {
 		return 1
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -75,7 +75,7 @@
 }
 
 // untilVersionEnds returns the time for which the attempt may still be left waiting on the version that the upstream holds, or
-// versionCheckInterval if no newer version is named.
+// versionCheckInterval if no newer version is named or the version is not known.
 func (a *upstreamAttempt) untilVersionEnds() time.Duration {
 	x := a.x
 	snapshot := x.relay.cfg.State.Snapshot()
@@ -88,7 +88,7 @@
 		version = a.weights.assumed // An upstream may report no version while it loads one.
 	}
 	until, ok := snapshot.UsableUntil(x.meta.Model, version, x.relay.cfg.VersionApplyWindow-VersionMargin)
-	if !ok {
+	if !ok || version == 0 {
 		return versionCheckInterval
 	}
 	return time.Until(until) - x.startDelay(upstream)
@@ -111,7 +111,7 @@
 // there is none. reportAge is the age of the load report it was read from, or -1 if it was read from the list of upstreams.
 func (x *exchange) lastKnownVersion(upstream *catalog.Upstream) (version int64, reportAge time.Duration) {
 	models, reportAge := upstream.Models, time.Duration(-1)
-	if load, age, ok := x.relay.cfg.Loads.Get(upstream.Address); ok && age < maxLoadAge {
+	if load, age, ok := x.relay.cfg.Loads.Get(upstream.Address); ok && isCurrentLoad(load, age, upstream) {
 		models, reportAge = load.Models, age
 	}
 	return newestCompleteVersion(models, x.meta.Model, x.engine.Layers), reportAge
