placement: keep the start delay of an upstream that gets no attempts

What callers would see: an upstream that is left out because attempts begin late there is used again just before the time of its version ends, and requests begin too late. Cause: the estimate lived for 1 to 2 s, but it leaves an upstream out for three times the delay. Without attempts it was forgotten: with a delay of 1.5 s the upstream would be left out from 4.5 s before the end and used again from 2.5 s. Other entries forgot it at once, because only upstreams with attempts in progress were sent to them. Fix: the newest two periods in which attempts began count, for 10 s; long delays are sent without attempts as well. TestStartDelayIsTheShortestRecentOne (it expected the delay to be forgotten after 3 s; now it must be known after 9 s and unknown after 11 s) and TestExportedStartDelay fail with the earlier code.

--- a/internal/placement/delay.go
+++ b/internal/placement/delay.go
@@ -2,14 +2,20 @@
 
 import "time"
 
-// delayPeriod is the length of the periods whose shortest delays are kept: the estimate covers one to two of them.
-const delayPeriod = time.Second
+const (
+	// delayPeriod is the length of the periods whose shortest delays are kept: the estimate covers the newest two in which attempts
+	// began.
+	delayPeriod = time.Second
+	// delayRetention is how long the estimate is kept without new attempts. An upstream that is left out because of its delay gets no
+	// attempts that could show it again.
+	delayRetention = 10 * time.Second
+)
 
 // startDelays keeps the shortest delays with which recent attempts at one upstream have begun. The shortest one shows what no attempt
 // can avoid, such as a slow link or a stalled upstream. Longer ones are often due to more urgent requests that go first.
 type startDelays struct {
 	periodStart time.Time
-	// current and previous are the shortest delays of the period and of the one before, 0 if no attempt began in it.
+	// current and previous are the shortest delays of the period and of the one before, 0 if there is none.
 	current, previous time.Duration
 	// lastStart is when an attempt last began.
 	lastStart time.Time
@@ -17,31 +23,27 @@
 
 // record adds the delay of an attempt that begins now.
 func (d *startDelays) record(now time.Time, delay time.Duration) {
-	d.advance(now)
+	if now.Sub(d.lastStart) > delayRetention {
+		*d = startDelays{}
+	}
+	if now.Sub(d.periodStart) >= delayPeriod {
+		d.previous, d.current, d.periodStart = d.current, 0, now
+	}
 	d.lastStart = now
 	if d.current == 0 || delay < d.current {
 		d.current = max(delay, 1)
 	}
 }
 
-// shortest returns the shortest recent delay, and false if no attempt began recently.
+// shortest returns the shortest recent delay, and false if no attempt began within delayRetention.
 func (d *startDelays) shortest(now time.Time) (time.Duration, bool) {
-	d.advance(now)
-	if d.current == 0 || d.previous > 0 && d.previous < d.current {
-		return d.previous, d.previous > 0
+	if d.current == 0 || now.Sub(d.lastStart) > delayRetention {
+		return 0, false
 	}
-	return d.current, true
-}
-
-// advance starts a new period if the current one is over.
-func (d *startDelays) advance(now time.Time) {
-	switch age := now.Sub(d.periodStart); {
-	case age < delayPeriod:
-	case age < 2*delayPeriod:
-		d.previous, d.current, d.periodStart = d.current, 0, d.periodStart.Add(delayPeriod)
-	default:
-		d.previous, d.current, d.periodStart = 0, 0, now
+	if d.previous > 0 {
+		return min(d.previous, d.current), true
 	}
+	return d.current, true
 }
 
 // StartDelay returns the time that an attempt at an upstream takes at least to begin, as the attempts of this node show it: the shortest
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -236,29 +236,35 @@
 	w.AheadShare = estimateAheadShare(rank, waiting, urgent)
 }
 
-// exportedDelayMillis returns a start delay as it is sent to other entries: rounded down to 100 ms, and 1 ms below 300 ms. Each change is
-// a message to all entries, and shorter delays are usual and vary.
+// shortDelayMillis is sent to other entries for any start delay below minLongDelay. Each change is a message to all entries, and short
+// delays are usual and vary. Longer ones are rounded down to longDelayStep.
+const (
+	shortDelayMillis = 1
+	minLongDelay     = 300 * time.Millisecond
+	longDelayStep    = 100 * time.Millisecond
+)
+
+// exportedDelayMillis returns a start delay as it is sent to other entries.
 func exportedDelayMillis(delay time.Duration) int64 {
-	const shortest, step = 300 * time.Millisecond, 100 * time.Millisecond
-	if delay < shortest {
-		return 1
+	if delay < minLongDelay {
+		return shortDelayMillis
 	}
-	return delay.Truncate(step).Milliseconds()
+	return delay.Truncate(longDelayStep).Milliseconds()
 }
 
-// Export returns the work that this node has in progress at each upstream, sorted by the ID of the upstream.
+// Export returns the work that this node has in progress at each upstream, and long start delays, sorted by the ID of the upstream.
 func (t *Tracker) Export() []message.UpstreamWork {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []message.UpstreamWork
 	for id, u := range t.upstreams {
-		if len(u.attempts) == 0 {
-			continue
-		}
 		w := message.UpstreamWork{ID: id, Running: len(u.attempts)}
 		if delay, known := u.startDelay(t.now()); known {
 			w.StartDelayMillis = exportedDelayMillis(delay)
 		}
+		if w.Running == 0 && w.StartDelayMillis <= shortDelayMillis {
+			continue
+		}
 		for a := range u.attempts {
 			if !a.started {
 				w.Waiting++
