--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -45,7 +45,9 @@
 	duration  time.Duration
 	// timeToFirstEvent is measured from the start of the attempt. It is 0 if no event has been forwarded.
 	timeToFirstEvent time.Duration
-	weights          weightsTrace
+	// answerBegun is set when the upstream has sent the head of a response to the request.
+	answerBegun bool
+	weights     weightsTrace
 }
 
 const (
@@ -101,7 +103,7 @@
 		x.relay.cfg.Pool.Put(conn, a.idleTimeout)
 	}
 	tracked.End(a.outcome(res))
-	res.duration, res.weights = time.Since(started), a.weights
+	res.duration, res.weights, res.answerBegun = time.Since(started), a.weights, !a.answerBegan.IsZero()
 	if errors.Is(res.cause, errVersionExpired) {
 		x.lastFailure = "version expired"
 	}
@@ -124,6 +126,8 @@
 	bodyOverdue bool
 	// serverError is set when the upstream itself responded with a status of 500 or above.
 	serverError bool
+	// answerBegan is when the head of a response to the request arrived, whether or not the request has run; zero before.
+	answerBegan time.Time
 	// begun is set when the first event or the head of the response has arrived.
 	begun atomic.Bool
 	// idleTimeout is the time after which the upstream closes an idle connection, 0 if not given.
@@ -164,6 +168,7 @@
 		return attemptResult{kind: mayHaveRun, cause: err, extraRuns: extraRunsAfter(err)}
 	}
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
+	a.answerBegan = time.Now()
 	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
 		return a.handleDeclined(resp, parsed)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/placement"
@@ -15,6 +16,8 @@
 		"took_ms", res.duration.Milliseconds(), "status", res.status, "config", x.snapshot.Index.Config.Version, "local", d.Local}
 	values = append(values, workValues(d.Work)...)
 	if x.engine != nil {
+		values = append(values, "prompt_parts", strings.Join(x.meta.PromptParts, ","), "upstream_started", d.Upstream.StartedAtMillis,
+			"answer_begun", res.answerBegun)
 		values = append(values, res.weights.values()...)
 	}
 	if res.final {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -19,12 +19,23 @@
 	Model string
 	// PromptTokens is the length of the prompt, MaxAnswerTokens the upper bound of the answer.
 	PromptTokens, MaxAnswerTokens int
+	// PromptParts holds the IDs of the parts of the prompt, in order. Other requests share them, except the last one, which belongs to
+	// the request or its session.
+	PromptParts []string
 	// AnswerHint is the caller's estimate of the answer length in tokens, 0 if not given. It is often far off.
 	AnswerHint int
 	// LastEventID is the ID of the last stream event that the caller has received, 0 to start from the beginning.
 	LastEventID int64
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the last one.
+func (m Metadata) SharedParts() []string {
+	if len(m.PromptParts) == 0 {
+		return nil
+	}
+	return m.PromptParts[:len(m.PromptParts)-1]
+}
+
 // UpstreamMetadata holds the values that are added to the caller's headers when a request is sent to an upstream.
 type UpstreamMetadata struct {
 	// Remaining is the time until the deadline of the request; 0 sends no deadline.
