--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -33,7 +33,7 @@
 	ms, _ := strconv.Atoi(h.Get("Wait"))
 	last, _ := strconv.ParseInt(h.Get("After"), 10, 64)
 	return request.Metadata{ID: h.Get("Id"), Model: h.Get("Model"), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get("Key"), LastEventID: last,
-		PromptTokens: 100}
+		PromptTokens: 100, PromptParts: strings.Split(h.Get("Parts"), ",")}
 }
 
 func (codec) PrepareUpstreamHeaders(h http.Header, out request.UpstreamMetadata) {
@@ -68,6 +68,12 @@
 
 // newUpstream starts an upstream that calls script for each request after its body has been read.
 func newUpstream(t *testing.T, id string, script func(nc net.Conn, req *http.Request)) *upstream {
+	u, _ := listenUpstream(t, id, script)
+	return u
+}
+
+// listenUpstream is newUpstream and returns the listener too.
+func listenUpstream(t *testing.T, id string, script func(nc net.Conn, req *http.Request)) (*upstream, net.Listener) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +103,7 @@
 			}()
 		}
 	}()
-	return u
+	return u, l
 }
 
 // respond sends a complete signed response.
