--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -21,6 +21,7 @@
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
+	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/telemetry"
 )
 
@@ -66,9 +67,11 @@
 	// peerWork holds what other entries have in progress at upstreams.
 	peerWork *loadview.WorkTable
 	tracker  *placement.Tracker
-	mesh     *mesh.Mesh
-	cache    *chunkcache.Cache
-	metrics  *telemetry.Metrics
+	// poison holds what entries know about requests that crash upstreams.
+	poison  *poison.Ledger
+	mesh    *mesh.Mesh
+	cache   *chunkcache.Cache
+	metrics *telemetry.Metrics
 }
 
 // newComponents creates the components of a node. address is the address that the node announces: its link address for an entry,
@@ -81,13 +84,13 @@
 		return nil, err
 	}
 	c := &components{Node: n, state: fleet.NewState(nil), loads: loadview.NewTable(nil), peerWork: loadview.NewWorkTable(nil),
-		tracker: placement.NewTracker(nil), metrics: metrics}
+		tracker: placement.NewTracker(nil), poison: poison.New(nil), metrics: metrics}
 	c.self = message.Hello{NodeID: n.ID, Role: role, DataCentre: n.DataCentre, Region: n.Region,
 		Incarnation: uint64(time.Now().UnixNano())}
 	c.self.Address = address
 	cfg := mesh.Config{Self: c.self, Secret: n.Secret, Seeds: n.Seeds, State: c.state, Loads: c.loads, Log: n.Log, Leaving: leaving}
 	if role == message.RoleEntry {
-		cfg.PeerWork, cfg.OwnWork = c.peerWork, c.tracker.Export
+		cfg.PeerWork, cfg.OwnWork, cfg.Poison = c.peerWork, c.tracker.Export, c.poison
 	}
 	cfg.ServeWeights = serve
 	if serve == nil {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -205,6 +205,9 @@
 	case restarted:
 		l.log.Info("upstream was restarted", "born", report.StartedAtMillis)
 	}
+	if err != nil && !down {
+		return // The last report is not news: published again, it would show an upstream that has just ended as running.
+	}
 	l.publish(last, swapping || last.OrderRunning, down)
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,6 +19,7 @@
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
+	"github.com/pimentohead/pimentohead/internal/poison"
 )
 
 const (
@@ -66,7 +67,9 @@
 	// nil on agents.
 	PeerWork *loadview.WorkTable
 	OwnWork  func() []message.UpstreamWork
-	Log      logr.Logger
+	// Poison holds the evidence on requests that crash upstreams. It is nil on agents.
+	Poison *poison.Ledger
+	Log    logr.Logger
 	// ServeWeights answers requests of other nodes for weights. It is nil on nodes that serve none.
 	ServeWeights func(ctx context.Context, req *message.WeightsRequest) *message.WeightsReply
 	// Leaving reports whether the node is shutting down. It is nil on nodes that never report it.
@@ -83,6 +86,9 @@
 	changes chan fleet.Change
 	// resyncNeeded is set when changes were dropped because the queue was full.
 	resyncNeeded atomic.Bool
+	// evidence queues evidence to be sent to other entries. evidenceDropped is set when the queue was full.
+	evidence        chan *message.CrashEvidence
+	evidenceDropped atomic.Bool
 	// configRequestPending is set while a request for the configuration is scheduled.
 	configRequestPending atomic.Bool
 	// pending matches weights replies with their requests.
@@ -133,6 +139,7 @@
 		dialNow: make(chan struct{}, 1),
 	}
 	m.encoder.log = cfg.Log
+	m.observeEvidence()
 	m.pending.waiting = map[uint64]chan *message.WeightsReply{}
 	if cfg.Self.Role == message.RoleEntry {
 		cfg.State.Observe(func(c fleet.Change) {
@@ -151,7 +158,7 @@
 	var wg sync.WaitGroup
 	loops := []func(context.Context){m.dialLoop}
 	if m.cfg.Self.Role == message.RoleEntry {
-		loops = append(loops, m.shareChanges, m.shareStaleness, m.shareLoads, m.shareWork)
+		loops = append(loops, m.shareChanges, m.shareStaleness, m.shareLoads, m.shareWork, m.shareEvidence)
 	}
 	for _, loop := range loops {
 		wg.Add(1)
@@ -231,6 +238,11 @@
 	if err == nil {
 		err = p.conn.Send(ctx, m.initialState(p.hello))
 	}
+	if err == nil && isEntry(p) && m.cfg.Poison != nil {
+		if evidence := m.cfg.Poison.Export(); evidence != nil {
+			err = p.conn.Send(ctx, evidence)
+		}
+	}
 	if err != nil {
 		m.cfg.Log.V(1).Info("initial state was not sent", "peer", p.hello.NodeID, "cause", err.Error())
 	}
@@ -260,6 +272,10 @@
 			m.cfg.PeerWork.Apply(msg)
 			m.forwardLocally(p, msg)
 		}
+	case *message.CrashEvidence:
+		if m.cfg.Poison != nil {
+			m.cfg.Poison.Merge(msg)
+		}
 	case *message.WeightsRequest:
 		if m.cfg.ServeWeights != nil {
 			go m.handleWeightsRequest(ctx, p, msg)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/poison"
 )
 
 // node is a mesh node on loopback with its state.
@@ -27,6 +28,7 @@
 	state    *fleet.State
 	loads    *loadview.Table
 	peerWork *loadview.WorkTable
+	poison   *poison.Ledger
 	traffic  *link.Traffic
 	stop     context.CancelFunc
 }
@@ -62,7 +64,8 @@
 		Incarnation: uint64(time.Now().UnixNano())}, Secret: []byte("sixteen byte key"), Seeds: o.seeds, State: n.state, Loads: n.loads,
 		Log: logr.Discard(), ServeWeights: o.serveWeights, Traffic: n.traffic}
 	if o.role == message.RoleEntry {
-		cfg.PeerWork, cfg.OwnWork = n.peerWork, func() []message.UpstreamWork { return o.work }
+		n.poison = poison.New(nil)
+		cfg.PeerWork, cfg.OwnWork, cfg.Poison = n.peerWork, func() []message.UpstreamWork { return o.work }, n.poison
 	}
 	n.Mesh = mesh.New(cfg)
 	if listener != nil {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -45,6 +45,7 @@
 	TypeWeightsRequest
 	TypeWeightsReply
 	TypeEntryWork
+	TypeCrashEvidence
 )
 
 // Errors returned by Decode.
@@ -124,6 +125,7 @@
 	TypeWeightsRequest:  func() Message { return new(WeightsRequest) },
 	TypeWeightsReply:    func() Message { return new(WeightsReply) },
 	TypeEntryWork:       func() Message { return new(EntryWork) },
+	TypeCrashEvidence:   func() Message { return new(CrashEvidence) },
 }
 
 // newMessage returns an empty message of type t, or nil if the type is unknown.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -47,7 +47,9 @@
 	timeToFirstEvent time.Duration
 	// answerBegun is set when the upstream has sent the head of a response to the request.
 	answerBegun bool
-	weights     weightsTrace
+	// crashDecided is closed once it is decided whether the upstream ended; nil if that is not in question.
+	crashDecided <-chan struct{}
+	weights      weightsTrace
 }
 
 const (
@@ -92,11 +94,17 @@
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, conn.Close)
 	a := &upstreamAttempt{x: x, ctx: ctx, upstream: u, conn: conn, tracked: tracked, started: started}
+	a.subjects = x.subjects()
+	defer x.relay.inProgress.add(a, cancel)()
 	if x.engine != nil {
 		a.weights.assumed, a.weights.reportAge = x.lastKnownVersion(u)
 		go a.endWithVersion(cancel)
 	}
 	res := a.roundTrip()
+	if a.complete {
+		a.recordProof()
+	}
+	res.crashDecided = a.checkCrash(res)
 	if !stop() || !res.final || !a.complete {
 		conn.Close()
 	} else {
@@ -107,6 +115,9 @@
 	if errors.Is(res.cause, errVersionExpired) {
 		x.lastFailure = "version expired"
 	}
+	if errors.Is(res.cause, errPoisoned) {
+		x.lastFailure = "crashes upstreams"
+	}
 	return res
 }
 
@@ -126,6 +137,9 @@
 	bodyOverdue bool
 	// serverError is set when the upstream itself responded with a status of 500 or above.
 	serverError bool
+	// subjects are those of the request, see exchange.subjects. proven is set once the upstream has survived the beginning of its answer.
+	subjects []string
+	proven   bool
 	// answerBegan is when the head of a response to the request arrived, whether or not the request has run; zero before.
 	answerBegan time.Time
 	// begun is set when the first event or the head of the response has arrived.
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -7,9 +7,16 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/poison"
 )
 
 // mortalUpstream is an upstream whose process ends when it begins to answer a request with a deadly part: it closes its listener and
@@ -95,3 +102,107 @@
 	g.Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(refused.body).To(ContainSubstring(`"outcome":"not-run"`))
 }
+
+// breakStream is a script of an upstream that begins to answer, closes the connection and goes on running.
+func breakStream(nc net.Conn, req *http.Request) {
+	streamHead(nc, req)
+	_ = nc.Close()
+}
+
+// Guards against connections that an upstream resets being taken for crashes: the requests on them are sound.
+func TestResetsAreNoCrashes(t *testing.T) {
+	g := NewWithT(t)
+	var broken atomic.Int32
+	var upstreams []*upstream
+	for i := range 4 {
+		upstreams = append(upstreams, newUpstream(t, fmt.Sprintf("u%d", i), func(nc net.Conn, req *http.Request) {
+			if broken.Add(1) <= 9 {
+				breakStream(nc, req)
+				return
+			}
+			streamUpTo(3)(nc, req)
+		}))
+	}
+	e := newEntry(t, upstreams...)
+	for i := range 4 {
+		sendParts(e, fmt.Sprintf("first,new,own%d", i))
+	}
+	g.Expect(sendParts(e, "first,new,own").status).To(Equal(http.StatusOK))
+	g.Expect(e.poison.Export()).To(BeNil())
+}
+
+// Guards against the end of an upstream that was leaving being blamed on the requests that were still running there.
+func TestPlannedExitIsNoCrash(t *testing.T) {
+	g := NewWithT(t)
+	var e *entry
+	var upstreams []*upstream
+	for i := range 4 {
+		id := fmt.Sprintf("u%d", i)
+		var l net.Listener
+		var u *upstream
+		u, l = listenUpstream(t, id, func(nc net.Conn, req *http.Request) {
+			streamHead(nc, req)
+			e.state.ApplyUpstream(fleet.UpstreamRecord{ID: id, Revision: int64(100 + i), Announcement: &catalog.Upstream{ID: id, Service: "s",
+				Address: u.addr, DataCentre: "z", State: catalog.Draining, Slots: 6, Sequence: 1}})
+			_ = l.Close()
+			_ = nc.Close()
+		})
+		upstreams = append(upstreams, u)
+	}
+	e = newEntry(t, upstreams...)
+	g.Expect(sendParts(e, "first,new,own").status).NotTo(Equal(http.StatusOK))
+	time.Sleep(400 * time.Millisecond)
+	g.Expect(e.poison.Export()).To(BeNil())
+}
+
+// Guards against attempts with a part that crashes upstreams that wait at an upstream until they begin there, although the verdict on the
+// part has been reached.
+func TestVerdictEndsWaitingAttempts(t *testing.T) {
+	g := NewWithT(t)
+	arrived := make(chan struct{}, 2)
+	u := newUpstream(t, "u", func(nc net.Conn, _ *http.Request) {
+		arrived <- struct{}{}
+		_, _ = nc.Read(make([]byte, 1)) // Returns when the connection is closed.
+	})
+	e := newEntry(t, u)
+	result := make(chan callResult, 1)
+	go func() { result <- sendParts(e, "first,"+deadlyPart+",own") }()
+	g.Eventually(arrived).Should(Receive())
+	for i := range 3 {
+		e.poison.Record(message.CrashedAttempt{Upstream: fmt.Sprintf("m%d", i), Request: "r", Begun: true,
+			Subjects: []string{poison.PartSubject(deadlyPart)}})
+	}
+	var got callResult
+	g.Eventually(result, "1s").Should(Receive(&got))
+	g.Expect(got.status).To(Equal(http.StatusBadGateway))
+	g.Expect(got.body).To(ContainSubstring(`"outcome":"unknown"`))
+}
+
+// Guards against a sound stream that is not resumed, or is blamed, when its upstream ends under a request that ran beside it.
+func TestSoundStreamSurvivesTheEndOfItsUpstream(t *testing.T) {
+	g := NewWithT(t)
+	all, upstreams := newMortalUpstreams(t, 4)
+	e := newEntry(t, upstreams...)
+	for i := range 3 {
+		g.Expect(sendParts(e, fmt.Sprintf("beside,own%d", i)).status).To(Equal(http.StatusOK))
+	}
+	var wg sync.WaitGroup
+	results := make([]callResult, 12)
+	for i := range results {
+		wg.Go(func() {
+			part := "beside"
+			if i == 5 {
+				part = deadlyPart
+			}
+			results[i] = sendParts(e, fmt.Sprintf("%s,concurrent%d", part, i))
+		})
+	}
+	wg.Wait()
+	g.Expect(countEnded(all)).To(BeNumerically("<=", 3))
+	for i, r := range results {
+		if i != 5 {
+			g.Expect(r.status).To(Equal(http.StatusOK), "request %d", i)
+			g.Expect(strings.Count(r.body, "data:")).To(Equal(3))
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/placement"
+	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/request"
 )
 
@@ -59,8 +60,10 @@
 	Pool            *h1.Pool
 	PriorityLimiter *placement.PriorityLimiter
 	RetryBudget     *RetryBudget
-	Log             logr.Logger
-	Metrics         *Metrics
+	// Poison decides which requests are refused because they crash upstreams; nil selects a ledger that no other entry shares.
+	Poison  *poison.Ledger
+	Log     logr.Logger
+	Metrics *Metrics
 	// DataCentre is the data centre of this entry.
 	DataCentre string
 	// VersionApplyWindow is the time after the naming of a version from which no request may start on older weights.
@@ -73,10 +76,23 @@
 type Relay struct {
 	cfg   Config
 	waits waitEstimator
+	// endings finds out which upstreams have ended, inProgress holds the attempts that a verdict may end.
+	endings    endingTable
+	inProgress attemptTable
 }
 
 // New returns a Relay.
-func New(cfg Config) *Relay { return &Relay{cfg: cfg} }
+func New(cfg Config) *Relay {
+	if cfg.Poison == nil {
+		cfg.Poison = poison.New(nil)
+	}
+	r := &Relay{cfg: cfg}
+	cfg.Poison.ObserveVerdicts(func(verdicts []poison.Verdict) {
+		r.logVerdicts(verdicts)
+		r.inProgress.endPoisoned(verdicts)
+	})
+	return r
+}
 
 // exchange is the state of one caller request.
 type exchange struct {
@@ -101,6 +117,9 @@
 	// sends counts the attempts that reached an upstream, possibleRuns those that may have run.
 	sends, possibleRuns int
 	tried               map[string]bool
+	// subjectList caches subjects. suspected is set when the upstream of an attempt may have ended because of the request.
+	subjectList []string
+	suspected   bool
 	// lastFailure describes the most recent failure, for logs.
 	lastFailure string
 	// decision is the placement decision that refused the request, if there is one.
@@ -230,6 +249,10 @@
 	x.relay.cfg.RetryBudget.RecordRequest(x.service)
 	x.events.lastID = x.meta.LastEventID
 	for {
+		if x.poisoned() {
+			x.failPlacement(placement.Decision{Reason: crashesUpstreams, RetryAfter: poisonRetryAfter})
+			return
+		}
 		d := x.place()
 		if d.Upstream == nil {
 			x.failPlacement(d)
@@ -249,6 +272,7 @@
 			x.endCancelled(errCallerGone)
 			return
 		}
+		x.awaitVerdict(result.crashDecided)
 		if !x.mayRetry(result) {
 			x.failAttempt(result)
 			return
@@ -256,6 +280,13 @@
 	}
 }
 
+// crashesUpstreams is the reason for which a request is refused that would crash its upstream. poisonRetryAfter is the Retry-After sent
+// with it: a verdict holds for minutes, so the longest that callers observe.
+const (
+	crashesUpstreams placement.Reason = "crashes-upstreams"
+	poisonRetryAfter                  = 10 * time.Second
+)
+
 // place selects the upstream for the next attempt, or returns a refusal.
 func (x *exchange) place() placement.Decision {
 	now := time.Now()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -48,6 +48,9 @@
 			a.tracked.RecordActivity()
 			a.conn.SetReadTimeout(streamIdleTimeout) // Bytes that form no new event do not extend it.
 		}
+		if newEvents > 0 && time.Since(a.answerBegan) >= provenAfter {
+			a.recordProof()
+		}
 		if newEvents > 0 && awaitingFirst {
 			awaitingFirst, timeToFirst = false, time.Since(a.started)
 			a.recordStart()
