--- a/internal/directpath/registry.go
+++ b/internal/directpath/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,11 +13,14 @@
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
+	"github.com/pimentohead/pimentohead/internal/poison"
 )
 
 const (
-	// entriesPrefix is the key prefix under which entries announce their link addresses in the store.
-	entriesPrefix = "pimentohead/entries/"
+	// rootPrefix is the key prefix of everything that entries write into the store, entriesPrefix that under which they announce their
+	// link addresses.
+	rootPrefix    = "pimentohead/"
+	entriesPrefix = rootPrefix + "entries/"
 	// announcementTTL is the lease time of an announcement, and so how long it outlives an entry that crashed. Broken links show
 	// earlier that an entry is gone.
 	announcementTTL = 5 * time.Minute
@@ -36,6 +40,8 @@
 	lister store.Lister
 	mesh   *mesh.Mesh
 	self   message.Hello
+	// ledger receives the stored verdicts on requests that crash upstreams.
+	ledger *poison.Ledger
 	log    logr.Logger
 }
 
@@ -102,14 +108,21 @@
 }
 
 // findEntries lists the announced entries and passes them to the mesh, which links to them. Announcements that cannot be decoded
-// are logged and skipped.
+// are logged and skipped. The same listing brings the verdicts that other entries have stored.
 func (r *registry) findEntries(ctx context.Context) error {
-	listing, err := r.lister.List(ctx, entriesPrefix)
+	listing, err := r.lister.List(ctx, rootPrefix)
 	if err != nil {
 		return err
 	}
 	var members []message.Member
 	for _, kv := range listing.KVs {
+		if strings.HasPrefix(kv.Key, verdictsPrefix) {
+			readVerdict(r.ledger, r.log, kv)
+			continue
+		}
+		if !strings.HasPrefix(kv.Key, entriesPrefix) {
+			continue
+		}
 		var m message.Member
 		if err := json.Unmarshal(kv.Value, &m); err != nil {
 			r.log.Info("announcement cannot be read", "key", kv.Key, "cause", err.Error())
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -376,6 +376,18 @@
 // LinkedEntryCount returns the number of entries with an open link.
 func (m *Mesh) LinkedEntryCount() int { return len(m.peers(isEntry)) }
 
+// RanksFirst reports whether this entry ranks highest for a key, among itself and the linked entries. Entries without links to each other
+// may each rank first.
+func (m *Mesh) RanksFirst(key string) bool {
+	own := rank(key, m.cfg.Self.NodeID)
+	for _, p := range m.peers(isEntry) {
+		if rank(key, p.hello.NodeID) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // ShouldWatchStore reports whether this node has to watch the store: it ranks highest among itself and the linked entries of its
 // data centre, or its state has not been up to date for watchTakeoverAge, for example because no other node watches.
 func (m *Mesh) ShouldWatchStore() bool {
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -76,6 +76,25 @@
 	return l.current.Load().verdicts
 }
 
+// IsStored reports whether a verdict is known to be in durable storage.
+func (l *Ledger) IsStored(v Verdict) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, stored := l.stored[v.Key()]
+	return stored
+}
+
+// disproved reports whether all subjects of a stored verdict have had an answer after it was reached. The caller holds mu.
+func (l *Ledger) disproved(s storedVerdict) bool {
+	for _, subject := range s.verdict.Subjects {
+		answer, ok := l.cleared.Peek(subject)
+		if !ok || !answer.at.After(s.until.Add(-Retention)) {
+			return false
+		}
+	}
+	return true
+}
+
 // evaluate derives the verdicts from the evidence. The caller holds mu.
 func (l *Ledger) evaluate(now time.Time) {
 	counts := l.countCrashes(now)
@@ -92,7 +111,7 @@
 		}
 	}
 	for key, s := range l.stored {
-		if !now.Before(s.until) {
+		if !now.Before(s.until) || l.disproved(s) {
 			delete(l.stored, key)
 			continue
 		}
