--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -49,7 +49,9 @@
 	answerBegun bool
 	// crashDecided is closed once it is decided whether the upstream ended; nil if that is not in question.
 	crashDecided <-chan struct{}
-	weights      weightsTrace
+	// rateLimit is the requests a second that the upstream named in its response, -1 if it named none.
+	rateLimit float64
+	weights   weightsTrace
 }
 
 const (
@@ -93,7 +95,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, conn.Close)
-	a := &upstreamAttempt{x: x, ctx: ctx, upstream: u, conn: conn, tracked: tracked, started: started}
+	a := &upstreamAttempt{x: x, ctx: ctx, upstream: u, conn: conn, tracked: tracked, started: started, rateLimit: -1}
 	a.subjects = x.subjects()
 	defer x.relay.inProgress.add(a, cancel)()
 	if x.engine != nil {
@@ -112,6 +114,7 @@
 	}
 	tracked.End(a.outcome(res))
 	res.duration, res.weights, res.answerBegun = time.Since(started), a.weights, !a.answerBegan.IsZero()
+	res.rateLimit = a.rateLimit
 	if errors.Is(res.cause, errVersionExpired) {
 		x.lastFailure = "version expired"
 	}
@@ -131,6 +134,8 @@
 	tracked  *placement.Attempt
 	started  time.Time
 	weights  weightsTrace
+	// rateLimit is as in attemptResult.
+	rateLimit float64
 	// complete is set when the response has been read to its end.
 	complete bool
 	// bodyOverdue is set when the deadline of the request passed while its response was being read.
@@ -183,6 +188,9 @@
 	}
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
 	a.answerBegan = time.Now()
+	if parsed.HasRateLimit {
+		a.rateLimit = parsed.RateLimit
+	}
 	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
 		return a.handleDeclined(resp, parsed)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -15,6 +15,9 @@
 		"prompt", x.meta.PromptTokens, "predicted_ms", d.PredictedWait.Milliseconds(), "first_ms", res.timeToFirstEvent.Milliseconds(),
 		"took_ms", res.duration.Milliseconds(), "status", res.status, "config", x.snapshot.Index.Config.Version, "local", d.Local}
 	values = append(values, workValues(d.Work)...)
+	if res.rateLimit >= 0 {
+		values = append(values, "rate_limit", res.rateLimit)
+	}
 	if x.engine != nil {
 		values = append(values, "prompt_parts", strings.Join(x.meta.PromptParts, ","), "upstream_started", d.Upstream.StartedAtMillis,
 			"answer_begun", res.answerBegun)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -67,6 +67,10 @@
 	// Running, Waiting and Slots are the upstream's load at the start of the response. They are valid if HasLoad is set.
 	Running, Waiting, Slots int
 	HasLoad                 bool
+	// RateLimit is the number of requests a second that the upstream takes from all entries together. It is valid if HasRateLimit is set;
+	// otherwise the upstream named no limit.
+	RateLimit    float64
+	HasRateLimit bool
 	// Version is the version of the weights, 0 if not given.
 	Version int64
 	// IdleTimeout is the time after which the upstream closes an idle connection, 0 if not given.
