--- /dev/null
+++ b/internal/relay/rate_limit_test.go
@@ -0,0 +1,38 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// limitedResponse returns a script that answers and names a limit of perSecond requests.
+func limitedResponse(perSecond string) func(net.Conn, *http.Request) {
+	return func(nc net.Conn, req *http.Request) {
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 x\r\nId: %s\r\nStamp: s\r\nLimit: %s\r\nContent-Length: 4\r\n\r\nfine",
+			req.Header.Get("Id"), perSecond)
+	}
+}
+
+// Guards against an upstream that gets more requests than the limit that it names, while another one could take them, and against
+// requests that are refused although there is another one.
+func TestUpstreamGetsNoMoreThanItsRateLimit(t *testing.T) {
+	g := NewWithT(t)
+	const limit, seconds = 2, 3
+	limited, free := newUpstream(t, "limited", limitedResponse("2")), newUpstream(t, "free", respondOK)
+	e := newEntry(t, limited, free)
+	for i := 0; len(limited.requests()) == 0 && i < 100; i++ {
+		e.send(context.Background(), "/look/first", nil)
+	}
+	before := len(limited.requests())
+	g.Expect(before).NotTo(BeZero())
+	for end := time.Now().Add(seconds * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(http.StatusOK))
+	}
+	g.Expect(len(limited.requests()) - before).To(BeNumerically("<=", limit*seconds+1))
+}
