--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -77,8 +77,8 @@
 		Codec: cfg.Codec, State: c.state, Loads: c.loads, PeerWork: c.peerWork, Tracker: c.tracker, Pool: e.pool,
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
 		RetryBudget:     relay.NewRetryBudget(cfg.RetryBudgetRatio, cfg.RetryBudgetFixed, cfg.RetryBudgetWindow, c.mesh.EntryCount, nil),
-		Poison:          c.poison,
-		Log:             cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
+		Poison:          c.poison, RateLimits: c.rateLimits,
+		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
 		ShuttingDown: e.leaving.Load,
 	})
 	return e, nil
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -22,6 +22,7 @@
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 	"github.com/pimentohead/pimentohead/internal/poison"
+	"github.com/pimentohead/pimentohead/internal/ratelimit"
 	"github.com/pimentohead/pimentohead/internal/telemetry"
 )
 
@@ -68,10 +69,12 @@
 	peerWork *loadview.WorkTable
 	tracker  *placement.Tracker
 	// poison holds what entries know about requests that crash upstreams.
-	poison  *poison.Ledger
-	mesh    *mesh.Mesh
-	cache   *chunkcache.Cache
-	metrics *telemetry.Metrics
+	poison *poison.Ledger
+	// rateLimits holds the rate limits of upstreams and this entry's shares of them.
+	rateLimits *ratelimit.Limiter
+	mesh       *mesh.Mesh
+	cache      *chunkcache.Cache
+	metrics    *telemetry.Metrics
 }
 
 // newComponents creates the components of a node. address is the address that the node announces: its link address for an entry,
@@ -89,7 +92,9 @@
 		Incarnation: uint64(time.Now().UnixNano())}
 	c.self.Address = address
 	cfg := mesh.Config{Self: c.self, Secret: n.Secret, Seeds: n.Seeds, State: c.state, Loads: c.loads, Log: n.Log, Leaving: leaving}
+	c.rateLimits = ratelimit.New(ratelimit.Config{Self: n.ID, Members: func() []string { return c.mesh.EntryIDs() }})
 	if role == message.RoleEntry {
+		cfg.RateLimits = c.rateLimits
 		cfg.PeerWork, cfg.OwnWork, cfg.Poison = c.peerWork, c.tracker.Export, c.poison
 	}
 	cfg.ServeWeights = serve
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,6 +20,7 @@
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/poison"
+	"github.com/pimentohead/pimentohead/internal/ratelimit"
 )
 
 const (
@@ -69,7 +70,9 @@
 	OwnWork  func() []message.UpstreamWork
 	// Poison holds the evidence on requests that crash upstreams. It is nil on agents.
 	Poison *poison.Ledger
-	Log    logr.Logger
+	// RateLimits holds the rate limits of upstreams and this entry's shares of them. It is nil on agents.
+	RateLimits *ratelimit.Limiter
+	Log        logr.Logger
 	// ServeWeights answers requests of other nodes for weights. It is nil on nodes that serve none.
 	ServeWeights func(ctx context.Context, req *message.WeightsRequest) *message.WeightsReply
 	// Leaving reports whether the node is shutting down. It is nil on nodes that never report it.
@@ -158,7 +161,7 @@
 	var wg sync.WaitGroup
 	loops := []func(context.Context){m.dialLoop}
 	if m.cfg.Self.Role == message.RoleEntry {
-		loops = append(loops, m.shareChanges, m.shareStaleness, m.shareLoads, m.shareWork, m.shareEvidence)
+		loops = append(loops, m.shareChanges, m.shareStaleness, m.shareLoads, m.shareWork, m.shareEvidence, m.shareRateLimits)
 	}
 	for _, loop := range loops {
 		wg.Add(1)
@@ -276,6 +279,11 @@
 		if m.cfg.Poison != nil {
 			m.cfg.Poison.Merge(msg)
 		}
+	case *message.RateShares:
+		if m.cfg.RateLimits != nil {
+			m.cfg.RateLimits.Merge(msg)
+			m.forwardLocally(p, msg)
+		}
 	case *message.WeightsRequest:
 		if m.cfg.ServeWeights != nil {
 			go m.handleWeightsRequest(ctx, p, msg)
@@ -373,6 +381,17 @@
 	return len(m.members) + 1
 }
 
+// EntryIDs returns the IDs of the other known entries in the fleet, linked or not.
+func (m *Mesh) EntryIDs() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]string, 0, len(m.members))
+	for id := range m.members {
+		out = append(out, id)
+	}
+	return out
+}
+
 // LinkedEntryCount returns the number of entries with an open link.
 func (m *Mesh) LinkedEntryCount() int { return len(m.peers(isEntry)) }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -19,6 +19,7 @@
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/poison"
+	"github.com/pimentohead/pimentohead/internal/ratelimit"
 )
 
 // node is a mesh node on loopback with its state.
@@ -29,6 +30,7 @@
 	loads    *loadview.Table
 	peerWork *loadview.WorkTable
 	poison   *poison.Ledger
+	limiter  *ratelimit.Limiter
 	traffic  *link.Traffic
 	stop     context.CancelFunc
 }
@@ -65,6 +67,8 @@
 		Log: logr.Discard(), ServeWeights: o.serveWeights, Traffic: n.traffic}
 	if o.role == message.RoleEntry {
 		n.poison = poison.New(nil)
+		n.limiter = ratelimit.New(ratelimit.Config{Self: o.id, Members: func() []string { return n.EntryIDs() }})
+		cfg.RateLimits = n.limiter
 		cfg.PeerWork, cfg.OwnWork, cfg.Poison = n.peerWork, func() []message.UpstreamWork { return o.work }, n.poison
 	}
 	n.Mesh = mesh.New(cfg)
--- /dev/null
+++ b/internal/mesh/ratelimits.go
@@ -0,0 +1,36 @@
+package mesh
+
+import (
+	"context"
+	"time"
+)
+
+// rateSharesInterval is the time between reports on rate limits while any limit is known. New limits are reported at once.
+const rateSharesInterval = 300 * time.Millisecond
+
+// shareRateLimits sends all linked entries what this one knows of rate limits, and its demand, until ctx ends.
+func (m *Mesh) shareRateLimits(ctx context.Context) {
+	if m.cfg.RateLimits == nil {
+		return
+	}
+	changed := make(chan struct{}, 1)
+	m.cfg.RateLimits.OnChange(func() {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	})
+	ticker := time.NewTicker(rateSharesInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+		if report := m.cfg.RateLimits.Export(); report != nil {
+			m.broadcast(report, isEntry)
+		}
+	}
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -46,6 +46,7 @@
 	TypeWeightsReply
 	TypeEntryWork
 	TypeCrashEvidence
+	TypeRateShares
 )
 
 // Errors returned by Decode.
@@ -126,6 +127,7 @@
 	TypeWeightsReply:    func() Message { return new(WeightsReply) },
 	TypeEntryWork:       func() Message { return new(EntryWork) },
 	TypeCrashEvidence:   func() Message { return new(CrashEvidence) },
+	TypeRateShares:      func() Message { return new(RateShares) },
 }
 
 // newMessage returns an empty message of type t, or nil if the type is unknown.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -89,6 +89,7 @@
 			tracked.End(placement.Failed)
 			x.relay.cfg.Tracker.MarkSuspect(u.ID, unreachableSuspectTime)
 		}
+		x.relay.cfg.RateLimits.Return(limitedUpstream(u))
 		x.lastFailure = "unreachable"
 		return attemptResult{kind: notSent, cause: err, duration: time.Since(started)}
 	}
@@ -178,6 +179,7 @@
 	})
 	if errors.Is(err, h1.ErrNotSent) {
 		x.sends--
+		x.relay.cfg.RateLimits.Return(limitedUpstream(a.upstream))
 		x.lastFailure = "not sent"
 		return attemptResult{kind: notSent, cause: err}
 	}
@@ -188,9 +190,7 @@
 	}
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
 	a.answerBegan = time.Now()
-	if parsed.HasRateLimit {
-		a.rateLimit = parsed.RateLimit
-	}
+	a.recordRateLimit(parsed)
 	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
 		return a.handleDeclined(resp, parsed)
--- a/internal/relay/rate_limit_test.go
+++ b/internal/relay/rate_limit_test.go
@@ -36,3 +36,26 @@
 	}
 	g.Expect(len(limited.requests()) - before).To(BeNumerically("<=", limit*seconds+1))
 }
+
+// Guards against requests that wait, or exceed the limit, while all upstreams have reached their limits: they are refused at once, with the
+// time after which there is room.
+func TestRequestsBeyondAllRateLimitsAreRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	limited := newUpstream(t, "limited", limitedResponse("1"))
+	e := newEntry(t, limited)
+	g.Expect(e.send(context.Background(), "/look/first", nil).status).To(Equal(http.StatusOK))
+	refused := 0
+	for range 20 {
+		result := e.send(context.Background(), "/look/1", nil)
+		if result.status == http.StatusOK {
+			continue
+		}
+		refused++
+		g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(result.body).To(ContainSubstring(`"code":"rate-limit","outcome":"not-run"`))
+		g.Expect(result.header.Get("Retry-After")).NotTo(BeEmpty())
+		g.Expect(result.elapsed).To(BeNumerically("<", 200*time.Millisecond))
+	}
+	g.Expect(refused).To(BeNumerically(">=", 18))
+	g.Expect(len(limited.requests())).To(BeNumerically("<=", 3))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/poison"
+	"github.com/pimentohead/pimentohead/internal/ratelimit"
 	"github.com/pimentohead/pimentohead/internal/request"
 )
 
@@ -61,9 +63,11 @@
 	PriorityLimiter *placement.PriorityLimiter
 	RetryBudget     *RetryBudget
 	// Poison decides which requests are refused because they crash upstreams; nil selects a ledger that no other entry shares.
-	Poison  *poison.Ledger
-	Log     logr.Logger
-	Metrics *Metrics
+	Poison *poison.Ledger
+	// RateLimits keeps the requests of all entries within the rates that upstreams name; nil selects a limiter of this entry alone.
+	RateLimits *ratelimit.Limiter
+	Log        logr.Logger
+	Metrics    *Metrics
 	// DataCentre is the data centre of this entry.
 	DataCentre string
 	// VersionApplyWindow is the time after the naming of a version from which no request may start on older weights.
@@ -86,6 +90,9 @@
 	if cfg.Poison == nil {
 		cfg.Poison = poison.New(nil)
 	}
+	if cfg.RateLimits == nil {
+		cfg.RateLimits = ratelimit.New(ratelimit.Config{Members: func() []string { return nil }})
+	}
 	r := &Relay{cfg: cfg}
 	cfg.Poison.ObserveVerdicts(func(verdicts []poison.Verdict) {
 		r.logVerdicts(verdicts)
@@ -247,6 +254,7 @@
 // run makes attempts until the request has a final response.
 func (x *exchange) run() {
 	x.relay.cfg.RetryBudget.RecordRequest(x.service)
+	x.relay.cfg.RateLimits.RecordDemand(x.service)
 	x.events.lastID = x.meta.LastEventID
 	for {
 		if x.poisoned() {
@@ -287,29 +295,47 @@
 	poisonRetryAfter                  = 10 * time.Second
 )
 
-// place selects the upstream for the next attempt, or returns a refusal.
+// place selects the upstream for the next attempt, or returns a refusal. The request is taken from the rate limit of the upstream.
 func (x *exchange) place() placement.Decision {
 	now := time.Now()
 	x.snapshot = x.relay.cfg.State.Snapshot()
-	var list []placement.Candidate
-	eligible := 0
+	list, eligible, limited := x.candidates(now)
+	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
+		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted || x.possibleRuns > 0,
+		MaxWait: x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
+	for {
+		d := placement.Choose(q, list)
+		if d.Upstream == nil {
+			return refusalReason(d, eligible, limited)
+		}
+		if x.relay.cfg.RateLimits.Take(limitedUpstream(d.Upstream)) {
+			return d
+		}
+		// Another request has taken the last one of the limit meanwhile.
+		limited.add(minRateLimitWait)
+		list = slices.DeleteFunc(list, func(c placement.Candidate) bool { return c.Upstream == d.Upstream })
+	}
+}
+
+// candidates returns the upstreams that can take the request. eligible counts those that are ready and untried, limited those left
+// out because of their rate limit.
+func (x *exchange) candidates(now time.Time) (list []placement.Candidate, eligible int, limited rateLimited) {
 	for _, u := range x.snapshot.Upstreams(x.service) {
 		if u.State != catalog.Ready || x.tried[u.ID] {
 			continue
 		}
 		eligible++
-		if c, ok := x.candidate(u, now); ok {
-			list = append(list, c)
+		c, ok := x.candidate(u, now)
+		if !ok {
+			continue
 		}
+		if available, wait := x.relay.cfg.RateLimits.Available(limitedUpstream(u)); !available {
+			limited.add(wait)
+			continue
+		}
+		list = append(list, c)
 	}
-	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
-		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted || x.possibleRuns > 0,
-		MaxWait: x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
-	d := placement.Choose(q, list)
-	if d.Reason == placement.NoUpstream && eligible > 0 {
-		d.Reason = placement.NoVersion
-	}
-	return d
+	return list, eligible, limited
 }
 
 // trafficClass returns the class of the request for the priority limiter and the wait estimator: routes of one service with equal
