--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -174,8 +174,7 @@
 	x.sends++
 	//nolint:bodyclose // Closing a body reads it to its end; the connection is closed or returned to the pool instead.
 	resp, err := a.conn.Do(a.ctx, a.buildRequest(), a.headTimeout(), func(resp *http.Response) bool {
-		id := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header.Clone()).ID
-		return id == "" || id == x.meta.ID
+		return x.ownsResponse(x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header.Clone()))
 	})
 	if errors.Is(err, h1.ErrNotSent) {
 		x.sends--
@@ -213,6 +212,12 @@
 	}
 }
 
+// ownsResponse reports whether a response belongs to the request. A refusal has to name the request: an upstream may write an earlier one
+// once more, and a refusal is believed to state that this request has not run.
+func (x *exchange) ownsResponse(parsed request.Response) bool {
+	return parsed.ID == x.meta.ID || parsed.ID == "" && !parsed.NotRun
+}
+
 // extraRunsAfter returns attemptResult.extraRuns for a failed attempt: 1 if the connection was closed or reset, which usually means that
 // the upstream has terminated, or if the attempt was ended before it began (see endWithVersion), and 0 otherwise.
 func extraRunsAfter(err error) int {
