--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -196,7 +196,12 @@
 	}
 	x.possibleRuns++
 	resp.Body = http.MaxBytesReader(nil, resp.Body, maxResponseBytes)
+	isStream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 	switch {
+	case x.responseStarted && (!isStream || resp.StatusCode != http.StatusOK):
+		x.lastFailure = "no stream to resume"
+		return attemptResult{kind: mayHaveRun, status: resp.StatusCode,
+			cause: errors.Newf("relay: response with status %d that does not continue the stream", resp.StatusCode)}
 	case resp.StatusCode < 300 && !parsed.Signed:
 		x.lastFailure = "unsigned answer"
 		return attemptResult{kind: mayHaveRun, cause: errors.New("relay: successful response without an upstream signature"),
@@ -205,7 +210,7 @@
 		x.lastFailure = "unsigned failure"
 		return attemptResult{kind: mayHaveRun, cause: errors.Newf("relay: response with status %d without an upstream signature",
 			resp.StatusCode), status: resp.StatusCode}
-	case strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
+	case isStream:
 		return a.forwardStream(resp)
 	default:
 		return a.forwardResponse(resp)
