--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -104,7 +104,7 @@
 		go a.endWithVersion(cancel)
 	}
 	res := a.roundTrip()
-	if a.complete {
+	if a.complete && !a.unframed {
 		a.recordProof()
 	}
 	res.crashDecided = a.checkCrash(res)
@@ -139,6 +139,8 @@
 	rateLimit float64
 	// complete is set when the response has been read to its end.
 	complete bool
+	// unframed is set when a stream ended with the connection, without a length or chunked encoding. Whether it was complete cannot be told.
+	unframed bool
 	// bodyOverdue is set when the deadline of the request passed while its response was being read.
 	bodyOverdue bool
 	// serverError is set when the upstream itself responded with a status of 500 or above.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -72,9 +72,9 @@
 func (a *upstreamAttempt) finishStream(resp *http.Response, pending []byte, timeToFirst time.Duration) attemptResult {
 	x := a.x
 	// A body without a length or chunked encoding ends with the connection, so that a truncated one cannot be detected otherwise.
-	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if len(pending) > 0 && unframed {
-		return a.failStream(errors.Wrap(h1.ErrBroken, "relay: stream ended within an event"), timeToFirst)
+	a.unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if a.unframed && (len(pending) > 0 || timeToFirst == 0) {
+		return a.failStream(errors.Wrap(h1.ErrBroken, "relay: stream ended before or within an event"), timeToFirst)
 	}
 	x.startStreamResponse(resp)
 	if len(pending) > 0 {
