--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -73,6 +73,10 @@
 	if err != nil {
 		return nil, err
 	}
+	c.rateLimits.Observe(func(r message.RateLimit) {
+		cfg.Log.Info("rate limit of upstream changed", "upstream", r.Upstream, "started", r.StartedAtMillis, "per_second", r.PerSecond,
+			"lifted", r.Lifted, "age_ms", r.AgeMillis)
+	})
 	e.relay = relay.New(relay.Config{
 		Codec: cfg.Codec, State: c.state, Loads: c.loads, PeerWork: c.peerWork, Tracker: c.tracker, Pool: e.pool,
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
--- a/internal/mesh/ratelimits.go
+++ b/internal/mesh/ratelimits.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pimentohead/pimentohead/internal/message"
 )
 
 // rateSharesInterval is the time between reports on rate limits while any limit is known. New limits are reported at once.
@@ -14,7 +16,7 @@
 		return
 	}
 	changed := make(chan struct{}, 1)
-	m.cfg.RateLimits.OnChange(func() {
+	m.cfg.RateLimits.Observe(func(message.RateLimit) {
 		select {
 		case changed <- struct{}{}:
 		default:
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -76,11 +76,11 @@
 	cfg Config
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	limits  map[string]*limit
-	demand  map[string]*rateMeter
-	peers   map[string]peerReport
-	changed func()
+	mu        sync.Mutex
+	limits    map[string]*limit
+	demand    map[string]*rateMeter
+	peers     map[string]peerReport
+	observers []func(message.RateLimit)
 }
 
 // New returns a limiter without limits.
@@ -94,11 +94,12 @@
 	return &Limiter{cfg: cfg, limits: map[string]*limit{}, demand: map[string]*rateMeter{}, peers: map[string]peerReport{}}
 }
 
-// OnChange sets a function that is called when a limit is new, changed or lifted. It must neither block nor call the limiter.
-func (l *Limiter) OnChange(changed func()) {
+// Observe registers a function that is called when a limit is new, changed or lifted, with the limiter locked. It must neither block nor
+// call the limiter.
+func (l *Limiter) Observe(observer func(message.RateLimit)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.changed = changed
+	l.observers = append(l.observers, observer)
 }
 
 // RecordDemand records a caller's request for a service, wherever it is then sent.
@@ -150,8 +151,8 @@
 	}
 	l.refill(current, now)
 	current.perSecond, current.lifted = r.PerSecond, r.Lifted
-	if l.changed != nil {
-		l.changed()
+	for _, observer := range l.observers {
+		observer(r)
 	}
 }
 
