--- a/internal/message/poison.go
+++ b/internal/message/poison.go
@@ -26,6 +26,10 @@
 type ClearedSubject struct {
 	Subject   string `msgpack:"p"`
 	AgeMillis int64  `msgpack:"a,omitempty"`
+	// Origin is a random number of the ledger that saw the answer, Seq increases with each statement of that ledger. They tell statements
+	// that have been received before. Origin is 0 in the evidence that is sent on a new link.
+	Origin uint64 `msgpack:"o,omitempty"`
+	Seq    uint64 `msgpack:"q,omitempty"`
 }
 
 // PoisonVerdict is a verdict that was reached AgeMillis ago: requests that have all subjects are refused.
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -6,6 +6,7 @@
 package poison
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -63,18 +64,24 @@
 	at time.Time
 	// sharedAt is the newest of these times that other entries know; zero if they know none.
 	sharedAt time.Time
+	// received maps the origins of statements of other entries to their newest sequence numbers.
+	received map[uint64]uint64
 }
 
 // Ledger holds the evidence and the verdicts that follow from it. It is safe for concurrent use.
 type Ledger struct {
 	now func() time.Time
+	// origin identifies the statements of this ledger.
+	origin uint64
 	// current is the set of verdicts in force.
 	current atomic.Pointer[verdictSet]
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	crashes map[process]*crash
-	cleared *lru.Cache[string, *clearance]
+	mu sync.Mutex
+	// sequence is the number of the last statement about an answer.
+	sequence uint64
+	crashes  map[process]*crash
+	cleared  *lru.Cache[string, *clearance]
 	// lastCrash maps the subjects of crashes to the time of the newest crash that involved them.
 	lastCrash map[string]time.Time
 	// stored maps the keys of verdicts that were read from durable storage to their ends.
@@ -98,7 +105,7 @@
 	if err != nil {
 		panic(err) // The size is a positive constant.
 	}
-	l := &Ledger{now: now, crashes: map[process]*crash{}, cleared: cleared, lastCrash: map[string]time.Time{},
+	l := &Ledger{now: now, origin: rand.Uint64() | 1, crashes: map[process]*crash{}, cleared: cleared, lastCrash: map[string]time.Time{},
 		stored: map[string]storedVerdict{}}
 	l.current.Store(&verdictSet{})
 	return l
@@ -222,11 +229,12 @@
 	}
 }
 
-// mergeClearance merges an answer that another entry has seen, and reports whether it is newer than what this ledger knows. Other
-// entries then know it too. The caller holds mu.
+// mergeClearance merges an answer that another entry has seen, and reports whether this ledger has to pass it on: whether it receives the
+// statement for the first time. Other entries then know of the answer too. Ages are no criterion, as each hop adds to them. The caller
+// holds mu.
 func (l *Ledger) mergeClearance(received message.ClearedSubject, now time.Time) bool {
 	at := now.Add(-time.Duration(max(received.AgeMillis, 0)) * time.Millisecond)
-	if received.Subject == "" || now.Sub(at) >= Retention {
+	if received.Subject == "" || now.Sub(at) >= Retention || received.Origin == l.origin {
 		return false
 	}
 	c, ok := l.cleared.Get(received.Subject)
@@ -234,16 +242,22 @@
 		c = &clearance{}
 		l.cleared.Add(received.Subject, c)
 	}
-	// Each hop rounds the age, so that an answer seems a little newer there. Only a clearly newer one is news.
-	const rounding = 50 * time.Millisecond
-	if !at.After(c.sharedAt.Add(rounding)) {
-		return false
+	if received.Origin != 0 {
+		if c.received[received.Origin] >= received.Seq {
+			return false
+		}
+		if c.received == nil {
+			c.received = map[uint64]uint64{}
+		}
+		c.received[received.Origin] = received.Seq
+	}
+	if at.After(c.sharedAt) {
+		c.sharedAt = at
 	}
-	c.sharedAt = at
 	if at.After(c.at) {
 		c.at = at
 	}
-	return true
+	return received.Origin != 0 || !ok
 }
 
 // addStored adds a verdict from durable storage and reports whether it was new. The caller holds mu.
@@ -271,7 +285,9 @@
 		}
 		if last, involved := l.lastCrash[s]; involved && (c.sharedAt.IsZero() || last.After(c.sharedAt)) {
 			c.sharedAt = c.at
-			news.Cleared = append(news.Cleared, message.ClearedSubject{Subject: s, AgeMillis: now.Sub(c.at).Milliseconds()})
+			l.sequence++
+			news.Cleared = append(news.Cleared, message.ClearedSubject{Subject: s, AgeMillis: now.Sub(c.at).Milliseconds(),
+				Origin: l.origin, Seq: l.sequence})
 		}
 	}
 	if len(news.Crashes)+len(news.Cleared)+len(news.Verdicts) == 0 {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -188,8 +188,8 @@
 	g.Expect(refused(l, "other")).To(BeFalse())
 }
 
-// connect passes the news of each ledger to the other ones, and counts the messages.
-func connect(ledgers ...*poison.Ledger) (deliver func() int) {
+// connect passes the news of each ledger to the other ones, and counts the messages. delay is added to the clock for each.
+func connect(c *clock, delay time.Duration, ledgers ...*poison.Ledger) (deliver func() int) {
 	type mail struct {
 		to   *poison.Ledger
 		news *message.CrashEvidence
@@ -208,6 +208,10 @@
 		for ; len(queue) > 0; n++ {
 			next := queue[0]
 			queue = queue[1:]
+			c.advance(delay)
+			if n > 20000 {
+				return n
+			}
 			next.to.Merge(next.news)
 		}
 		return n
@@ -220,7 +224,7 @@
 	g := NewWithT(t)
 	c := &clock{at: time.Unix(1000, 0)}
 	a, b, d := poison.New(c.now), poison.New(c.now), poison.New(c.now)
-	deliver := connect(a, b, d)
+	deliver := connect(c, 0, a, b, d)
 	b.Clear(parts("", "new"))
 	g.Expect(deliver()).To(BeZero(), "answers are not worth a message while nothing crashes")
 	c.advance(time.Second)
@@ -242,6 +246,24 @@
 	g.Expect(restarted.Verdicts()).To(BeEmpty())
 }
 
+// Guards against statements about answers that are passed on for ever because each link makes them seem newer.
+func TestStatementsDoNotCirculate(t *testing.T) {
+	g := NewWithT(t)
+	c := &clock{at: time.Unix(1000, 0)}
+	var ledgers []*poison.Ledger
+	for range 8 {
+		ledgers = append(ledgers, poison.New(c.now))
+	}
+	deliver := connect(c, 70*time.Millisecond, ledgers...)
+	for _, l := range ledgers {
+		l.Clear(parts("", "part"))
+	}
+	c.advance(time.Second)
+	ledgers[0].Record(crashed("u", "r", "part", "deadly"))
+	// Each of 8 entries passes on one crash and 8 answers, to 7 others each.
+	g.Expect(deliver()).To(BeNumerically("<=", 8*9*7))
+}
+
 // Guards against malformed evidence that blames everything or grows without bound.
 func TestMalformedEvidenceIsIgnored(t *testing.T) {
 	g := NewWithT(t)
