--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -13,7 +13,8 @@
 	log := x.relay.cfg.Log
 	values := []any{"request", x.meta.ID, "upstream", d.Upstream.ID, "route", x.route.Name, "rank", x.rank, "sends", x.sends,
 		"prompt", x.meta.PromptTokens, "predicted_ms", d.PredictedWait.Milliseconds(), "first_ms", res.timeToFirstEvent.Milliseconds(),
-		"took_ms", res.duration.Milliseconds(), "status", res.status, "config", x.snapshot.Index.Config.Version, "local", d.Local}
+		"took_ms", res.duration.Milliseconds(), "status", res.status, "config", x.snapshot.Index.Config.Version, "local", d.Local,
+		"waited_before_ms", x.priorWait.Milliseconds()}
 	values = append(values, workValues(d.Work)...)
 	if res.rateLimit >= 0 {
 		values = append(values, "rate_limit", res.rateLimit)
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -31,7 +31,9 @@
 func (x *exchange) respondFailure(status int, code, outcome string, retryAfter time.Duration) {
 	x.relay.cfg.Log.Info("request ended without an upstream response", "request", x.meta.ID, "status", status, "reason", code,
 		"outcome", outcome, "retry_after_ms", retryAfter.Milliseconds(), "after_ms", time.Since(x.received).Milliseconds(),
-		"rank", x.rank, "service", x.service, "prompt_parts", strings.Join(x.meta.PromptParts, ","), "sends", x.sends, "runs", x.possibleRuns, "begun", x.responseStarted, "last", x.lastFailure,
+		"waited_before_ms", x.priorWait.Milliseconds(), "rank", x.rank, "service", x.service,
+		"prompt_parts", strings.Join(x.meta.PromptParts, ","), "sends", x.sends, "runs", x.possibleRuns,
+		"begun", x.responseStarted, "last", x.lastFailure,
 		"left_ms", time.Until(x.deadline).Milliseconds(), "predicted_ms", x.decision.PredictedWait.Milliseconds(),
 		"running", x.decision.Work.Running, "waiting", x.decision.Work.Waiting)
 	x.recordOutcome(code, status)
