--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -187,7 +187,7 @@
 			x.deadline = earlier(x.deadline, x.received.Add(limit))
 		}
 	}
-	x.priorWait = x.relay.waits.priorWait(x.trafficClass(), x.meta.Timeout)
+	x.priorWait = x.relay.waits.priorWait(x.route.Name, x.meta.Timeout)
 	return x.readBody(index.Config.Limits.MaxBodyBytes)
 }
 
@@ -338,8 +338,8 @@
 	return list, eligible, limited
 }
 
-// trafficClass returns the class of the request for the priority limiter and the wait estimator: routes of one service with equal
-// priority and latency target belong to one class.
+// trafficClass returns the class of the request for the priority limiter: routes of one service with equal priority and latency target
+// belong to one class.
 func (x *exchange) trafficClass() string {
 	return x.service + "/" + strconv.Itoa(x.route.Priority) + "/" + x.route.LatencyTarget.String()
 }
--- a/internal/relay/wait_estimator.go
+++ b/internal/relay/wait_estimator.go
@@ -5,48 +5,87 @@
 	"time"
 )
 
-// maxVotes bounds the votes for the typical timeout, and so the number of requests with another timeout after which it is replaced.
-const maxVotes = 50
+const (
+	// maxVotes is the number of votes at which those of all timeouts of a route are halved, so that a new typical timeout is adopted
+	// after as many requests.
+	maxVotes = 50
+	// minVotes is the number of votes from which a timeout counts as typical. Timeouts of returning callers, which are all different,
+	// do not reach it.
+	minVotes = 5
+	// maxTimeouts bounds the timeouts of a route that have votes. The typical one keeps its votes while more than one in maxTimeouts
+	// requests has it.
+	maxTimeouts = 8
+)
 
-// waitEstimator estimates how long a caller has waited before its current request, per traffic class. A caller that retries
-// after a refusal sends only the time that remains as its timeout, so the difference from the typical timeout of the class is the time
-// already waited. The typical timeout is the one that most requests have, found by majority vote, so that a few callers with other
-// timeouts do not change it. It is safe for concurrent use.
+// waitEstimator estimates how long a caller has waited before its current request, per route. A caller that retries
+// after a refusal sends only the time that remains as its timeout, so the difference from the typical timeout of the route is the time
+// already waited. The typical timeout is the most frequent one; a few callers with other timeouts do not change it. It is safe for
+// concurrent use.
 type waitEstimator struct {
 	mu sync.Mutex
-	// classes is guarded by mu.
-	classes map[string]*majorityVote
+	// routes is guarded by mu.
+	routes map[string]timeoutVotes
 }
 
-// majorityVote is the state of a majority vote (Boyer-Moore) on the typical timeout of a class.
-type majorityVote struct {
-	value time.Duration
-	count int
-}
+// timeoutVotes counts the requests of a route by their timeout (the frequent-items algorithm of Misra and Gries).
+type timeoutVotes map[time.Duration]int
 
 // priorWait returns the estimated time that a caller has waited before this request, 0 if unknown. remaining is the timeout that the
 // request carries, 0 if none.
-func (e *waitEstimator) priorWait(class string, remaining time.Duration) time.Duration {
+func (e *waitEstimator) priorWait(route string, remaining time.Duration) time.Duration {
 	if remaining <= 0 {
 		return 0
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.classes == nil {
-		e.classes = map[string]*majorityVote{}
+	if e.routes == nil {
+		e.routes = map[string]timeoutVotes{}
 	}
-	v := e.classes[class]
-	switch {
-	case v == nil:
-		e.classes[class] = &majorityVote{value: remaining, count: 1}
-		return 0
-	case v.value == remaining:
-		v.count = min(v.count+1, maxVotes)
-		return 0
-	case v.count == 0:
-		v.value, v.count = remaining, 1
+	votes := e.routes[route]
+	if votes == nil {
+		votes = timeoutVotes{}
+		e.routes[route] = votes
+	}
+	votes.add(remaining)
+	typical, count := votes.mostFrequent()
+	if count < minVotes {
 		return 0
 	}
-	v.count--
-	return max(v.value-remaining, 0)
+	return max(typical-remaining, 0)
+}
+
+// add gives a vote to a timeout. A timeout that finds no place takes a vote from all others instead.
+func (v timeoutVotes) add(timeout time.Duration) {
+	if _, known := v[timeout]; !known && len(v) >= maxTimeouts {
+		for other := range v {
+			v.setVotes(other, v[other]-1)
+		}
+		return
+	}
+	v[timeout]++
+	if v[timeout] < maxVotes {
+		return
+	}
+	for other := range v {
+		v.setVotes(other, v[other]/2)
+	}
+}
+
+// setVotes sets the votes of a timeout and drops one without votes.
+func (v timeoutVotes) setVotes(timeout time.Duration, votes int) {
+	if votes <= 0 {
+		delete(v, timeout)
+		return
+	}
+	v[timeout] = votes
+}
+
+// mostFrequent returns the timeout with the most votes, the longer one of two with as many.
+func (v timeoutVotes) mostFrequent() (timeout time.Duration, votes int) {
+	for t, n := range v {
+		if n > votes || n == votes && t > timeout {
+			timeout, votes = t, n
+		}
+	}
+	return timeout, votes
 }
