--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -81,7 +81,7 @@
 		Codec: cfg.Codec, State: c.state, Loads: c.loads, PeerWork: c.peerWork, Tracker: c.tracker, Pool: e.pool,
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
 		RetryBudget:     relay.NewRetryBudget(cfg.RetryBudgetRatio, cfg.RetryBudgetFixed, cfg.RetryBudgetWindow, c.mesh.EntryCount, nil),
-		Poison:          c.poison, RateLimits: c.rateLimits,
+		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
 		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
 		ShuttingDown: e.leaving.Load,
 	})
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -23,6 +23,7 @@
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/ratelimit"
+	"github.com/pimentohead/pimentohead/internal/refusal"
 	"github.com/pimentohead/pimentohead/internal/telemetry"
 )
 
@@ -72,9 +73,11 @@
 	poison *poison.Ledger
 	// rateLimits holds the rate limits of upstreams and this entry's shares of them.
 	rateLimits *ratelimit.Limiter
-	mesh       *mesh.Mesh
-	cache      *chunkcache.Cache
-	metrics    *telemetry.Metrics
+	// refusals holds the requests that entries of the data centre have refused.
+	refusals *refusal.Table
+	mesh     *mesh.Mesh
+	cache    *chunkcache.Cache
+	metrics  *telemetry.Metrics
 }
 
 // newComponents creates the components of a node. address is the address that the node announces: its link address for an entry,
@@ -87,14 +90,14 @@
 		return nil, err
 	}
 	c := &components{Node: n, state: fleet.NewState(nil), loads: loadview.NewTable(nil), peerWork: loadview.NewWorkTable(nil),
-		tracker: placement.NewTracker(nil), poison: poison.New(nil), metrics: metrics}
+		tracker: placement.NewTracker(nil), poison: poison.New(nil), refusals: refusal.New(nil), metrics: metrics}
 	c.self = message.Hello{NodeID: n.ID, Role: role, DataCentre: n.DataCentre, Region: n.Region,
 		Incarnation: uint64(time.Now().UnixNano())}
 	c.self.Address = address
 	cfg := mesh.Config{Self: c.self, Secret: n.Secret, Seeds: n.Seeds, State: c.state, Loads: c.loads, Log: n.Log, Leaving: leaving}
 	c.rateLimits = ratelimit.New(ratelimit.Config{Self: n.ID, Members: func() []string { return c.mesh.EntryIDs() }})
 	if role == message.RoleEntry {
-		cfg.RateLimits = c.rateLimits
+		cfg.RateLimits, cfg.Refusals = c.rateLimits, c.refusals
 		cfg.PeerWork, cfg.OwnWork, cfg.Poison = c.peerWork, c.tracker.Export, c.poison
 	}
 	cfg.ServeWeights = serve
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/ratelimit"
+	"github.com/pimentohead/pimentohead/internal/refusal"
 )
 
 const (
@@ -72,7 +73,9 @@
 	Poison *poison.Ledger
 	// RateLimits holds the rate limits of upstreams and this entry's shares of them. It is nil on agents.
 	RateLimits *ratelimit.Limiter
-	Log        logr.Logger
+	// Refusals holds the requests that entries of the data centre have refused. It is nil on agents.
+	Refusals *refusal.Table
+	Log      logr.Logger
 	// ServeWeights answers requests of other nodes for weights. It is nil on nodes that serve none.
 	ServeWeights func(ctx context.Context, req *message.WeightsRequest) *message.WeightsReply
 	// Leaving reports whether the node is shutting down. It is nil on nodes that never report it.
@@ -161,7 +164,8 @@
 	var wg sync.WaitGroup
 	loops := []func(context.Context){m.dialLoop}
 	if m.cfg.Self.Role == message.RoleEntry {
-		loops = append(loops, m.shareChanges, m.shareStaleness, m.shareLoads, m.shareWork, m.shareEvidence, m.shareRateLimits)
+		loops = append(loops, m.shareChanges, m.shareStaleness, m.shareLoads, m.shareWork, m.shareEvidence, m.shareRateLimits,
+			m.shareRefusals)
 	}
 	for _, loop := range loops {
 		wg.Add(1)
@@ -284,6 +288,10 @@
 			m.cfg.RateLimits.Merge(msg)
 			m.forwardLocally(p, msg)
 		}
+	case *message.Refusals:
+		if m.cfg.Refusals != nil {
+			m.cfg.Refusals.Merge(msg)
+		}
 	case *message.WeightsRequest:
 		if m.cfg.ServeWeights != nil {
 			go m.handleWeightsRequest(ctx, p, msg)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -20,6 +20,7 @@
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/ratelimit"
+	"github.com/pimentohead/pimentohead/internal/refusal"
 )
 
 // node is a mesh node on loopback with its state.
@@ -31,6 +32,7 @@
 	peerWork *loadview.WorkTable
 	poison   *poison.Ledger
 	limiter  *ratelimit.Limiter
+	refusals *refusal.Table
 	traffic  *link.Traffic
 	stop     context.CancelFunc
 }
@@ -68,7 +70,8 @@
 	if o.role == message.RoleEntry {
 		n.poison = poison.New(nil)
 		n.limiter = ratelimit.New(ratelimit.Config{Self: o.id, Members: func() []string { return n.EntryIDs() }})
-		cfg.RateLimits = n.limiter
+		n.refusals = refusal.New(nil)
+		cfg.RateLimits, cfg.Refusals = n.limiter, n.refusals
 		cfg.PeerWork, cfg.OwnWork, cfg.Poison = n.peerWork, func() []message.UpstreamWork { return o.work }, n.poison
 	}
 	n.Mesh = mesh.New(cfg)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -47,6 +47,7 @@
 	TypeEntryWork
 	TypeCrashEvidence
 	TypeRateShares
+	TypeRefusals
 )
 
 // Errors returned by Decode.
@@ -128,6 +129,7 @@
 	TypeEntryWork:       func() Message { return new(EntryWork) },
 	TypeCrashEvidence:   func() Message { return new(CrashEvidence) },
 	TypeRateShares:      func() Message { return new(RateShares) },
+	TypeRefusals:        func() Message { return new(Refusals) },
 }
 
 // newMessage returns an empty message of type t, or nil if the type is unknown.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/ratelimit"
+	"github.com/pimentohead/pimentohead/internal/refusal"
 	"github.com/pimentohead/pimentohead/internal/request"
 )
 
@@ -66,8 +67,10 @@
 	Poison *poison.Ledger
 	// RateLimits keeps the requests of all entries within the rates that upstreams name; nil selects a limiter of this entry alone.
 	RateLimits *ratelimit.Limiter
-	Log        logr.Logger
-	Metrics    *Metrics
+	// Refusals recognises callers that come back after a refusal; nil selects a table of this entry alone.
+	Refusals *refusal.Table
+	Log      logr.Logger
+	Metrics  *Metrics
 	// DataCentre is the data centre of this entry.
 	DataCentre string
 	// VersionApplyWindow is the time after the naming of a version from which no request may start on older weights.
@@ -78,8 +81,7 @@
 
 // Relay is the HTTP handler for callers' requests.
 type Relay struct {
-	cfg   Config
-	waits waitEstimator
+	cfg Config
 	// endings finds out which upstreams have ended, inProgress holds the attempts that a verdict may end.
 	endings    endingTable
 	inProgress attemptTable
@@ -93,6 +95,9 @@
 	if cfg.RateLimits == nil {
 		cfg.RateLimits = ratelimit.New(ratelimit.Config{Members: func() []string { return nil }})
 	}
+	if cfg.Refusals == nil {
+		cfg.Refusals = refusal.New(nil)
+	}
 	r := &Relay{cfg: cfg}
 	cfg.Poison.ObserveVerdicts(func(verdicts []poison.Verdict) {
 		r.logVerdicts(verdicts)
@@ -116,7 +121,8 @@
 	rank     int
 	snapshot *fleet.Snapshot
 	received time.Time
-	// priorWait is the estimated time that the caller had already waited before it sent this request.
+	// returning is set if the caller comes back after a refusal. priorWait is the time that it had already waited.
+	returning bool
 	priorWait time.Duration
 	// deadline is the earliest of the deadlines that result from the caller's timeout, the route's timeout and defaultDeadline.
 	deadline time.Time
@@ -124,6 +130,8 @@
 	// sends counts the attempts that reached an upstream, possibleRuns those that may have run.
 	sends, possibleRuns int
 	tried               map[string]bool
+	// fingerprintValue caches fingerprint.
+	fingerprintValue uint64
 	// subjectList caches subjects. suspected is set when the upstream of an attempt may have ended because of the request.
 	subjectList []string
 	suspected   bool
@@ -187,8 +195,11 @@
 			x.deadline = earlier(x.deadline, x.received.Add(limit))
 		}
 	}
-	x.priorWait = x.relay.waits.priorWait(x.route.Name, x.meta.Timeout)
-	return x.readBody(index.Config.Limits.MaxBodyBytes)
+	if !x.readBody(index.Config.Limits.MaxBodyBytes) {
+		return false
+	}
+	x.recognise()
+	return true
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/poison"
+	"github.com/pimentohead/pimentohead/internal/refusal"
 	"github.com/pimentohead/pimentohead/internal/relay"
 	"github.com/pimentohead/pimentohead/internal/request"
 )
@@ -151,7 +152,9 @@
 	loads *loadview.Table
 	// poison holds the evidence on requests that crash upstreams.
 	poison *poison.Ledger
-	host   string
+	// refusals holds the requests that the entry has refused.
+	refusals *refusal.Table
+	host     string
 }
 
 // newEntry starts a relay with the given upstreams in its own data centre.
@@ -181,15 +184,15 @@
 			Address: u.addr, DataCentre: "z", State: catalog.Ready, Slots: 6}})
 	}
 	state.ApplyListing(list, 9)
-	loads, ledger := loadview.NewTable(nil), poison.New(nil)
-	r := relay.New(relay.Config{Codec: codec{}, State: state, Loads: loads, Poison: ledger, PeerWork: loadview.NewWorkTable(nil),
+	loads, ledger, refusals := loadview.NewTable(nil), poison.New(nil), refusal.New(nil)
+	r := relay.New(relay.Config{Codec: codec{}, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
 		Tracker: placement.NewTracker(nil), PriorityLimiter: placement.NewPriorityLimiter(nil), Pool: h1.NewPool(), Log: logr.Discard(),
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget:  relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
 		ShuttingDown: func() bool { return false }})
 	server := httptest.NewServer(r)
 	t.Cleanup(server.Close)
-	return &entry{url: server.URL, state: state, loads: loads, poison: ledger, host: "h"}
+	return &entry{url: server.URL, state: state, loads: loads, poison: ledger, refusals: refusals, host: "h"}
 }
 
 // callResult is the caller's view of a response.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -37,6 +37,9 @@
 		"left_ms", time.Until(x.deadline).Milliseconds(), "predicted_ms", x.decision.PredictedWait.Milliseconds(),
 		"running", x.decision.Work.Running, "waiting", x.decision.Work.Waiting)
 	x.recordOutcome(code, status)
+	if x.engine != nil && status == http.StatusServiceUnavailable {
+		x.relay.cfg.Refusals.Record(x.fingerprint(), time.Since(x.received)+x.priorWait)
+	}
 	if x.responseStarted {
 		panic(http.ErrAbortHandler) // A truncated response must not look complete.
 	}
