--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -23,6 +23,10 @@
 	// maxLateWait bounds the predicted wait of a request that can no longer meet its target. It is short: if such requests filled
 	// the queues, requests that can still meet their target would miss it too, for as long as the load lasts.
 	maxLateWait = 500 * time.Millisecond
+	// returnShare bounds the predicted wait of a request that has been refused before, as a share of the wait that a first attempt may
+	// have. While upstreams are short of capacity, each returning caller that is served takes the place of a new one, which is answered
+	// sooner and more often in time. After a burst, waits are short and both are served.
+	returnShare = 0.25
 	// minRetryAfter and maxRetryAfter bound the delay after which a refused caller should retry. Before a retry, a caller waits at
 	// most a third of its timeout.
 	minRetryAfter = 300 * time.Millisecond
@@ -70,6 +74,8 @@
 	Target, Elapsed time.Duration
 	// Remaining is the time until the caller times out.
 	Remaining time.Duration
+	// Returning is set when the caller comes back after a refusal.
+	Returning bool
 	// MaxWait bounds the predicted wait in favour of more urgent traffic classes; 0 sets no bound. See PriorityLimiter.
 	MaxWait time.Duration
 	// MustPlace is set when the request has already started and has to be continued at some upstream. It is then never refused
@@ -160,9 +166,12 @@
 	if q.Engine == nil {
 		return q.Remaining
 	}
-	limit := targetLimit(q)
+	limit, firstLimit := targetLimit(q), targetWait(q)
 	if q.MaxWait > 0 {
-		limit = min(limit, q.MaxWait)
+		limit, firstLimit = min(limit, q.MaxWait), min(firstLimit, q.MaxWait)
+	}
+	if q.Returning {
+		limit = min(limit, time.Duration(float64(firstLimit)*returnShare))
 	}
 	return limit
 }
@@ -180,13 +189,16 @@
 // one that has used half of its target already or cannot meet it any more. A late request also waits at most half of its remaining
 // time.
 func targetLimit(q Query) time.Duration {
-	untilTarget := time.Duration(float64(q.Target)*maxTargetShare) - q.Elapsed
+	untilTarget := targetWait(q) - q.Elapsed
 	if untilTarget > 0 && q.Elapsed < q.Target/2 {
 		return min(untilTarget, q.Remaining)
 	}
 	return min(maxLateWait, q.Remaining/2)
 }
 
+// targetWait returns the longest predicted wait with which a request meets its target if no time has passed yet.
+func targetWait(q Query) time.Duration { return time.Duration(float64(q.Target) * maxTargetShare) }
+
 // predict returns the predicted time to the first event at a candidate. For a service without an engine it grows linearly from
 // plainServiceTime at an idle upstream to twice that when all slots are in use, and beyond.
 func predict(q Query, c Candidate) time.Duration {
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -159,3 +159,20 @@
 	w.AheadShare = 0
 	g.Expect(placement.PredictFirstEvent(newEngine(), w, 500)).To(BeNumerically("<", last/2))
 }
+
+// Guards against callers that come back after a refusal and take the places of new ones while upstreams are short of capacity, and
+// against returning callers that are refused although a place is free.
+func TestReturningCallersYieldToNewOnes(t *testing.T) {
+	g := NewWithT(t)
+	busy := []placement.Candidate{{Upstream: newUpstream("busy"), Local: true, Work: workWithReport(14, 0)}}
+	q := newQuery(400 * time.Millisecond)
+	g.Expect(placement.Choose(q, busy).Upstream).NotTo(BeNil())
+	q.Returning, q.Elapsed = true, 500*time.Millisecond
+	d := placement.Choose(q, busy)
+	g.Expect(d.Upstream).To(BeNil())
+	g.Expect(d.Reason).To(Equal(placement.NoCapacity))
+	free := []placement.Candidate{{Upstream: newUpstream("free"), Local: true, Work: workWithReport(7, 0)}}
+	g.Expect(placement.Choose(q, free).Upstream).NotTo(BeNil())
+	q.MustPlace = true
+	g.Expect(placement.Choose(q, busy).Upstream).NotTo(BeNil(), "a request that has begun goes on")
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -313,7 +313,8 @@
 	list, eligible, limited := x.candidates(now)
 	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
 		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted || x.possibleRuns > 0,
-		MaxWait: x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
+		Returning: x.returning,
+		MaxWait:   x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
 	for {
 		d := placement.Choose(q, list)
 		if d.Upstream == nil {
--- a/internal/simulate/result.go
+++ b/internal/simulate/result.go
@@ -16,6 +16,8 @@
 	// Requests is the total; the other counts are by outcome. Failed counts requests that their caller abandoned at a timeout or at the
 	// deadline.
 	Requests, InTime, Late, Refused, Failed int
+	// AtFirstAttempt counts the requests whose first attempt was answered; the others were refused once before their outcome.
+	AtFirstAttempt int
 	// PossibleValue is the value of all requests if answered in time; EarnedValue is the value of the answers, less a penalty for
 	// each request whose last attempt was refused.
 	PossibleValue, EarnedValue float64
@@ -78,6 +80,9 @@
 func (res *Result) recordAnswer(r *request) {
 	value := r.value()
 	res.update(r, func(s *Outcomes) {
+		if r.attempts == 1 {
+			s.AtFirstAttempt++
+		}
 		if r.late {
 			s.Late++
 			s.EarnedValue += value * r.kind.LateValueShare
@@ -108,6 +113,7 @@
 		out.Late += s.Late
 		out.Refused += s.Refused
 		out.Failed += s.Failed
+		out.AtFirstAttempt += s.AtFirstAttempt
 		out.PossibleValue += s.PossibleValue
 		out.EarnedValue += s.EarnedValue
 	}
--- a/internal/simulate/run.go
+++ b/internal/simulate/run.go
@@ -299,7 +299,7 @@
 	}
 	s := r.sim
 	q := placement.Query{Engine: &s.scenario.Engine, PromptTokens: r.prompt, Target: r.kind.Target, Elapsed: s.now - r.arrivedAt,
-		Remaining: r.arrivedAt + r.kind.Deadline - s.now, MustPlace: resumed,
+		Remaining: r.arrivedAt + r.kind.Deadline - s.now, MustPlace: resumed, Returning: r.attempts > 1,
 		MaxWait: r.entry.limiter.MaxWait(r.kind.Name, r.kind.Priority, s.shortestTarget())}
 	decision := placement.Choose(q, r.entry.candidates(r.rank()))
 	if decision.Upstream == nil {
--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -68,6 +68,31 @@
 	}
 }
 
+// Guards against new requests that are refused because callers that come back take their places: of 100 requests of the least urgent kind,
+// 27 were served at the first attempt, although 46 were served in all. The users expect of the time of a fault, here 12 to 30 s, half
+// of the share of other times; the load of these is 0.55 until 6 s and 1 from 30 s on.
+func TestShortageServesAtFirstAttempt(t *testing.T) {
+	g := NewWithT(t)
+	scenario, _ := simulate.NamedScenario("shortage")
+	for seed := range uint64(4) {
+		r := simulate.Run(scenario, seed+1)
+		share := func(includes func(window int) bool) float64 {
+			var sum simulate.Outcomes
+			for i, w := range r.Windows {
+				if includes(i) {
+					sum.Requests += w["draft"].Requests
+					sum.AtFirstAttempt += w["draft"].AtFirstAttempt
+				}
+			}
+			return float64(sum.AtFirstAttempt) / float64(sum.Requests)
+		}
+		during := share(func(window int) bool { return window >= 6 && window < 15 })
+		otherwise := share(func(window int) bool { return window < 3 || window >= 15 })
+		t.Logf("seed %d: %.2f, at other times %.2f", seed+1, during, otherwise)
+		g.Expect(during).To(BeNumerically(">=", otherwise/2), "seed %d", seed+1)
+	}
+}
+
 func answeredShare(r *simulate.Result, kind string) float64 {
 	s := r.Kinds[kind]
 	return float64(s.InTime+s.Late) / float64(s.Requests)
