--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -50,8 +50,6 @@
 	NoVersion Reason = "no-version"
 	// NoCapacity means that the shortest predicted wait exceeds the limit.
 	NoCapacity Reason = "no-room"
-	// TooLate is unused: Choose refuses late requests with NoCapacity.
-	TooLate Reason = "too-late"
 )
 
 // Candidate is an upstream that can serve the request.
--- /dev/null
+++ b/internal/relay/candidate.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/placement"
+)
+
+// candidates returns the upstreams that can take the request. eligible counts those that are ready and untried, limited those left
+// out because of their rate limit.
+func (x *exchange) candidates(now time.Time) (list []placement.Candidate, eligible int, limited rateLimited) {
+	for _, u := range x.snapshot.Upstreams(x.service) {
+		if u.State != catalog.Ready || x.tried[u.ID] {
+			continue
+		}
+		eligible++
+		c, ok := x.candidate(u, now)
+		if !ok {
+			continue
+		}
+		if available, wait := x.relay.cfg.RateLimits.Available(limitedUpstream(u)); !available {
+			limited.add(wait)
+			continue
+		}
+		list = append(list, c)
+	}
+	return list, eligible, limited
+}
+
+// candidate describes an upstream to package placement. It returns false if the upstream cannot take the request.
+func (x *exchange) candidate(u *catalog.Upstream, now time.Time) (placement.Candidate, bool) {
+	c := placement.Candidate{Upstream: u, Local: u.DataCentre == x.relay.cfg.DataCentre,
+		Suspect: x.relay.cfg.Tracker.IsSuspect(u.ID)}
+	if x.relay.cfg.Tracker.IsReplaced(u.ID, u.Sequence) {
+		return c, false
+	}
+	load, age, known := x.relay.cfg.Loads.Get(u.Address)
+	if known && age < maxSwapAge && u.StartedAtMillis != 0 && load.StartedAtMillis > u.StartedAtMillis {
+		return c, false // The upstream has restarted; its entry in the listing is outdated.
+	}
+	known = known && isCurrentLoad(load, age, u)
+	if known {
+		c.Work = placement.Work{HasReport: true, Running: load.Active, Waiting: load.Queued, ReportAge: age, Slowdown: load.Slowdown}
+		c.Suspect = c.Suspect || load.Down || x.unresponsive(u, c.Local, age)
+	}
+	reported := now.Add(-age)
+	if !known {
+		reported = time.Time{}
+	}
+	x.relay.cfg.Tracker.AddOwnWork(&c.Work, u.ID, x.rank, reported)
+	peers := x.relay.cfg.PeerWork.Total(u.ID)
+	if !c.Local {
+		c.Work.Remote = true
+		if reportedWork, peerAge, ok := x.relay.cfg.Loads.DataCentreWork(u.Address); ok {
+			peers = reportedWork
+			c.Work.ReportAge = max(c.Work.ReportAge, peerAge)
+		}
+	}
+	c.Work.OthersRunning, c.Work.OthersWaiting, c.Work.OthersTokens = peers.Running, peers.Waiting, float64(peers.WaitingTokens)
+	if x.engine == nil {
+		return c, true
+	}
+	models := u.Models
+	if known {
+		models = load.Models
+		if load.Swapping && age < maxSwapAge {
+			return c, false
+		}
+	}
+	delay := max(placement.PredictFirstEvent(x.engine, c.Work, float64(x.meta.PromptTokens)), x.startDelay(u))
+	latestStart := now.Add(max(startDelayFactor*delay, MinVersionLead))
+	required := x.snapshot.MinVersion(x.meta.Model, latestStart, x.relay.cfg.VersionApplyWindow-VersionMargin)
+	return c, hasCompleteVersion(models, x.meta.Model, x.engine.Layers, required)
+}
+
+// isCurrentLoad reports whether a load of the given age describes an upstream now: it is recent and not of an earlier process.
+func isCurrentLoad(load loadview.Load, age time.Duration, u *catalog.Upstream) bool {
+	sameProcess := load.StartedAtMillis == 0 || u.StartedAtMillis == 0 || load.StartedAtMillis == u.StartedAtMillis
+	return sameProcess && age < maxLoadAge
+}
+
+// unresponsive reports whether neither a report from the agent of an upstream nor an event or answer from the upstream itself has
+// arrived for too long, as happens when its instance stalls or is partitioned. An upstream that has lost only its agent keeps
+// serving.
+func (x *exchange) unresponsive(u *catalog.Upstream, local bool, loadAge time.Duration) bool {
+	limit := unresponsiveAfter
+	if !local {
+		limit = remoteUnresponsiveAfter
+	}
+	return loadAge > limit && x.relay.cfg.Tracker.TimeSinceActivity(u.ID) > limit
+}
+
+const (
+	// unresponsiveAfter is longer than an agent's report interval, remoteUnresponsiveAfter longer than that interval plus the
+	// time for other entries to pass a report on.
+	unresponsiveAfter       = 750 * time.Millisecond
+	remoteUnresponsiveAfter = 1500 * time.Millisecond
+	// maxLoadAge is the age up to which a load report is used.
+	maxLoadAge = 3 * time.Second
+	// maxSwapAge is the age up to which a load report is trusted about a restart or about weights being loaded.
+	maxSwapAge = time.Second
+)
