--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -30,7 +30,7 @@
 func (x *exchange) subjects() []string {
 	if x.subjectList == nil {
 		x.subjectList = append(x.partSubjects(),
-			poison.RequestSubject(quarantine.Fingerprint(x.customer, x.req.Method+" "+x.req.Host+x.req.RequestURI, x.body)))
+			poison.RequestSubject(quarantine.Fingerprint(x.customer, x.target()+" "+x.promptKey(), x.body)))
 	}
 	return x.subjectList
 }
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -206,3 +206,36 @@
 		}
 	}
 }
+
+// Guards against all requests of a customer being taken for one request that is repeated, because their bodies are equal and only the
+// prompts tell them apart: sound ones were refused after three crashes beside which they ran.
+func TestRequestsWithEqualBodiesAreToldApartByTheirPrompts(t *testing.T) {
+	g := NewWithT(t)
+	_, upstreams := newMortalUpstreams(t, 6)
+	e := newEntry(t, upstreams...)
+	var mu sync.Mutex
+	shared := map[string]map[string]bool{} // the requests by subject
+	e.poison.Observe(func(news *message.CrashEvidence) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, a := range news.Crashes {
+			for _, s := range a.Subjects {
+				if shared[s] == nil {
+					shared[s] = map[string]bool{}
+				}
+				shared[s][a.Request] = true
+			}
+		}
+	})
+	for _, first := range []string{"a", "b"} {
+		sendParts(e, first+","+deadlyPart+",own")
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	g.Expect(shared[poison.PartSubject(deadlyPart)]).To(HaveLen(2))
+	for subject, requests := range shared {
+		if subject != poison.PartSubject(deadlyPart) {
+			g.Expect(requests).To(HaveLen(1), subject)
+		}
+	}
+}
