--- a/internal/placement/priority_limiter.go
+++ b/internal/placement/priority_limiter.go
@@ -13,6 +13,12 @@
 	// is starved. While a fault lasts, users expect of each class at least half of the share that it has in calm times, which is nearly
 	// all; with a smaller ratio, the least urgent class has less as soon as the load exceeds the capacity by a third.
 	starvedRatio = 0.75
+	// protectedShare is the share of first attempts served below which a protected class is starved, unless all classes together have less.
+	// Users expect half of the share of calm times for the callers beside requests that crash upstreams, so the mean of their class has to
+	// be higher.
+	protectedShare = 0.6
+	// protectionTime is how long a class stays protected. Where entries are many, each of them gets such a request every few seconds only.
+	protectionTime = 20 * time.Second
 	// minRequests is the decayed number of requests below which a share is not meaningful.
 	minRequests = 5
 	// minInTimeShare is the share of requests in time below which the other classes together count as missing their targets.
@@ -42,6 +48,8 @@
 	// answer.
 	firstAttempts, firstServed float64
 	updated                    time.Time
+	// protectedUntil is the end of the protection of the class, see Protect.
+	protectedUntil time.Time
 }
 
 // NewPriorityLimiter returns a limiter without recorded requests. now is the clock; nil selects time.Now.
@@ -59,15 +67,30 @@
 	Returning, Served, InTime bool
 }
 
-// Record counts a finished request of a class.
-func (l *PriorityLimiter) Record(class string, r Finished) {
+// Protect protects a class for protectionTime: it yields to more urgent classes only as long as protectedShare of its first attempts are
+// served. Callers of Protect have refused a request of the class that would crash its upstream: the sound requests beside it
+// are not to suffer for the capacity that such requests cost.
+func (l *PriorityLimiter) Protect(class string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.classes[class]
+	l.class(class).protectedUntil = l.now().Add(protectionTime)
+}
+
+// class returns the counts of a class, which are zero if it is new. The caller holds mu.
+func (l *PriorityLimiter) class(name string) *classStats {
+	c := l.classes[name]
 	if c == nil {
 		c = &classStats{updated: l.now()}
-		l.classes[class] = c
+		l.classes[name] = c
 	}
+	return c
+}
+
+// Record counts a finished request of a class.
+func (l *PriorityLimiter) Record(class string, r Finished) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.class(class)
 	c.decay(l.now())
 	c.requests++
 	if r.InTime {
@@ -100,8 +123,8 @@
 	return time.Duration(float64(tightest) * maxTargetShare * share)
 }
 
-// starved reports whether the share of first attempts served of a class is below starvedRatio times that of all classes together. It
-// returns false for fewer than minRequests of the class. Callers that come back do not count: they yield to new ones, see
+// starved reports whether the share of first attempts served of a class is below starvedRatio times that of all classes together or, for
+// a protected class, below protectedShare. It returns false for fewer than minRequests of the class. Callers that come back do not count: they yield to new ones, see
 // Query.Returning, and a class with many of them would seem starved.
 func (l *PriorityLimiter) starved(class string) bool {
 	l.mu.Lock()
@@ -113,7 +136,15 @@
 		served += c.firstServed
 	}
 	c := l.classes[class]
-	return c != nil && c.firstAttempts >= minRequests && c.firstServed/c.firstAttempts < starvedRatio*served/attempts
+	if c == nil || c.firstAttempts < minRequests {
+		return false
+	}
+	all := served / attempts
+	bound := starvedRatio * all
+	if l.now().Before(c.protectedUntil) {
+		bound = max(bound, min(all, protectedShare))
+	}
+	return c.firstServed/c.firstAttempts < bound
 }
 
 // othersMissTargets reports whether less than minInTimeShare of the requests of all other classes together were in time. It returns
--- a/internal/placement/priority_limiter_test.go
+++ b/internal/placement/priority_limiter_test.go
@@ -95,3 +95,36 @@
 	}
 	g.Expect(limiter.MaxWait("drafts", 2, 400*time.Millisecond)).To(BeZero())
 }
+
+// Guards against a protected class that still yields while fewer than half of its first attempts are served, against one that takes more
+// than all classes together have, and against protection without end.
+func TestProtectedClassKeepsMoreThanHalf(t *testing.T) {
+	g := NewWithT(t)
+	clock := newClock()
+	limiter := placement.NewPriorityLimiter(clock.now)
+	record := func(class string, served, refused int) {
+		for range served {
+			limiter.Record(class, placement.Finished{Served: true})
+		}
+		for range refused {
+			limiter.Record(class, placement.Finished{})
+		}
+	}
+	limited := func() bool { return limiter.MaxWait("drafts", 2, 400*time.Millisecond) > 0 }
+	record("quotes", 70, 30)
+	record("drafts", 55, 45)
+	g.Expect(limited()).To(BeTrue())
+	limiter.Protect("drafts")
+	g.Expect(limited()).To(BeFalse())
+	record("drafts", 30, 0)
+	g.Expect(limited()).To(BeTrue(), "it has its share")
+	record("quotes", 0, 200)
+	record("drafts", 0, 80)
+	g.Expect(limited()).To(BeTrue(), "all classes together have less")
+	record("quotes", 400, 100)
+	g.Expect(limited()).To(BeFalse())
+	clock.at = clock.at.Add(21 * time.Second)
+	record("quotes", 70, 30)
+	record("drafts", 10, 8)
+	g.Expect(limited()).To(BeTrue(), "the protection is over")
+}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -16,6 +16,7 @@
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/poison"
 )
 
@@ -239,3 +240,32 @@
 		}
 	}
 }
+
+// refusedOnce returns an entry that knows that deadlyPart crashes upstreams and has refused a request with it.
+func refusedOnce(t *testing.T) *entry {
+	e := engineEntry(t)
+	for i := range 3 {
+		e.poison.Record(message.CrashedAttempt{Upstream: fmt.Sprint("u", i), Request: fmt.Sprint("r", i), Begun: true,
+			Subjects: []string{poison.PartSubject(deadlyPart)}})
+	}
+	result := sendParts(e, deadlyPart+",own")
+	g := NewWithT(t)
+	g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(result.body).To(ContainSubstring("crashes-upstreams"))
+	return e
+}
+
+// Guards against sound requests that yield to more urgent ones, beside requests of their class that crash upstreams, until fewer than
+// half of them are served.
+func TestClassBesideDeadlyRequestsIsProtected(t *testing.T) {
+	g := NewWithT(t)
+	e := refusedOnce(t)
+	const class = "s/0/1s" // The service, priority and target of the route.
+	for i := range 100 {
+		e.limiter.Record("quotes", placement.Finished{Served: i < 70})
+		e.limiter.Record(class, placement.Finished{Served: i < 55})
+		e.limiter.Record("unrelated", placement.Finished{Served: i < 55})
+	}
+	g.Expect(e.limiter.MaxWait("unrelated", 2, time.Second)).NotTo(BeZero())
+	g.Expect(e.limiter.MaxWait(class, 2, time.Second)).To(BeZero())
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -269,6 +269,7 @@
 	x.events.lastID = x.meta.LastEventID
 	for {
 		if x.poisoned() {
+			x.relay.cfg.PriorityLimiter.Protect(x.trafficClass())
 			x.failPlacement(placement.Decision{Reason: crashesUpstreams, RetryAfter: poisonRetryAfter})
 			return
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -154,6 +154,7 @@
 	poison *poison.Ledger
 	// refusals holds the requests that the entry has refused.
 	refusals *refusal.Table
+	limiter  *placement.PriorityLimiter
 	host     string
 }
 
@@ -185,14 +186,16 @@
 	}
 	state.ApplyListing(list, 9)
 	loads, ledger, refusals := loadview.NewTable(nil), poison.New(nil), refusal.New(nil)
+	limiter := placement.NewPriorityLimiter(nil)
 	r := relay.New(relay.Config{Codec: codec{}, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
-		Tracker: placement.NewTracker(nil), PriorityLimiter: placement.NewPriorityLimiter(nil), Pool: h1.NewPool(), Log: logr.Discard(),
+		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: h1.NewPool(), Log: logr.Discard(),
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget:  relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
 		ShuttingDown: func() bool { return false }})
 	server := httptest.NewServer(r)
 	t.Cleanup(server.Close)
-	return &entry{url: server.URL, state: state, loads: loads, poison: ledger, refusals: refusals, host: "h"}
+	return &entry{url: server.URL, state: state, loads: loads, poison: ledger, refusals: refusals, limiter: limiter,
+		host: "h"}
 }
 
 // callResult is the caller's view of a response.
--- a/internal/simulate/run.go
+++ b/internal/simulate/run.go
@@ -298,6 +298,9 @@
 		return
 	}
 	s := r.sim
+	if r.kind.Name == s.scenario.ProtectedKind {
+		r.entry.limiter.Protect(r.kind.Name)
+	}
 	q := placement.Query{Engine: &s.scenario.Engine, PromptTokens: r.prompt, Target: r.kind.Target, Elapsed: s.now - r.arrivedAt,
 		Remaining: r.arrivedAt + r.kind.Deadline - s.now, MustPlace: resumed, Returning: r.attempts > 1,
 		MaxWait: r.entry.limiter.MaxWait(r.kind.Name, r.kind.Priority, s.shortestTarget())}
--- a/internal/simulate/scenario.go
+++ b/internal/simulate/scenario.go
@@ -41,9 +41,12 @@
 	Kinds    []Kind
 	Bursts   []Burst
 	// Load multiplies all arrival rates. A start-up factor, which rises from 0.55 to 1 over the first 9 s, multiplies them too.
-	Load        float64
-	Engine      catalog.Engine
-	DataCentres int
+	Load float64
+	// ProtectedKind is the name of a kind that all entries protect, as they do while they refuse requests of it that would crash upstreams;
+	// empty for none. See placement.PriorityLimiter.Protect.
+	ProtectedKind string
+	Engine        catalog.Engine
+	DataCentres   int
 	// EnginesPerDataCentre and EntriesPerDataCentre are the numbers of engines and of entries in each data centre.
 	EnginesPerDataCentre, EntriesPerDataCentre int
 	// AddedEngines is the total number of additional engines, spread round-robin over the data centres. They have weights from
--- a/internal/simulate/simulate_test.go
+++ b/internal/simulate/simulate_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/xml"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -99,6 +100,25 @@
 	}
 }
 
+// Guards against sound requests that are refused more than half of the time beside requests that crash upstreams, because their kind is
+// the least urgent and capacity is short: at these loads, 44 to 46 of 100 were served at the first attempt, and all at other times.
+func TestShortageServesSoundRequestsBesideDeadlyOnes(t *testing.T) {
+	const firstFullWindow = 6
+	for _, load := range []float64{1.2, 1.3} {
+		t.Run(fmt.Sprintf("load %g", load), func(t *testing.T) {
+			g := NewWithT(t)
+			scenario, _ := simulate.NamedScenario("shortage")
+			scenario.Load, scenario.ProtectedKind = load, "draft"
+			for seed := range uint64(4) {
+				r := simulate.Run(scenario, seed+1)
+				during := firstAttemptShare(r, "draft", func(w int) bool { return w >= firstFullWindow })
+				g.Expect(during).To(BeNumerically(">=", 0.5), "seed %d", seed+1)
+				g.Expect(firstAttemptShare(r, "quote", func(w int) bool { return w >= firstFullWindow })).To(BeNumerically(">=", during))
+			}
+		})
+	}
+}
+
 // firstAttemptShare returns the share of the requests of a kind in the given windows that were served at the first attempt.
 func firstAttemptShare(r *simulate.Result, kind string, includes func(window int) bool) float64 {
 	var requests, served int
