--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -269,3 +269,14 @@
 	g.Expect(e.limiter.MaxWait("unrelated", 2, time.Second)).NotTo(BeZero())
 	g.Expect(e.limiter.MaxWait(class, 2, time.Second)).To(BeZero())
 }
+
+// Guards against requests that are refused for crashing upstreams and count as served badly: less urgent classes were refused in favour
+// of theirs, and their own counted as starved.
+func TestRequestsThatCrashUpstreamsAreNotMissed(t *testing.T) {
+	g := NewWithT(t)
+	e := refusedOnce(t)
+	for i := range 20 {
+		g.Expect(sendParts(e, fmt.Sprintf("%s,own%d", deadlyPart, i)).status).To(Equal(http.StatusServiceUnavailable))
+	}
+	g.Expect(e.limiter.MaxWait("another class", 2, time.Second)).To(BeZero())
+}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -101,13 +101,14 @@
 }
 
 // recordOutcome records the outcome of the request in the metrics. It also records the outcome of a request to a model service in the
-// priority limiter, unless the caller has disconnected. status is 0 if no response was sent.
+// priority limiter, unless the caller has disconnected or the request is one that crashes upstreams: nobody misses its answer. status is 0
+// if no response was sent.
 func (x *exchange) recordOutcome(outcome string, status int) {
 	kind := "unknown"
 	if x.route != nil {
 		kind = x.route.Kind.String()
 	}
-	if x.engine != nil && outcome != "caller-left" {
+	if x.engine != nil && outcome != "caller-left" && outcome != string(crashesUpstreams) {
 		served := status > 0 && status < http.StatusMultipleChoices
 		x.relay.cfg.PriorityLimiter.Record(x.trafficClass(), placement.Finished{Returning: x.returning, Served: served,
 			InTime: served && x.timeToFirstEvent+x.priorWait <= x.route.LatencyTarget})
