--- a/internal/relay/rate_limit.go
+++ b/internal/relay/rate_limit.go
@@ -58,6 +58,10 @@
 	if parsed.Misdirected && parsed.Instance != "" && parsed.Instance != a.upstream.ID {
 		return // Another upstream responded.
 	}
+	if parsed.RateLimitUnreadable {
+		a.x.relay.cfg.Log.Info("upstream names a rate limit that cannot be read", "upstream", a.upstream.ID, "request", a.x.meta.ID)
+		return
+	}
 	if parsed.HasRateLimit {
 		a.rateLimit = parsed.RateLimit
 	}
--- a/internal/relay/rate_limit_test.go
+++ b/internal/relay/rate_limit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,3 +60,22 @@
 	g.Expect(refused).To(BeNumerically(">=", 18))
 	g.Expect(len(limited.requests())).To(BeNumerically("<=", 3))
 }
+
+// Guards against a limit that is lifted by a response whose limit cannot be read.
+func TestUnreadableLimitLiftsNone(t *testing.T) {
+	g := NewWithT(t)
+	var responses atomic.Int32
+	limited := newUpstream(t, "limited", func(nc net.Conn, req *http.Request) {
+		if responses.Add(1) == 1 {
+			limitedResponse("5")(nc, req)
+			return
+		}
+		limitedResponse("5,0")(nc, req)
+	})
+	e := newEntry(t, limited)
+	const seconds = 2
+	for end := time.Now().Add(seconds * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		e.send(context.Background(), "/look/1", nil)
+	}
+	g.Expect(len(limited.requests())).To(And(BeNumerically(">", 2), BeNumerically("<=", 5*seconds+3)))
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -49,7 +49,8 @@
 func (codec) ParseResponse(status int, h http.Header) request.Response {
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	return request.Response{ID: h.Get("Id"), Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
-		Misdirected: status == http.StatusMisdirectedRequest, Instance: h.Get("Instance"), RateLimit: limit, HasRateLimit: err == nil}
+		Misdirected: status == http.StatusMisdirectedRequest, Instance: h.Get("Instance"), RateLimit: limit, HasRateLimit: err == nil,
+		RateLimitUnreadable: err != nil && h.Get("Limit") != ""}
 }
 
 func (codec) SetRefusalHeaders(h http.Header, _ string, retryAfter time.Duration) {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -68,9 +68,12 @@
 	Running, Waiting, Slots int
 	HasLoad                 bool
 	// RateLimit is the number of requests a second that the upstream takes from all entries together. It is valid if HasRateLimit is set;
-	// otherwise the upstream named no limit.
+	// otherwise the upstream named no limit, or an unreadable one.
 	RateLimit    float64
 	HasRateLimit bool
+	// RateLimitUnreadable is set if the upstream names a limit that cannot be read. It says nothing about the limit then, not even that
+	// there is none.
+	RateLimitUnreadable bool
 	// Version is the version of the weights, 0 if not given.
 	Version int64
 	// IdleTimeout is the time after which the upstream closes an idle connection, 0 if not given.
