--- a/internal/placement/priority_limiter.go
+++ b/internal/placement/priority_limiter.go
@@ -68,8 +68,8 @@
 }
 
 // Protect protects a class for protectionTime: it yields to more urgent classes only as long as protectedShare of its first attempts are
-// served. Callers of Protect have refused a request of the class that would crash its upstream: the sound requests beside it
-// are not to suffer for the capacity that such requests cost.
+// served. Callers of Protect have refused a request of the class that would crash its upstream; the sound requests beside it are not to
+// suffer for the capacity that such requests cost.
 func (l *PriorityLimiter) Protect(class string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -124,8 +124,8 @@
 }
 
 // starved reports whether the share of first attempts served of a class is below starvedRatio times that of all classes together or, for
-// a protected class, below protectedShare. It returns false for fewer than minRequests of the class. Callers that come back do not count: they yield to new ones, see
-// Query.Returning, and a class with many of them would seem starved.
+// a protected class, below protectedShare. It returns false for fewer than minRequests of the class. Callers that come back do not
+// count: they yield to new ones, see Query.Returning, and a class with many of them would seem starved.
 func (l *PriorityLimiter) starved(class string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
