--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -331,7 +331,7 @@
 	}
 	if err == nil {
 		l.setSwapping(true)
-		err = l.load(ctx, target)
+		err = l.load(ctx, target, report.StartedAtMillis)
 	}
 	l.setSwapping(false)
 	if cause := context.Cause(ctx); cause != nil && parent.Err() == nil {
@@ -407,13 +407,17 @@
 	return false
 }
 
-// load sends the load order and waits until the load has completed. An order with an unknown outcome is treated as accepted. It
-// returns errTooLate without an order if the version could not be used any more.
-func (l *Loader) load(ctx context.Context, target Target) error {
+// load sends the load order and waits until the load has completed. An order with an unknown outcome is treated as accepted. It returns
+// errAbandoned without an order if the upstream is not the process that started at startedAtMillis, whose staged data was verified: its
+// count of orders need not tell, as it starts anew. It returns errTooLate without an order if the version could not be used any more.
+func (l *Loader) load(ctx context.Context, target Target, startedAtMillis int64) error {
 	report, err := l.engine.Report(ctx)
 	if err != nil {
 		return err
 	}
+	if report.StartedAtMillis != startedAtMillis {
+		return errAbandoned
+	}
 	if target.isTooLate(time.Now()) {
 		return errTooLate
 	}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -52,6 +52,8 @@
 	down bool
 	// onOrder, unless nil, is called before an order is carried out.
 	onOrder func(e *fakeEngine)
+	// losePowerWhenStaged makes the engine lose its staged chunks and start anew, once, as soon as all chunks are staged.
+	losePowerWhenStaged bool
 }
 
 func (e *fakeEngine) Report(context.Context) (loader.Report, error) {
@@ -99,6 +101,10 @@
 		e.staged = map[int][]byte{}
 	}
 	e.staged[chunk] = data
+	if e.losePowerWhenStaged && len(e.staged) == chunks {
+		e.losePowerWhenStaged = false
+		e.startedAtMillis, e.staged, e.orders = e.startedAtMillis+1, nil, 0
+	}
 	return nil
 }
 
@@ -273,6 +279,18 @@
 	g.Expect(mixed).To(BeFalse())
 }
 
+// Guards against an order to an upstream that has lost its staged chunks since they were verified: it loaded nothing, or other bytes, and
+// reported the version as loaded.
+func TestUpstreamThatRestartsAfterStagingIsStagedAgain(t *testing.T) {
+	g := NewWithT(t)
+	e, target := &fakeEngine{startedAtMillis: 1, losePowerWhenStaged: true}, &targetVersion{}
+	target.set(1)
+	start(t, e, &fakeWeights{}, target)
+	g.Eventually(loadedVersion(e), "4s").Should(Equal(int64(1)))
+	_, mixed := e.state()
+	g.Expect(mixed).To(BeFalse())
+}
+
 // Guards against all upstreams of a data centre loading at once: an upstream that serves requests waits for its turn.
 func TestServingServerWaitsForItsTurn(t *testing.T) {
 	g := NewWithT(t)
