platform, catalogsync: read the era of the store and log it

The logs could not tell whether a configuration was rejected or never read after a restore of the store. Lines on a restore and on a configuration that is not put in force name eras, versions and revisions.

Lister.Poll takes and returns a cursor (era and revision) in place of a revision; tests pass it, with the assertions they had.

--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -166,8 +166,9 @@
 type watcher struct {
 	*Syncer
 	prefix Prefix
-	// revision is the store revision up to which all changes are known, or 0 if a listing is needed.
-	revision int64
+	// cursor is the point of the store's history up to which all changes are known. Its revision is 0 if a listing is needed; its era is
+	// that of the last answer also then.
+	cursor store.Cursor
 	// listedOnce is set once a listing has succeeded.
 	listedOnce bool
 	// failingSince is the time of the first of the consecutive failures, or zero after a success.
@@ -181,7 +182,7 @@
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if w.listedOnce && !w.isActive() {
-			w.revision, w.failingSince = 0, time.Time{}
+			w.cursor.Revision, w.failingSince = 0, time.Time{}
 			w.endExtension(w.prefix)
 			pause.For(ctx, activeCheckInterval)
 			continue
@@ -196,17 +197,18 @@
 // syncOnce makes one call to the store and applies the result. The call is a listing if the revision is unknown or the reannounce
 // period has ended, and a poll otherwise.
 func (w *watcher) syncOnce(ctx context.Context) error {
-	if w.revision == 0 || (!w.reannounceUntil.IsZero() && time.Now().After(w.reannounceUntil)) {
+	if w.cursor.Revision == 0 || (!w.reannounceUntil.IsZero() && time.Now().After(w.reannounceUntil)) {
 		return w.list(ctx)
 	}
 	wait := w.prefix.pollTimeout()
 	if !w.failingSince.IsZero() {
 		wait = pollTimeout // An answer is needed soon, because the prefix is not fresh until then.
 	}
-	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.revision, wait)
-	if errors.Is(err, store.ErrCompacted) {
-		w.log.Info("history of the store is gone, listing again", "prefix", w.prefix.Name, "revision", w.revision)
-		w.revision = 0
+	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.cursor, wait)
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
+		w.log.Info("history of the store is gone, listing again", "prefix", w.prefix.Name, "era", w.cursor.Era,
+			"revision", w.cursor.Revision, "restored", errors.Is(err, store.ErrRestored))
+		w.cursor.Revision = 0
 		return nil
 	}
 	if err != nil {
@@ -219,7 +221,7 @@
 		}
 		w.apply(event.KV, event.Deleted, naming{at: time.Now()})
 	}
-	w.revision = next
+	w.cursor = next
 	w.markFresh(w.prefix)
 	if len(events) > 0 && w.prefix.HoldsUpstreams {
 		pause.For(ctx, changeBatchDelay)
@@ -247,10 +249,14 @@
 		}
 	}
 	if w.prefix.HoldsUpstreams && (!awaitingReannounce || !w.listedOnce) {
-		w.state.ApplyListing(upstreams, listing.Revision)
+		w.state.ApplyListing(upstreams, listing.Cursor.Revision)
+	}
+	if w.listedOnce && listing.Cursor.Era != w.cursor.Era {
+		w.log.Info("store was restored from an earlier copy", "prefix", w.prefix.Name, "era", listing.Cursor.Era,
+			"revision", listing.Cursor.Revision, "era_before", w.cursor.Era)
 	}
 	w.listedOnce = true
-	w.revision = max(listing.Revision, 1)
+	w.cursor = store.Cursor{Era: listing.Cursor.Era, Revision: max(listing.Cursor.Revision, 1)}
 	w.markFresh(w.prefix)
 	return nil
 }
@@ -283,6 +289,9 @@
 		if w.state.ApplyConfig(document.Config, kv.ModRevision) {
 			w.log.Info("configuration in force", "version", document.Config.Version, "revision", kv.ModRevision,
 				"routes", len(document.Config.Routes), "from", "store")
+		} else if index := w.state.Snapshot().Index; index != nil && index.Config.Version != document.Config.Version {
+			w.log.Info("configuration not put in force", "version", document.Config.Version, "era", kv.Era, "revision", kv.ModRevision,
+				"version_in_force", index.Config.Version, "revision_in_force", w.state.Snapshot().ConfigRevision)
 		}
 	case document.Version != nil:
 		version := fleet.VersionRecord{NamedVersion: *document.Version, Revision: kv.ModRevision, NamedAt: named.at,
@@ -324,7 +333,7 @@
 	w.failingSince = time.Time{}
 	if duration >= outageThreshold && w.listedOnce {
 		w.reannounceUntil = time.Now().Add(reannouncePeriod)
-		w.revision = 0
+		w.cursor.Revision = 0
 	}
 	w.log.Info("store is back", "prefix", w.prefix.Name, "away_ms", duration.Milliseconds())
 }
--- a/internal/controller/catalogsync/sync_test.go
+++ b/internal/controller/catalogsync/sync_test.go
@@ -102,7 +102,7 @@
 	if m.down {
 		return store.Listing{}, errors.WithStack(store.ErrUnavailable)
 	}
-	out := store.Listing{Revision: m.revision}
+	out := store.Listing{Cursor: store.Cursor{Revision: m.revision}}
 	for _, kv := range m.keys {
 		if strings.HasPrefix(kv.Key, prefix) {
 			out.KVs = append(out.KVs, kv)
@@ -111,35 +111,36 @@
 	return out, nil
 }
 
-func (m *memoryStore) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+func (m *memoryStore) Poll(ctx context.Context, prefix string, after store.Cursor, wait time.Duration) (
+	[]store.Event, store.Cursor, error) {
 	deadline := time.Now().Add(wait)
 	m.withLock(func() { m.calls++ })
 	for {
 		m.mu.Lock()
 		if slices.Contains(m.silentPrefixes, prefix) {
 			m.mu.Unlock()
-			return nil, 0, m.awaitTimeout(ctx, deadline)
+			return nil, after, m.awaitTimeout(ctx, deadline)
 		}
 		if m.down {
 			delay := m.failureDelay
 			m.mu.Unlock()
 			pause.For(ctx, delay)
-			return nil, 0, errors.WithStack(store.ErrUnavailable)
+			return nil, after, errors.WithStack(store.ErrUnavailable)
 		}
-		if after < m.compactedBefore {
+		if after.Revision < m.compactedBefore {
 			m.mu.Unlock()
-			return nil, 0, errors.WithStack(store.ErrCompacted)
+			return nil, after, errors.WithStack(store.ErrCompacted)
 		}
 		var out []store.Event
 		for _, e := range m.events {
-			if e.KV.ModRevision > after && strings.HasPrefix(e.KV.Key, prefix) {
+			if e.KV.ModRevision > after.Revision && strings.HasPrefix(e.KV.Key, prefix) {
 				out = append(out, e)
 			}
 		}
 		revision := m.revision
 		m.mu.Unlock()
 		if len(out) > 0 || time.Now().After(deadline) || ctx.Err() != nil {
-			return out, revision, ctx.Err()
+			return out, store.Cursor{Revision: revision}, ctx.Err()
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/mesh/takeover_test.go
+++ b/internal/mesh/takeover_test.go
@@ -69,16 +69,16 @@
 		return store.Listing{}, c.fail(ctx, 0)
 	}
 	kv := c.kv()
-	return store.Listing{KVs: []store.KV{kv}, Revision: kv.ModRevision}, nil
+	return store.Listing{KVs: []store.KV{kv}, Cursor: store.Cursor{Revision: kv.ModRevision}}, nil
 }
 
-func (c *storeClient) Poll(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+func (c *storeClient) Poll(ctx context.Context, _ string, after store.Cursor, wait time.Duration) ([]store.Event, store.Cursor, error) {
 	for deadline := time.Now().Add(wait); ; pause.For(ctx, 5*time.Millisecond) {
 		if c.isSilent() {
-			return nil, 0, c.fail(ctx, time.Until(deadline))
+			return nil, after, c.fail(ctx, time.Until(deadline))
 		}
-		if kv := c.kv(); kv.ModRevision > after {
-			return []store.Event{{KV: kv}}, kv.ModRevision, nil
+		if kv := c.kv(); kv.ModRevision > after.Revision {
+			return []store.Event{{KV: kv}}, store.Cursor{Revision: kv.ModRevision}, nil
 		}
 		if ctx.Err() != nil || time.Now().After(deadline) {
 			return nil, after, ctx.Err()
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -30,6 +30,8 @@
 	ErrLeaseNotFound = errors.New("store: lease not found")
 	// ErrCompacted means that a watch started at a revision that is no longer available.
 	ErrCompacted = errors.New("store: watch revision compacted")
+	// ErrRestored means that the store was restored from an earlier copy of itself, so that revisions obtained before have no meaning.
+	ErrRestored = errors.New("store: restored from an earlier copy")
 )
 
 // LeaseID identifies a lease; 0 means no lease.
@@ -44,6 +46,8 @@
 	ModRevision    int64
 	// Lease is the lease whose end deletes the key, 0 if none.
 	Lease LeaseID
+	// Era is the era of the store in which the key was read; see Cursor.
+	Era int64
 }
 
 // Compare is a condition on one key. A key that does not exist has revision 0.
@@ -145,16 +149,23 @@
 // Listing holds the keys with a prefix.
 type Listing struct {
 	KVs []KV
-	// Revision is the revision from which to continue with polls. The listing may contain some later changes, but it lacks no earlier
-	// ones, so that polls from Revision miss nothing.
-	Revision int64
+	// Cursor is where to continue with polls. The listing may contain some later changes, but it lacks no earlier ones, so that polls from
+	// Cursor miss nothing.
+	Cursor Cursor
+}
+
+// Cursor is a point in the history of the store. Revisions are comparable only within one era: each time the store is restored from an
+// earlier copy of itself, its era rises by one and revisions that were given out after the copy are given out again. The era is 0 at a
+// store that states none.
+type Cursor struct {
+	Era, Revision int64
 }
 
 // Lister reads all keys with a prefix and their changes. A Store may implement it.
 type Lister interface {
 	// List reads all keys with a prefix. It returns ErrUnavailable if it cannot read all of them.
 	List(ctx context.Context, prefix string) (Listing, error)
-	// Poll returns the changes after a revision, and the revision to pass to the next Poll. If there are none yet, it waits for up to
-	// wait. It returns ErrCompacted or ErrUnavailable.
-	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+	// Poll returns the changes after a cursor, and the cursor to pass to the next Poll. If there are none yet, it waits for up to wait. It
+	// returns ErrCompacted, ErrRestored if the era of the cursor is over, or ErrUnavailable.
+	Poll(ctx context.Context, prefix string, after Cursor, wait time.Duration) ([]Event, Cursor, error)
 }
