fleet, mesh: order configurations by the operator's version

The operator's version increases with each configuration, whatever happens to the store; it alone orders them now, in the state of a node and over links. A copy's older configuration is rejected as before. The revision stays in messages for nodes of earlier releases.

--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -11,7 +11,7 @@
 type Snapshot struct {
 	// Index is nil until a configuration has been merged.
 	Index *catalog.Index
-	// ConfigRevision is the store revision of the configuration.
+	// ConfigRevision is the store revision at which the configuration was written. It does not order configurations: see ConfigVersion.
 	ConfigRevision int64
 	// UpstreamsComplete is set once a complete list of upstreams has been merged.
 	UpstreamsComplete bool
@@ -23,6 +23,14 @@
 	versions map[string][]VersionRecord
 }
 
+// ConfigVersion returns the version of the configuration, 0 if there is none.
+func (s *Snapshot) ConfigVersion() int64 {
+	if s.Index == nil {
+		return 0
+	}
+	return s.Index.Config.Version
+}
+
 // Upstreams returns the upstreams of a service, ordered by ID. The slice must not be changed.
 func (s *Snapshot) Upstreams(service string) []*catalog.Upstream { return s.byService[service] }
 
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -99,12 +99,13 @@
 	return ch
 }
 
-// ApplyConfig merges a configuration, which must not change afterwards, and reports whether it replaced the one in force. It is
-// rejected if its revision is not higher or its version is lower.
+// ApplyConfig merges a configuration, which must not change afterwards, and reports whether it replaced the one in force. It does so only
+// if its version is higher. The operator's versions order configurations also when the store has been restored from an earlier copy, which
+// gives out revisions again. revision is that of the store at which it was written.
 func (s *State) ApplyConfig(c *catalog.Config, revision int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if revision <= s.configRevision || (s.index != nil && c.Version < s.index.Config.Version) {
+	if s.index != nil && c.Version <= s.index.Config.Version {
 		return false
 	}
 	s.index, s.configRevision = catalog.NewIndex(c), revision
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -101,8 +101,8 @@
 	pending pendingReplies
 	// encoder caches the encoded configuration.
 	encoder configEncoder
-	// revisionFromLocalEntry is the revision of the last configuration that arrived from an entry of the own data centre.
-	revisionFromLocalEntry atomic.Int64
+	// versionFromLocalEntry is the version of the last configuration that arrived from an entry of the own data centre.
+	versionFromLocalEntry atomic.Int64
 
 	// mu guards members, links and dials.
 	mu sync.Mutex
--- a/internal/mesh/pack.go
+++ b/internal/mesh/pack.go
@@ -9,25 +9,25 @@
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
-// configEncoder encodes each revision of the configuration once per role of the receiver, for all links.
+// configEncoder encodes each version of the configuration once per role of the receiver, for all links.
 type configEncoder struct {
 	log logr.Logger
 
-	mu       sync.Mutex
-	revision int64
-	encoded  map[message.Role][]byte
+	mu      sync.Mutex
+	version int64
+	encoded map[message.Role][]byte
 }
 
 // encode returns the encoded configuration for nodes of a role, or nil if c is nil or cannot be encoded. Agents get no routes
 // and no customers, which they do not need.
-func (e *configEncoder) encode(c *catalog.Config, revision int64, role message.Role) []byte {
+func (e *configEncoder) encode(c *catalog.Config, role message.Role) []byte {
 	if c == nil {
 		return nil
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.revision != revision {
-		e.revision, e.encoded = revision, map[message.Role][]byte{}
+	if e.version != c.Version {
+		e.version, e.encoded = c.Version, map[message.Role][]byte{}
 	}
 	if data := e.encoded[role]; data != nil {
 		return data
@@ -37,7 +37,7 @@
 	}
 	data, err := message.PackConfig(c)
 	if err != nil {
-		e.log.Error(err, "cannot encode configuration for peers", "version", c.Version, "revision", revision)
+		e.log.Error(err, "cannot encode configuration for peers", "version", c.Version)
 		return nil
 	}
 	e.encoded[role] = data
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -14,9 +14,12 @@
 // the store themselves, and the links to them have little bandwidth.
 func (m *Mesh) fullState(to message.Hello) *message.FleetState {
 	config, revision, upstreams, versions := m.cfg.State.Records()
-	out := &message.FleetState{ConfigRevision: revision, UpstreamsComplete: m.cfg.State.Snapshot().UpstreamsComplete}
+	out := &message.FleetState{UpstreamsComplete: m.cfg.State.Snapshot().UpstreamsComplete}
 	if to.Role == message.RoleAgent || to.DataCentre == m.cfg.Self.DataCentre {
-		out.Config = m.encoder.encode(config, revision, to.Role)
+		out.Config = m.encoder.encode(config, to.Role)
+	}
+	if config != nil {
+		out.ConfigVersion, out.ConfigRevision = config.Version, revision
 	}
 	for _, u := range upstreams {
 		out.Upstreams = append(out.Upstreams, message.FleetUpstream{ID: u.ID, Revision: u.Revision, Announcement: u.Announcement})
@@ -41,16 +44,17 @@
 		AgeMillis: time.Since(v.NamedAt).Milliseconds(), AgeAssumed: v.AgeAssumed}
 }
 
-// setStaleness sets the staleness of this node's state. It also sets the revision of its configuration unless out has a revision.
+// setStaleness sets the staleness of this node's state. It also sets the version and revision of its configuration unless out has a version.
 func (m *Mesh) setStaleness(out *message.FleetState) {
 	age, known := m.cfg.State.Staleness()
 	out.HasStaleness, out.StalenessMillis = known, age.Milliseconds()
-	if out.ConfigRevision == 0 {
-		out.ConfigRevision = m.cfg.State.Snapshot().ConfigRevision
+	if out.ConfigVersion == 0 {
+		snap := m.cfg.State.Snapshot()
+		out.ConfigVersion, out.ConfigRevision = snap.ConfigVersion(), snap.ConfigRevision
 	}
 }
 
-// mergeState merges a state message of another node. If an entry reports a newer configuration revision without the
+// mergeState merges a state message of another node. If an entry reports a newer configuration version without the
 // configuration, a request for it is scheduled. A message with RequestConfig is answered with the configuration, and its other
 // fields are ignored.
 func (m *Mesh) mergeState(p *peer, msg *message.FleetState) {
@@ -59,10 +63,10 @@
 		m.sendConfig(p)
 		return
 	}
-	if msg.Config == nil && msg.ConfigRevision > state.Snapshot().ConfigRevision && isEntry(p) {
-		m.requestConfigLater(p, msg.ConfigRevision)
+	if msg.Config == nil && msg.ConfigVersion > state.Snapshot().ConfigVersion() && isEntry(p) {
+		m.requestConfigLater(p, msg.ConfigVersion)
 	}
-	if msg.Config != nil && msg.ConfigRevision > state.Snapshot().ConfigRevision {
+	if msg.Config != nil && (msg.ConfigVersion == 0 || msg.ConfigVersion > state.Snapshot().ConfigVersion()) {
 		m.mergeConfig(p, msg)
 	}
 	for _, u := range msg.Upstreams {
@@ -105,7 +109,7 @@
 		return
 	}
 	if m.isLocalEntry(p) {
-		m.revisionFromLocalEntry.Store(msg.ConfigRevision)
+		m.versionFromLocalEntry.Store(config.Version)
 	}
 	if m.cfg.State.ApplyConfig(config, msg.ConfigRevision) {
 		m.cfg.Log.Info("configuration in force", "version", config.Version, "revision", msg.ConfigRevision,
@@ -173,9 +177,9 @@
 // a peer.
 const configRequestDelay = 300 * time.Millisecond
 
-// requestConfigLater requests a node's configuration after configRequestDelay unless that revision has arrived from elsewhere
+// requestConfigLater requests a node's configuration after configRequestDelay unless that version has arrived from elsewhere
 // by then. A node without any configuration requests it at once.
-func (m *Mesh) requestConfigLater(p *peer, revision int64) {
+func (m *Mesh) requestConfigLater(p *peer, version int64) {
 	if m.configRequestPending.Swap(true) {
 		return
 	}
@@ -185,7 +189,7 @@
 	}
 	time.AfterFunc(delay, func() {
 		m.configRequestPending.Store(false)
-		if m.cfg.State.Snapshot().ConfigRevision >= revision {
+		if m.cfg.State.Snapshot().ConfigVersion() >= version {
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
@@ -205,8 +209,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), silenceTimeout)
 		defer cancel()
-		msg := &message.FleetState{Config: m.encoder.encode(snap.Index.Config, snap.ConfigRevision, message.RoleEntry),
-			ConfigRevision: snap.ConfigRevision}
+		msg := &message.FleetState{Config: m.encoder.encode(snap.Index.Config, message.RoleEntry),
+			ConfigVersion: snap.ConfigVersion(), ConfigRevision: snap.ConfigRevision}
 		if err := p.conn.Send(ctx, msg); err != nil {
 			m.cfg.Log.V(1).Info("configuration was not sent", "peer", p.hello.NodeID, "cause", err.Error())
 		}
@@ -216,8 +220,8 @@
 func isAgent(p *peer) bool { return p.hello.Role == message.RoleAgent }
 
 // batchChanges combines first and the queued changes into one message per kind of receiver. Entries of other data centres get only
-// the revision of a new configuration. Entries of the own data centre get no configuration that this node received from one of
-// them: the sender distributes it, and an entry that misses it sees the newer revision in the next staleness message and requests
+// the version of a new configuration. Entries of the own data centre get no configuration that this node received from one of
+// them: the sender distributes it, and an entry that misses it sees the newer version in the next staleness message and requests
 // it.
 func (m *Mesh) batchChanges(first fleet.Change) (local, remote, agents *message.FleetState) {
 	toEntries := &message.FleetState{UpstreamsComplete: m.cfg.State.Snapshot().UpstreamsComplete}
@@ -225,7 +229,7 @@
 	for c, more := first, true; more; {
 		switch {
 		case c.Config != nil:
-			config, toEntries.ConfigRevision = c.Config, c.Revision
+			config, toEntries.ConfigVersion, toEntries.ConfigRevision = c.Config, c.Config.Version, c.Revision
 		case c.Upstream != nil:
 			toEntries.Upstreams = append(toEntries.Upstreams,
 				message.FleetUpstream{ID: c.Upstream.ID, Revision: c.Upstream.Revision, Announcement: c.Upstream.Announcement})
@@ -241,9 +245,9 @@
 	m.setStaleness(toEntries)
 	forAgents, forRemote := *toEntries, *toEntries
 	if config != nil {
-		forAgents.Config = m.encoder.encode(config, forAgents.ConfigRevision, message.RoleAgent)
-		if m.revisionFromLocalEntry.Load() != toEntries.ConfigRevision {
-			toEntries.Config = m.encoder.encode(config, toEntries.ConfigRevision, message.RoleEntry)
+		forAgents.Config = m.encoder.encode(config, message.RoleAgent)
+		if m.versionFromLocalEntry.Load() != config.Version {
+			toEntries.Config = m.encoder.encode(config, message.RoleEntry)
 		}
 	}
 	return toEntries, &forRemote, &forAgents
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -6,9 +6,11 @@
 // records on a new link and after its queue of changes has overflowed, and otherwise only those that changed. An agent sends only its
 // records of versions, on a new link: entries that have restarted may not know when a version was named.
 type FleetState struct {
-	// Config is the configuration as encoded by PackConfig, or nil if the message does not carry it. ConfigRevision is the
-	// revision of the sender's configuration in either case.
+	// Config is the configuration as encoded by PackConfig, or nil if the message does not carry it. ConfigVersion is the version of the
+	// sender's configuration in either case, and orders configurations. ConfigRevision is the revision of the store at which it was
+	// written: nodes of earlier releases order configurations by it.
 	Config         []byte `msgpack:"cz,omitempty"`
+	ConfigVersion  int64  `msgpack:"cv,omitempty"`
 	ConfigRevision int64  `msgpack:"cr,omitempty"`
 	// RequestConfig asks the receiver to send its configuration.
 	RequestConfig bool            `msgpack:"p,omitempty"`
