fleet, catalogsync, mesh: order records of upstreams by era and revision

Entries could send requests to a draining or removed upstream, or leave out one that lives, after a restore of the store: records of upstreams were ordered by the store's revision alone, so that what upstreams wrote after the restore was rejected until revisions had passed the highest one seen before, and a listing of the restored store took upstreams for gone that had not announced themselves again yet.

A record now carries the era of the store too, also over links, and era and revision order it. Announcements are ordered by the upstream's own sequence first, across eras, so that the older announcement of the copy does not undo draining. An upstream that was removed before the restore and is listed unchanged is used again only when the store has had the time to remove what only the copy lists (5 s). A listing removes an upstream of an earlier era only when the reannounce period of 2.2 s is over; a new era starts this period however short the outage was. A listing of an era that is known to be over is repeated.

ApplyListing takes a struct; the tests that call it pass it, with the assertions they had.

--- /dev/null
+++ b/internal/controller/catalogsync/restored_test.go
@@ -0,0 +1,68 @@
+package catalogsync_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/fleet"
+)
+
+// has returns whether the state holds an upstream.
+func has(s *fleet.State, id string) bool { return s.Snapshot().ByID(id) != nil }
+
+// Guards against upstreams that are taken for gone because a restored store lists them only once they have announced themselves again, also
+// if the store was away too briefly for an outage, and against those that stay although they have not come back.
+func TestUpstreamsAreKeptAfterARestoreUntilReannouncePeriodEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		for _, key := range []string{"up/old", "up/lives", "up/ended"} {
+			m.put(key, "1")
+		}
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		g.Expect(has(s, "ended")).To(BeTrue())
+		m.restore(3, map[string]string{"conf": "6", "up/old": "1"})
+		time.Sleep(time.Second)
+		g.Expect(configVersion(s)()).To(Equal(int64(7)), "the older configuration of the copy is not put in force")
+		g.Expect(has(s, "old") && has(s, "lives") && has(s, "ended")).To(BeTrue())
+		m.put("up/lives", "2")
+		m.put("conf", "8")
+		time.Sleep(time.Second)
+		g.Expect(configVersion(s)()).To(Equal(int64(8)))
+		time.Sleep(6 * time.Second)
+		g.Expect(has(s, "old") && has(s, "lives")).To(BeTrue())
+		g.Expect(has(s, "ended")).To(BeFalse())
+	})
+}
+
+// Guards against an upstream that has left and gets requests again while the copy of a restored store lists it, and against one that lives,
+// did not change, and is left out for good.
+func TestUpstreamThatOnlyTheCopyListsIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("up/left", "1")
+		m.put("up/silent", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.remove("up/left")
+		m.remove("up/silent")
+		time.Sleep(time.Second)
+		g.Expect(has(s, "left") || has(s, "silent")).To(BeFalse())
+		m.restore(4, map[string]string{"conf": "7", "up/left": "1", "up/silent": "1"})
+		time.AfterFunc(3600*time.Millisecond, func() { m.remove("up/left") })
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(has(s, "left")).To(BeFalse())
+		}
+		time.Sleep(4 * time.Second)
+		g.Expect(has(s, "left")).To(BeFalse())
+		g.Expect(has(s, "silent")).To(BeTrue())
+	})
+}
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -42,6 +42,8 @@
 	// reannouncePeriod is the time after the store has recovered in which missing upstreams are kept, because they may still
 	// announce themselves again.
 	reannouncePeriod = 2200 * time.Millisecond
+	// settledListingInterval is the time between listings while the store lists upstreams that may be left of its copy only.
+	settledListingInterval = 1500 * time.Millisecond
 )
 
 // Document is a decoded document of the store. At most one of Config, Version and UpstreamID is set; none is set for a key that
@@ -174,9 +176,12 @@
 	// failingSince is the time of the first of the consecutive failures, or zero after a success.
 	failingSince time.Time
 	backoff      time.Duration
-	// reannounceUntil is the end of the period in which a missing upstream is assumed to have lost its announcement in an outage
-	// of the store, and is kept. It is zero outside such a period.
+	// reannounceUntil is the end of the period in which a missing upstream is assumed to have lost its announcement in an outage or a
+	// restore of the store, and is kept. It is zero outside such a period.
 	reannounceUntil time.Time
+	// unsettledUntil is the time at which the upstreams are listed again because the last listing left some of them undecided, zero if it
+	// left none.
+	unsettledUntil time.Time
 }
 
 func (w *watcher) run(ctx context.Context) {
@@ -197,7 +202,7 @@
 // syncOnce makes one call to the store and applies the result. The call is a listing if the revision is unknown or the reannounce
 // period has ended, and a poll otherwise.
 func (w *watcher) syncOnce(ctx context.Context) error {
-	if w.cursor.Revision == 0 || (!w.reannounceUntil.IsZero() && time.Now().After(w.reannounceUntil)) {
+	if w.cursor.Revision == 0 || hasPassed(w.reannounceUntil) || hasPassed(w.unsettledUntil) {
 		return w.list(ctx)
 	}
 	wait := w.prefix.pollTimeout()
@@ -229,6 +234,9 @@
 	return nil
 }
 
+// hasPassed reports whether t is set and has passed.
+func hasPassed(t time.Time) bool { return !t.IsZero() && time.Now().After(t) }
+
 // list reads all documents under the prefix and applies them. It removes upstreams that are not listed, except in the
 // reannounce period.
 func (w *watcher) list(ctx context.Context) error {
@@ -236,8 +244,13 @@
 	if err != nil {
 		return err
 	}
+	if known := w.state.Era(); listing.Cursor.Era < known {
+		return errors.Wrapf(store.ErrUnavailable, "listing of era %d of the store, %d is known", listing.Cursor.Era, known)
+	}
 	w.recordSuccess()
+	w.observeEra(listing.Cursor)
 	awaitingReannounce := time.Now().Before(w.reannounceUntil)
+	settled := hasPassed(w.reannounceUntil)
 	if !awaitingReannounce {
 		w.reannounceUntil = time.Time{}
 	}
@@ -249,11 +262,7 @@
 		}
 	}
 	if w.prefix.HoldsUpstreams && (!awaitingReannounce || !w.listedOnce) {
-		w.state.ApplyListing(upstreams, listing.Cursor.Revision)
-	}
-	if w.listedOnce && listing.Cursor.Era != w.cursor.Era {
-		w.log.Info("store was restored from an earlier copy", "prefix", w.prefix.Name, "era", listing.Cursor.Era,
-			"revision", listing.Cursor.Revision, "era_before", w.cursor.Era)
+		w.applyListing(fleet.Listing{Upstreams: upstreams, Era: listing.Cursor.Era, Revision: listing.Cursor.Revision, Settled: settled})
 	}
 	w.listedOnce = true
 	w.cursor = store.Cursor{Era: listing.Cursor.Era, Revision: max(listing.Cursor.Revision, 1)}
@@ -261,6 +270,30 @@
 	return nil
 }
 
+// observeEra records the era of a listing. If the store has been restored since the last answer, it starts the reannounce period: the copy
+// lacks the upstreams that have announced themselves after it was made.
+func (w *watcher) observeEra(cursor store.Cursor) {
+	w.state.ObserveEra(cursor.Era)
+	if !w.listedOnce || cursor.Era == w.cursor.Era {
+		return
+	}
+	w.log.Info("store was restored from an earlier copy", "prefix", w.prefix.Name, "era", cursor.Era, "revision", cursor.Revision,
+		"era_before", w.cursor.Era)
+	w.reannounceUntil = time.Now().Add(reannouncePeriod)
+}
+
+// applyListing merges a listing of the upstreams. If it leaves some of them undecided, they are listed again: as settled after the
+// reannounce period, and after a settled listing once the store holds no more of what only the copy had listed.
+func (w *watcher) applyListing(listing fleet.Listing) {
+	w.unsettledUntil = time.Time{}
+	switch needsAnother := w.state.ApplyListing(listing); {
+	case needsAnother && !listing.Settled:
+		w.reannounceUntil = time.Now().Add(reannouncePeriod)
+	case needsAnother:
+		w.unsettledUntil = time.Now().Add(settledListingInterval)
+	}
+}
+
 // naming is the time at which a model version was named. assumed is set if the time is not known.
 type naming struct {
 	at      time.Time
@@ -304,7 +337,7 @@
 				"age_ms", time.Since(named.at).Milliseconds(), "age_assumed", named.assumed, "from", "store")
 		}
 	case document.UpstreamID != "":
-		upstream := fleet.UpstreamRecord{ID: document.UpstreamID, Revision: kv.ModRevision, Announcement: document.Upstream}
+		upstream := fleet.UpstreamRecord{ID: document.UpstreamID, Era: kv.Era, Revision: kv.ModRevision, Announcement: document.Upstream}
 		w.state.ApplyUpstream(upstream)
 		return upstream, true
 	}
--- a/internal/controller/catalogsync/sync_test.go
+++ b/internal/controller/catalogsync/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -49,7 +50,9 @@
 
 // memoryStore is a store in memory. Poll waits until there are changes, the timeout has passed or ctx ends.
 type memoryStore struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era is the era of the store; see restore.
+	era      int64
 	revision int64
 	keys     map[string]store.KV
 	events   []store.Event
@@ -70,7 +73,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.revision++
-	kv := store.KV{Key: key, Value: []byte(value), ModRevision: m.revision}
+	kv := store.KV{Key: key, Value: []byte(value), ModRevision: m.revision, Era: m.era}
 	m.keys[key] = kv
 	m.events = append(m.events, store.Event{KV: kv})
 }
@@ -80,7 +83,18 @@
 	defer m.mu.Unlock()
 	m.revision++
 	delete(m.keys, key)
-	m.events = append(m.events, store.Event{KV: store.KV{Key: key, ModRevision: m.revision}, Deleted: true})
+	m.events = append(m.events, store.Event{KV: store.KV{Key: key, ModRevision: m.revision, Era: m.era}, Deleted: true})
+}
+
+// restore begins a new era at a lower revision, in which the store holds only the given keys and values, with the revisions up to it.
+func (m *memoryStore) restore(revision int64, keys map[string]string) {
+	m.withLock(func() {
+		m.era++
+		m.revision, m.keys, m.events = revision-int64(len(keys)), map[string]store.KV{}, nil
+	})
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		m.put(key, keys[key])
+	}
 }
 
 func (m *memoryStore) withLock(f func()) {
@@ -102,7 +116,7 @@
 	if m.down {
 		return store.Listing{}, errors.WithStack(store.ErrUnavailable)
 	}
-	out := store.Listing{Cursor: store.Cursor{Revision: m.revision}}
+	out := store.Listing{Cursor: store.Cursor{Era: m.era, Revision: m.revision}}
 	for _, kv := range m.keys {
 		if strings.HasPrefix(kv.Key, prefix) {
 			out.KVs = append(out.KVs, kv)
@@ -127,6 +141,10 @@
 			pause.For(ctx, delay)
 			return nil, after, errors.WithStack(store.ErrUnavailable)
 		}
+		if after.Era != m.era {
+			m.mu.Unlock()
+			return nil, after, errors.WithStack(store.ErrRestored)
+		}
 		if after.Revision < m.compactedBefore {
 			m.mu.Unlock()
 			return nil, after, errors.WithStack(store.ErrCompacted)
@@ -140,7 +158,7 @@
 		revision := m.revision
 		m.mu.Unlock()
 		if len(out) > 0 || time.Now().After(deadline) || ctx.Err() != nil {
-			return out, store.Cursor{Revision: revision}, ctx.Err()
+			return out, store.Cursor{Era: after.Era, Revision: revision}, ctx.Err()
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -1,7 +1,7 @@
 // Package fleet holds a node's replica of the catalog and merges records from the store and from other nodes.
 //
-// Every record carries the store revision at which it was written. It replaces an earlier record only if its revision is
-// higher, so that records may arrive in any order and more than once.
+// Every record carries a number that orders it, so that records may arrive in any order and more than once. Configurations and model
+// versions are ordered by the operator's numbers, upstream records by the era of the store and the revision in it.
 package fleet
 
 import (
@@ -14,14 +14,33 @@
 	"github.com/pimentohead/pimentohead/internal/catalog"
 )
 
+// copyRetention is how long after a restore of the store its copy may still list an upstream that had been removed before. Announcements in
+// the store end after three missed heartbeats of the upstream, which are 1.2 s apart; the rest is a margin.
+const copyRetention = 5 * time.Second
+
 // removedRetention is how long the revision of a removed upstream is kept, so that an older record does not restore it.
 const removedRetention = 2 * time.Minute
 
 // UpstreamRecord is the versioned state of one upstream. Announcement is nil if the upstream was removed.
 type UpstreamRecord struct {
-	ID           string
-	Revision     int64
-	Announcement *catalog.Upstream
+	ID string
+	// Era and Revision are the era of the store and the revision in it at which the record was written. A restore of the store from an
+	// earlier copy begins a new era, in which revisions are given out again.
+	Era, Revision int64
+	Announcement  *catalog.Upstream
+}
+
+// isAfter reports whether the record was written after other.
+func (u UpstreamRecord) isAfter(other UpstreamRecord) bool {
+	return cmp.Or(cmp.Compare(u.Era, other.Era), cmp.Compare(u.Revision, other.Revision)) > 0
+}
+
+// Listing is a complete list of the upstreams at a point in the history of the store.
+type Listing struct {
+	Upstreams     []UpstreamRecord
+	Era, Revision int64
+	// Settled is set when upstreams have had the time to announce themselves again since the era of the store began.
+	Settled bool
 }
 
 // VersionRecord records that the operator named a version of a model.
@@ -56,8 +75,13 @@
 	versions          map[string][]VersionRecord
 	upToDateAt        time.Time
 	upstreamsComplete bool
-	observers         []func(Change)
-	subscribers       []chan struct{}
+	// era is the highest era of the store that is known, if eraKnown is set. restoredAt is when a node that knew an earlier one heard of it,
+	// zero if this has not happened.
+	era         int64
+	eraKnown    bool
+	restoredAt  time.Time
+	observers   []func(Change)
+	subscribers []chan struct{}
 }
 
 // upstreamState is the current record of an upstream and what is needed to reject older ones.
@@ -113,8 +137,29 @@
 	return true
 }
 
-// ApplyUpstream merges an upstream record and reports whether it was accepted. It is rejected if its revision is not higher, or if
-// its announcement was made before the newest accepted one.
+// ObserveEra records an era of the store and reports whether it is the first one after an earlier era that was known, so that the store has
+// been restored from a copy.
+func (s *State) ObserveEra(era int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	restored := s.eraKnown && era > s.era
+	if restored {
+		s.restoredAt = s.now()
+	}
+	s.era, s.eraKnown = max(s.era, era), true
+	return restored
+}
+
+// Era returns the highest era of the store that is known, 0 if none is.
+func (s *State) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// ApplyUpstream merges an upstream record and reports whether it was accepted. It is rejected if it was not written after the recorded one,
+// or if its announcement was made before the newest accepted one. An announcement is also accepted if it was made later, but stored in an
+// era that is over.
 func (s *State) ApplyUpstream(u UpstreamRecord) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,13 +173,22 @@
 		current = &upstreamState{}
 		s.upstreams[u.ID] = current
 	}
-	if u.Revision <= current.Revision {
-		return false
+	isAfter := u.isAfter(current.UpstreamRecord)
+	if u.Announcement != nil && current.lastAnnouncement != nil {
+		order := compareAnnouncements(u.Announcement, current.lastAnnouncement)
+		switch {
+		case order < 0 && isAfter:
+			// The announcement is outdated: it was stored late, or the store was restored from a copy that holds it. The store holds it until
+			// the next one. Its place in the history is recorded, but the newer announcement stays.
+			current.Era, current.Revision = u.Era, u.Revision
+			return false
+		case order == 0 && s.isRevivedByCopy(u, current):
+			return false
+		case order > 0 && u.Era < current.Era && current.Announcement != nil:
+			u.Era, u.Revision, isAfter = current.Era, current.Revision, true
+		}
 	}
-	if u.Announcement != nil && current.lastAnnouncement != nil && announcedBefore(u.Announcement, current.lastAnnouncement) {
-		// The announcement was stored late and is outdated. The store holds it until the next one. Its revision is recorded, but
-		// the newer announcement stays.
-		current.Revision = u.Revision
+	if !isAfter {
 		return false
 	}
 	current.UpstreamRecord = u
@@ -147,31 +201,42 @@
 	return true
 }
 
-// announcedBefore reports whether the announcement a was made before b.
-func announcedBefore(a, b *catalog.Upstream) bool {
-	if a.StartedAtMillis != b.StartedAtMillis {
-		return a.StartedAtMillis < b.StartedAtMillis
-	}
-	return a.Sequence < b.Sequence
+// isRevivedByCopy reports whether a record repeats the last announcement of an upstream that was removed in an earlier era, while the store
+// may list it only because the copy was made before the removal. The caller holds mu.
+func (s *State) isRevivedByCopy(u UpstreamRecord, current *upstreamState) bool {
+	return current.Announcement == nil && u.Era > current.Era && !s.restoredAt.IsZero() && s.now().Sub(s.restoredAt) < copyRetention
 }
 
-// ApplyListing merges a complete list of the upstreams at a store revision. Upstreams that the list lacks are removed unless
-// their record is newer.
-func (s *State) ApplyListing(listing []UpstreamRecord, revision int64) {
+// compareAnnouncements compares two announcements of one upstream by the time at which they were made.
+func compareAnnouncements(a, b *catalog.Upstream) int {
+	return cmp.Or(cmp.Compare(a.StartedAtMillis, b.StartedAtMillis), cmp.Compare(a.Sequence, b.Sequence))
+}
+
+// ApplyListing merges a complete list of the upstreams. Upstreams that the list lacks are removed unless their record was written later, or
+// was written in an earlier era and the listing is not settled: the store may have lost their announcements in a restore. It reports whether
+// another listing is needed because of such upstreams, or because of listed ones that were not accepted yet.
+func (s *State) ApplyListing(listing Listing) (needsAnother bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	present := make(map[string]bool, len(listing))
-	for _, u := range listing {
+	present := make(map[string]bool, len(listing.Upstreams))
+	for _, u := range listing.Upstreams {
 		present[u.ID] = true
 		s.applyUpstream(u)
+		needsAnother = needsAnother || s.isRevivedByCopy(u, s.upstreams[u.ID])
 	}
 	for id, current := range s.upstreams {
-		if !present[id] && current.Announcement != nil && current.Revision < revision {
-			s.applyUpstream(UpstreamRecord{ID: id, Revision: revision})
+		removal := UpstreamRecord{ID: id, Era: listing.Era, Revision: listing.Revision}
+		switch {
+		case present[id] || current.Announcement == nil || !removal.isAfter(current.UpstreamRecord):
+		case current.Era < listing.Era && !listing.Settled:
+			needsAnother = true
+		default:
+			s.applyUpstream(removal)
 		}
 	}
 	s.upstreamsComplete = true
 	s.rebuild()
+	return needsAnother
 }
 
 // ApplyVersion merges a named version and reports whether it was added. For a version that is known already, the time of its naming
--- a/internal/fleet/state_test.go
+++ b/internal/fleet/state_test.go
@@ -52,7 +52,8 @@
 	s := fleet.NewState(nil)
 	s.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Revision: 5, Announcement: announced("gone", 1, catalog.Ready)})
 	s.ApplyUpstream(fleet.UpstreamRecord{ID: "new", Revision: 12, Announcement: announced("new", 1, catalog.Ready)})
-	s.ApplyListing([]fleet.UpstreamRecord{{ID: "kept", Revision: 7, Announcement: announced("kept", 1, catalog.Ready)}}, 10)
+	s.ApplyListing(fleet.Listing{Revision: 10,
+		Upstreams: []fleet.UpstreamRecord{{ID: "kept", Revision: 7, Announcement: announced("kept", 1, catalog.Ready)}}})
 	g.Expect(s.Snapshot().ByID("gone")).To(BeNil())
 	g.Expect(s.Snapshot().ByID("new")).NotTo(BeNil())
 	g.Expect(s.Snapshot().ByID("kept")).NotTo(BeNil())
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -22,13 +22,18 @@
 		out.ConfigVersion, out.ConfigRevision = config.Version, revision
 	}
 	for _, u := range upstreams {
-		out.Upstreams = append(out.Upstreams, message.FleetUpstream{ID: u.ID, Revision: u.Revision, Announcement: u.Announcement})
+		out.Upstreams = append(out.Upstreams, upstreamMessage(u))
 	}
 	out.Versions = versionMessages(versions)
 	m.setStaleness(out)
 	return out
 }
 
+// upstreamMessage returns the wire form of an upstream record.
+func upstreamMessage(u fleet.UpstreamRecord) message.FleetUpstream {
+	return message.FleetUpstream{ID: u.ID, Era: u.Era, Revision: u.Revision, Announcement: u.Announcement}
+}
+
 // versionMessages returns the wire form of version records.
 func versionMessages(records []fleet.VersionRecord) []message.FleetVersion {
 	var out []message.FleetVersion
@@ -44,10 +49,11 @@
 		AgeMillis: time.Since(v.NamedAt).Milliseconds(), AgeAssumed: v.AgeAssumed}
 }
 
-// setStaleness sets the staleness of this node's state. It also sets the version and revision of its configuration unless out has a version.
+// setStaleness sets the staleness of this node's state and the era of the store. It also sets the version and revision of its configuration unless out has a version.
 func (m *Mesh) setStaleness(out *message.FleetState) {
 	age, known := m.cfg.State.Staleness()
 	out.HasStaleness, out.StalenessMillis = known, age.Milliseconds()
+	out.Era = m.cfg.State.Era()
 	if out.ConfigVersion == 0 {
 		snap := m.cfg.State.Snapshot()
 		out.ConfigVersion, out.ConfigRevision = snap.ConfigVersion(), snap.ConfigRevision
@@ -63,6 +69,9 @@
 		m.sendConfig(p)
 		return
 	}
+	if state.ObserveEra(msg.Era) {
+		m.cfg.Log.Info("store was restored from an earlier copy", "era", msg.Era, "from", p.hello.NodeID)
+	}
 	if msg.Config == nil && msg.ConfigVersion > state.Snapshot().ConfigVersion() && isEntry(p) {
 		m.requestConfigLater(p, msg.ConfigVersion)
 	}
@@ -70,7 +79,7 @@
 		m.mergeConfig(p, msg)
 	}
 	for _, u := range msg.Upstreams {
-		state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Revision: u.Revision, Announcement: u.Announcement})
+		state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Era: u.Era, Revision: u.Revision, Announcement: u.Announcement})
 	}
 	for _, v := range msg.Versions {
 		m.mergeVersion(p, v)
@@ -231,8 +240,7 @@
 		case c.Config != nil:
 			config, toEntries.ConfigVersion, toEntries.ConfigRevision = c.Config, c.Config.Version, c.Revision
 		case c.Upstream != nil:
-			toEntries.Upstreams = append(toEntries.Upstreams,
-				message.FleetUpstream{ID: c.Upstream.ID, Revision: c.Upstream.Revision, Announcement: c.Upstream.Announcement})
+			toEntries.Upstreams = append(toEntries.Upstreams, upstreamMessage(*c.Upstream))
 		case c.Version != nil:
 			toEntries.Versions = append(toEntries.Versions, versionMessage(*c.Version))
 		}
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -16,6 +16,8 @@
 	RequestConfig bool            `msgpack:"p,omitempty"`
 	Upstreams     []FleetUpstream `msgpack:"u,omitempty"`
 	Versions      []FleetVersion  `msgpack:"v,omitempty"`
+	// Era is the highest era of the store that the sender knows.
+	Era int64 `msgpack:"er,omitempty"`
 	// StalenessMillis is the time since the sender's state was last known to be up to date. HasStaleness reports whether it is
 	// set.
 	HasStaleness    bool  `msgpack:"f,omitempty"`
@@ -24,10 +26,11 @@
 	UpstreamsComplete bool `msgpack:"l,omitempty"`
 }
 
-// FleetUpstream is the record of one upstream. Announcement is nil if the upstream is gone. Revision orders the records of an
+// FleetUpstream is the record of one upstream. Announcement is nil if the upstream is gone. Era and Revision order the records of an
 // upstream.
 type FleetUpstream struct {
 	ID           string            `msgpack:"id"`
+	Era          int64             `msgpack:"er,omitempty"`
 	Revision     int64             `msgpack:"r"`
 	Announcement *catalog.Upstream `msgpack:"e,omitempty"`
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -185,7 +185,7 @@
 		list = append(list, fleet.UpstreamRecord{ID: u.id, Revision: int64(2 + i), Announcement: &catalog.Upstream{ID: u.id, Service: "s",
 			Address: u.addr, DataCentre: "z", State: catalog.Ready, Slots: 6}})
 	}
-	state.ApplyListing(list, 9)
+	state.ApplyListing(fleet.Listing{Upstreams: list, Revision: 9})
 	loads, ledger, refusals := loadview.NewTable(nil), poison.New(nil), refusal.New(nil)
 	limiter := placement.NewPriorityLimiter(nil)
 	r := relay.New(relay.Config{Codec: codec{}, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
