directpath: announce entries again after a restore of the store

Nodes that started after a restore of the store could not find entries for up to two minutes: the restore takes the announcements and leases that were written since the copy, and an entry noticed it only when it renewed its lease. Worse, the restored store gives out lease IDs again: an entry that stopped then revoked a lease that belonged to another entry, and with it that entry's announcement.

An entry stores its announcement again under a new lease when it knows a later era of the store than that of its announcement, from its own calls or from other nodes; entries spread this over 2 s or more. A lease that was granted in another era than its key was written is not used. A stopping entry removes its key, if it is still the one it wrote, in place of revoking the lease.

--- a/internal/directpath/agent.go
+++ b/internal/directpath/agent.go
@@ -67,7 +67,7 @@
 
 // Run runs the agent until ctx ends. It always returns nil.
 func (a *Agent) Run(ctx context.Context) error {
-	registry := &registry{store: a.Store, lister: a.Store, mesh: a.mesh, self: a.self, ledger: a.poison, log: a.Log}
+	registry := &registry{store: a.Store, lister: a.Store, state: a.state, mesh: a.mesh, self: a.self, ledger: a.poison, log: a.Log}
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){a.mesh.Run, a.discover(registry), a.loader.Run, a.serveMetrics} {
 		wg.Add(1)
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -33,6 +33,8 @@
 	store.Lister
 	// Calls returns the number of calls that were sent to the store.
 	Calls() uint64
+	// Era returns the highest era that the store has stated, see store.Cursor.
+	Era() int64
 }
 
 // Node holds the settings that entries and agents share.
--- a/internal/directpath/registry.go
+++ b/internal/directpath/registry.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
@@ -29,6 +31,12 @@
 	// storeRetryPause is the pause before a retry after a failed call to the store. It is also the timeout of the call that removes
 	// the announcement on shutdown.
 	storeRetryPause = 700 * time.Millisecond
+	// eraCheckInterval is the time between checks whether the store has been restored from an earlier copy.
+	eraCheckInterval = time.Second
+	// minReannounceSpread is the shortest time over which the entries spread their announcements after a restore of the store.
+	// reannounceSpreadPerEntry lengthens it with the number of entries, so that two calls each stay far below the store's limits.
+	minReannounceSpread      = 2 * time.Second
+	reannounceSpreadPerEntry = 20 * time.Millisecond
 	// isolationCheckInterval is the time between checks whether the node has links to entries. A node without any lists the
 	// entries in the store.
 	isolationCheckInterval = time.Second
@@ -36,8 +44,9 @@
 
 // registry announces an entry in the store and finds the entries announced there.
 type registry struct {
-	store  store.Store
+	store  Store
 	lister store.Lister
+	state  *fleet.State
 	mesh   *mesh.Mesh
 	self   message.Hello
 	// ledger receives the stored verdicts on requests that crash upstreams.
@@ -45,50 +54,102 @@
 	log    logr.Logger
 }
 
-// announce stores the announcement of an entry and renews its lease until ctx ends, then removes it.
+// announcement is a stored announcement of this entry.
+type announcement struct {
+	lease store.LeaseID
+	// revision is that of the store at which the announcement was written.
+	revision int64
+	// era is the highest era of the store that was known then. In a later one, the announcement may be lost and the ID of its lease may belong
+	// to another node.
+	era int64
+}
+
+// announce stores the announcement of an entry and renews its lease until ctx ends, then removes it. After a restore of the store, it stores
+// the announcement again under a new lease.
 func (r *registry) announce(ctx context.Context) {
-	var lease store.LeaseID
+	var current announcement
 	for ctx.Err() == nil {
 		var err error
-		if lease == 0 {
-			lease, err = r.putAnnouncement(ctx)
+		if current.lease == 0 || r.era() > current.era {
+			current, err = r.putAnnouncement(ctx)
 		} else {
-			_, err = r.store.KeepAlive(ctx, lease)
+			_, err = r.store.KeepAlive(ctx, current.lease)
 			if errors.Is(err, store.ErrLeaseNotFound) {
-				lease = 0
+				current = announcement{}
 			}
 		}
 		if err != nil {
 			pause.For(ctx, storeRetryPause)
 			continue
 		}
-		pause.For(ctx, announcementRenewal)
+		r.awaitRenewal(ctx, current)
 	}
-	if lease != 0 {
+	if current.lease != 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), storeRetryPause)
 		defer cancel()
-		if err := r.store.Revoke(ctx, lease); err != nil {
+		if err := r.removeAnnouncement(ctx, current); err != nil {
 			r.log.V(1).Info("announcement could not be removed", "cause", err.Error())
 		}
 	}
 }
 
-// putAnnouncement stores the announcement under a new lease and returns the lease.
-func (r *registry) putAnnouncement(ctx context.Context) (store.LeaseID, error) {
+// era returns the highest era of the store that this node knows, from its own calls or from other nodes.
+func (r *registry) era() int64 { return max(r.store.Era(), r.state.Era()) }
+
+// awaitRenewal returns when the lease of an announcement has to be renewed, or at a random time after the era of the announcement has ended.
+func (r *registry) awaitRenewal(ctx context.Context, current announcement) {
+	for renewAt := time.Now().Add(announcementRenewal); ctx.Err() == nil && time.Now().Before(renewAt); pause.For(ctx, eraCheckInterval) {
+		if era := r.era(); era > current.era {
+			r.log.Info("announcement may be lost, storing it again", "era", era, "era_before", current.era)
+			pause.For(ctx, rand.N(max(minReannounceSpread, time.Duration(r.mesh.EntryCount())*reannounceSpreadPerEntry)))
+			return
+		}
+	}
+}
+
+// putAnnouncement stores the announcement under a new lease.
+func (r *registry) putAnnouncement(ctx context.Context) (announcement, error) {
 	value, err := json.Marshal(message.Member{NodeID: r.self.NodeID, Role: r.self.Role, DataCentre: r.self.DataCentre,
 		Region: r.self.Region, Address: r.self.Address, Incarnation: r.self.Incarnation})
 	if err != nil {
-		return 0, errors.Wrap(err, "directpath: encode announcement")
+		return announcement{}, errors.Wrap(err, "directpath: encode announcement")
+	}
+	era := r.era()
+	lease, revision, err := putLeased(ctx, r.store, entriesPrefix+r.self.NodeID, value, announcementTTL)
+	if err != nil {
+		return announcement{}, err
+	}
+	return announcement{lease: lease, revision: revision, era: max(era, r.store.Era())}, nil
+}
+
+// removeAnnouncement removes an announcement unless it has been replaced. It does not revoke the lease, which may belong to another node after
+// a restore of the store that this node has not heard of.
+func (r *registry) removeAnnouncement(ctx context.Context, current announcement) error {
+	key := entriesPrefix + r.self.NodeID
+	_, err := r.store.Txn(ctx, store.Txn{If: []store.Compare{{Key: key, Target: store.CompareMod, Revision: current.revision}},
+		Then: []store.Op{{Delete: &store.Delete{Key: key}}}})
+	return err
+}
+
+// putLeased writes a key under a new lease and returns the lease and the revision of the store. It fails with ErrRestored if the store was
+// restored meanwhile: the lease may then be lost, or the key bound to a lease of another node.
+func putLeased(ctx context.Context, s Store, key string, value []byte, ttl time.Duration) (store.LeaseID, int64, error) {
+	era := s.Era()
+	lease, err := s.Grant(ctx, ttl)
+	if err != nil {
+		return 0, 0, err
+	}
+	if era == 0 {
+		era = s.Era() // The call may have been the first one, which told the era.
 	}
-	lease, err := r.store.Grant(ctx, announcementTTL)
+	result, err := s.Txn(ctx, store.Txn{Then: []store.Op{{Put: &store.Put{Key: key, Value: value, Lease: lease}}}})
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	put := store.Op{Put: &store.Put{Key: entriesPrefix + r.self.NodeID, Value: value, Lease: lease}}
-	if _, err := r.store.Txn(ctx, store.Txn{Then: []store.Op{put}}); err != nil {
-		return 0, err
+	if s.Era() != era {
+		return 0, 0, errors.Wrapf(store.ErrRestored, "put %s", key)
 	}
-	return lease, nil
+	return lease, result.Revision, nil
 }
 
 // discover lists the entries in the store while this node has no link to one, until ctx ends. An entry also does so at its start,
--- /dev/null
+++ b/internal/directpath/registry_test.go
@@ -0,0 +1,48 @@
+package directpath
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/mesh"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/platform"
+	"github.com/pimentohead/pimentohead/platform/standin"
+)
+
+// newRegistry returns the registry of an entry without links.
+func newRegistry(id, storeAddress string) *registry {
+	self := message.Hello{NodeID: id, Role: message.RoleEntry, DataCentre: "z"}
+	state, client := fleet.NewState(nil), platform.NewStore(storeAddress)
+	return &registry{store: client, lister: client, state: state, self: self, log: logr.Discard(),
+		mesh: mesh.New(mesh.Config{Self: self, State: state, Log: logr.Discard()})}
+}
+
+// Guards against an entry that stops after a restore of the store and, by the ID of a lease that it had before, takes back the announcement of
+// another entry, to which the restored store has granted a lease with the same ID.
+func TestStoppedEntryDoesNotRemoveTheAnnouncementOfAnother(t *testing.T) {
+	g := NewWithT(t)
+	s := standin.NewStore()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	stopping, other := newRegistry("stopping", address), newRegistry("other", address)
+	ctx := context.Background()
+	copied := s.Copy()
+	before, err := stopping.putAnnouncement(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	s.Restore(copied)
+	after, err := other.putAnnouncement(ctx)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(after.lease).To(Equal(before.lease), "the restored store gives out the ID again")
+	g.Expect(stopping.removeAnnouncement(ctx, before)).To(Succeed())
+	g.Expect(s.Keys(entriesPrefix)).To(Equal([]string{entriesPrefix + "other"}))
+	g.Expect(other.removeAnnouncement(ctx, after)).To(Succeed())
+	g.Expect(s.Keys(entriesPrefix)).To(BeEmpty())
+}
