directpath: store verdicts again after a restore of the store

A verdict on requests that crash upstreams was lost for good if the store was restored from a copy made before it was stored: entries remember that it is stored, so none wrote it again, and after a restart of all entries the requests would crash upstreams again. When an entry learns of a later era of the store, stored verdicts count as lost until the entry that ranks first has written them again.

--- a/internal/directpath/verdicts.go
+++ b/internal/directpath/verdicts.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
@@ -32,10 +33,15 @@
 // verdictWriter stores verdicts on requests that crash upstreams, so that they outlive a restart of all entries. Entries tell each other
 // the evidence itself over links. Each verdict is written by the entry that ranks first for it; writing it twice does no harm.
 type verdictWriter struct {
-	store  store.Store
+	store  Store
+	state  *fleet.State
 	mesh   *mesh.Mesh
 	ledger *poison.Ledger
 	log    logr.Logger
+	// era is the era of the store in which verdicts were last looked through. lost holds the keys of verdicts that were stored in an earlier
+	// one, and may have been lost since in a restore of the store.
+	era  int64
+	lost map[string]bool
 }
 
 // run stores verdicts until ctx ends.
@@ -43,35 +49,48 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, verdictCheckInterval)
 		if !w.ledger.Active() {
+			w.era = w.state.Era()
 			continue
 		}
-		for _, v := range w.ledger.Verdicts() {
-			if w.ledger.IsStored(v) || !w.mesh.RanksFirst(v.Key()) {
+		verdicts := w.ledger.Verdicts()
+		w.noteLost(verdicts)
+		for _, v := range verdicts {
+			if w.ledger.IsStored(v) && !w.lost[v.Key()] || !w.mesh.RanksFirst(v.Key()) {
 				continue
 			}
 			if err := w.put(ctx, v); err != nil {
 				w.log.Info("verdict could not be stored, will retry", "subjects", v.Key(), "cause", err.Error())
 				continue
 			}
-			w.log.Info("verdict stored", "subjects", v.Key())
+			w.log.Info("verdict stored", "subjects", v.Key(), "again", w.lost[v.Key()])
+			delete(w.lost, v.Key())
 			w.ledger.Merge(&message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: v.Subjects}}})
 		}
 	}
 }
 
+// noteLost records the stored verdicts as lost when the store has been restored from an earlier copy since the last call.
+func (w *verdictWriter) noteLost(verdicts []poison.Verdict) {
+	era := w.state.Era()
+	if era <= w.era {
+		return
+	}
+	w.era, w.lost = era, map[string]bool{}
+	for _, v := range verdicts {
+		if w.ledger.IsStored(v) {
+			w.lost[v.Key()] = true
+		}
+	}
+}
+
 // put writes a verdict under a lease of poison.Retention.
 func (w *verdictWriter) put(ctx context.Context, v poison.Verdict) error {
 	value, err := json.Marshal(storedVerdict{Subjects: v.Subjects})
 	if err != nil {
 		return errors.Wrap(err, "directpath: encode verdict")
 	}
-	lease, err := w.store.Grant(ctx, poison.Retention)
-	if err != nil {
-		return err
-	}
 	hash := sha256.Sum256([]byte(v.Key()))
-	put := store.Op{Put: &store.Put{Key: verdictsPrefix + hex.EncodeToString(hash[:8]), Value: value, Lease: lease}}
-	_, err = w.store.Txn(ctx, store.Txn{Then: []store.Op{put}})
+	_, _, err = putLeased(ctx, w.store, verdictsPrefix+hex.EncodeToString(hash[:8]), value, poison.Retention)
 	return err
 }
 
