platform: one item that cannot be read does not make the response of the store unreadable

A page of a listing and the response of a watch were decoded as a whole. One item with a value that is not base64, or with a revision, a lease or a creation that is too large, a float or a text, made them fail: a node that starts did not become ready, and one that watches requested the response from the same revision again and again and followed no server any more.

Each response with such items is logged with one line.

--- a/cmd/pimentoheadd/platform.go
+++ b/cmd/pimentoheadd/platform.go
@@ -86,7 +86,8 @@
 	address := func(port int) string { return net.JoinHostPort(s.IP, strconv.Itoa(port)) }
 	node := directpath.Node{
 		ID: s.NodeName, DataCentre: s.DataCentre, Region: s.Region, LinkAddress: address(s.LinkPort), SeedAddress: s.SeedAddress,
-		MetricsAddress: address(s.MetricsPort), Secret: []byte(secret), Seeds: s.Seeds, Store: platform.NewStore(s.StoreAddress), Log: log,
+		MetricsAddress: address(s.MetricsPort), Secret: []byte(secret), Seeds: s.Seeds, Store: platform.NewStore(s.StoreAddress).LogTo(log),
+		Log:          log,
 		VersionApply: s.Bounds.VersionApply, RecoveryGrace: s.Bounds.RecoveryGrace, GracePeriod: s.Bounds.GracePeriod,
 	}
 	if role == message.RoleAgent {
