directpath: an odd announcement does not replace that of a real entry

Entries announce their link addresses in the store. Any JSON object was taken for such an announcement: one under the key of a real entry with a large incarnation replaced its address in all nodes, and later announcements of the entry counted as outdated, so that nodes without other links would not find it. Port 0, an unspecified address and the name of another node were accepted too.

An announcement has to name the entry of its key, a data centre, an address that can be dialled and a start that is not in the future. Stored verdicts need no change: odd ones are skipped, and one without subjects refuses nothing.

--- a/internal/directpath/registry.go
+++ b/internal/directpath/registry.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
-	"github.com/pimentohead/pimentohead/internal/mesh"
+	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
@@ -29,16 +29,24 @@
 	// storeRetryPause is the pause before a retry after a failed call to the store. It is also the timeout of the call that removes
 	// the announcement on shutdown.
 	storeRetryPause = 700 * time.Millisecond
+	// nanosPerMilli is the number of nanoseconds in a millisecond, the units of incarnations and start times.
+	nanosPerMilli = uint64(time.Millisecond)
 	// isolationCheckInterval is the time between checks whether the node has links to entries. A node without any lists the
 	// entries in the store.
 	isolationCheckInterval = time.Second
 )
 
+// memberSet is the part of mesh.Mesh that the registry uses.
+type memberSet interface {
+	AddMembers(members []message.Member)
+	LinkedEntryCount() int
+}
+
 // registry announces an entry in the store and finds the entries announced there.
 type registry struct {
 	store  store.Store
 	lister store.Lister
-	mesh   *mesh.Mesh
+	mesh   memberSet
 	self   message.Hello
 	// ledger receives the stored verdicts on requests that crash upstreams.
 	ledger *poison.Ledger
@@ -107,8 +115,8 @@
 	}
 }
 
-// findEntries lists the announced entries and passes them to the mesh, which links to them. Announcements that cannot be decoded
-// are logged and skipped. The same listing brings the verdicts that other entries have stored.
+// findEntries lists the announced entries and passes them to the mesh, which links to them. Announcements that are not those of
+// entries are logged and skipped. The same listing brings the verdicts that other entries have stored.
 func (r *registry) findEntries(ctx context.Context) error {
 	listing, err := r.lister.List(ctx, rootPrefix)
 	if err != nil {
@@ -123,8 +131,8 @@
 		if !strings.HasPrefix(kv.Key, entriesPrefix) {
 			continue
 		}
-		var m message.Member
-		if err := json.Unmarshal(kv.Value, &m); err != nil {
+		m, err := decodeAnnouncement(kv)
+		if err != nil {
 			r.log.Info("announcement cannot be read", "key", kv.Key, "cause", err.Error())
 			continue
 		}
@@ -133,3 +141,21 @@
 	r.mesh.AddMembers(members)
 	return nil
 }
+
+// decodeAnnouncement decodes the announcement of an entry. It returns an error if another writer may have left it: the mesh would replace
+// the announcement of a real entry by one with a later incarnation.
+func decodeAnnouncement(kv store.KV) (message.Member, error) {
+	var m message.Member
+	if err := json.Unmarshal(kv.Value, &m); err != nil {
+		return m, errors.Wrap(err, "directpath: decode announcement")
+	}
+	switch {
+	case entriesPrefix+m.NodeID != kv.Key || m.Role != message.RoleEntry || m.DataCentre == "":
+		return m, errors.New("directpath: announcement of another node")
+	case !catalog.IsDialable(m.Address):
+		return m, errors.New("directpath: announcement with an invalid address")
+	case !catalog.IsStartTime(int64(m.Incarnation / nanosPerMilli)):
+		return m, errors.New("directpath: announcement from the future")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/directpath/registry_test.go
@@ -0,0 +1,76 @@
+package directpath
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/platform/store"
+	"github.com/pimentohead/pimentohead/internal/poison"
+)
+
+// fixedListing is a store.Lister with a fixed listing.
+type fixedListing struct{ kvs []store.KV }
+
+func (l fixedListing) List(context.Context, string) (store.Listing, error) {
+	return store.Listing{KVs: l.kvs, Revision: 1}, nil
+}
+
+func (fixedListing) Poll(context.Context, string, int64, time.Duration) ([]store.Event, int64, error) {
+	return nil, 0, store.ErrUnavailable
+}
+
+// collector collects the members that a registry passes to the mesh.
+type collector struct{ members []message.Member }
+
+func (c *collector) AddMembers(members []message.Member) { c.members = append(c.members, members...) }
+
+func (*collector) LinkedEntryCount() int { return 0 }
+
+// Guards against an announcement of another writer that replaces that of a real entry, with an address where no entry is or with an
+// incarnation after which later announcements of the entry count as outdated, and against one that hides the others.
+func TestOddAnnouncementsAreSkipped(t *testing.T) {
+	sound := message.Member{NodeID: "edge-1", Role: message.RoleEntry, DataCentre: "z", Region: "r", Address: "10.0.0.1:7700",
+		Incarnation: uint64(time.Now().UnixNano())}
+	with := func(change func(*message.Member)) string {
+		m := sound
+		change(&m)
+		value, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(value)
+	}
+	for name, value := range map[string]string{
+		"empty": ``, "null": `null`, "list": `[]`, "number too large": `{"Incarnation":1e400}`, "no UTF-8": "\xff",
+		"far incarnation":  with(func(m *message.Member) { m.Incarnation = 1 << 63 }),
+		"other node":       with(func(m *message.Member) { m.NodeID = "edge-2" }),
+		"agent":            with(func(m *message.Member) { m.Role = message.RoleAgent }),
+		"no data centre":   with(func(m *message.Member) { m.DataCentre = "" }),
+		"no address":       with(func(m *message.Member) { m.Address = "" }),
+		"port too large":   with(func(m *message.Member) { m.Address = "10.0.0.1:70000" }),
+		"port 0":           with(func(m *message.Member) { m.Address = "10.0.0.1:0" }),
+		"unspecified host": with(func(m *message.Member) { m.Address = "0.0.0.0:7700" }),
+		"no IP":            with(func(m *message.Member) { m.Address = "somewhere:7700" }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			last := sound
+			last.NodeID = "edge-9"
+			lastValue, err := json.Marshal(last)
+			g.Expect(err).NotTo(HaveOccurred())
+			found := &collector{}
+			r := &registry{mesh: found, log: logr.Discard(), ledger: poison.New(nil), lister: fixedListing{kvs: []store.KV{
+				{Key: entriesPrefix + "edge-1", Value: []byte(value)}, {Key: entriesPrefix + "edge-9", Value: lastValue},
+				{Key: verdictsPrefix + "odd", Value: []byte(value)}}}}
+			g.Expect(r.findEntries(context.Background())).To(Succeed())
+			g.Expect(found.members).To(Equal([]message.Member{last}))
+			g.Expect(r.ledger.Verdicts()).To(BeEmpty())
+		})
+	}
+}
