--- a/internal/directpath/verdicts_test.go
+++ b/internal/directpath/verdicts_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
+	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/platform/standin"
@@ -25,7 +26,7 @@
 	ledger := poison.New(nil)
 	ledger.Merge(&message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: []string{"deadly"}}}})
 	r.state.ObserveEra(1)
-	writer := &verdictWriter{store: r.store, state: r.state, mesh: r.mesh, ledger: ledger, log: logr.Discard(), era: 1}
+	writer := &verdictWriter{store: r.store, state: r.state, mesh: r.mesh.(*mesh.Mesh), ledger: ledger, log: logr.Discard(), era: 1}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); writer.run(ctx) }()
