callerconn: idle connections of callers are closed without losing a request

Callers saw, beside a change of the configuration, whole requests that got neither an answer nor a refusal.

A lowered idle limit made all connections idle under the higher one due at once, although callers still reuse them.

Change: package callerconn wraps the connections of callers. Reading bytes and the decision to close exclude each other, and a connection is closed only if no byte of a request was read or is pending. A connection keeps the longest idle limit in force since its last request began, at most one minute if a lower one is in force, and a margin of 1 s. Time without a limit does not count.

--- /dev/null
+++ b/internal/callerconn/tracker.go
@@ -0,0 +1,109 @@
+// Package callerconn tracks the connections of callers to an HTTP server and closes idle ones. It closes no connection on which a part
+// of a request has been read: net/http reports a connection as idle until it has parsed the head of the next request, so its ConnState
+// hook alone cannot tell whether a request has arrived.
+package callerconn
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// IdleMargin is how long a connection is kept beyond its idle limit, so that a request that a caller sends just before the limit
+	// still arrives in time.
+	IdleMargin = time.Second
+	// MaxIdleHold bounds how long a connection is kept because of an idle limit that is no longer in force.
+	MaxIdleHold = time.Minute
+	// firstRequestWait is how long CloseIdle waits for the first request on a new connection.
+	firstRequestWait = 2 * time.Second
+	// headWait is how long a connection counts as in use after bytes of a request have been read on it, until the request is complete.
+	// It is not shorter than the ReadHeaderTimeout of the servers.
+	headWait = 15 * time.Second
+)
+
+// Tracker tracks the connections of one server: Listener and ConnState have to be used together. It is safe for concurrent use.
+type Tracker struct {
+	// limit returns the idle limit in force, 0 if there is none.
+	limit func() time.Duration
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// NewTracker returns a Tracker. limit returns the idle limit in force, 0 if there is none.
+func NewTracker(limit func() time.Duration) *Tracker {
+	return &Tracker{limit: limit, conns: map[*conn]struct{}{}}
+}
+
+// Listener returns l with connections that the Tracker tracks.
+func (t *Tracker) Listener(l net.Listener) net.Listener { return listener{Listener: l, tracker: t} }
+
+// listener wraps the connections that it accepts.
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(nc)
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	l.tracker.conns[c] = struct{}{}
+	return c, nil
+}
+
+// ConnState is the ConnState hook of the server.
+func (t *Tracker) ConnState(nc net.Conn, state http.ConnState) {
+	if secure, ok := nc.(*tls.Conn); ok {
+		nc = secure.NetConn()
+	}
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.conns, c)
+		return
+	}
+	c.setState(state, t.limit())
+}
+
+// all returns the tracked connections.
+func (t *Tracker) all() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*conn, 0, len(t.conns))
+	for c := range t.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// CloseExpired closes connections that have been idle for longer than the longest limit that was in force since the last request on them
+// began, plus IdleMargin. Callers reuse connections according to the limit that they know, which may be an earlier one.
+func (t *Tracker) CloseExpired() {
+	limit := t.limit()
+	for _, c := range t.all() {
+		c.closeIf(func() bool { return c.expired(limit) })
+	}
+}
+
+// CloseIdle closes the connections without a request and returns the number of those that are in use.
+func (t *Tracker) CloseIdle() (inUse int) {
+	for _, c := range t.all() {
+		if !c.closeIf(c.unused) {
+			inUse++
+		}
+	}
+	return inUse
+}
--- /dev/null
+++ b/internal/callerconn/tracker_test.go
@@ -0,0 +1,198 @@
+package callerconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// request is a whole request without a body.
+const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// server is an HTTP server whose connections are tracked.
+type server struct {
+	*Tracker
+	address string
+	limit   atomic.Int64
+	// handled counts the requests that reached the handler.
+	handled atomic.Int64
+}
+
+func newServer(t *testing.T) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{address: l.Addr().String()}
+	s.Tracker = NewTracker(func() time.Duration { return time.Duration(s.limit.Load()) })
+	httpServer := &http.Server{ConnState: s.ConnState, ReadHeaderTimeout: headWait,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			s.handled.Add(1)
+			time.Sleep(2 * time.Millisecond)
+			_, _ = io.WriteString(w, "ok")
+		})}
+	go func() { _ = httpServer.Serve(s.Listener(l)) }()
+	t.Cleanup(func() { _ = httpServer.Close() })
+	return s
+}
+
+// client is one connection to a server.
+type client struct {
+	net.Conn
+	answers *bufio.Reader
+}
+
+func (s *server) dial(t *testing.T) *client {
+	nc, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = nc.Close() })
+	return &client{Conn: nc, answers: bufio.NewReader(nc)}
+}
+
+// answered reads an answer and reports whether it is complete.
+func (c *client) answered() bool {
+	resp, err := http.ReadResponse(c.answers, nil)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil
+}
+
+// exchange sends a request and reports whether it is answered.
+func (c *client) exchange() bool {
+	_, _ = io.WriteString(c, request)
+	return c.answered()
+}
+
+// isIdle reports whether the server counts all its connections as idle.
+func (s *server) isIdle() bool {
+	for _, c := range s.all() {
+		c.mu.Lock()
+		idle := c.state == http.StateIdle
+		c.mu.Unlock()
+		if !idle {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against connections that are closed although a request has been read from them, also one that its handler has begun.
+func TestIdleConnectionsAreClosedWithoutLosingRequests(t *testing.T) {
+	g := NewWithT(t)
+	s := newServer(t)
+	const rounds, connections = 10, 100
+	for range rounds {
+		var clients []*client
+		for range connections {
+			c := s.dial(t)
+			g.Expect(c.exchange()).To(BeTrue())
+			clients = append(clients, c)
+		}
+		g.Eventually(s.isIdle).Should(BeTrue())
+		s.handled.Store(0)
+		var answers atomic.Int64
+		var wg sync.WaitGroup
+		for _, c := range clients {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				if c.exchange() {
+					answers.Add(1)
+				}
+			}()
+		}
+		s.CloseIdle()
+		wg.Wait()
+		g.Expect(answers.Load()).To(Equal(s.handled.Load()), "each request that reached the handler is answered")
+	}
+}
+
+// Guards against a connection that is closed while the head of a request is read from it, and against one that stays open for ever after a
+// part of a head.
+func TestConnectionWithPartOfARequestIsInUse(t *testing.T) {
+	g := NewWithT(t)
+	s := newServer(t)
+	c := s.dial(t)
+	g.Expect(c.exchange()).To(BeTrue())
+	_, _ = io.WriteString(c, request[:1])
+	tracked := s.all()[0]
+	g.Eventually(func() bool {
+		tracked.mu.Lock()
+		defer tracked.mu.Unlock()
+		return !tracked.inputAt.IsZero() && tracked.state == http.StateIdle
+	}).Should(BeTrue())
+	g.Expect(s.CloseIdle()).To(Equal(1))
+	_, _ = io.WriteString(c, request[1:])
+	g.Expect(c.answered()).To(BeTrue())
+
+	g.Eventually(s.isIdle).Should(BeTrue())
+	tracked.mu.Lock()
+	tracked.inputAt = time.Now().Add(-headWait)
+	tracked.mu.Unlock()
+	g.Expect(s.CloseIdle()).To(BeZero())
+}
+
+// Guards against idle limits that apply to connections which became idle under a longer one or none, and against connections that are never
+// closed.
+func TestIdleLimits(t *testing.T) {
+	for name, test := range map[string]struct {
+		before, after, idle time.Duration
+		closed              bool
+	}{
+		"within the limit and the margin": {before: 5 * time.Second, after: 5 * time.Second, idle: 5 * time.Second},
+		"beyond the limit":                {before: 5 * time.Second, after: 5 * time.Second, idle: 7 * time.Second, closed: true},
+		"lowered, within the earlier":     {before: 30 * time.Second, after: time.Second, idle: 30 * time.Second},
+		"lowered, beyond the earlier":     {before: 30 * time.Second, after: time.Second, idle: 32 * time.Second, closed: true},
+		"lowered from a very long one":    {before: time.Hour, after: time.Second, idle: MaxIdleHold + 2*time.Second, closed: true},
+		"raised":                          {before: time.Second, after: 30 * time.Second, idle: 29 * time.Second},
+		"raised, beyond":                  {before: time.Second, after: 30 * time.Second, idle: 32 * time.Second, closed: true},
+		"very long":                       {before: time.Hour, after: time.Hour, idle: 59 * time.Minute},
+		"lifted":                          {before: time.Second, idle: time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newServer(t)
+			s.limit.Store(int64(test.before))
+			g.Expect(s.dial(t).exchange()).To(BeTrue())
+			g.Eventually(s.isIdle).Should(BeTrue())
+			s.limit.Store(int64(test.after))
+			tracked := s.all()[0]
+			tracked.mu.Lock()
+			tracked.since = time.Now().Add(-test.idle)
+			tracked.mu.Unlock()
+			s.CloseExpired()
+			tracked.mu.Lock()
+			defer tracked.mu.Unlock()
+			g.Expect(tracked.closing).To(Equal(test.closed))
+		})
+	}
+}
+
+// Guards against connections that had no limit and are closed as soon as there is one.
+func TestIdleTimeWithoutALimitDoesNotCount(t *testing.T) {
+	g := NewWithT(t)
+	s := newServer(t)
+	g.Expect(s.dial(t).exchange()).To(BeTrue())
+	g.Eventually(s.isIdle).Should(BeTrue())
+	tracked := s.all()[0]
+	tracked.mu.Lock()
+	tracked.since = time.Now().Add(-time.Hour)
+	tracked.mu.Unlock()
+	s.CloseExpired()
+	s.limit.Store(int64(time.Second))
+	s.CloseExpired()
+	g.Expect(s.dial(t).exchange()).To(BeTrue())
+	g.Expect(tracked.closing).To(BeFalse())
+}
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/callerconn"
 	"github.com/pimentohead/pimentohead/internal/chunkcache"
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
 	"github.com/pimentohead/pimentohead/internal/h1"
@@ -58,7 +58,7 @@
 	pool    *h1.Pool
 	relay   *relay.Relay
 	leaving atomic.Bool
-	conns   idleConns
+	conns   *callerconn.Tracker
 }
 
 // NewEntry returns an entry. Run starts it.
@@ -69,6 +69,7 @@
 		return nil, err
 	}
 	e.components = c
+	e.conns = callerconn.NewTracker(e.idleLimit)
 	metrics, err := relay.NewMetrics(c.metrics.Meter)
 	if err != nil {
 		return nil, err
@@ -114,10 +115,10 @@
 	}
 	readyServer := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: time.Second}
 	go func() { _ = readyServer.Serve(ready) }()
-	server := &http.Server{Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, ConnState: e.conns.track,
+	server := &http.Server{Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, ConnState: e.conns.ConnState,
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.Log.V(1)), slog.LevelDebug)}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(callers) }()
+	go func() { served <- server.Serve(e.conns.Listener(callers)) }()
 	e.Log.Info("entry started", "node", e.ID, "data_centre", e.DataCentre)
 	select {
 	case err := <-served:
@@ -182,40 +183,15 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, sweepInterval)
 		e.pool.CloseExpired()
-		if index := e.state.Snapshot().Index; index != nil && index.Config.Limits.IdleTimeout > 0 {
-			e.conns.closeIdle(index.Config.Limits.IdleTimeout)
-		}
-	}
-}
-
-// idleConns records when each idle connection of a caller became idle.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-// track records a change of a connection's state. It is the ConnState hook of the server for callers.
-func (i *idleConns) track(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.since == nil {
-		i.since = map[net.Conn]time.Time{}
-	}
-	if state == http.StateIdle {
-		i.since[c] = time.Now()
-	} else {
-		delete(i.since, c)
+		e.conns.CloseExpired()
 	}
 }
 
-// closeIdle closes connections that have been idle for longer than limit.
-func (i *idleConns) closeIdle(limit time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
-		if time.Since(since) > limit {
-			_ = c.Close()
-			delete(i.since, c)
-		}
+// idleLimit returns how long the connection of a caller may stay idle according to the configuration in force, 0 for no limit.
+func (e *Entry) idleLimit() time.Duration {
+	index := e.state.Snapshot().Index
+	if index == nil {
+		return 0
 	}
+	return index.Config.Limits.IdleTimeout
 }
