relay, directpath: requests are refused or answered before a planned stop cuts them

Callers saw, in a planned stop of an entry, requests that came late in the grace time taken, passed on and cut without an answer at its end, among them requests that may not be repeated.

Cause: a leaving entry accepted requests without regard to the time left and closed the connections of those in progress at 0.92 of the grace time. http.Server.Shutdown also closes connections that it counts as idle, and drops a request that it has read after the shutdown began.

Change: a leaving entry refuses a request at once (503, not run, Connection: close, Retry-After 0.1 s) if neither its deadline nor 1.5 times the longest recent request of its class ends before 0.88 of the grace time. At that time, requests in progress get 502, or 503 if they have not run; a stream that has begun is aborted as before. The entry closes connections itself, once they have no request (callerconn), and no longer uses Shutdown. Requests that were taken before the stop are answered with Connection: close too.

The harness of package relay has the hook ServedUntil in place of ShuttingDown.

--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -45,8 +46,12 @@
 	// drainDelay is how long a stopping entry accepts new connections, at most half of GracePeriod. The load balancer notices that
 	// the entry is leaving within two readiness checks and opens no connections after that.
 	drainDelay = 3 * time.Second
-	// drainFraction is the fraction of GracePeriod after which requests still in progress are cut off.
-	drainFraction = 0.92
+	// servedFraction is the fraction of GracePeriod after which requests still in progress are ended with a final response, and
+	// drainFraction the one after which connections are closed whose callers have not received it.
+	servedFraction = 0.88
+	drainFraction  = 0.92
+	// drainPollInterval is the time between checks for connections in use while the entry stops.
+	drainPollInterval = 20 * time.Millisecond
 	// sweepInterval is the time between checks for idle connections.
 	sweepInterval = time.Second
 )
@@ -58,7 +63,9 @@
 	pool    *h1.Pool
 	relay   *relay.Relay
 	leaving atomic.Bool
-	conns   *callerconn.Tracker
+	// servedUntil is when a leaving entry ends the requests in progress; nil before.
+	servedUntil atomic.Pointer[time.Time]
+	conns       *callerconn.Tracker
 }
 
 // NewEntry returns an entry. Run starts it.
@@ -84,7 +91,7 @@
 		RetryBudget:     relay.NewRetryBudget(cfg.RetryBudgetRatio, cfg.RetryBudgetFixed, cfg.RetryBudgetWindow, c.mesh.EntryCount, nil),
 		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
 		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
-		ShuttingDown: e.leaving.Load,
+		ServedUntil: e.endOfService,
 	})
 	return e, nil
 }
@@ -125,7 +132,7 @@
 		return errors.Wrap(err, "directpath: serve callers")
 	case <-ctx.Done():
 	}
-	e.drain(server)
+	e.drain(callers, server)
 	cancel()
 	_ = readyServer.Close()
 	wg.Wait()
@@ -148,22 +155,46 @@
 	return nil
 }
 
-// drain makes the readiness check fail, accepts new connections for drainDelay, and waits for the requests in progress. It closes
-// the connections of those that are still in progress drainFraction of GracePeriod after it began.
-func (e *Entry) drain(server *http.Server) {
-	e.leaving.Store(true)
+// drain makes the readiness check fail, accepts new connections for drainDelay, and waits for the requests in progress. Until
+// servedFraction of GracePeriod the relay serves requests that it can finish in time; then it ends those in progress. Connections are
+// closed once they have no request: http.Server.Shutdown would also close those from which it has just read one.
+func (e *Entry) drain(callers net.Listener, server *http.Server) {
 	started := time.Now()
+	servedUntil := started.Add(time.Duration(float64(e.GracePeriod) * servedFraction))
+	e.servedUntil.Store(&servedUntil)
+	e.leaving.Store(true)
 	e.Log.Info("entry is leaving", "node", e.ID)
 	time.Sleep(min(drainDelay, e.GracePeriod/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(float64(e.GracePeriod)*drainFraction)))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		e.Log.Info("requests were still in progress at the end of the grace time", "cause", err.Error())
-		_ = server.Close()
+	_ = callers.Close()
+	if inUse := e.awaitCallers(servedUntil); inUse > 0 {
+		e.Log.Info("requests were still in progress at the end of the grace time", "connections", inUse)
+		e.relay.EndRequests()
+		e.awaitCallers(started.Add(time.Duration(float64(e.GracePeriod) * drainFraction)))
 	}
+	_ = server.Close()
 	e.Log.Info("entry stopped", "node", e.ID, "took_ms", time.Since(started).Milliseconds())
 }
 
+// awaitCallers closes the connections of callers as their requests end, until none is left or the deadline has passed. It returns the
+// number of connections that are in use.
+func (e *Entry) awaitCallers(deadline time.Time) (inUse int) {
+	for {
+		inUse = e.conns.CloseIdle()
+		if inUse == 0 || !time.Now().Before(deadline) {
+			return inUse
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// endOfService returns servedUntil, or the zero time while the entry is not leaving.
+func (e *Entry) endOfService() time.Time {
+	if until := e.servedUntil.Load(); until != nil {
+		return *until
+	}
+	return time.Time{}
+}
+
 // readiness returns the handler of the readiness check. It answers 503 while the entry is leaving or its fleet state is not
 // ready.
 func (e *Entry) readiness() http.Handler {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -343,6 +343,7 @@
 
 // copyHeaders copies the headers of an upstream's response to the response to the caller.
 func (x *exchange) copyHeaders(resp *http.Response) {
+	x.announceClose()
 	h := x.w.Header()
 	for name, values := range resp.Header {
 		if name != "Content-Length" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,8 +75,8 @@
 	DataCentre string
 	// VersionApplyWindow is the time after the naming of a version from which no request may start on older weights.
 	VersionApplyWindow time.Duration
-	// ShuttingDown reports whether the process is shutting down.
-	ShuttingDown func() bool
+	// ServedUntil returns the time at which a process that is shutting down ends the requests in progress, and the zero time otherwise.
+	ServedUntil func() time.Time
 }
 
 // Relay is the HTTP handler for callers' requests.
@@ -85,6 +85,11 @@
 	// endings finds out which upstreams have ended, inProgress holds the attempts that a verdict may end.
 	endings    endingTable
 	inProgress attemptTable
+	// durations holds how long requests took, to decide which ones can still be served during a shutdown.
+	durations durationTable
+	// shutdown is cancelled by endRequests.
+	shutdown    context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a Relay.
@@ -99,6 +104,7 @@
 		cfg.Refusals = refusal.New(nil)
 	}
 	r := &Relay{cfg: cfg}
+	r.shutdown, r.endRequests = context.WithCancel(context.Background())
 	cfg.Poison.ObserveVerdicts(func(verdicts []poison.Verdict) {
 		r.logVerdicts(verdicts)
 		r.inProgress.endPoisoned(verdicts)
@@ -150,15 +156,17 @@
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	received := time.Now()
-	if r.cfg.ShuttingDown() {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{relay: r, w: w, req: req, received: received, tried: map[string]bool{}, meta: r.cfg.Codec.ParseRequest(req.Header)}
 	if !x.admit() {
 		return
 	}
+	if x.outlastsShutdown() {
+		x.refuse(http.StatusServiceUnavailable, shutdownCode, shutdownRetryAfter)
+		return
+	}
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
+	defer context.AfterFunc(r.shutdown, func() { cancel(errShutdown) })()
 	timer := time.AfterFunc(time.Until(x.deadline), func() { cancel(errTimeout) })
 	defer timer.Stop()
 	x.ctx = ctx
@@ -281,6 +289,7 @@
 		result := x.attemptUpstream(d)
 		x.logAttempt(d, result)
 		if result.final {
+			x.relay.durations.record(x.trafficClass(), time.Since(x.received))
 			x.recordOutcome(result.outcome, result.status)
 			return
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,6 +158,9 @@
 	refusals *refusal.Table
 	limiter  *placement.PriorityLimiter
 	host     string
+	relay    *relay.Relay
+	// servedUntil is when the entry ends its requests because it shuts down; nil while it does not.
+	servedUntil *atomic.Pointer[time.Time]
 }
 
 // newEntry starts a relay with the given upstreams in its own data centre.
@@ -188,15 +192,21 @@
 	state.ApplyListing(list, 9)
 	loads, ledger, refusals := loadview.NewTable(nil), poison.New(nil), refusal.New(nil)
 	limiter := placement.NewPriorityLimiter(nil)
+	servedUntil := &atomic.Pointer[time.Time]{}
 	r := relay.New(relay.Config{Codec: codec{}, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
 		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: h1.NewPool(), Log: logr.Discard(),
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
-		RetryBudget:  relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
-		ShuttingDown: func() bool { return false }})
+		RetryBudget: relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
+		ServedUntil: func() time.Time {
+			if until := servedUntil.Load(); until != nil {
+				return *until
+			}
+			return time.Time{}
+		}})
 	server := httptest.NewServer(r)
 	t.Cleanup(server.Close)
 	return &entry{url: server.URL, state: state, loads: loads, poison: ledger, refusals: refusals, limiter: limiter,
-		host: "h"}
+		host: "h", relay: r, servedUntil: servedUntil}
 }
 
 // callResult is the caller's view of a response.
@@ -206,6 +216,8 @@
 	body    string
 	err     error
 	elapsed time.Duration
+	// closes is set if the response states that the connection is closed after it.
+	closes bool
 }
 
 // send posts a request to the entry. edit, if not nil, changes it first.
@@ -225,7 +237,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return callResult{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, elapsed: time.Since(started)}
+	return callResult{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, elapsed: time.Since(started),
+		closes: resp.Close}
 }
 
 // totalRequests returns the number of requests that the upstreams have received.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		x.relay.cfg.Log.Error(err, "response could not be encoded", "request", x.meta.ID)
 	}
+	x.announceClose()
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
 	x.relay.cfg.Codec.SetRefusalHeaders(h, x.meta.ID, retryAfter)
@@ -84,8 +85,12 @@
 // attempt reached an upstream.
 const declinedRetryAfter = 500 * time.Millisecond
 
-// endCancelled ends a request whose caller has disconnected or whose deadline has passed.
+// endCancelled ends a request whose caller has disconnected, whose deadline has passed or that the process cannot finish.
 func (x *exchange) endCancelled(cause error) {
+	if errors.Is(cause, errShutdown) {
+		x.endForShutdown()
+		return
+	}
 	if errors.Is(cause, errTimeout) {
 		if x.possibleRuns > 0 || x.sends > 0 {
 			x.respondFailure(http.StatusGatewayTimeout, "timeout", "unknown", 0)
--- /dev/null
+++ b/internal/relay/shutdown.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// shutdownCode is the reason in the responses to requests that a shutdown refuses or ends.
+	shutdownCode = "shutting-down"
+	// shutdownRetryAfter is the Retry-After sent with refusals while the process shuts down: other entries can serve the request at once.
+	shutdownRetryAfter = 100 * time.Millisecond
+	// durationMargin times the longest recent duration of a request of the same class is the time that a request is expected to take.
+	durationMargin = 1.5
+	// durationWindow is the time after which the recorded durations are replaced: those of the current and of the previous window count.
+	durationWindow = 30 * time.Second
+)
+
+// errShutdown is the cause with which the contexts of requests are cancelled that are in progress at the end of a shutdown.
+var errShutdown = errors.New("relay: the process shuts down")
+
+// EndRequests ends all requests in progress: each gets a final response, and a response that has begun is aborted. It is called once,
+// when the time to shut down is nearly over.
+func (r *Relay) EndRequests() { r.endRequests() }
+
+// announceClose tells the caller that the connection is closed after this response if the process is shutting down. It is called before
+// the head of the response is sent.
+func (x *exchange) announceClose() {
+	if !x.relay.cfg.ServedUntil().IsZero() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
+// outlastsShutdown reports whether the process is shutting down and may end before the request does.
+func (x *exchange) outlastsShutdown() bool {
+	servedUntil := x.relay.cfg.ServedUntil()
+	if servedUntil.IsZero() {
+		return false
+	}
+	if x.relay.shutdown.Err() != nil {
+		return true
+	}
+	end := x.deadline
+	if longest, ok := x.relay.durations.longest(x.trafficClass()); ok {
+		end = earlier(end, x.received.Add(time.Duration(durationMargin*float64(longest))))
+	}
+	return end.After(servedUntil)
+}
+
+// endForShutdown responds to a request that is in progress at the end of a shutdown.
+func (x *exchange) endForShutdown() {
+	if x.possibleRuns > 0 || x.responseStarted {
+		x.respondFailure(http.StatusBadGateway, shutdownCode, "unknown", 0)
+		return
+	}
+	x.refuse(http.StatusServiceUnavailable, shutdownCode, shutdownRetryAfter)
+}
+
+// durationTable holds the longest durations of recent requests by class. The zero value is ready for use.
+type durationTable struct {
+	mu sync.Mutex
+	// current holds the durations since began, previous those of the window before.
+	current, previous map[string]time.Duration
+	began             time.Time
+}
+
+// record adds a request that has been served.
+func (t *durationTable) record(class string, duration time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate()
+	t.current[class] = max(t.current[class], duration)
+}
+
+// longest returns the longest recent duration of a class, and false if none is known.
+func (t *durationTable) longest(class string) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate()
+	d := max(t.current[class], t.previous[class])
+	return d, d > 0
+}
+
+// rotate begins a new window if the current one is over. The caller holds mu.
+func (t *durationTable) rotate() {
+	age := time.Since(t.began)
+	if t.current != nil && age < durationWindow {
+		return
+	}
+	t.previous = t.current
+	if age >= 2*durationWindow {
+		t.previous = nil
+	}
+	t.current, t.began = map[string]time.Duration{}, time.Now()
+}
