entry: a graceful shutdown closes no connection while a request is read from it

Callers of the product's own entry could lose a request on a connection that was idle when a planned stop closed idle connections.

Cause: http.Server.Shutdown closes connections that it counts as idle, also one from which part of a request has been read, and drops a request that it reads after the shutdown began.

Change: the entry closes its listener and drains the connections with callerconn, as the direct path does (Tracker.Drain). The remote address of a tracked connection identifies it, because the connection limit and TLS wrap it.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -40,6 +40,15 @@
 	return c
 }
 
+// trackedAddr is the remote address of a tracked connection.
+type trackedAddr struct {
+	net.Addr
+	conn *conn
+}
+
+// RemoteAddr implements net.Conn. The address leads the Tracker to the connection, also if it is wrapped, for example by TLS.
+func (c *conn) RemoteAddr() net.Addr { return trackedAddr{c.Conn.RemoteAddr(), c} }
+
 // Read implements net.Conn. It takes no bytes from a connection that is being closed.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.raw == nil || len(p) == 0 {
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -4,11 +4,13 @@
 package callerconn
 
 import (
-	"crypto/tls"
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pimentohead/pimentohead/internal/pause"
 )
 
 const (
@@ -22,6 +24,8 @@
 	// headWait is how long a connection counts as in use after bytes of a request have been read on it, until the request is complete.
 	// It is not shorter than the ReadHeaderTimeout of the servers.
 	headWait = 15 * time.Second
+	// drainPollInterval is the time between the checks of Drain.
+	drainPollInterval = 20 * time.Millisecond
 )
 
 // Tracker tracks the connections of one server: Listener and ConnState have to be used together. It is safe for concurrent use.
@@ -62,13 +66,11 @@
 
 // ConnState is the ConnState hook of the server.
 func (t *Tracker) ConnState(nc net.Conn, state http.ConnState) {
-	if secure, ok := nc.(*tls.Conn); ok {
-		nc = secure.NetConn()
-	}
-	c, ok := nc.(*conn)
+	address, ok := nc.RemoteAddr().(trackedAddr)
 	if !ok {
 		return
 	}
+	c := address.conn
 	if state == http.StateClosed || state == http.StateHijacked {
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -98,6 +100,17 @@
 	}
 }
 
+// Drain closes the connections as their requests end, until none is left or ctx ends. It returns the number of connections in use.
+func (t *Tracker) Drain(ctx context.Context) (inUse int) {
+	for {
+		inUse = t.CloseIdle()
+		if inUse == 0 || ctx.Err() != nil {
+			return inUse
+		}
+		pause.For(ctx, drainPollInterval)
+	}
+}
+
 // CloseIdle closes the connections without a request and returns the number of those that are in use.
 func (t *Tracker) CloseIdle() (inUse int) {
 	for _, c := range t.all() {
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -50,8 +50,6 @@
 	// drainFraction the one after which connections are closed whose callers have not received it.
 	servedFraction = 0.88
 	drainFraction  = 0.92
-	// drainPollInterval is the time between checks for connections in use while the entry stops.
-	drainPollInterval = 20 * time.Millisecond
 	// sweepInterval is the time between checks for idle connections.
 	sweepInterval = time.Second
 )
@@ -166,27 +164,19 @@
 	e.Log.Info("entry is leaving", "node", e.ID)
 	time.Sleep(min(drainDelay, e.GracePeriod/2))
 	_ = callers.Close()
-	if inUse := e.awaitCallers(servedUntil); inUse > 0 {
+	ctx, cancel := context.WithDeadline(context.Background(), servedUntil)
+	defer cancel()
+	if inUse := e.conns.Drain(ctx); inUse > 0 {
 		e.Log.Info("requests were still in progress at the end of the grace time", "connections", inUse)
 		e.relay.EndRequests()
-		e.awaitCallers(started.Add(time.Duration(float64(e.GracePeriod) * drainFraction)))
+		ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(float64(e.GracePeriod)*drainFraction)))
+		defer cancel()
+		e.conns.Drain(ctx)
 	}
 	_ = server.Close()
 	e.Log.Info("entry stopped", "node", e.ID, "took_ms", time.Since(started).Milliseconds())
 }
 
-// awaitCallers closes the connections of callers as their requests end, until none is left or the deadline has passed. It returns the
-// number of connections that are in use.
-func (e *Entry) awaitCallers(deadline time.Time) (inUse int) {
-	for {
-		inUse = e.conns.CloseIdle()
-		if inUse == 0 || !time.Now().Before(deadline) {
-			return inUse
-		}
-		time.Sleep(drainPollInterval)
-	}
-}
-
 // endOfService returns servedUntil, or the zero time while the entry is not leaving.
 func (e *Entry) endOfService() time.Time {
 	if until := e.servedUntil.Load(); until != nil {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -33,13 +33,14 @@
 	return &http.Server{
 		Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxServerHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
+		ConnState:   e.callerConns.ConnState,
 		ErrorLog:    log.New(debugWriter{e.log}, "", 0),
 	}
 }
 
 // limitedCallerListener returns the caller listener with the limit on open connections, and with TLS if it is configured.
 func (e *Entry) limitedCallerListener() net.Listener {
-	return e.withTLS(netutil.LimitListener(e.callerListener, e.settings.Entry.MaxConnections))
+	return e.withTLS(netutil.LimitListener(e.callerConns.Listener(e.callerListener), e.settings.Entry.MaxConnections))
 }
 
 // serveCaller runs the filter chain for one request of a caller.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/callerconn"
 	"github.com/pimentohead/pimentohead/internal/certificate"
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
@@ -82,6 +83,8 @@
 	metrics      *metrics
 
 	callerListener, adminListener, linkListener net.Listener
+	// callerConns tracks the connections of callers. net/http enforces their idle timeout.
+	callerConns *callerconn.Tracker
 	// certificate is used by the caller and admin listeners; nil means that they do not use TLS.
 	certificate *certificate.Source
 	// tasks counts the running goroutines that Run has started, directly or not.
@@ -107,6 +110,7 @@
 		links:         newLinkSet(s.ID, s.Link.HeartbeatInterval.Std()),
 		peerViews:     newPeerViews(),
 		crashReports:  newCrashQueue(),
+		callerConns:   callerconn.NewTracker(func() time.Duration { return 0 }),
 		traffic:       &link.Traffic{},
 		linkCfg: link.Config{
 			Secret:            []byte(s.Link.Secret),
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -67,8 +67,9 @@
 	}
 }
 
-// drain marks this entry as leaving, waits for the shutdown delay so that the load balancer and the other entries notice, then stops
-// accepting requests and waits until those in progress have ended. It returns an error when the shutdown timeout cuts them off.
+// drain marks this entry as leaving, waits for the shutdown delay so that the load balancer and the other entries notice, then accepts
+// no more connections and waits until the requests in progress have ended. It returns an error when the shutdown timeout cuts them off.
+// It closes the connections itself: http.Server.Shutdown would also close those from which it has just read a request.
 func (e *Entry) drain(callerServer *http.Server) error {
 	e.log.Info("graceful shutdown begins")
 	e.leaving.Store(true)
@@ -76,7 +77,11 @@
 	time.Sleep(e.shutdownDelay)
 	ctx, stop := context.WithTimeout(context.Background(), e.settings.Shutdown.Timeout.Std())
 	defer stop()
-	err := callerServer.Shutdown(ctx)
+	_ = e.callerListener.Close()
+	var err error
+	if e.callerConns.Drain(ctx) > 0 {
+		err = ctx.Err()
+	}
 	for err == nil && e.dispatcher.ForwardedInFlight() > 0 {
 		select {
 		case <-ctx.Done():
@@ -84,8 +89,8 @@
 		case <-time.After(forwardedPollInterval):
 		}
 	}
+	_ = callerServer.Close()
 	if err != nil {
-		_ = callerServer.Close()
 		return errors.Wrap(err, "entry: requests in progress were cut off")
 	}
 	e.log.Info("graceful shutdown is complete")
