relay: answers state how long a connection may stay idle

Callers were not told the idle limit, so that they had to know the configuration that an entry uses, also after a change of it.

Change: answers carry Keep-Alive with the limit in force in whole seconds, at most one minute. callerconn keeps a connection for at least that long when the limit is lowered afterwards. Without a limit, with one below a second, and during a stop there is no such header.

Before the change, TestAnswersStateTheIdleLimit failed: "Expected to equal timeout=30".

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -343,7 +343,6 @@
 
 // copyHeaders copies the headers of an upstream's response to the response to the caller.
 func (x *exchange) copyHeaders(resp *http.Response) {
-	x.announceClose()
 	h := x.w.Header()
 	for name, values := range resp.Header {
 		if name != "Content-Length" {
@@ -356,4 +355,5 @@
 	if _, ok := resp.Header["Date"]; !ok {
 		h["Date"] = nil
 	}
+	x.setConnectionHeaders()
 }
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pimentohead/pimentohead/internal/callerconn"
 	"github.com/pimentohead/pimentohead/internal/placement"
 )
 
@@ -49,7 +51,7 @@
 	if err != nil {
 		x.relay.cfg.Log.Error(err, "response could not be encoded", "request", x.meta.ID)
 	}
-	x.announceClose()
+	x.setConnectionHeaders()
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
 	x.relay.cfg.Codec.SetRefusalHeaders(h, x.meta.ID, retryAfter)
@@ -57,6 +59,23 @@
 	_, _ = x.w.Write(text)
 }
 
+// setConnectionHeaders tells the caller how long its connection stays open after this response: not at all if the process is shutting down,
+// otherwise for the idle limit in force, which callerconn keeps to after a change. It is called before the head of the response is sent.
+func (x *exchange) setConnectionHeaders() {
+	h := x.w.Header()
+	if !x.relay.cfg.ServedUntil().IsZero() {
+		h.Set("Connection", "close")
+		return
+	}
+	if x.snapshot.Index == nil {
+		return
+	}
+	limit := min(x.snapshot.Index.Config.Limits.IdleTimeout, callerconn.MaxIdleHold)
+	if seconds := int(limit / time.Second); seconds > 0 {
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+	}
+}
+
 // failPlacement responds to a request for which no upstream was selected.
 func (x *exchange) failPlacement(d placement.Decision) {
 	code := string(d.Reason)
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -26,14 +26,6 @@
 // when the time to shut down is nearly over.
 func (r *Relay) EndRequests() { r.endRequests() }
 
-// announceClose tells the caller that the connection is closed after this response if the process is shutting down. It is called before
-// the head of the response is sent.
-func (x *exchange) announceClose() {
-	if !x.relay.cfg.ServedUntil().IsZero() {
-		x.w.Header().Set("Connection", "close")
-	}
-}
-
 // outlastsShutdown reports whether the process is shutting down and may end before the request does.
 func (x *exchange) outlastsShutdown() bool {
 	servedUntil := x.relay.cfg.ServedUntil()
