--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/callerconn"
 	"github.com/pimentohead/pimentohead/internal/chunkcache"
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
 	"github.com/pimentohead/pimentohead/internal/h1"
@@ -45,8 +46,10 @@
 	// drainDelay is how long a stopping entry accepts new connections, at most half of GracePeriod. The load balancer notices that
 	// the entry is leaving within two readiness checks and opens no connections after that.
 	drainDelay = 3 * time.Second
-	// drainFraction is the fraction of GracePeriod after which requests still in progress are cut off.
-	drainFraction = 0.92
+	// servedFraction is the fraction of GracePeriod after which requests still in progress are ended with a final response, and
+	// drainFraction the one after which connections are closed whose callers have not received it.
+	servedFraction = 0.88
+	drainFraction  = 0.92
 	// sweepInterval is the time between checks for idle connections.
 	sweepInterval = time.Second
 )
@@ -58,7 +61,9 @@
 	pool    *h1.Pool
 	relay   *relay.Relay
 	leaving atomic.Bool
-	conns   idleConns
+	// servedUntil is when a leaving entry ends the requests in progress; nil before.
+	servedUntil atomic.Pointer[time.Time]
+	conns       *callerconn.Tracker
 }
 
 // NewEntry returns an entry. Run starts it.
@@ -69,6 +74,7 @@
 		return nil, err
 	}
 	e.components = c
+	e.conns = callerconn.NewTracker(e.idleLimit)
 	metrics, err := relay.NewMetrics(c.metrics.Meter)
 	if err != nil {
 		return nil, err
@@ -83,7 +89,7 @@
 		RetryBudget:     relay.NewRetryBudget(cfg.RetryBudgetRatio, cfg.RetryBudgetFixed, cfg.RetryBudgetWindow, c.mesh.EntryCount, nil),
 		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
 		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
-		ShuttingDown: e.leaving.Load,
+		ServedUntil: e.endOfService,
 	})
 	return e, nil
 }
@@ -114,17 +120,17 @@
 	}
 	readyServer := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: time.Second}
 	go func() { _ = readyServer.Serve(ready) }()
-	server := &http.Server{Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, ConnState: e.conns.track,
+	server := &http.Server{Handler: e.relay, ReadHeaderTimeout: readHeaderTimeout, ConnState: e.conns.ConnState,
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(e.Log.V(1)), slog.LevelDebug)}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(callers) }()
+	go func() { served <- server.Serve(e.conns.Listener(callers)) }()
 	e.Log.Info("entry started", "node", e.ID, "data_centre", e.DataCentre)
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "directpath: serve callers")
 	case <-ctx.Done():
 	}
-	e.drain(server)
+	e.drain(callers, server)
 	cancel()
 	_ = readyServer.Close()
 	wg.Wait()
@@ -147,22 +153,38 @@
 	return nil
 }
 
-// drain makes the readiness check fail, accepts new connections for drainDelay, and waits for the requests in progress. It closes
-// the connections of those that are still in progress drainFraction of GracePeriod after it began.
-func (e *Entry) drain(server *http.Server) {
-	e.leaving.Store(true)
+// drain makes the readiness check fail, accepts new connections for drainDelay, and waits for the requests in progress. Until
+// servedFraction of GracePeriod the relay serves requests that it can finish in time; then it ends those in progress. Connections are
+// closed once they have no request: http.Server.Shutdown would also close those from which it has just read one.
+func (e *Entry) drain(callers net.Listener, server *http.Server) {
 	started := time.Now()
+	servedUntil := started.Add(time.Duration(float64(e.GracePeriod) * servedFraction))
+	e.servedUntil.Store(&servedUntil)
+	e.leaving.Store(true)
 	e.Log.Info("entry is leaving", "node", e.ID)
 	time.Sleep(min(drainDelay, e.GracePeriod/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(float64(e.GracePeriod)*drainFraction)))
+	_ = callers.Close()
+	ctx, cancel := context.WithDeadline(context.Background(), servedUntil)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		e.Log.Info("requests were still in progress at the end of the grace time", "cause", err.Error())
-		_ = server.Close()
+	if inUse := e.conns.Drain(ctx); inUse > 0 {
+		e.Log.Info("requests were still in progress at the end of the grace time", "connections", inUse)
+		e.relay.EndRequests()
+		ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(float64(e.GracePeriod)*drainFraction)))
+		defer cancel()
+		e.conns.Drain(ctx)
 	}
+	_ = server.Close()
 	e.Log.Info("entry stopped", "node", e.ID, "took_ms", time.Since(started).Milliseconds())
 }
 
+// endOfService returns servedUntil, or the zero time while the entry is not leaving.
+func (e *Entry) endOfService() time.Time {
+	if until := e.servedUntil.Load(); until != nil {
+		return *until
+	}
+	return time.Time{}
+}
+
 // readiness returns the handler of the readiness check. It answers 503 while the entry is leaving or its fleet state is not
 // ready.
 func (e *Entry) readiness() http.Handler {
@@ -182,40 +204,15 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, sweepInterval)
 		e.pool.CloseExpired()
-		if index := e.state.Snapshot().Index; index != nil && index.Config.Limits.IdleTimeout > 0 {
-			e.conns.closeIdle(index.Config.Limits.IdleTimeout)
-		}
+		e.conns.CloseExpired()
 	}
 }
 
-// idleConns records when each idle connection of a caller became idle.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-// track records a change of a connection's state. It is the ConnState hook of the server for callers.
-func (i *idleConns) track(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.since == nil {
-		i.since = map[net.Conn]time.Time{}
-	}
-	if state == http.StateIdle {
-		i.since[c] = time.Now()
-	} else {
-		delete(i.since, c)
-	}
-}
-
-// closeIdle closes connections that have been idle for longer than limit.
-func (i *idleConns) closeIdle(limit time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
-		if time.Since(since) > limit {
-			_ = c.Close()
-			delete(i.since, c)
-		}
+// idleLimit returns how long the connection of a caller may stay idle according to the configuration in force, 0 for no limit.
+func (e *Entry) idleLimit() time.Duration {
+	index := e.state.Snapshot().Index
+	if index == nil {
+		return 0
 	}
+	return index.Config.Limits.IdleTimeout
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -355,4 +355,5 @@
 	if _, ok := resp.Header["Date"]; !ok {
 		h["Date"] = nil
 	}
+	x.setConnectionHeaders()
 }
