soak: restore the store from copies of itself beside the other faults

The restores have a generator of their own, so that the sequences of the other faults stay what they were for each seed. The operator writes again what it wrote last, as on the platform.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -78,7 +78,8 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); c.sendRequests(rand.New(rand.NewPCG(seed, uint64(i)+2)), stop) }()
 	}
-	faultNames := fleet.injectFaults(rng, length)
+	restored := fleet.restoreStore(rand.New(rand.NewPCG(seed, callerCount+2)), length)
+	faultNames := append(fleet.injectFaults(rng, length), fmt.Sprintf("%d times store restored", <-restored))
 	c.awaitServing(recoveryTimeout, "after the last fault")
 	c.awaitNewestVersion()
 	close(stop)
@@ -168,9 +169,9 @@
 
 // awaitNewestVersion waits until all model servers have loaded the newest version.
 func (c *checker) awaitNewestVersion() {
-	c.fleet.versionMu.Lock()
+	c.fleet.operatorMu.Lock()
 	newestVersion := c.fleet.newestVersion
-	c.fleet.versionMu.Unlock()
+	c.fleet.operatorMu.Unlock()
 	deadline := time.Now().Add(recoveryTimeout)
 	for i, m := range c.fleet.models {
 		for {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -132,9 +132,14 @@
 
 // publishNextVersion publishes the next version of the model in the store.
 func (fleet *testFleet) publishNextVersion() {
-	fleet.versionMu.Lock()
-	defer fleet.versionMu.Unlock()
+	fleet.operatorMu.Lock()
+	defer fleet.operatorMu.Unlock()
 	fleet.newestVersion++
+	fleet.writeVersion()
+}
+
+// writeVersion writes the newest version of the model to the store. The caller holds operatorMu.
+func (fleet *testFleet) writeVersion() {
 	fleet.store.Put("op/version/m", map[string]any{"model": "m", "version": fleet.newestVersion})
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -44,9 +44,10 @@
 	agents        []*node
 	servers       []*http.Server
 	announceCount atomic.Int64
+	// configVersion is the version of the configuration that was written last.
 	configVersion atomic.Int64
-	// versionMu guards newestVersion, the version that was published last.
-	versionMu     sync.Mutex
+	// operatorMu serialises what the operator writes. It guards newestVersion, the version that was published last.
+	operatorMu    sync.Mutex
 	newestVersion int64
 	stop          chan struct{}
 }
@@ -118,10 +119,16 @@
 	return nil
 }
 
-// writeNextConfig writes the next configuration to the store. The path of one of its routes contains its version, so that callers
-// can see which configuration an entry uses.
+// writeNextConfig writes the next configuration to the store.
 func (fleet *testFleet) writeNextConfig() {
-	version := fleet.configVersion.Add(1)
+	fleet.operatorMu.Lock()
+	defer fleet.operatorMu.Unlock()
+	fleet.writeConfig(fleet.configVersion.Add(1))
+}
+
+// writeConfig writes a version of the configuration to the store. The path of one of its routes contains the version, so that callers can see
+// which configuration an entry uses. The caller holds operatorMu.
+func (fleet *testFleet) writeConfig(version int64) {
 	route := func(name, prefix, kind, service string, extra map[string]any) map[string]any {
 		r := map[string]any{"name": name, "host": "h.example", "prefix": prefix, "route_kind": kind, "timeout_ms": 4000,
 			"target_latency_ms": 400, "service": service, "max_attempts": 2}
