relay, h1: a silent upstream does not end a stream that no other can take over

Callers of streams got neither the rest nor an error that they could tell from a cut when a sound upstream fell silent for a second and went on: the entry ended the attempt after 850 ms without an event, and if no retry was possible (the route does not allow it, the attempts or the retry budget were used up, no other upstream) it closed the caller's connection, on which a part of the answer had been sent.

A stream is now ended for silence only if another attempt can take over. Otherwise the silence is waited out, for as long as the request lasts, and checked again every 850 ms. Bytes that form no event still end it.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -182,6 +182,10 @@
 	_ = c.nc.SetReadDeadline(deadline)
 }
 
+// OnReadTimeout sets a function that is called when a read times out. The read goes on for the time that it returns, and fails if that is 0.
+// A read that has failed leaves the response body unusable. nil, the default, lets each read fail.
+func (c *Conn) OnReadTimeout(f func() time.Duration) { c.input.onTimeout = f }
+
 // ClassifyReadError marks an error of reading the body as ErrBroken, also as ErrMalformed where it applies, or as ErrTimeout.
 func (c *Conn) ClassifyReadError(ctx context.Context, err error) error {
 	return c.classifyError(ctx, err, "read body")
--- a/internal/h1/input.go
+++ b/internal/h1/input.go
@@ -1,6 +1,11 @@
 package h1
 
-import "net"
+import (
+	"errors"
+	"net"
+	"os"
+	"time"
+)
 
 // inputReader reads from a connection. It can limit the number of bytes that it reads.
 type inputReader struct {
@@ -8,6 +13,8 @@
 	// limited is set while remaining is the number of bytes that may still be read.
 	limited   bool
 	remaining int
+	// onTimeout is as in Conn.OnReadTimeout.
+	onTimeout func() time.Duration
 }
 
 // limit lets n more bytes be read. Later reads fail with errHeadTooLarge.
@@ -19,12 +26,27 @@
 // Read implements io.Reader.
 func (r *inputReader) Read(p []byte) (int, error) {
 	if !r.limited {
-		return r.nc.Read(p)
+		return r.read(p)
 	}
 	if r.remaining <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := r.nc.Read(p[:min(len(p), r.remaining)])
+	n, err := r.read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
 	return n, err
 }
+
+// read reads from the connection, and goes on after a timeout for as long as onTimeout says.
+func (r *inputReader) read(p []byte) (int, error) {
+	for {
+		n, err := r.nc.Read(p)
+		if n > 0 || r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		wait := r.onTimeout()
+		if wait <= 0 {
+			return n, err
+		}
+		_ = r.nc.SetReadDeadline(time.Now().Add(wait))
+	}
+}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -51,14 +51,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.activeWindow(service)
-	allowed := usableShare * (b.ratio*float64(len(w.requests)) + b.fixed/float64(max(b.entryCount(), 1)))
-	if float64(len(w.retries)+1) > allowed {
+	if !b.hasRoom(w) {
 		return false
 	}
 	w.retries = append(w.retries, b.now())
 	return true
 }
 
+// Available reports whether the budget of a service has room for a retry.
+func (b *RetryBudget) Available(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasRoom(b.activeWindow(service))
+}
+
+// hasRoom reports whether a window has room for a retry. The caller holds mu.
+func (b *RetryBudget) hasRoom(w *serviceWindow) bool {
+	allowed := usableShare * (b.ratio*float64(len(w.requests)) + b.fixed/float64(max(b.entryCount(), 1)))
+	return float64(len(w.retries)+1) <= allowed
+}
+
 // activeWindow returns the window of a service without its expired times. The caller holds mu.
 func (b *RetryBudget) activeWindow(service string) *serviceWindow {
 	w := b.services[service]
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -345,12 +345,13 @@
 	return x.service + "/" + strconv.Itoa(x.route.Priority) + "/" + x.route.LatencyTarget.String()
 }
 
+// maxSends bounds how often a request is sent, including sends that upstreams declined. An attempt that was not sent is repeated while fewer
+// than maxSends upstreams have been tried.
+const maxSends = 4
+
 // mayRetry reports whether another attempt is allowed after one without a final response. It takes a retry from the budget,
 // except after an attempt that was not sent.
 func (x *exchange) mayRetry(res attemptResult) bool {
-	// maxSends bounds how often a request is sent, including sends that upstreams declined. An attempt that was not sent is repeated
-	// while fewer than maxSends upstreams have been tried.
-	const maxSends = 4
 	switch {
 	case res.kind == notSent:
 		return len(x.tried) < maxSends
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -23,6 +23,9 @@
 const (
 	// streamReadSize is the size of one read of a stream, in bytes.
 	streamReadSize = 8 << 10
+	// silenceTime is the time without a byte from which a stalled stream counts as silent. An upstream that sends bytes which form no event is
+	// not silent.
+	silenceTime = streamIdleTimeout / 2
 	// maxEventSize bounds one event, in bytes.
 	maxEventSize = 256 << 10
 )
@@ -36,11 +39,22 @@
 	var pending []byte
 	buf := make([]byte, streamReadSize)
 	awaitingFirst := true
+	lastRead := time.Now()
 	timeToFirst := time.Duration(0)
 	a.conn.SetReadTimeout(max(firstEventTimeout-time.Since(a.started), dialTimeout))
+	a.conn.OnReadTimeout(func() time.Duration {
+		if x.responseStarted && time.Since(lastRead) >= silenceTime && !x.canMove() {
+			return streamIdleTimeout
+		}
+		return 0
+	})
+	defer a.conn.OnReadTimeout(nil)
 	for {
 		n, err := resp.Body.Read(buf)
 		pending = append(pending, buf[:n]...)
+		if n > 0 {
+			lastRead = time.Now()
+		}
 		var newEvents int
 		var forwardErr error
 		pending, newEvents, forwardErr = x.forwardEvents(resp, pending)
@@ -68,6 +82,17 @@
 	}
 }
 
+// canMove reports whether another attempt could take over from a stream whose upstream is silent: there is an upstream for it and attempts and
+// budget for a retry. Otherwise the silence is waited out, because ending the attempt would end the caller's response.
+func (x *exchange) canMove() bool {
+	if x.sends >= maxSends || !x.route.MayRepeat() || x.possibleRuns >= x.route.MaxAttempts || !x.relay.cfg.RetryBudget.Available(x.service) {
+		return false
+	}
+	x.snapshot = x.relay.cfg.State.Snapshot()
+	list, _, _ := x.candidates(time.Now())
+	return len(list) > 0
+}
+
 // finishStream handles the regular end of a response body. pending is the incomplete event at its end.
 func (a *upstreamAttempt) finishStream(resp *http.Response, pending []byte, timeToFirst time.Duration) attemptResult {
 	x := a.x
