relay, platform: no requests to an upstream that has said that it leaves

What callers saw: an upstream that leaves says so in all its answers (Server-Leaving), often before the store does. No code read it, so entries went on sending requests to it until the store said the same; while the store was out of reach they did so until it ended, and the requests broke off with it.

Cause: the header was unknown to platform.HeaderCodec.

The relay leaves such a process out and checks again immediately before it sends. Connections to it that break are planned exits, as for the state draining.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -159,7 +159,7 @@
 // outcome returns the outcome of the attempt for the upstream's failure statistics.
 func (a *upstreamAttempt) outcome(res attemptResult) placement.Outcome {
 	switch {
-	case context.Cause(a.ctx) != nil && !res.final && !a.bodyOverdue:
+	case context.Cause(a.ctx) != nil && !res.final && !a.bodyOverdue, errors.Is(res.cause, errUnavailable):
 		return placement.Abandoned
 	case res.final && !a.serverError:
 		return placement.Succeeded
@@ -173,9 +173,15 @@
 // roundTrip sends the request and forwards the response according to its type.
 func (a *upstreamAttempt) roundTrip() attemptResult {
 	x := a.x
+	out := a.buildRequest()
+	if x.relay.availability.Blocked(processOf(a.upstream)) {
+		x.relay.cfg.RateLimits.Return(limitedUpstream(a.upstream))
+		x.lastFailure = "upstream takes no requests"
+		return attemptResult{kind: notSent, cause: errUnavailable}
+	}
 	x.sends++
 	//nolint:bodyclose // Closing a body reads it to its end; the connection is closed or returned to the pool instead.
-	resp, err := a.conn.Do(a.ctx, a.buildRequest(), a.headTimeout(), func(resp *http.Response) bool {
+	resp, err := a.conn.Do(a.ctx, out, a.headTimeout(), func(resp *http.Response) bool {
 		return x.ownsResponse(x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header.Clone()))
 	})
 	if errors.Is(err, h1.ErrNotSent) {
@@ -192,6 +198,7 @@
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
 	a.answerBegan = time.Now()
 	a.recordRateLimit(parsed)
+	a.recordAvailability(parsed)
 	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
 		return a.handleDeclined(resp, parsed)
@@ -225,6 +232,11 @@
 	return parsed.ID == x.meta.ID || parsed.ID == "" && !parsed.NotRun
 }
 
+// fromOther reports whether another upstream responded, which has the address now.
+func (a *upstreamAttempt) fromOther(parsed request.Response) bool {
+	return parsed.Misdirected && parsed.Instance != "" && parsed.Instance != a.upstream.ID
+}
+
 // extraRunsAfter returns attemptResult.extraRuns for a failed attempt: 1 if the connection was closed or reset, which usually means that
 // the upstream has terminated, or if the attempt was ended before it began (see endWithVersion), and 0 otherwise.
 func extraRunsAfter(err error) int {
@@ -281,7 +293,7 @@
 	x := a.x
 	x.lastFailure = "declined"
 	switch {
-	case parsed.Misdirected && parsed.Instance != "" && parsed.Instance != a.upstream.ID:
+	case a.fromOther(parsed):
 		x.lastFailure = "wrong instance"
 		x.relay.cfg.Tracker.MarkReplaced(a.upstream.ID, a.upstream.Sequence)
 	case parsed.Misdirected:
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -12,7 +12,7 @@
 // out because of their rate limit.
 func (x *exchange) candidates(now time.Time) (list []placement.Candidate, eligible int, limited rateLimited) {
 	for _, u := range x.snapshot.Upstreams(x.service) {
-		if u.State != catalog.Ready || x.tried[u.ID] {
+		if u.State != catalog.Ready || x.relay.availability.Status(processOf(u)).Leaving || x.tried[u.ID] {
 			continue
 		}
 		eligible++
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -88,10 +88,11 @@
 		StartedAtMillis: a.upstream.StartedAtMillis, Request: x.meta.ID, Subjects: x.subjects(), Begun: begun})
 }
 
-// isPlannedExit reports whether the upstream is leaving or has left the list already. The list loses a crashed upstream only later.
+// isPlannedExit reports whether the upstream is leaving, as it or the list says, or has left the list already. The list loses a crashed
+// upstream only later.
 func (a *upstreamAttempt) isPlannedExit() bool {
 	u := a.x.relay.cfg.State.Snapshot().ByID(a.upstream.ID)
-	return u == nil || u.State != catalog.Ready
+	return u == nil || u.State != catalog.Ready || a.x.relay.availability.Status(processOf(a.upstream)).Leaving
 }
 
 // awaitVerdict waits for the decision whether the last attempt ended its upstream, if another attempt could end one more.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -18,6 +18,8 @@
 	latency  metric.Float64Histogram
 	// outdatedStarts counts the requests that began on a version of the weights whose time was over.
 	outdatedStarts metric.Int64Counter
+	// availabilityChanges counts what upstreams have said about taking requests.
+	availabilityChanges metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -35,7 +37,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "relay: create the counter of outdated starts")
 	}
-	return &Metrics{outcomes: outcomes, latency: latency, outdatedStarts: outdatedStarts}, nil
+	availabilityChanges, err := meter.Int64Counter("pimentohead_relay_availability_changes")
+	if err != nil {
+		return nil, errors.Wrap(err, "relay: create the counter of changes of availability")
+	}
+	return &Metrics{outcomes: outcomes, latency: latency, outdatedStarts: outdatedStarts,
+		availabilityChanges: availabilityChanges}, nil
 }
 
 // RecordOutcome records a finished request. kind is the kind of its route, rank its scheduling rank, outcome its result, status the
@@ -58,3 +65,11 @@
 	}
 	m.outdatedStarts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
+
+// RecordAvailabilityChange counts a change of what an upstream takes from this entry.
+func (m *Metrics) RecordAvailabilityChange(change string) {
+	if m == nil || m.availabilityChanges == nil {
+		return
+	}
+	m.availabilityChanges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
+}
--- a/internal/relay/rate_limit.go
+++ b/internal/relay/rate_limit.go
@@ -55,8 +55,8 @@
 
 // recordRateLimit records the rate limit that the upstream names in a response, or that it names none.
 func (a *upstreamAttempt) recordRateLimit(parsed request.Response) {
-	if parsed.Misdirected && parsed.Instance != "" && parsed.Instance != a.upstream.ID {
-		return // Another upstream responded.
+	if a.fromOther(parsed) {
+		return
 	}
 	if parsed.RateLimitUnreadable {
 		a.x.relay.cfg.Log.Info("upstream names a rate limit that cannot be read", "upstream", a.upstream.ID, "request", a.x.meta.ID)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/availability"
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/h1"
@@ -82,6 +83,8 @@
 // Relay is the HTTP handler for callers' requests.
 type Relay struct {
 	cfg Config
+	// availability holds what upstreams have said about taking requests from this entry.
+	availability *availability.Table
 	// endings finds out which upstreams have ended, inProgress holds the attempts that a verdict may end.
 	endings    endingTable
 	inProgress attemptTable
@@ -99,6 +102,7 @@
 		cfg.Refusals = refusal.New(nil)
 	}
 	r := &Relay{cfg: cfg}
+	r.availability = availability.New(availability.Config{Observe: r.observeAvailability})
 	cfg.Poison.ObserveVerdicts(func(verdicts []poison.Verdict) {
 		r.logVerdicts(verdicts)
 		r.inProgress.endPoisoned(verdicts)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -29,7 +29,10 @@
 )
 
 // codec is a minimal request.Codec with its own header names. Wait is the caller's timeout in milliseconds.
-type codec struct{}
+type codec struct {
+	// prepared, if not nil, is called with the headers of each request that is about to be sent to an upstream.
+	prepared func(http.Header)
+}
 
 func (codec) ParseRequest(h http.Header) request.Metadata {
 	ms, _ := strconv.Atoi(h.Get("Wait"))
@@ -38,17 +41,20 @@
 		PromptTokens: 100, PromptParts: strings.Split(h.Get("Parts"), ",")}
 }
 
-func (codec) PrepareUpstreamHeaders(h http.Header, out request.UpstreamMetadata) {
+func (c codec) PrepareUpstreamHeaders(h http.Header, out request.UpstreamMetadata) {
 	h.Del("Key")
 	h.Set("Customer", out.Customer)
 	h.Set("For", out.Instance)
 	h.Set("Left", strconv.FormatInt(out.Remaining.Milliseconds(), 10))
 	h.Set("After", strconv.FormatInt(out.LastEventID, 10))
+	if c.prepared != nil {
+		c.prepared(h)
+	}
 }
 
 func (codec) ParseResponse(status int, h http.Header) request.Response {
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
-	return request.Response{ID: h.Get("Id"), Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
+	return request.Response{ID: h.Get("Id"), Leaving: h.Get("Leaving") != "", Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest, Instance: h.Get("Instance"), RateLimit: limit, HasRateLimit: err == nil,
 		RateLimitUnreadable: err != nil && h.Get("Limit") != ""}
 }
@@ -161,6 +167,11 @@
 
 // newEntry starts a relay with the given upstreams in its own data centre.
 func newEntry(t *testing.T, upstreams ...*upstream) *entry {
+	return newEntryWithCodec(t, codec{}, upstreams...)
+}
+
+// newEntryWithCodec is newEntry with a codec.
+func newEntryWithCodec(t *testing.T, c codec, upstreams ...*upstream) *entry {
 	state := fleet.NewState(nil)
 	targets := []catalog.Target{{Service: "s", Weight: 1}}
 	routes := []catalog.Route{
@@ -188,7 +199,7 @@
 	state.ApplyListing(list, 9)
 	loads, ledger, refusals := loadview.NewTable(nil), poison.New(nil), refusal.New(nil)
 	limiter := placement.NewPriorityLimiter(nil)
-	r := relay.New(relay.Config{Codec: codec{}, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
+	r := relay.New(relay.Config{Codec: c, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
 		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: h1.NewPool(), Log: logr.Discard(),
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget:  relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -74,6 +74,10 @@
 	// RateLimitUnreadable is set if the upstream names a limit that cannot be read. It says nothing about the limit then, not even that
 	// there is none.
 	RateLimitUnreadable bool
+	// Leaving is set when the upstream leaves and takes no new requests.
+	Leaving bool
+	// Unreadable holds the headers on the upstream's availability whose values cannot be read, as "name: value". They say nothing.
+	Unreadable []string
 	// Version is the version of the weights, 0 if not given.
 	Version int64
 	// IdleTimeout is the time after which the upstream closes an idle connection, 0 if not given.
