relay, platform: no requests to an upstream within the pause that it has asked for

What callers saw: an upstream that refuses a request with 503 may name in Retry-After for how long it wants nothing from the entry. No code read it: the entry sent the next request there at once, which was refused too, and callers were told to come back before the pause was over.

Cause: the header was unknown to platform.HeaderCodec, and candidates had no notion of a time from which they take requests.

Change: the header of a 503 is decoded into request.Response.RetryAfter; a value that cannot be read is logged, bounded, and ignored. Package availability keeps the pause under the ID and start time of the process, bounded to 10 min; the pause that ends last holds. After it, requests return by slow start, which each entry begins after a random part of a quarter of the pause. The relay leaves a pausing process out, checks again immediately before it sends, and refuses at once with the reason upstreams-pause and the time until the first pause ends if nothing else can take the request. The counting of upstreams that are left out, which rate limits had, is now in left_out.go for both.

--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -5,8 +5,10 @@
 package availability
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 )
 
 // maxProcesses bounds the processes of which statements are kept. Beyond it the oldest statement is forgotten.
@@ -21,9 +23,15 @@
 // Change is what an entry begins to believe of a process.
 type Change uint8
 
-// Changes. Leaving means that the process gets no more requests.
+// Changes of what a process takes.
 const (
+	// Leaving means that the process gets no more requests.
 	Leaving Change = iota + 1
+	// Pausing means that the process gets no requests for some time, Resuming that this time is over and requests return gradually,
+	// Available that they have returned.
+	Pausing
+	Resuming
+	Available
 )
 
 // String returns the name of the change in logs and metrics.
@@ -31,6 +39,12 @@
 	switch c {
 	case Leaving:
 		return "leaving"
+	case Pausing:
+		return "pausing"
+	case Resuming:
+		return "resuming"
+	case Available:
+		return "available"
 	default:
 		return "unknown"
 	}
@@ -40,25 +54,34 @@
 type Event struct {
 	Process Process
 	Change  Change
-	// Request is the ID of the request whose answer made the statement.
+	// Request is the ID of the request whose answer made the statement, empty if the change follows from time and results.
 	Request string
+	// RetryAfter is the pause that the process has named, before it is bounded; 0 for other changes.
+	RetryAfter time.Duration
 }
 
 // Config holds the dependencies of a Table.
 type Config struct {
 	// Observe is called for each change, with the table locked. It must neither block nor call the table. nil selects no observer.
 	Observe func(Event)
+	// Now is the clock, Random returns a random number from 0 to 1. nil selects time.Now and rand.Float64.
+	Now    func() time.Time
+	Random func() float64
 }
 
 // Status says whether a process takes a request.
 type Status struct {
 	// Leaving is set if the process takes no requests any more.
 	Leaving bool
+	// Wait is the time until the process takes a request, as far as known; 0 if it takes one now.
+	Wait time.Duration
 }
 
 // record is what one process has said.
 type record struct {
 	leaving bool
+	// pause is nil unless the process pauses or requests return after a pause.
+	pause *pauseState
 }
 
 // Table holds the statements of upstreams. It is safe for concurrent use.
@@ -77,6 +100,12 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Event) {}
 	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
 	return &Table{cfg: cfg, records: map[Process]*record{}}
 }
 
@@ -101,7 +130,7 @@
 	if r == nil {
 		return Status{}
 	}
-	return Status{Leaving: r.leaving}
+	return Status{Leaving: r.leaving, Wait: t.wait(p, r)}
 }
 
 // Blocked reports whether a request that has been placed at a process may not be sent any more, because of what the process has said since.
@@ -109,7 +138,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[p]
-	return r != nil && r.leaving
+	return r != nil && (r.leaving || r.pause != nil && t.cfg.Now().Before(r.pause.resumeAt))
 }
 
 // record returns the record of a process and adds it if it is missing. The caller holds mu.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -89,7 +89,7 @@
 			tracked.End(placement.Failed)
 			x.relay.cfg.Tracker.MarkSuspect(u.ID, unreachableSuspectTime)
 		}
-		x.relay.cfg.RateLimits.Return(limitedUpstream(u))
+		x.giveBack(u)
 		x.lastFailure = "unreachable"
 		return attemptResult{kind: notSent, cause: err, duration: time.Since(started)}
 	}
@@ -175,30 +175,37 @@
 	x := a.x
 	out := a.buildRequest()
 	if x.relay.availability.Blocked(processOf(a.upstream)) {
-		x.relay.cfg.RateLimits.Return(limitedUpstream(a.upstream))
+		delete(x.tried, a.upstream.ID) // It counts as an upstream that pauses or leaves.
+		x.giveBack(a.upstream)
 		x.lastFailure = "upstream takes no requests"
 		return attemptResult{kind: notSent, cause: errUnavailable}
 	}
 	x.sends++
+	sentAt := time.Now()
 	//nolint:bodyclose // Closing a body reads it to its end; the connection is closed or returned to the pool instead.
 	resp, err := a.conn.Do(a.ctx, out, a.headTimeout(), func(resp *http.Response) bool {
 		return x.ownsResponse(x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header.Clone()))
 	})
 	if errors.Is(err, h1.ErrNotSent) {
 		x.sends--
-		x.relay.cfg.RateLimits.Return(limitedUpstream(a.upstream))
+		x.giveBack(a.upstream)
 		x.lastFailure = "not sent"
 		return attemptResult{kind: notSent, cause: err}
 	}
 	if err != nil {
 		x.possibleRuns++
 		x.lastFailure = "no answer"
+		if context.Cause(a.ctx) == nil {
+			x.relay.availability.RecordResult(processOf(a.upstream), sentAt, false)
+		}
 		return attemptResult{kind: mayHaveRun, cause: err, extraRuns: extraRunsAfter(err)}
 	}
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
 	a.answerBegan = time.Now()
 	a.recordRateLimit(parsed)
 	a.recordAvailability(parsed)
+	x.relay.availability.RecordResult(processOf(a.upstream), sentAt,
+		resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests)
 	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
 		return a.handleDeclined(resp, parsed)
--- a/internal/relay/availability.go
+++ b/internal/relay/availability.go
@@ -5,6 +5,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/availability"
 	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/request"
 )
 
@@ -29,11 +30,31 @@
 	if parsed.Leaving {
 		x.relay.availability.RecordLeaving(processOf(a.upstream), x.meta.ID)
 	}
+	x.relay.availability.RecordPause(processOf(a.upstream), parsed.RetryAfter, x.meta.ID)
+}
+
+// take takes a request to an upstream from its rate limit and from what it takes after a pause. It reports false and the
+// reason if there is none left.
+func (x *exchange) take(u *catalog.Upstream) (reason placement.Reason, ok bool) {
+	if !x.relay.availability.Take(processOf(u)) {
+		return upstreamsPause, false
+	}
+	if !x.relay.cfg.RateLimits.Take(limitedUpstream(u)) {
+		x.relay.availability.Return(processOf(u))
+		return rateLimitReached, false
+	}
+	return "", true
+}
+
+// giveBack gives back a request that was taken and not sent.
+func (x *exchange) giveBack(u *catalog.Upstream) {
+	x.relay.availability.Return(processOf(u))
+	x.relay.cfg.RateLimits.Return(limitedUpstream(u))
 }
 
 // observeAvailability logs and counts a change of what an upstream takes.
 func (r *Relay) observeAvailability(e availability.Event) {
 	r.cfg.Log.Info("availability of upstream changed", "upstream", e.Process.ID, "started", e.Process.StartedAtMillis,
-		"change", e.Change.String(), "request", e.Request)
+		"change", e.Change.String(), "request", e.Request, "retry_after_ms", e.RetryAfter.Milliseconds())
 	r.cfg.Metrics.RecordAvailabilityChange(e.Change.String())
 }
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -8,25 +8,32 @@
 	"github.com/pimentohead/pimentohead/internal/placement"
 )
 
-// candidates returns the upstreams that can take the request. eligible counts those that are ready and untried, limited those left
-// out because of their rate limit.
-func (x *exchange) candidates(now time.Time) (list []placement.Candidate, eligible int, limited rateLimited) {
+// candidates returns the upstreams that can take the request, and what is known of the others.
+func (x *exchange) candidates(now time.Time) (list []placement.Candidate, out leftOut) {
 	for _, u := range x.snapshot.Upstreams(x.service) {
-		if u.State != catalog.Ready || x.relay.availability.Status(processOf(u)).Leaving || x.tried[u.ID] {
+		status := x.relay.availability.Status(processOf(u))
+		switch {
+		case u.State != catalog.Ready || status.Leaving:
+			continue
+		case status.Wait > 0:
+			out.addWait(upstreamsPause, status.Wait)
+			continue
+		case x.tried[u.ID]:
+			out.tried++
 			continue
 		}
-		eligible++
 		c, ok := x.candidate(u, now)
 		if !ok {
+			out.unqualified++
 			continue
 		}
 		if available, wait := x.relay.cfg.RateLimits.Available(limitedUpstream(u)); !available {
-			limited.add(wait)
+			out.addWait(rateLimitReached, wait)
 			continue
 		}
 		list = append(list, c)
 	}
-	return list, eligible, limited
+	return list, out
 }
 
 // candidate describes an upstream to package placement. It returns false if the upstream cannot take the request.
--- /dev/null
+++ b/internal/relay/left_out.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/placement"
+)
+
+// Reasons for which a request is refused while all upstreams that could take it have reached their rate limits or have asked for a pause.
+const (
+	rateLimitReached placement.Reason = "rate-limit"
+	upstreamsPause   placement.Reason = "upstreams-pause"
+)
+
+const (
+	// minRefusalWait is the shortest Retry-After sent with these reasons.
+	minRefusalWait = 300 * time.Millisecond
+	// maxRateLimitWait bounds the Retry-After sent with rateLimitReached. Shares change with demand, so that a long wait means little.
+	maxRateLimitWait = 1900 * time.Millisecond
+	// maxPauseWait bounds the Retry-After sent with upstreamsPause to the longest that callers observe. pauseWaitSpread is the time
+	// within which callers are spread after a pause, while requests return gradually.
+	maxPauseWait    = 10 * time.Second
+	pauseWaitSpread = 500 * time.Millisecond
+)
+
+// leftOut describes the ready upstreams that cannot take a request.
+type leftOut struct {
+	// tried counts those that have been tried and do not pause, unqualified those that are no candidates, for example because of their
+	// version.
+	tried, unqualified int
+	// waiting counts those that take a request later. wait is the shortest time until one of them does, reason why that one does not
+	// take it now.
+	waiting int
+	wait    time.Duration
+	reason  placement.Reason
+}
+
+// addWait counts an upstream that may get a request after wait.
+func (o *leftOut) addWait(reason placement.Reason, wait time.Duration) {
+	if o.waiting == 0 || wait < o.wait {
+		o.wait, o.reason = wait, reason
+	}
+	o.waiting++
+}
+
+// refusal returns the refusal d with the reason why there were no candidates.
+func (o *leftOut) refusal(d placement.Decision) placement.Decision {
+	switch {
+	case d.Reason != placement.NoUpstream:
+	case o.waiting > 0 && o.reason == upstreamsPause:
+		wait := o.wait + rand.N(pauseWaitSpread)
+		if o.tried+o.unqualified > 0 {
+			wait = min(wait, d.RetryAfter) // One of these may be able to take the request before the end of the pause.
+		}
+		d.Reason, d.RetryAfter = upstreamsPause, min(max(wait, minRefusalWait), maxPauseWait)
+	case o.waiting > 0:
+		d.Reason, d.RetryAfter = rateLimitReached, min(max(o.wait, minRefusalWait), maxRateLimitWait)
+	case o.unqualified > 0:
+		d.Reason = placement.NoVersion
+	}
+	return d
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -311,11 +311,11 @@
 	poisonRetryAfter                  = 10 * time.Second
 )
 
-// place selects the upstream for the next attempt, or returns a refusal. The request is taken from the rate limit of the upstream.
+// place selects the upstream for the next attempt, or returns a refusal. The request is taken from what the upstream takes.
 func (x *exchange) place() placement.Decision {
 	now := time.Now()
 	x.snapshot = x.relay.cfg.State.Snapshot()
-	list, eligible, limited := x.candidates(now)
+	list, out := x.candidates(now)
 	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
 		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted || x.possibleRuns > 0,
 		Returning: x.returning,
@@ -323,13 +323,14 @@
 	for {
 		d := placement.Choose(q, list)
 		if d.Upstream == nil {
-			return refusalReason(d, eligible, limited)
+			return out.refusal(d)
 		}
-		if x.relay.cfg.RateLimits.Take(limitedUpstream(d.Upstream)) {
+		reason, ok := x.take(d.Upstream)
+		if ok {
 			return d
 		}
-		// Another request has taken the last one of the limit meanwhile.
-		limited.add(minRateLimitWait)
+		// Another request has taken the last one meanwhile.
+		out.addWait(reason, minRefusalWait)
 		list = slices.DeleteFunc(list, func(c placement.Candidate) bool { return c.Upstream == d.Upstream })
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -53,8 +53,9 @@
 }
 
 func (codec) ParseResponse(status int, h http.Header) request.Response {
+	pause, _ := time.ParseDuration(h.Get("Pause"))
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
-	return request.Response{ID: h.Get("Id"), Leaving: h.Get("Leaving") != "", Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
+	return request.Response{ID: h.Get("Id"), Leaving: h.Get("Leaving") != "", RetryAfter: pause, Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest, Instance: h.Get("Instance"), RateLimit: limit, HasRateLimit: err == nil,
 		RateLimitUnreadable: err != nil && h.Get("Limit") != ""}
 }
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -74,12 +74,23 @@
 	case x.possibleRuns > 0:
 		x.respondFailure(http.StatusBadGateway, "upstream-failed", "unknown", 0)
 	case res.kind == declined:
-		x.refuse(http.StatusServiceUnavailable, "upstreams-declined", declinedRetryAfter)
+		x.refuse(http.StatusServiceUnavailable, "upstreams-declined", x.retryAfterDeclined())
 	default:
 		x.refuse(http.StatusServiceUnavailable, "upstreams-unreachable", declinedRetryAfter)
 	}
 }
 
+// retryAfterDeclined returns the Retry-After sent when upstreams have declined the request: until one of them takes requests again, if all
+// pause.
+func (x *exchange) retryAfterDeclined() time.Duration {
+	list, out := x.candidates(time.Now())
+	if len(list) > 0 || out.reason != upstreamsPause {
+		return declinedRetryAfter
+	}
+	d := out.refusal(placement.Decision{Reason: placement.NoUpstream, RetryAfter: declinedRetryAfter})
+	return min(max(d.RetryAfter, declinedRetryAfter), time.Until(x.deadline)/3)
+}
+
 // declinedRetryAfter is the Retry-After sent when upstreams were full or unreachable, or when the deadline passed before any
 // attempt reached an upstream.
 const declinedRetryAfter = 500 * time.Millisecond
