relay: a 421 of another upstream does not count as a request that was served

What callers saw: nothing yet. After a pause of an upstream, a 421 of another one that has its address now would have counted as a request that the pausing upstream has served, and more requests would have followed.

Cause: the result of an attempt was recorded without a look at who responded, unlike the statements in the response.

Change: both are recorded in one place, after that look.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -203,9 +203,7 @@
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
 	a.answerBegan = time.Now()
 	a.recordRateLimit(parsed)
-	a.recordAvailability(parsed)
-	x.relay.availability.RecordResult(processOf(a.upstream), sentAt,
-		resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests)
+	a.recordAvailability(parsed, resp.StatusCode, sentAt)
 	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
 		return a.handleDeclined(resp, parsed)
--- a/internal/relay/availability.go
+++ b/internal/relay/availability.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"net/http"
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/pimentohead/pimentohead/internal/availability"
@@ -17,24 +20,27 @@
 	return availability.Process{ID: u.ID, StartedAtMillis: u.StartedAtMillis}
 }
 
-// recordAvailability records what the upstream says in a response about taking requests from this entry.
-func (a *upstreamAttempt) recordAvailability(parsed request.Response) {
+// recordAvailability records what the upstream says, in its response to a request that was sent at sentAt, about taking requests from this
+// entry, and whether it has served the request.
+func (a *upstreamAttempt) recordAvailability(parsed request.Response, status int, sentAt time.Time) {
 	if a.fromOther(parsed) {
 		return
 	}
-	x := a.x
+	x, process := a.x, processOf(a.upstream)
 	for _, header := range parsed.Unreadable {
 		x.relay.cfg.Log.Info("upstream header cannot be read", "upstream", a.upstream.ID, "started", a.upstream.StartedAtMillis,
 			"header", header, "request", x.meta.ID)
 	}
 	if parsed.Leaving {
-		x.relay.availability.RecordLeaving(processOf(a.upstream), x.meta.ID)
+		x.relay.availability.RecordLeaving(process, x.meta.ID)
 	}
-	x.relay.availability.RecordPause(processOf(a.upstream), parsed.RetryAfter, x.meta.ID)
+	x.relay.availability.RecordPause(process, parsed.RetryAfter, x.meta.ID)
+	served := status < http.StatusInternalServerError && status != http.StatusTooManyRequests
+	x.relay.availability.RecordResult(process, sentAt, served)
 }
 
-// take takes a request to an upstream from its rate limit and from what it takes after a pause. It reports false and the
-// reason if there is none left.
+// take takes a request to an upstream from its rate limit and from what it takes after a pause. It reports false and
+// the reason if there is none left.
 func (x *exchange) take(u *catalog.Upstream) (reason placement.Reason, ok bool) {
 	if !x.relay.availability.Take(processOf(u)) {
 		return upstreamsPause, false
--- a/internal/relay/availability_test.go
+++ b/internal/relay/availability_test.go
@@ -74,7 +74,7 @@
 	g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(200))
 	g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(503))
 	restarted.Store(true)
-	e.announceStart(u, time.Now())
+	e.announceProcess(u, 1, 1)
 	g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(200))
 }
 
@@ -96,7 +96,7 @@
 	}()
 	g.Eventually(held, "5s").Should(BeClosed())
 	g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(200))
-	e.announceStart(other, time.Now())
+	e.announceProcess(other, 1, 1)
 	close(resume)
 	var answer callResult
 	g.Eventually(result, "5s").Should(Receive(&answer))
@@ -105,10 +105,29 @@
 	g.Expect(other.requests()).To(HaveLen(1))
 }
 
-// announceStart announces a process of an upstream that started at the given time.
-func (e *entry) announceStart(u *upstream, started time.Time) {
-	e.state.ApplyUpstream(fleet.UpstreamRecord{ID: u.id, Revision: 100, Announcement: &catalog.Upstream{ID: u.id, Service: "s",
-		Address: u.addr, DataCentre: "z", State: catalog.Ready, Slots: 6, StartedAtMillis: started.UnixMilli()}})
+// announceProcess announces a process of an upstream.
+func (e *entry) announceProcess(u *upstream, startedAtMillis, sequence int64) {
+	e.state.ApplyUpstream(fleet.UpstreamRecord{ID: u.id, Revision: 100 + sequence, Announcement: &catalog.Upstream{ID: u.id, Service: "s",
+		Address: u.addr, DataCentre: "z", State: catalog.Ready, Slots: 6, StartedAtMillis: startedAtMillis, Sequence: sequence}})
+}
+
+// Guards against an upstream that is held back by what another upstream says, which had its address for some time.
+func TestStatementOfAnotherUpstreamIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	var returned atomic.Bool
+	u := newUpstream(t, "u", func(nc net.Conn, req *http.Request) {
+		if returned.Load() {
+			respondOK(nc, req)
+			return
+		}
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 421 x\r\nId: %s\r\nInstance: another\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+			req.Header.Get("Id"))
+	})
+	e := newEntry(t, u)
+	g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(503))
+	returned.Store(true)
+	e.announceProcess(u, 0, 1)
+	g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(200))
 }
 
 // pauseFirst returns a script that refuses the first request and asks for a pause, and answers all others. Requests that arrive in the
@@ -192,7 +211,7 @@
 	e := newEntry(t, u)
 	g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(503))
 	g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(503))
-	e.announceStart(u, time.Now())
+	e.announceProcess(u, 1, 1)
 	g.Expect(e.send(context.Background(), "/look/1", nil).status).To(Equal(200))
 }
 
