soak: servers that say that they pause or leave

Beside the faults, random servers refuse requests for 0.2 s with a pause of 0.8 or 1.5 s, or say for 1 s that they leave and restart then. The statements have a generator of their own, so that a seed still gives the same sequence of faults. The summary counts them. The soak checks that all its promises hold beside them; it does not judge the two rules on the statements themselves, because it cannot tell a request that a frozen entry or a fault proxy has held from one that was sent late. The tests in platform do.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -78,7 +78,14 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); c.sendRequests(rand.New(rand.NewPCG(seed, uint64(i)+2)), stop) }()
 	}
+	statements := make(chan struct{})
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		fleet.injectStatements(rand.New(rand.NewPCG(seed, callerCount+2)), statements)
+	}()
 	faultNames := fleet.injectFaults(rng, length)
+	close(statements)
 	c.awaitServing(recoveryTimeout, "after the last fault")
 	c.awaitNewestVersion()
 	close(stop)
@@ -95,7 +102,8 @@
 	for _, r := range c.results {
 		counts[r.status]++
 	}
-	summary := fmt.Sprintf("%d requests %v, faults: %s", len(c.results), counts, strings.Join(faultNames, ", "))
+	summary := fmt.Sprintf("%d requests %v, %d statements of servers, faults: %s", len(c.results), counts, c.fleet.statements.Load(),
+		strings.Join(faultNames, ", "))
 	var err error
 	if len(c.findings) > 0 && logDir != "" {
 		err = c.fleet.copyLogs(filepath.Join(logDir, fmt.Sprintf("seed-%d", seed)))
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -45,6 +45,8 @@
 	servers       []*http.Server
 	announceCount atomic.Int64
 	configVersion atomic.Int64
+	// statements counts how often a server has said that it pauses or leaves.
+	statements atomic.Int64
 	// versionMu guards newestVersion, the version that was published last.
 	versionMu     sync.Mutex
 	newestVersion int64
