--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/availability"
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/h1"
@@ -82,6 +83,8 @@
 // Relay is the HTTP handler for callers' requests.
 type Relay struct {
 	cfg Config
+	// availability holds what upstreams have said about taking requests from this entry.
+	availability *availability.Table
 	// endings finds out which upstreams have ended, inProgress holds the attempts that a verdict may end.
 	endings    endingTable
 	inProgress attemptTable
@@ -105,6 +108,7 @@
 	}
 	r := &Relay{cfg: cfg}
 	r.shutdown, r.endRequests = context.WithCancel(context.Background())
+	r.availability = availability.New(availability.Config{Observe: r.observeAvailability})
 	cfg.Poison.ObserveVerdicts(func(verdicts []poison.Verdict) {
 		r.logVerdicts(verdicts)
 		r.inProgress.endPoisoned(verdicts)
@@ -316,11 +320,11 @@
 	poisonRetryAfter                  = 10 * time.Second
 )
 
-// place selects the upstream for the next attempt, or returns a refusal. The request is taken from the rate limit of the upstream.
+// place selects the upstream for the next attempt, or returns a refusal. The request is taken from what the upstream takes.
 func (x *exchange) place() placement.Decision {
 	now := time.Now()
 	x.snapshot = x.relay.cfg.State.Snapshot()
-	list, eligible, limited := x.candidates(now)
+	list, out := x.candidates(now)
 	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
 		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted || x.possibleRuns > 0,
 		Returning: x.returning,
@@ -328,13 +332,14 @@
 	for {
 		d := placement.Choose(q, list)
 		if d.Upstream == nil {
-			return refusalReason(d, eligible, limited)
+			return out.refusal(d)
 		}
-		if x.relay.cfg.RateLimits.Take(limitedUpstream(d.Upstream)) {
+		reason, ok := x.take(d.Upstream)
+		if ok {
 			return d
 		}
-		// Another request has taken the last one of the limit meanwhile.
-		limited.add(minRateLimitWait)
+		// Another request has taken the last one meanwhile.
+		out.addWait(reason, minRefusalWait)
 		list = slices.DeleteFunc(list, func(c placement.Candidate) bool { return c.Upstream == d.Upstream })
 	}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -89,7 +89,7 @@
 		return false
 	}
 	x.snapshot = x.relay.cfg.State.Snapshot()
-	list, _, _ := x.candidates(time.Now())
+	list, _ := x.candidates(time.Now())
 	return len(list) > 0
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -46,6 +46,8 @@
 	announceCount atomic.Int64
 	// configVersion is the version of the configuration that was written last.
 	configVersion atomic.Int64
+	// statements counts how often a server has said that it pauses or leaves.
+	statements atomic.Int64
 	// operatorMu serialises what the operator writes. It guards newestVersion, the version that was published last.
 	operatorMu    sync.Mutex
 	newestVersion int64
