catalogsync: end the reannounce period on time

Requests could reach an upstream for more than 5 s after the store had reported its removal, if the removal came right after the store's return from an outage or a restore: removals are put off until the listing at the end of the reannounce period of 2.2 s, but a poll that waited for changes held that listing back by up to 3 s more. A poll now waits no longer than until the next listing is due.

TestReannouncePeriodEndsOnTime failed before (2.4 s after the restore: Expected <bool>: true to be false) and passes.

--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -66,3 +66,22 @@
 		g.Expect(has(s, "silent")).To(BeTrue())
 	})
 }
+
+// Guards against requests to an upstream that left right after a restore, for up to a poll of 3 s longer than the reannounce period.
+func TestReannouncePeriodEndsOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("up/leaves", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.restore(2, map[string]string{"conf": "7", "up/leaves": "1"})
+		time.Sleep(time.Second)
+		m.remove("up/leaves")
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(has(s, "leaves")).To(BeTrue(), "it may announce itself again")
+		time.Sleep(900 * time.Millisecond)
+		g.Expect(has(s, "leaves")).To(BeFalse())
+	})
+}
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -209,6 +209,11 @@
 	if !w.failingSince.IsZero() {
 		wait = pollTimeout // An answer is needed soon, because the prefix is not fresh until then.
 	}
+	for _, listAt := range []time.Time{w.reannounceUntil, w.unsettledUntil} {
+		if !listAt.IsZero() {
+			wait = min(wait, time.Until(listAt)+time.Millisecond)
+		}
+	}
 	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.cursor, wait)
 	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
 		w.log.Info("history of the store is gone, listing again", "prefix", w.prefix.Name, "era", w.cursor.Era,
