catalogsync: list without a loop when a restore follows a restore

A node that watches the store sent it listings one after the other, without a pause, for up to 2.2 s, if the store was restored again (or came back from an outage) while upstreams were undecided after a restore: the time of the next listing had passed and was not reset in the new reannounce period. Each listing resets it now; the one at the end of the reannounce period follows anyway.

TestSecondRestoreDoesNotCauseListingsWithoutPause failed before (508 calls in 3 s at 4 ms a listing, Expected <int>: 508 to be < <int>: 20) and passes. The store in memory of the tests takes a duration of its listings for it.

--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -13,6 +13,12 @@
 // has returns whether the state holds an upstream.
 func has(s *fleet.State, id string) bool { return s.Snapshot().ByID(id) != nil }
 
+// callCount returns the number of calls of List and Poll so far.
+func (m *memoryStore) callCount() (calls int) {
+	m.withLock(func() { calls = m.calls })
+	return calls
+}
+
 // Guards against upstreams that are taken for gone because a restored store lists them only once they have announced themselves again, also
 // if the store was away too briefly for an outage, and against those that stay although they have not come back.
 func TestUpstreamsAreKeptAfterARestoreUntilReannouncePeriodEnds(t *testing.T) {
@@ -85,3 +91,27 @@
 		g.Expect(has(s, "leaves")).To(BeFalse())
 	})
 }
+
+// Guards against listings without a pause between them, which overload the store, when it is restored again while some upstreams are still
+// undecided.
+func TestSecondRestoreDoesNotCauseListingsWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.listDelay = 4 * time.Millisecond
+		m.put("conf", "7")
+		m.put("up/left", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.remove("up/left")
+		time.Sleep(time.Second)
+		g.Expect(has(s, "left")).To(BeFalse())
+		inCopy := map[string]string{"conf": "7", "up/left": "1"}
+		m.restore(4, inCopy)
+		time.Sleep(3500 * time.Millisecond) // The settled listing has left the upstream undecided.
+		m.restore(4, inCopy)
+		before := m.callCount()
+		time.Sleep(3 * time.Second)
+		g.Expect(m.callCount() - before).To(BeNumerically("<", 20))
+	})
+}
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -256,6 +256,7 @@
 	w.observeEra(listing.Cursor)
 	awaitingReannounce := time.Now().Before(w.reannounceUntil)
 	settled := hasPassed(w.reannounceUntil)
+	w.unsettledUntil = time.Time{} // The listing at the end of a reannounce period that began meanwhile replaces the one due then.
 	if !awaitingReannounce {
 		w.reannounceUntil = time.Time{}
 	}
@@ -290,7 +291,6 @@
 // applyListing merges a listing of the upstreams. If it leaves some of them undecided, they are listed again: as settled after the
 // reannounce period, and after a settled listing once the store holds no more of what only the copy had listed.
 func (w *watcher) applyListing(listing fleet.Listing) {
-	w.unsettledUntil = time.Time{}
 	switch needsAnother := w.state.ApplyListing(listing); {
 	case needsAnother && !listing.Settled:
 		w.reannounceUntil = time.Now().Add(reannouncePeriod)
--- a/internal/controller/catalogsync/sync_test.go
+++ b/internal/controller/catalogsync/sync_test.go
@@ -63,6 +63,8 @@
 	failureDelay time.Duration
 	// silentPrefixes are the prefixes for which calls get no answer: they fail 1.2 s after the end of their wait.
 	silentPrefixes []string
+	// listDelay is the time that List takes.
+	listDelay time.Duration
 	// calls counts the calls of List and Poll.
 	calls int
 }
@@ -104,6 +106,7 @@
 }
 
 func (m *memoryStore) List(ctx context.Context, prefix string) (store.Listing, error) {
+	pause.For(ctx, m.listDelay)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
