catalogsync: apply removals once the listing after a restore is settled

Requests could reach an upstream for up to 2.2 s after the store had reported its removal, seconds after the reannounce period had ended: the repeated listings that wait until the store holds no more of what only the copy had listed counted as not settled, and the first of them began another reannounce period, in which removals are put off. They count as settled now.

TestRemovalAfterASettledListingIsApplied failed before (0.3 s after the removal: Expected <bool>: true to be false) and passes.

--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -115,3 +115,25 @@
 		g.Expect(m.callCount() - before).To(BeNumerically("<", 20))
 	})
 }
+
+// Guards against requests to an upstream that has left while another one is still undecided after a restore: its removal was taken for an
+// announcement that the store had lost.
+func TestRemovalAfterASettledListingIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("up/left", "1")
+		m.put("up/leaves", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.remove("up/left")
+		time.Sleep(time.Second)
+		m.restore(4, map[string]string{"conf": "7", "up/left": "1", "up/leaves": "1"})
+		time.Sleep(4300 * time.Millisecond) // The settled listing and the one after it have left an upstream undecided.
+		g.Expect(has(s, "leaves")).To(BeTrue())
+		m.remove("up/leaves")
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(has(s, "leaves")).To(BeFalse())
+	})
+}
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -255,7 +255,7 @@
 	w.recordSuccess()
 	w.observeEra(listing.Cursor)
 	awaitingReannounce := time.Now().Before(w.reannounceUntil)
-	settled := hasPassed(w.reannounceUntil)
+	settled := !awaitingReannounce && (hasPassed(w.reannounceUntil) || hasPassed(w.unsettledUntil))
 	w.unsettledUntil = time.Time{} // The listing at the end of a reannounce period that began meanwhile replaces the one due then.
 	if !awaitingReannounce {
 		w.reannounceUntil = time.Time{}
