catalogsync: settle upstreams of an earlier era that other nodes report

An upstream that ended in the time that a restore of the store has lost stayed in the list for good at a node that started after the restore: another node reported it with its record of the earlier era after the node's first listing, the store reports no removal of what it does not hold, and nothing asked for another listing. A node that watches the store and holds such upstreams lists it again as settled after the reannounce period; those that have announced themselves by then stay.

TestUpstreamOfALostEraFromAnotherNodeIsSettled failed before (10 s after the start: Expected <bool>: true to be false) and passes.

--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/fleet"
 )
 
@@ -137,3 +138,26 @@
 		g.Expect(has(s, "leaves")).To(BeFalse())
 	})
 }
+
+// Guards against an upstream that stays for good although the store does not list it: another node, which knows it from before the restore,
+// reports it to a node that has started since.
+func TestUpstreamOfALostEraFromAnotherNodeIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.restore(2, map[string]string{"conf": "7"})
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(4 * time.Second)
+		for _, id := range []string{"ended", "lives"} {
+			s.ApplyUpstream(fleet.UpstreamRecord{ID: id, Era: 0, Revision: 9, Announcement: &catalog.Upstream{ID: id, Service: "s",
+				State: catalog.Ready, Sequence: 1}})
+		}
+		g.Expect(has(s, "ended") && has(s, "lives")).To(BeTrue())
+		time.Sleep(time.Second)
+		m.put("up/lives", "2")
+		time.Sleep(5 * time.Second)
+		g.Expect(has(s, "ended")).To(BeFalse())
+		g.Expect(has(s, "lives")).To(BeTrue())
+	})
+}
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -233,6 +233,7 @@
 	}
 	w.cursor = next
 	w.markFresh(w.prefix)
+	w.settleEarlierEras()
 	if len(events) > 0 && w.prefix.HoldsUpstreams {
 		pause.For(ctx, changeBatchDelay)
 	}
@@ -299,6 +300,14 @@
 	}
 }
 
+// settleEarlierEras requests a settled listing if the state holds upstreams that are recorded in an earlier era of the store only. Other nodes
+// may have reported them after the last listing. They have the reannounce period to announce themselves again.
+func (w *watcher) settleEarlierEras() {
+	if w.prefix.HoldsUpstreams && w.reannounceUntil.IsZero() && w.unsettledUntil.IsZero() && w.state.HasUpstreamsBefore(w.cursor.Era) {
+		w.unsettledUntil = time.Now().Add(reannouncePeriod)
+	}
+}
+
 // naming is the time at which a model version was named. assumed is set if the time is not known.
 type naming struct {
 	at      time.Time
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -239,6 +239,18 @@
 	return needsAnother
 }
 
+// HasUpstreamsBefore reports whether the last record of an upstream that is not removed was written before an era of the store.
+func (s *State) HasUpstreamsBefore(era int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, current := range s.upstreams {
+		if current.Announcement != nil && current.Era < era {
+			return true
+		}
+	}
+	return false
+}
+
 // ApplyVersion merges a named version and reports whether it was added. For a version that is known already, the time of its naming
 // is merged; see mergeNaming. A version older than the newest one is added too: after a restart, a node finds only the newest one in
 // the store, but the time in which still older ones may be used depends on when it was named.
