mesh: ignore the era of messages that state none

A node that had a message from a node that knew no era of the store yet, such as an agent or a node that has just started, took the first era that it read afterwards for a restore. It logged a restore that did not happen, distrusted unchanged announcements for 5 s, and stored verdicts again. A message without an era is no evidence of an earlier one.

--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -49,7 +49,8 @@
 		AgeMillis: time.Since(v.NamedAt).Milliseconds(), AgeAssumed: v.AgeAssumed}
 }
 
-// setStaleness sets the staleness of this node's state and the era of the store. It also sets the version and revision of its configuration unless out has a version.
+// setStaleness sets the staleness of this node's state and the era of the store. It also sets the version and revision of its configuration
+// unless out has a version.
 func (m *Mesh) setStaleness(out *message.FleetState) {
 	age, known := m.cfg.State.Staleness()
 	out.HasStaleness, out.StalenessMillis = known, age.Milliseconds()
@@ -69,7 +70,7 @@
 		m.sendConfig(p)
 		return
 	}
-	if state.ObserveEra(msg.Era) {
+	if msg.Era > 0 && state.ObserveEra(msg.Era) {
 		m.cfg.Log.Info("store was restored from an earlier copy", "era", msg.Era, "from", p.hello.NodeID)
 	}
 	if msg.Config == nil && msg.ConfigVersion > state.Snapshot().ConfigVersion() && isEntry(p) {
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -16,7 +16,7 @@
 	RequestConfig bool            `msgpack:"p,omitempty"`
 	Upstreams     []FleetUpstream `msgpack:"u,omitempty"`
 	Versions      []FleetVersion  `msgpack:"v,omitempty"`
-	// Era is the highest era of the store that the sender knows.
+	// Era is the highest era of the store that the sender knows, 0 if it knows none.
 	Era int64 `msgpack:"er,omitempty"`
 	// StalenessMillis is the time since the sender's state was last known to be up to date. HasStaleness reports whether it is
 	// set.
