fleet: record removals of an earlier era again in a settled listing

An upstream that had left in the time that a restore of the store has lost stayed in the list of a node that started right after the restore, for good: it read the upstream from the copy, and the node that watches the store, which knew of the removal, put off the store's report of it in the reannounce period and had nothing to remove in the settled listing, so that it told no one. A settled listing now records such a removal in the new era, which other nodes are told as any change.

TestSettledListingConfirmsRemovalsOfAnEarlierEra failed before (the upstream is still listed: Expected ... to be nil) and passes.

--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -92,3 +92,19 @@
 	g.Expect(s.ApplyListing(fleet.Listing{Era: 2, Revision: 97, Settled: true})).To(BeFalse())
 	g.Expect(s.Snapshot().ByID("a")).To(BeNil())
 }
+
+// Guards against an upstream that has left and stays in the list of a node that read the copy first: the nodes that knew of its removal before
+// the restore did not tell the others that it holds in the new era too.
+func TestSettledListingConfirmsRemovalsOfAnEarlierEra(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s, started := restoredState(&now), fleet.NewState(func() time.Time { return now })
+	started.ObserveEra(2)
+	started.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 90, Announcement: announced("gone", 5, catalog.Ready)})
+	s.Observe(func(c fleet.Change) { started.ApplyUpstream(*c.Upstream) })
+	s.ObserveEra(2)
+	s.ApplyListing(fleet.Listing{Era: 2, Revision: 95})
+	g.Expect(started.Snapshot().ByID("gone")).NotTo(BeNil(), "it may announce itself again")
+	s.ApplyListing(fleet.Listing{Era: 2, Revision: 97, Settled: true})
+	g.Expect(started.Snapshot().ByID("gone")).To(BeNil())
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -213,8 +213,9 @@
 }
 
 // ApplyListing merges a complete list of the upstreams. Upstreams that the list lacks are removed unless their record was written later, or
-// was written in an earlier era and the listing is not settled: the store may have lost their announcements in a restore. It reports whether
-// another listing is needed because of such upstreams, or because of listed ones that were not accepted yet.
+// was written in an earlier era and the listing is not settled: the store may have lost their announcements in a restore. A removal of
+// an earlier era is recorded again by a settled listing, for nodes that have read the upstream from the copy. It reports whether another listing
+// is needed because of upstreams that were not removed, or because of listed ones that were not accepted yet.
 func (s *State) ApplyListing(listing Listing) (needsAnother bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -227,7 +228,8 @@
 	for id, current := range s.upstreams {
 		removal := UpstreamRecord{ID: id, Era: listing.Era, Revision: listing.Revision}
 		switch {
-		case present[id] || current.Announcement == nil || !removal.isAfter(current.UpstreamRecord):
+		case present[id] || !removal.isAfter(current.UpstreamRecord):
+		case current.Announcement == nil && (current.Era == listing.Era || !listing.Settled):
 		case current.Era < listing.Era && !listing.Settled:
 			needsAnother = true
 		default:
