fleet: accept unchanged upstreams once a restored store has settled

An upstream that lives, but had been removed in the time that a restore of the store has lost, and that its copy lists unchanged, got no requests from nodes that do not watch the store, for good: such a record is rejected for 5 s, since the upstream may have left, and another node reports it only once. Rejected records are kept and merged when the 5 s are over, unless the store has removed the upstream meanwhile.

TestUnchangedUpstreamIsAcceptedOnceTheCopyHasSettled failed before (Expected <bool>: true to equal <bool>: false) and passes.

--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -108,3 +108,25 @@
 	s.ApplyListing(fleet.Listing{Era: 2, Revision: 97, Settled: true})
 	g.Expect(started.Snapshot().ByID("gone")).To(BeNil())
 }
+
+// Guards against an upstream that lives, is listed unchanged by the copy, and stays out of the list of a node that does not watch the store for
+// good: another node reports it only once, before this one accepts it.
+func TestUnchangedUpstreamIsAcceptedOnceTheCopyHasSettled(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	for _, removedMeanwhile := range []bool{false, true} {
+		s := restoredState(&now)
+		s.ObserveEra(2)
+		inCopy := fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 90, Announcement: announced("gone", 5, catalog.Ready)}
+		g.Expect(s.ApplyUpstream(inCopy)).To(BeFalse())
+		now = now.Add(4 * time.Second)
+		s.MarkUpToDate(now)
+		g.Expect(s.Snapshot().ByID("gone")).To(BeNil(), "it may have left")
+		if removedMeanwhile {
+			s.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 97})
+		}
+		now = now.Add(time.Second)
+		s.MarkUpToDate(now)
+		g.Expect(s.Snapshot().ByID("gone") == nil).To(Equal(removedMeanwhile))
+	}
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -80,6 +80,7 @@
 	era         int64
 	eraKnown    bool
 	restoredAt  time.Time
+	hasDeferred bool // An upstream has a deferred record.
 	observers   []func(Change)
 	subscribers []chan struct{}
 }
@@ -90,6 +91,8 @@
 	// lastAnnouncement is the newest accepted announcement. It is kept after the upstream was removed.
 	lastAnnouncement *catalog.Upstream
 	removedAt        time.Time
+	// deferred is a record that was not accepted because only the copy of a restored store may list the upstream.
+	deferred UpstreamRecord
 }
 
 // NewState returns an empty state. now is the clock; nil selects time.Now.
@@ -183,6 +186,7 @@
 			current.Era, current.Revision = u.Era, u.Revision
 			return false
 		case order == 0 && s.isRevivedByCopy(u, current):
+			current.deferred, s.hasDeferred = u, true
 			return false
 		case order > 0 && u.Era < current.Era && current.Announcement != nil:
 			u.Era, u.Revision, isAfter = current.Era, current.Revision, true
@@ -207,6 +211,21 @@
 	return current.Announcement == nil && u.Era > current.Era && !s.restoredAt.IsZero() && s.now().Sub(s.restoredAt) < copyRetention
 }
 
+// applyDeferred merges the deferred records once the copy of a restored store lists no removed upstreams any more. Those that have been removed
+// in the new era meanwhile are rejected as outdated. The caller holds mu.
+func (s *State) applyDeferred() {
+	if !s.hasDeferred || s.now().Sub(s.restoredAt) < copyRetention {
+		return
+	}
+	s.hasDeferred = false
+	for _, current := range s.upstreams {
+		if deferred := current.deferred; deferred.Announcement != nil {
+			current.deferred = UpstreamRecord{}
+			s.applyUpstream(deferred)
+		}
+	}
+}
+
 // compareAnnouncements compares two announcements of one upstream by the time at which they were made.
 func compareAnnouncements(a, b *catalog.Upstream) int {
 	return cmp.Or(cmp.Compare(a.StartedAtMillis, b.StartedAtMillis), cmp.Compare(a.Sequence, b.Sequence))
@@ -294,10 +313,12 @@
 	s.rebuild()
 }
 
-// MarkUpToDate records that the state was up to date at the given time. A time earlier than the recorded one is ignored.
+// MarkUpToDate records that the state was up to date at the given time. A time earlier than the recorded one is ignored. Records that were
+// deferred after a restore of the store are merged when it is time.
 func (s *State) MarkUpToDate(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyDeferred()
 	if at.After(s.upToDateAt) {
 		s.upToDateAt = at
 	}
