catalogsync: no new reannounce period long after a restore

A node that took over the watch of the store sent requests for up to 2.2 s more to upstreams that the store no longer listed, if the store had been restored since the node's own last call, however long before: the reannounce period began with the node's own first listing in the era. It runs from the time at which the node heard of the restore now, also from other nodes.

TestTakeoverLongAfterARestoreRemovesAtOnce failed before (0.3 s after the takeover: Expected <bool>: true to be false) and passes.

--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -1,6 +1,7 @@
 package catalogsync_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,3 +162,26 @@
 		g.Expect(has(s, "lives")).To(BeTrue())
 	})
 }
+
+// Guards against requests to an upstream that has left, from a node that takes over the watch long after a restore of which it knows from other
+// nodes: it waited for announcements that the store had lost.
+func TestTakeoverLongAfterARestoreRemovesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("up/left", "1")
+		var active atomic.Bool
+		s := startSyncer(t, m, active.Load)
+		time.Sleep(time.Second)
+		m.restore(2, map[string]string{"conf": "7", "up/left": "1"})
+		s.ObserveEra(1)
+		s.ApplyUpstream(fleet.UpstreamRecord{ID: "left", Era: 1, Revision: 2, Announcement: &catalog.Upstream{ID: "left", Service: "s",
+			State: catalog.Ready, Sequence: 1}})
+		time.Sleep(10 * time.Second)
+		m.remove("up/left")
+		active.Store(true)
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(has(s, "left")).To(BeFalse())
+	})
+}
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -277,8 +277,8 @@
 	return nil
 }
 
-// observeEra records the era of a listing. If the store has been restored since the last answer, it starts the reannounce period: the copy
-// lacks the upstreams that have announced themselves after it was made.
+// observeEra records the era of a listing. If the store has been restored since the last answer, the reannounce period runs from the time at
+// which this node heard of it, also if that was from another node: the copy lacks the upstreams that have announced themselves after it was made.
 func (w *watcher) observeEra(cursor store.Cursor) {
 	w.state.ObserveEra(cursor.Era)
 	if !w.listedOnce || cursor.Era == w.cursor.Era {
@@ -286,7 +286,9 @@
 	}
 	w.log.Info("store was restored from an earlier copy", "prefix", w.prefix.Name, "era", cursor.Era, "revision", cursor.Revision,
 		"era_before", w.cursor.Era)
-	w.reannounceUntil = time.Now().Add(reannouncePeriod)
+	if until := w.state.RestoredAt().Add(reannouncePeriod); until.After(w.reannounceUntil) {
+		w.reannounceUntil = until
+	}
 }
 
 // applyListing merges a listing of the upstreams. If it leaves some of them undecided, they are listed again: as settled after the
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -160,6 +160,13 @@
 	return s.era
 }
 
+// RestoredAt returns the time at which this node heard of the last restore of the store, zero if it has heard of none.
+func (s *State) RestoredAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restoredAt
+}
+
 // ApplyUpstream merges an upstream record and reports whether it was accepted. It is rejected if it was not written after the recorded one,
 // or if its announcement was made before the newest accepted one. An announcement is also accepted if it was made later, but stored in an
 // era that is over.
