--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -1,18 +1,26 @@
 package catalogsync_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/fleet"
 )
 
 // has returns whether the state holds an upstream.
 func has(s *fleet.State, id string) bool { return s.Snapshot().ByID(id) != nil }
 
+// callCount returns the number of calls of List and Poll so far.
+func (m *memoryStore) callCount() (calls int) {
+	m.withLock(func() { calls = m.calls })
+	return calls
+}
+
 // Guards against upstreams that are taken for gone because a restored store lists them only once they have announced themselves again, also
 // if the store was away too briefly for an outage, and against those that stay although they have not come back.
 func TestUpstreamsAreKeptAfterARestoreUntilReannouncePeriodEnds(t *testing.T) {
@@ -66,3 +74,114 @@
 		g.Expect(has(s, "silent")).To(BeTrue())
 	})
 }
+
+// Guards against requests to an upstream that left right after a restore, for up to a poll of 3 s longer than the reannounce period.
+func TestReannouncePeriodEndsOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("up/leaves", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.restore(2, map[string]string{"conf": "7", "up/leaves": "1"})
+		time.Sleep(time.Second)
+		m.remove("up/leaves")
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(has(s, "leaves")).To(BeTrue(), "it may announce itself again")
+		time.Sleep(900 * time.Millisecond)
+		g.Expect(has(s, "leaves")).To(BeFalse())
+	})
+}
+
+// Guards against listings without a pause between them, which overload the store, when it is restored again while some upstreams are still
+// undecided.
+func TestSecondRestoreDoesNotCauseListingsWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.listDelay = 4 * time.Millisecond
+		m.put("conf", "7")
+		m.put("up/left", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.remove("up/left")
+		time.Sleep(time.Second)
+		g.Expect(has(s, "left")).To(BeFalse())
+		inCopy := map[string]string{"conf": "7", "up/left": "1"}
+		m.restore(4, inCopy)
+		time.Sleep(3500 * time.Millisecond) // The settled listing has left the upstream undecided.
+		m.restore(4, inCopy)
+		before := m.callCount()
+		time.Sleep(3 * time.Second)
+		g.Expect(m.callCount() - before).To(BeNumerically("<", 20))
+	})
+}
+
+// Guards against requests to an upstream that has left while another one is still undecided after a restore: its removal was taken for an
+// announcement that the store had lost.
+func TestRemovalAfterASettledListingIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("up/left", "1")
+		m.put("up/leaves", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.remove("up/left")
+		time.Sleep(time.Second)
+		m.restore(4, map[string]string{"conf": "7", "up/left": "1", "up/leaves": "1"})
+		time.Sleep(4300 * time.Millisecond) // The settled listing and the one after it have left an upstream undecided.
+		g.Expect(has(s, "leaves")).To(BeTrue())
+		m.remove("up/leaves")
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(has(s, "leaves")).To(BeFalse())
+	})
+}
+
+// Guards against an upstream that stays for good although the store does not list it: another node, which knows it from before the restore,
+// reports it to a node that has started since.
+func TestUpstreamOfALostEraFromAnotherNodeIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.restore(2, map[string]string{"conf": "7"})
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(4 * time.Second)
+		for _, id := range []string{"ended", "lives"} {
+			s.ApplyUpstream(fleet.UpstreamRecord{ID: id, Era: 0, Revision: 9, Announcement: &catalog.Upstream{ID: id, Service: "s",
+				State: catalog.Ready, Sequence: 1}})
+		}
+		g.Expect(has(s, "ended") && has(s, "lives")).To(BeTrue())
+		time.Sleep(time.Second)
+		m.put("up/lives", "2")
+		time.Sleep(5 * time.Second)
+		g.Expect(has(s, "ended")).To(BeFalse())
+		g.Expect(has(s, "lives")).To(BeTrue())
+	})
+}
+
+// Guards against requests to an upstream that has left, from a node that takes over the watch long after a restore of which it knows from other
+// nodes: it waited for announcements that the store had lost.
+func TestTakeoverLongAfterARestoreRemovesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("up/left", "1")
+		var active atomic.Bool
+		s := startSyncer(t, m, active.Load)
+		time.Sleep(time.Second)
+		m.restore(2, map[string]string{"conf": "7", "up/left": "1"})
+		s.ObserveEra(1)
+		s.ApplyUpstream(fleet.UpstreamRecord{ID: "left", Era: 1, Revision: 2, Announcement: &catalog.Upstream{ID: "left", Service: "s",
+			State: catalog.Ready, Sequence: 1}})
+		time.Sleep(10 * time.Second)
+		m.remove("up/left")
+		active.Store(true)
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(has(s, "left")).To(BeFalse())
+	})
+}
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -209,6 +209,11 @@
 	if !w.failingSince.IsZero() {
 		wait = pollTimeout // An answer is needed soon, because the prefix is not fresh until then.
 	}
+	for _, listAt := range []time.Time{w.reannounceUntil, w.unsettledUntil} {
+		if !listAt.IsZero() {
+			wait = min(wait, time.Until(listAt)+time.Millisecond)
+		}
+	}
 	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.cursor, wait)
 	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
 		w.log.Info("history of the store is gone, listing again", "prefix", w.prefix.Name, "era", w.cursor.Era,
@@ -228,6 +233,7 @@
 	}
 	w.cursor = next
 	w.markFresh(w.prefix)
+	w.settleEarlierEras()
 	if len(events) > 0 && w.prefix.HoldsUpstreams {
 		pause.For(ctx, changeBatchDelay)
 	}
@@ -250,7 +256,8 @@
 	w.recordSuccess()
 	w.observeEra(listing.Cursor)
 	awaitingReannounce := time.Now().Before(w.reannounceUntil)
-	settled := hasPassed(w.reannounceUntil)
+	settled := !awaitingReannounce && (hasPassed(w.reannounceUntil) || hasPassed(w.unsettledUntil))
+	w.unsettledUntil = time.Time{} // The listing at the end of a reannounce period that began meanwhile replaces the one due then.
 	if !awaitingReannounce {
 		w.reannounceUntil = time.Time{}
 	}
@@ -270,8 +277,8 @@
 	return nil
 }
 
-// observeEra records the era of a listing. If the store has been restored since the last answer, it starts the reannounce period: the copy
-// lacks the upstreams that have announced themselves after it was made.
+// observeEra records the era of a listing. If the store has been restored since the last answer, the reannounce period runs from the time at
+// which this node heard of it, also if that was from another node: the copy lacks the upstreams that have announced themselves after it was made.
 func (w *watcher) observeEra(cursor store.Cursor) {
 	w.state.ObserveEra(cursor.Era)
 	if !w.listedOnce || cursor.Era == w.cursor.Era {
@@ -279,13 +286,14 @@
 	}
 	w.log.Info("store was restored from an earlier copy", "prefix", w.prefix.Name, "era", cursor.Era, "revision", cursor.Revision,
 		"era_before", w.cursor.Era)
-	w.reannounceUntil = time.Now().Add(reannouncePeriod)
+	if until := w.state.RestoredAt().Add(reannouncePeriod); until.After(w.reannounceUntil) {
+		w.reannounceUntil = until
+	}
 }
 
 // applyListing merges a listing of the upstreams. If it leaves some of them undecided, they are listed again: as settled after the
 // reannounce period, and after a settled listing once the store holds no more of what only the copy had listed.
 func (w *watcher) applyListing(listing fleet.Listing) {
-	w.unsettledUntil = time.Time{}
 	switch needsAnother := w.state.ApplyListing(listing); {
 	case needsAnother && !listing.Settled:
 		w.reannounceUntil = time.Now().Add(reannouncePeriod)
@@ -294,6 +302,14 @@
 	}
 }
 
+// settleEarlierEras requests a settled listing if the state holds upstreams that are recorded in an earlier era of the store only. Other nodes
+// may have reported them after the last listing. They have the reannounce period to announce themselves again.
+func (w *watcher) settleEarlierEras() {
+	if w.prefix.HoldsUpstreams && w.reannounceUntil.IsZero() && w.unsettledUntil.IsZero() && w.state.HasUpstreamsBefore(w.cursor.Era) {
+		w.unsettledUntil = time.Now().Add(reannouncePeriod)
+	}
+}
+
 // naming is the time at which a model version was named. assumed is set if the time is not known.
 type naming struct {
 	at      time.Time
--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -92,3 +92,41 @@
 	g.Expect(s.ApplyListing(fleet.Listing{Era: 2, Revision: 97, Settled: true})).To(BeFalse())
 	g.Expect(s.Snapshot().ByID("a")).To(BeNil())
 }
+
+// Guards against an upstream that has left and stays in the list of a node that read the copy first: the nodes that knew of its removal before
+// the restore did not tell the others that it holds in the new era too.
+func TestSettledListingConfirmsRemovalsOfAnEarlierEra(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s, started := restoredState(&now), fleet.NewState(func() time.Time { return now })
+	started.ObserveEra(2)
+	started.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 90, Announcement: announced("gone", 5, catalog.Ready)})
+	s.Observe(func(c fleet.Change) { started.ApplyUpstream(*c.Upstream) })
+	s.ObserveEra(2)
+	s.ApplyListing(fleet.Listing{Era: 2, Revision: 95})
+	g.Expect(started.Snapshot().ByID("gone")).NotTo(BeNil(), "it may announce itself again")
+	s.ApplyListing(fleet.Listing{Era: 2, Revision: 97, Settled: true})
+	g.Expect(started.Snapshot().ByID("gone")).To(BeNil())
+}
+
+// Guards against an upstream that lives, is listed unchanged by the copy, and stays out of the list of a node that does not watch the store for
+// good: another node reports it only once, before this one accepts it.
+func TestUnchangedUpstreamIsAcceptedOnceTheCopyHasSettled(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	for _, removedMeanwhile := range []bool{false, true} {
+		s := restoredState(&now)
+		s.ObserveEra(2)
+		inCopy := fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 90, Announcement: announced("gone", 5, catalog.Ready)}
+		g.Expect(s.ApplyUpstream(inCopy)).To(BeFalse())
+		now = now.Add(4 * time.Second)
+		s.MarkUpToDate(now)
+		g.Expect(s.Snapshot().ByID("gone")).To(BeNil(), "it may have left")
+		if removedMeanwhile {
+			s.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 97})
+		}
+		now = now.Add(time.Second)
+		s.MarkUpToDate(now)
+		g.Expect(s.Snapshot().ByID("gone") == nil).To(Equal(removedMeanwhile))
+	}
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -80,6 +80,7 @@
 	era         int64
 	eraKnown    bool
 	restoredAt  time.Time
+	hasDeferred bool // An upstream has a deferred record.
 	observers   []func(Change)
 	subscribers []chan struct{}
 }
@@ -90,6 +91,8 @@
 	// lastAnnouncement is the newest accepted announcement. It is kept after the upstream was removed.
 	lastAnnouncement *catalog.Upstream
 	removedAt        time.Time
+	// deferred is a record that was not accepted because only the copy of a restored store may list the upstream.
+	deferred UpstreamRecord
 }
 
 // NewState returns an empty state. now is the clock; nil selects time.Now.
@@ -157,6 +160,13 @@
 	return s.era
 }
 
+// RestoredAt returns the time at which this node heard of the last restore of the store, zero if it has heard of none.
+func (s *State) RestoredAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restoredAt
+}
+
 // ApplyUpstream merges an upstream record and reports whether it was accepted. It is rejected if it was not written after the recorded one,
 // or if its announcement was made before the newest accepted one. An announcement is also accepted if it was made later, but stored in an
 // era that is over.
@@ -183,6 +193,7 @@
 			current.Era, current.Revision = u.Era, u.Revision
 			return false
 		case order == 0 && s.isRevivedByCopy(u, current):
+			current.deferred, s.hasDeferred = u, true
 			return false
 		case order > 0 && u.Era < current.Era && current.Announcement != nil:
 			u.Era, u.Revision, isAfter = current.Era, current.Revision, true
@@ -207,14 +218,30 @@
 	return current.Announcement == nil && u.Era > current.Era && !s.restoredAt.IsZero() && s.now().Sub(s.restoredAt) < copyRetention
 }
 
+// applyDeferred merges the deferred records once the copy of a restored store lists no removed upstreams any more. Those that have been removed
+// in the new era meanwhile are rejected as outdated. The caller holds mu.
+func (s *State) applyDeferred() {
+	if !s.hasDeferred || s.now().Sub(s.restoredAt) < copyRetention {
+		return
+	}
+	s.hasDeferred = false
+	for _, current := range s.upstreams {
+		if deferred := current.deferred; deferred.Announcement != nil {
+			current.deferred = UpstreamRecord{}
+			s.applyUpstream(deferred)
+		}
+	}
+}
+
 // compareAnnouncements compares two announcements of one upstream by the time at which they were made.
 func compareAnnouncements(a, b *catalog.Upstream) int {
 	return cmp.Or(cmp.Compare(a.StartedAtMillis, b.StartedAtMillis), cmp.Compare(a.Sequence, b.Sequence))
 }
 
 // ApplyListing merges a complete list of the upstreams. Upstreams that the list lacks are removed unless their record was written later, or
-// was written in an earlier era and the listing is not settled: the store may have lost their announcements in a restore. It reports whether
-// another listing is needed because of such upstreams, or because of listed ones that were not accepted yet.
+// was written in an earlier era and the listing is not settled: the store may have lost their announcements in a restore. A removal of
+// an earlier era is recorded again by a settled listing, for nodes that have read the upstream from the copy. It reports whether another listing
+// is needed because of upstreams that were not removed, or because of listed ones that were not accepted yet.
 func (s *State) ApplyListing(listing Listing) (needsAnother bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -227,7 +254,8 @@
 	for id, current := range s.upstreams {
 		removal := UpstreamRecord{ID: id, Era: listing.Era, Revision: listing.Revision}
 		switch {
-		case present[id] || current.Announcement == nil || !removal.isAfter(current.UpstreamRecord):
+		case present[id] || !removal.isAfter(current.UpstreamRecord):
+		case current.Announcement == nil && (current.Era == listing.Era || !listing.Settled):
 		case current.Era < listing.Era && !listing.Settled:
 			needsAnother = true
 		default:
@@ -239,6 +267,18 @@
 	return needsAnother
 }
 
+// HasUpstreamsBefore reports whether the last record of an upstream that is not removed was written before an era of the store.
+func (s *State) HasUpstreamsBefore(era int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, current := range s.upstreams {
+		if current.Announcement != nil && current.Era < era {
+			return true
+		}
+	}
+	return false
+}
+
 // ApplyVersion merges a named version and reports whether it was added. For a version that is known already, the time of its naming
 // is merged; see mergeNaming. A version older than the newest one is added too: after a restart, a node finds only the newest one in
 // the store, but the time in which still older ones may be used depends on when it was named.
@@ -280,10 +320,12 @@
 	s.rebuild()
 }
 
-// MarkUpToDate records that the state was up to date at the given time. A time earlier than the recorded one is ignored.
+// MarkUpToDate records that the state was up to date at the given time. A time earlier than the recorded one is ignored. Records that were
+// deferred after a restore of the store are merged when it is time.
 func (s *State) MarkUpToDate(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyDeferred()
 	if at.After(s.upToDateAt) {
 		s.upToDateAt = at
 	}
