soak: planned stops of entries beside changes of the idle limit, without other faults

The soak did not check that a planned stop answers every request: with random faults, requests without an answer are expected.

Change: before the first fault, two entries are stopped and restarted in series while configurations lower and raise the idle limit in turn. Callers use their connections until the process is gone. A request without a complete answer is a finding if a server ran it or if its connection ended more than 0.2 s after it was sent. The new requests to /slow/ take 1.4 s, so that some are in progress at the end of a stop; at most one run is allowed of each.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"path/filepath"
 	"strconv"
@@ -12,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pimentohead/pimentohead/platform"
 )
 
@@ -32,6 +35,9 @@
 	status   int
 	body     string
 	complete bool
+	// unsent is set if no connection could be opened, planned if the request was sent while only planned stops took place.
+	unsent, planned bool
+	elapsed         time.Duration
 }
 
 // checker sends requests to the fleet, collects the results and records violations of the promises as findings.
@@ -72,6 +78,10 @@
 	if !c.awaitServing(startTimeout, "at the start") {
 		return c.result(seed, logDir, nil)
 	}
+	c.runPlannedStops(seed)
+	if !c.awaitServing(startTimeout, "after the planned stops") {
+		return c.result(seed, logDir, nil)
+	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for i := range callerCount {
@@ -104,8 +114,8 @@
 }
 
 // send sends one request to an entry with the caller's client and returns the result.
-func (c *checker) send(client *http.Client, entry int, path string) callResult {
-	r := callResult{id: c.nextID(), path: path}
+func (c *checker) send(client *http.Client, entry int, path string) (r callResult) {
+	r = callResult{id: c.nextID(), path: path}
 	req, err := http.NewRequest(http.MethodPost, "http://"+c.fleet.entries[entry].callerAddress+path+r.id,
 		strings.NewReader("body of "+r.id))
 	if err != nil {
@@ -114,8 +124,12 @@
 	}
 	req.Host = "h.example"
 	platform.SetCallerHeaders(req.Header, r.id, "k", "m", requestTimeout)
+	sent := time.Now()
+	defer func() { r.elapsed = time.Since(sent) }()
 	resp, err := client.Do(req)
 	if err != nil {
+		var failed *net.OpError
+		r.unsent = errors.As(err, &failed) && failed.Op == "dial"
 		return r
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -206,13 +220,14 @@
 			runs += d.Runs(r.id)
 		}
 		c.checkResult(r, runs)
+		c.checkPlanned(r, runs)
 	}
 }
 
 // checkResult reports orders that ran more than once, refused requests that ran, unexpected refusals and wrong bodies.
 func (c *checker) checkResult(r callResult, runs int) {
 	switch {
-	case r.path == "/order/" && runs > 1:
+	case (r.path == "/order/" || r.path == "/slow/") && runs > 1:
 		c.reportf("order %s ran %d times", r.id, runs)
 	case reportsNotRun(r.status) && runs > 0:
 		c.reportf("%s%s was refused with status %d but ran %d times", r.path, r.id, r.status, runs)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -119,7 +119,7 @@
 }
 
 // writeNextConfig writes the next configuration to the store. The path of one of its routes contains its version, so that callers
-// can see which configuration an entry uses.
+// can see which configuration an entry uses. Its idle limit differs from that of the one before.
 func (fleet *testFleet) writeNextConfig() {
 	version := fleet.configVersion.Add(1)
 	route := func(name, prefix, kind, service string, extra map[string]any) map[string]any {
@@ -131,9 +131,11 @@
 		return r
 	}
 	fleet.store.Put("op/config", map[string]any{"version": version,
+		"limits": map[string]any{"idle_timeout_ms": idleTimeoutsMS[int(version)%len(idleTimeoutsMS)]},
 		"routes": []any{
 			route("stream", "/stream/", "streaming", "pool", map[string]any{"sticky": true, "resumable": true, "target_gap_ms": 400}),
 			route("order", "/order/", "non_idempotent", "desk", map[string]any{"max_attempts": 1}),
+			route("slow", "/slow/", "non_idempotent", "desk", map[string]any{"max_attempts": 1}),
 			route("look", "/look/", "idempotent", "desk", nil),
 			route("newest", fmt.Sprintf("/v%d/", version), "idempotent", "desk", nil)},
 		"services": []any{
