--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -129,7 +129,7 @@
 }
 
 // writeConfig writes a version of the configuration to the store. The path of one of its routes contains the version, so that callers can see
-// which configuration an entry uses. The caller holds operatorMu.
+// which configuration an entry uses. Its idle limit differs from that of the one before. The caller holds operatorMu.
 func (fleet *testFleet) writeConfig(version int64) {
 	route := func(name, prefix, kind, service string, extra map[string]any) map[string]any {
 		r := map[string]any{"name": name, "host": "h.example", "prefix": prefix, "route_kind": kind, "timeout_ms": 4000,
@@ -140,9 +140,11 @@
 		return r
 	}
 	fleet.store.Put("op/config", map[string]any{"version": version,
+		"limits": map[string]any{"idle_timeout_ms": idleTimeoutsMS[int(version)%len(idleTimeoutsMS)]},
 		"routes": []any{
 			route("stream", "/stream/", "streaming", "pool", map[string]any{"sticky": true, "resumable": true, "target_gap_ms": 400}),
 			route("order", "/order/", "non_idempotent", "desk", map[string]any{"max_attempts": 1}),
+			route("slow", "/slow/", "non_idempotent", "desk", map[string]any{"max_attempts": 1}),
 			route("look", "/look/", "idempotent", "desk", nil),
 			route("newest", fmt.Sprintf("/v%d/", version), "idempotent", "desk", nil)},
 		"services": []any{
