--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -61,8 +61,8 @@
 	history     []etcdjson.Event
 	leases      map[int64]*lease
 	nextLeaseID int64
-	// committed is closed and replaced on each new revision.
-	committed chan struct{}
+	// committed is closed and replaced on each new revision, restored on each Restore.
+	committed, restored chan struct{}
 }
 
 // lease is a granted lease. Its keys are removed when its timer expires.
@@ -80,6 +80,7 @@
 		writeLimiter: newRateLimiter(config.WritesPerSecond), readLimiter: newRateLimiter(config.ReadsPerSecond),
 		revision: 1, nextLeaseID: 1,
 		keys: make(map[string]etcdjson.KeyValue), leases: make(map[int64]*lease), committed: make(chan struct{}),
+		restored: make(chan struct{}),
 	}
 	s.mux.HandleFunc("POST "+etcdjson.PathRange, s.faults.wrap(s.handleRange))
 	s.mux.HandleFunc("POST "+etcdjson.PathTxn, s.faults.wrap(s.handleTxn))
--- a/internal/fake/store_lease.go
+++ b/internal/fake/store_lease.go
@@ -8,6 +8,7 @@
 	"github.com/pimentohead/pimentohead/internal/platform/store/etcdjson"
 )
 
+// handleGrant grants a lease with the ID of the request, or with one that the store chooses if that is 0, as in etcd.
 func (s *Store) handleGrant(w http.ResponseWriter, r *http.Request) {
 	var request etcdjson.GrantRequest
 	if !s.admit(w, s.writeLimiter, &s.writeCount) || !readJSON(w, r, &request) {
@@ -18,10 +19,17 @@
 		return
 	}
 	s.mu.Lock()
-	granted := &lease{id: s.nextLeaseID, ttl: request.TTL}
-	granted.timer = time.AfterFunc(granted.lifetime(), func() { s.expire(granted) })
-	s.leases[granted.id] = granted
-	s.nextLeaseID++
+	if s.leases[request.ID] != nil {
+		s.mu.Unlock()
+		writeError(w, http.StatusBadRequest, codeFailedPrecondition, "etcdserver: lease already exists")
+		return
+	}
+	id := request.ID
+	if id == 0 {
+		id = s.nextLeaseID
+		s.nextLeaseID++
+	}
+	granted := s.addLease(id, request.TTL)
 	answer := etcdjson.LeaseResponse{Header: etcdjson.Header{Revision: s.revision}, ID: granted.id, TTL: granted.ttl}
 	s.mu.Unlock()
 	s.finishWrite(w, answer)
@@ -89,13 +97,17 @@
 }
 
 // handleWatch streams the changes of one key from a start revision on; 0 starts after the current revision. The watch ends when
-// the caller disconnects, when the next revision to send has been compacted, or when Down or Refuse is set.
+// the caller disconnects, when the next revision to send has been compacted, on Restore, or when Down or Refuse is set. A watch from a
+// revision that the store has not reached waits for it, as in etcd.
 func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
 	var request etcdjson.WatchRequest
 	if !s.admit(w, s.readLimiter, &s.readCount) || !readJSON(w, r, &request) {
 		return
 	}
 	s.watchCount.Add(1)
+	s.mu.Lock()
+	restored := s.restored
+	s.mu.Unlock()
 	_, faultChanged := s.faults.get()
 	nextRevision := request.Create.StartRevision
 	result := etcdjson.WatchResult{Created: true}
@@ -119,6 +131,8 @@
 		case <-committed:
 		case <-r.Context().Done():
 			return
+		case <-restored:
+			panic(http.ErrAbortHandler)
 		case <-faultChanged:
 			if fault, changed := s.faults.get(); fault.Down || fault.Refuse {
 				panic(http.ErrAbortHandler)
--- a/internal/fake/store_txn.go
+++ b/internal/fake/store_txn.go
@@ -12,6 +12,8 @@
 const (
 	codeInvalidArgument = 3
 	codeNotFound        = 5
+	// codeFailedPrecondition refuses a grant of a lease that exists.
+	codeFailedPrecondition = 9
 )
 
 func (s *Store) handleTxn(w http.ResponseWriter, r *http.Request) {
--- a/internal/platform/store/etcdjson/etcdjson.go
+++ b/internal/platform/store/etcdjson/etcdjson.go
@@ -17,6 +17,8 @@
 
 // Header is part of every response.
 type Header struct {
+	// ClusterID identifies the cluster. It depends on the members and the token with which the cluster was set up.
+	ClusterID uint64 `json:"cluster_id,string,omitempty"`
 	// Revision is the store's revision at the response.
 	Revision int64 `json:"revision,string,omitempty"`
 }
@@ -100,9 +102,10 @@
 	Responses []ResponseOp `json:"responses,omitempty"`
 }
 
-// GrantRequest creates a lease; TTL is in seconds.
+// GrantRequest creates a lease; TTL is in seconds. The service chooses an ID if ID is 0.
 type GrantRequest struct {
 	TTL int64 `json:"TTL,string"`
+	ID  int64 `json:"ID,string,omitempty"`
 }
 
 // LeaseRequest renews or revokes a lease.
