store: the client chooses random lease IDs

A store that was restored from an earlier copy may choose the ID of a lease again that it granted after the copy. Its earlier owner then renewed the lease of another process, so that this one's keys never expired, or revoked it and so deleted the keys. Client.Grant now names a random ID, as the protocol allows; a lease that was lost is always reported as ErrLeaseNotFound.

TestLeaseIDIsNotGrantedAgainAfterRestoration failed before: "Expected <store.LeaseID>: 1 not to equal <store.LeaseID>: 1". It passes now.

--- a/internal/platform/store/calls.go
+++ b/internal/platform/store/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,9 +36,10 @@
 	return fromTxn(response), nil
 }
 
-// Grant implements Store. The time to live is rounded up to whole seconds, the unit of the service.
+// Grant implements Store. The time to live is rounded up to whole seconds, the unit of the service. The ID is random, because a service
+// that was restored from an earlier copy may choose an ID again that another process still renews.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
-	request := etcdjson.GrantRequest{TTL: int64(math.Ceil(ttl.Seconds()))}
+	request := etcdjson.GrantRequest{TTL: int64(math.Ceil(ttl.Seconds())), ID: 1 + rand.Int64N(math.MaxInt64)}
 	var response etcdjson.LeaseResponse
 	if err := c.call(ctx, writeCall, etcdjson.PathGrant, request, &response); err != nil {
 		return 0, err
--- /dev/null
+++ b/internal/platform/store/restoration_test.go
@@ -0,0 +1,31 @@
+package store_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/platform/store"
+)
+
+// Guards against a lease that one process renews or revokes although the restored store has granted its ID to another process.
+func TestLeaseIDIsNotGrantedAgainAfterRestoration(t *testing.T) {
+	g := NewWithT(t)
+	service, client, url := startStore(t)
+	earlier := service.Copy()
+	lost, err := client.Grant(t.Context(), time.Minute)
+	g.Expect(err).NotTo(HaveOccurred())
+	service.Restore(earlier)
+	other := store.NewClient(url, unlimitedCallRate, logr.Discard())
+	defer other.Close()
+	granted, err := other.Grant(t.Context(), time.Minute)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(granted).NotTo(Equal(lost))
+	_, err = client.KeepAlive(t.Context(), lost)
+	g.Expect(errors.Is(err, store.ErrLeaseNotFound)).To(BeTrue())
+	_, err = other.KeepAlive(t.Context(), granted)
+	g.Expect(err).NotTo(HaveOccurred())
+}
