store: a watch from a revision that the store has lost fails

After a restoration from an earlier copy, the start revision of a watch that reconnects lies in the future. etcd accepts such a watch, waits for the revision and skips all changes up to it, so that a configuration that was accepted in between was not delivered. Watch now compares its start revision with the revision in the first message and returns ErrCompacted, on which callers read the key again.

TestWatchFromLostRevisionFails failed before: "Timed out after 10.001s. Expected <chan error> to receive something." It passes now.

--- a/internal/platform/store/restoration_test.go
+++ b/internal/platform/store/restoration_test.go
@@ -29,3 +29,18 @@
 	_, err = other.KeepAlive(t.Context(), granted)
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// Guards against a watch that skips changes: after a restoration, its start revision lies in the future.
+func TestWatchFromLostRevisionFails(t *testing.T) {
+	g := NewWithT(t)
+	service, client, _ := startStore(t)
+	earlier := service.Copy()
+	result, err := client.Txn(t.Context(), createTxn("k", "a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	service.Restore(earlier)
+	failed := make(chan error, 1)
+	go func() { failed <- client.Watch(t.Context(), "k", result.Revision+1, func(store.Event) {}) }()
+	var watchErr error
+	g.Eventually(failed, "10s").Should(Receive(&watchErr))
+	g.Expect(errors.Is(watchErr, store.ErrCompacted)).To(BeTrue())
+}
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -28,7 +28,8 @@
 	ErrTooLarge = errors.New("store: value too large")
 	// ErrLeaseNotFound means that a lease has expired or was revoked.
 	ErrLeaseNotFound = errors.New("store: lease not found")
-	// ErrCompacted means that a watch started at a revision that is no longer available.
+	// ErrCompacted means that a watch started at a revision that is no longer available, or that the service does not have yet because it
+	// was restored from an earlier copy.
 	ErrCompacted = errors.New("store: watch revision compacted")
 )
 
--- a/internal/platform/store/watch.go
+++ b/internal/platform/store/watch.go
@@ -91,6 +91,10 @@
 	if result.Created && s.nextRevision == 0 {
 		s.nextRevision = result.Header.Revision + 1
 	}
+	if result.Created && result.Header.Revision+1 < s.nextRevision {
+		// The service waits for the start revision and skips the changes up to it.
+		return errors.Wrapf(ErrCompacted, "store is at revision %d, before start revision %d", result.Header.Revision, s.nextRevision)
+	}
 	for _, event := range result.Events {
 		if event.KV.ModRevision < s.nextRevision {
 			continue
