store: the client counts restorations of the service

Users of the store could not tell that keys and leases that it had acknowledged were gone. The client compares the headers of responses to reads and transactions, which are linearizable: a revision lower than one that had arrived before the call, or another cluster ID, shows a restoration. The optional interface RestorationCounter passes the count on; the interface Store stays as it is. A restoration with the same cluster ID is not noticed if the revision has passed the last known one by the next call.

TestRestorationIsCountedOnce covers it; it passes.

--- a/internal/platform/store/calls.go
+++ b/internal/platform/store/calls.go
@@ -14,9 +14,11 @@
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (KV, error) {
 	var response etcdjson.RangeResponse
+	before := c.restorations.position()
 	if err := c.call(ctx, readCall, etcdjson.PathRange, etcdjson.RangeRequest{Key: []byte(key)}, &response); err != nil {
 		return KV{}, err
 	}
+	c.observe(before, response.Header)
 	if len(response.KVs) == 0 {
 		return KV{}, errors.Wrapf(ErrNotFound, "%q", key)
 	}
@@ -30,9 +32,11 @@
 		return TxnResult{}, err
 	}
 	var response etcdjson.TxnResponse
+	before := c.restorations.position()
 	if err := c.call(ctx, kind, etcdjson.PathTxn, request, &response); err != nil {
 		return TxnResult{}, err
 	}
+	c.observe(before, response.Header)
 	return fromTxn(response), nil
 }
 
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -49,9 +49,14 @@
 	budget    *rate.Limiter
 	calls     atomic.Uint64
 	log       logr.Logger
+
+	restorations restorationDetector
 }
 
-var _ Store = (*Client)(nil)
+var (
+	_ Store              = (*Client)(nil)
+	_ RestorationCounter = (*Client)(nil)
+)
 
 // NewClient returns a client of the service at baseURL that sends at most callsPerSecond calls.
 func NewClient(baseURL string, callsPerSecond float64, log logr.Logger) *Client {
@@ -75,6 +80,16 @@
 // Calls returns the number of calls sent to the service. Calls refused by the budget are not counted.
 func (c *Client) Calls() uint64 { return c.calls.Load() }
 
+// Restorations implements RestorationCounter.
+func (c *Client) Restorations() uint64 { return c.restorations.position().restorations }
+
+// observe passes the header of a response to the detector of restorations. before is what was known before the call.
+func (c *Client) observe(before storePosition, header etcdjson.Header) {
+	if c.restorations.observe(before, header) {
+		c.log.Info("store was restored from an earlier copy", "revision", header.Revision, "last_revision", before.revision)
+	}
+}
+
 // Close closes idle connections. Calls after Close open new ones.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
--- a/internal/platform/store/restoration_test.go
+++ b/internal/platform/store/restoration_test.go
@@ -44,3 +44,24 @@
 	g.Eventually(failed, "10s").Should(Receive(&watchErr))
 	g.Expect(errors.Is(watchErr, store.ErrCompacted)).To(BeTrue())
 }
+
+// Guards against a restoration that is not noticed, and against one that is counted twice or seen in ordinary responses.
+func TestRestorationIsCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	service, client, _ := startStore(t)
+	_, err := client.Txn(t.Context(), createTxn("first", "a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	earlier := service.Copy()
+	_, err = client.Txn(t.Context(), createTxn("second", "a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(client.Restorations()).To(BeZero())
+	service.Restore(earlier)
+	for range 2 {
+		_, err = client.Get(t.Context(), "first")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(client.Restorations()).To(Equal(uint64(1)))
+	}
+	_, err = client.Txn(t.Context(), createTxn("third", "a"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(client.Restorations()).To(Equal(uint64(1)))
+}
