confsync: a configuration that the restored store has lost is put back

After the store was restored from a copy that was older than the configuration in force, every submission was refused with "store returned an older revision", nodes that started read the older configuration, and a repeated submission was reported as a conflict. A node that reads an older configuration than the one in force, or none, now writes the one in force back, with its history entry and its submission record, by compare-and-swap, and then the recent ones before it. A submission that finds the store behind does so at once.

A poll compared mod revisions, which a restored store gives out again, so that another value could be taken for unchanged. After a restoration that the store client has noticed, the value is read again.

--- a/internal/controller/confsync/fakes_test.go
+++ b/internal/controller/confsync/fakes_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
 
 	"github.com/pimentohead/pimentohead/internal/config"
 	"github.com/pimentohead/pimentohead/internal/controller/confsync"
@@ -37,6 +39,8 @@
 	grants int
 	// loseGrants makes Grant create a lease but return store.ErrAmbiguous.
 	loseGrants bool
+	// restorations counts the calls of restore.
+	restorations uint64
 	// watchEvents holds the event channel of each open watch.
 	watchEvents map[chan store.Event]bool
 }
@@ -98,6 +102,7 @@
 	for _, op := range ops {
 		result.Results = append(result.Results, f.execute(op))
 	}
+	result.Revision = f.revision
 	if len(txn.If) > 0 && result.Succeeded {
 		f.writes++
 		if f.loseReplies > 0 {
@@ -186,12 +191,56 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case event := <-events:
+		case event, open := <-events:
+			if !open {
+				return store.ErrUnavailable
+			}
 			deliver(event)
 		}
 	}
 }
 
+// storeCopy is the content of a fakeStore at one time.
+type storeCopy struct {
+	keys     map[string]store.KV
+	revision int64
+}
+
+// copy returns a copy of the content, for restore.
+func (f *fakeStore) copy() storeCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return storeCopy{keys: maps.Clone(f.keys), revision: f.revision}
+}
+
+// restore replaces the content by an earlier copy, so that revisions are given out again, and ends all watches.
+func (f *fakeStore) restore(c storeCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keys, f.revision = maps.Clone(c.keys), c.revision
+	f.restorations++
+	for events := range f.watchEvents {
+		close(events)
+	}
+	clear(f.watchEvents)
+}
+
+// Restorations implements store.RestorationCounter.
+func (f *fakeStore) Restorations() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restorations
+}
+
+// storedConfig returns the configuration that the store holds.
+func (f *fakeStore) storedConfig(g *WithT) config.Envelope {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, err := config.DecodeEnvelope(f.keys["/pimentohead/config"].Value)
+	g.Expect(err).NotTo(HaveOccurred())
+	return e
+}
+
 // fakeLink records the messages that are sent on it and passes them to onSend.
 type fakeLink struct {
 	mu        sync.Mutex
--- a/internal/controller/confsync/submit.go
+++ b/internal/controller/confsync/submit.go
@@ -86,6 +86,9 @@
 		return config.Envelope{}, err
 	}
 	if result, done, err := c.resultFromState(ctx, state); done || err != nil {
+		if errors.Is(err, errStoreBehind) {
+			err = errors.CombineErrors(err, c.syncer.refresh(ctx))
+		}
 		return result, err
 	}
 	lease, err := c.syncer.submissionLease.acquire(ctx, c.syncer.cfg.Store)
--- a/internal/controller/confsync/syncer.go
+++ b/internal/controller/confsync/syncer.go
@@ -108,8 +108,8 @@
 	cfg      Config
 	fetcher  *fetcher
 	requests chan request
-	// storeRevision is the mod revision of the value that a read or the watch of the store returned last, or 0.
-	storeRevision atomic.Int64
+	// lastRead describes the value that a read or the watch of the store returned last, nil if there was none.
+	lastRead atomic.Pointer[lastRead]
 
 	// submissionLease is the lease of new submission records.
 	submissionLease submissionLease
@@ -121,6 +121,12 @@
 	recent   []config.Envelope
 }
 
+// lastRead describes a value that was read when the store had noticed a number of restorations.
+type lastRead struct {
+	storedVersion
+	restorations uint64
+}
+
 // New returns a Syncer, which starts to work when Run is called.
 func New(cfg Config) *Syncer {
 	s := &Syncer{cfg: cfg.withDefaults(), requests: make(chan request, requestQueueLength)}
--- a/internal/controller/confsync/watch.go
+++ b/internal/controller/confsync/watch.go
@@ -83,6 +83,7 @@
 // nil only in the last case. It calls markHealthy, which resets the backoff, after each successful poll. The first poll takes
 // place one poll interval after the start of the watch, so the backoff keeps growing while watches fail at once.
 func (s *Syncer) watchSession(ctx context.Context, markHealthy func()) error {
+	restorations := store.Restorations(s.cfg.Store)
 	revision, err := s.readStore(ctx)
 	if err != nil {
 		return err
@@ -90,7 +91,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	watchFailed := make(chan error, 1)
 	go func() {
-		watchFailed <- s.cfg.Store.Watch(ctx, configKey, revision+1, func(event store.Event) { s.handleEvent(event) })
+		deliver := func(event store.Event) { s.handleEvent(event, restorations) }
+		watchFailed <- s.cfg.Store.Watch(ctx, configKey, revision+1, deliver)
 	}()
 	defer cancel()
 	roleTicker, pollTicker := time.NewTicker(roleCheckInterval), time.NewTicker(s.cfg.WatcherPollInterval)
@@ -117,43 +119,54 @@
 	}
 }
 
-// handleEvent applies a change that the watch delivers. Deletion of the key does not change the configuration in force.
-func (s *Syncer) handleEvent(event store.Event) {
+// handleEvent applies a change that the watch delivers. restorations is the number of restorations of the store at the start of the watch.
+// Deletion of the key does not change the configuration in force.
+func (s *Syncer) handleEvent(event store.Event, restorations uint64) {
 	if event.Deleted {
 		s.cfg.Log.Info("configuration key deleted in the store, the configuration in force stays")
 		return
 	}
-	if err := s.applyStored(event.KV.Value); err != nil {
-		s.cfg.Log.Error(err, "configuration from the store not used")
-	}
-	s.storeRevision.Store(event.KV.ModRevision)
+	s.applyStored(event.KV, restorations)
 }
 
-// refresh reads the store and applies the stored configuration if it is newer.
+// refresh reads the store and applies the stored configuration if it is newer. If it is older than the one in force, the latter is
+// written to the store.
 func (s *Syncer) refresh(ctx context.Context) error {
 	_, err := s.readStore(ctx)
 	return err
 }
 
-// readStore reads the stored configuration, applies it if it is newer, and returns the mod revision of its key, or 0 if the key
-// does not exist.
+// readStore does what refresh does, and returns the mod revision of the configuration key, or 0 if the key does not exist.
 func (s *Syncer) readStore(ctx context.Context) (int64, error) {
+	stored, err := s.readAndApply(ctx)
+	if err == nil {
+		stored, err = s.putBackIfLost(ctx, stored)
+	}
+	return stored.modRevision, err
+}
+
+// readAndApply reads the stored configuration and applies it if it is newer.
+func (s *Syncer) readAndApply(ctx context.Context) (storedVersion, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	kv, err := s.getIfChanged(ctx, s.storeRevision.Load())
+	var last storedVersion
+	// After a restoration of the store, the last mod revision may have been given out again for another value.
+	restorations := store.Restorations(s.cfg.Store)
+	if read := s.lastRead.Load(); read != nil && read.restorations == restorations {
+		last = read.storedVersion
+	}
+	kv, err := s.getIfChanged(ctx, last.modRevision)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		return 0, nil
+		s.lastRead.Store(nil)
+		return storedVersion{}, nil
 	case errors.Is(err, errUnchanged):
-		return s.storeRevision.Load(), nil
+		return last, nil
 	case err != nil:
-		return 0, errors.Wrap(err, "confsync: read the configuration key")
-	}
-	if err := s.applyStored(kv.Value); err != nil {
-		s.cfg.Log.Error(err, "configuration from the store not used")
+		return last, errors.Wrap(err, "confsync: read the configuration key")
+	default:
+		return s.applyStored(kv, restorations), nil
 	}
-	s.storeRevision.Store(kv.ModRevision)
-	return kv.ModRevision, nil
 }
 
 // errUnchanged means that the store still holds the value that was read last.
@@ -181,13 +194,20 @@
 	}
 }
 
-// applyStored decodes a value read from the store and applies it if it is newer.
-func (s *Syncer) applyStored(value []byte) error {
-	e, err := config.DecodeEnvelope(value)
+// applyStored applies a value of the configuration key if it is newer, and records it as the last one read.
+// restorations is the number of restorations of the store before it was read.
+func (s *Syncer) applyStored(kv store.KV, restorations uint64) storedVersion {
+	stored := storedVersion{modRevision: kv.ModRevision, revision: unknownRevision}
+	e, err := config.DecodeEnvelope(kv.Value)
+	if err == nil {
+		stored.revision = e.Revision
+		err = s.apply(e, sourceStore)
+	}
 	if err != nil {
-		return err
+		s.cfg.Log.Error(err, "configuration from the store not used")
 	}
-	return s.apply(e, sourceStore)
+	s.lastRead.Store(&lastRead{storedVersion: stored, restorations: restorations})
+	return stored
 }
 
 // sleep waits for d or until ctx ends.
