confsync: a revision that two documents used is renumbered

An entry that had only the restored store accepted a configuration under a revision that other nodes already had in force with another text. Entries took over the store's document, but agents, which read no store, kept the lost one until the next submission. The entry that notices the conflict now writes the store's document again under the next revision, by compare-and-swap, and all nodes follow.

TestRevisionUsedTwiceIsRenumbered failed before: "Expected ...e = lost to equal e = accept...".

--- a/internal/controller/confsync/putback.go
+++ b/internal/controller/confsync/putback.go
@@ -24,15 +24,24 @@
 	revision uint64
 }
 
-// putBackIfLost writes the configuration in force to the store if the store has an older one or none: a store that was restored from an
-// earlier copy has lost what it accepted since, and would refuse every submission that is based on it. It returns what the store holds
-// then.
-func (s *Syncer) putBackIfLost(ctx context.Context, stored storedVersion) (storedVersion, error) {
+// correctStore writes to the store what a restoration from an earlier copy has lost or left ambiguous, and returns what the store holds then.
+func (s *Syncer) correctStore(ctx context.Context, stored storedVersion) (storedVersion, error) {
 	active := s.Current()
-	if active == nil || active.Envelope.Revision <= stored.revision {
+	switch {
+	case active == nil:
+		return stored, nil
+	case active.Envelope.Revision > stored.revision:
+		return s.putBackLost(ctx, active.Envelope, stored)
+	case active.Envelope.Revision == stored.revision && s.replacedRevision.Load() == stored.revision:
+		return s.renumber(ctx, active.Envelope, stored)
+	default:
 		return stored, nil
 	}
-	e := active.Envelope
+}
+
+// putBackLost writes e, the configuration in force, to the store, which has an older one or none: it would refuse every submission that is
+// based on e.
+func (s *Syncer) putBackLost(ctx context.Context, e config.Envelope, stored storedVersion) (storedVersion, error) {
 	next, written, err := s.putBack(ctx, e, stored)
 	if err != nil || !written {
 		return stored, err
@@ -42,6 +51,19 @@
 	return next, nil
 }
 
+// renumber gives e, which has replaced another document with the same revision, the next revision, so that nodes that read no store and
+// have the other document in force follow.
+func (s *Syncer) renumber(ctx context.Context, e config.Envelope, stored storedVersion) (storedVersion, error) {
+	e.Base, e.SubmissionID = e.Revision, "" // The submission's record keeps the revision that its author was told.
+	e.Revision++
+	next, written, err := s.putBack(ctx, e, stored)
+	if err != nil || !written {
+		return stored, err
+	}
+	s.cfg.Log.Info("configuration renumbered, its revision was used for two documents", "revision", e.Revision, "digest", e.Digest)
+	return next, s.apply(e, sourceStore)
+}
+
 // putBack writes e with its history entry and submission record if the configuration key is still as stored describes. It reports whether
 // it did; otherwise another node has written the key.
 func (s *Syncer) putBack(ctx context.Context, e config.Envelope, stored storedVersion) (storedVersion, bool, error) {
--- a/internal/controller/confsync/putback_test.go
+++ b/internal/controller/confsync/putback_test.go
@@ -70,3 +70,28 @@
 		g.Expect(holder.Current().Envelope.Text).To(Equal(testDocument("other")))
 	})
 }
+
+// Guards against agents that keep a lost configuration for ever: an entry that had only the restored store accepted another document
+// under the same revision, and agents, which read no store, ignore it.
+func TestRevisionUsedTwiceIsRenumbered(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T, g *WithT) {
+		s := newFakeStore()
+		a, holder := newSyncer("a", s)
+		agent, agentHolder := newSyncer("agent", nil)
+		earlier := s.copy()
+		lost, err := a.Submit(t.Context(), testSubmission(0, "sub-1", "lost"))
+		g.Expect(err).NotTo(HaveOccurred())
+		putInForce(agentHolder, lost)
+		s.restore(earlier)
+		b, _ := newSyncer("b", s)
+		_, err = b.Submit(t.Context(), testSubmission(0, "sub-b", "accepted"))
+		g.Expect(err).NotTo(HaveOccurred())
+		runSyncers(t, a, agent)
+		advance(6 * time.Second)
+		agent.HandleHeartbeat(connectLinks(agent, a), holder.Revision())
+		advance(time.Second)
+		g.Expect(agentHolder.Current().Envelope.Text).To(Equal(testDocument("accepted")))
+		g.Expect(s.storedConfig(g).Revision).To(BeEquivalentTo(2))
+		g.Expect(b.Submit(t.Context(), testSubmission(0, "sub-b", "accepted"))).To(HaveField("Revision", uint64(1)))
+	})
+}
--- a/internal/controller/confsync/syncer.go
+++ b/internal/controller/confsync/syncer.go
@@ -110,6 +110,8 @@
 	requests chan request
 	// lastRead describes the value that a read or the watch of the store returned last, nil if there was none.
 	lastRead atomic.Pointer[lastRead]
+	// replacedRevision is the last revision under which the store's document replaced another one, or 0.
+	replacedRevision atomic.Uint64
 
 	// submissionLease is the lease of new submission records.
 	submissionLease submissionLease
@@ -198,6 +200,9 @@
 	if err != nil {
 		return false, errors.Wrap(err, "confsync: apply")
 	}
+	if replace {
+		s.replacedRevision.Store(e.Revision)
+	}
 	s.addRecent(e)
 	return true, nil
 }
--- a/internal/controller/confsync/watch.go
+++ b/internal/controller/confsync/watch.go
@@ -140,7 +140,7 @@
 func (s *Syncer) readStore(ctx context.Context) (int64, error) {
 	stored, err := s.readAndApply(ctx)
 	if err == nil {
-		stored, err = s.putBackIfLost(ctx, stored)
+		stored, err = s.correctStore(ctx, stored)
 	}
 	return stored.modRevision, err
 }
