rollout: a holder that the restored store has lost grants no permits beside its successor

After the store was restored from a copy that was older than the acquisition of the rollout lease, a second entry found the lease free. If the copy held no previous holder, or one that had released the lease, the second entry granted permits at once, beside those of the first one, so that more than max_unavailable upstreams could be out of service. If the copy was made between the grant of the lease and the write of the key, the first holder renewed the lease for ever and did not notice. The revisions given out again were below the epoch that agents had accepted, so agents ignored the new holder's permits until the store had passed it.

A holder now checks with each renewal that the key is its own, and stops otherwise. A new holder waits for TakeoverWait if the record of the previous holder is not that of the holder it saw last, if its client noticed a restoration, or if agents have accepted permits of a later revision; its epoch is then above theirs.

--- a/internal/controller/rollout/config.go
+++ b/internal/controller/rollout/config.go
@@ -2,7 +2,7 @@
 // the model that its upstream serves by the target version.
 //
 // One entry per data centre, the holder, owns the key /pimentohead/rollout/<data centre> under a lease. The key's mod revision
-// is the epoch of its permits. The canary of the whole fleet runs in the first data centre by name. The holder there records
+// is the epoch of its permits, unless agents have accepted permits of a later epoch. The canary of the whole fleet runs in the first data centre by name. The holder there records
 // its success once per model and version under /pimentohead/canary/<model>/<version>, where the holders of the other data
 // centres read it.
 package rollout
--- a/internal/controller/rollout/fakes_test.go
+++ b/internal/controller/rollout/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -33,6 +34,27 @@
 
 func (s *fakeStore) clock() time.Time { s.mu.Lock(); defer s.mu.Unlock(); return s.now }
 
+// storeCopy is the content of a fakeStore at one time.
+type storeCopy struct {
+	revision int64
+	keys     map[string]store.KV
+	leases   map[store.LeaseID]time.Time
+}
+
+// copy returns a copy of the content, for restore.
+func (s *fakeStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{s.revision, maps.Clone(s.keys), maps.Clone(s.leases)}
+}
+
+// restore replaces the content by an earlier copy. The store gives out its revisions and lease IDs again.
+func (s *fakeStore) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.keys, s.leases = c.revision, maps.Clone(c.keys), maps.Clone(c.leases)
+}
+
 // advance moves the clock forward and drops the leases that expire.
 func (s *fakeStore) advance(d time.Duration) {
 	s.mu.Lock()
--- a/internal/controller/rollout/lease.go
+++ b/internal/controller/rollout/lease.go
@@ -38,6 +38,8 @@
 	Released bool `json:"released"`
 	// WaitMillis is the longest remaining lifetime, in milliseconds, of the permits of a holder that released its lease.
 	WaitMillis int64 `json:"wait_ms"`
+	// Token is the token of the holder that released its lease.
+	Token string `json:"token,omitempty"`
 }
 
 // lease acquires, renews and releases the holder's key of a data centre and the store lease that the key is attached to.
@@ -47,11 +49,16 @@
 	previousKey string
 	token       string
 
-	// mu guards all fields below. leaseID is 0 while this entry is not the holder; epoch and holder are those last seen.
-	mu      sync.Mutex
-	leaseID store.LeaseID
-	epoch   uint64
-	holder  string
+	// mu guards all fields below. leaseID is 0 while this entry is not the holder; epoch, holder and holderToken are those last seen.
+	mu          sync.Mutex
+	leaseID     store.LeaseID
+	epoch       uint64
+	holder      string
+	holderToken string
+	// keyRevision is the mod revision of the holder's key while this entry is the holder.
+	keyRevision int64
+	// restorations is the number of restorations of the store when this entry last acquired the lease.
+	restorations uint64
 	// validUntil is the earliest time at which the lease may have expired, less LeaseMargin, grantFrom the end of the takeover wait.
 	// Permits are granted only from grantFrom until validUntil.
 	validUntil time.Time
@@ -122,25 +129,64 @@
 	return higherRanked < maxCandidates
 }
 
-// keepAlive renews the lease. Its validity counts from before the call, because the store may have renewed it at any time
-// during the call.
+// errKeyLost means that the key no longer belongs to this holder although a lease with its ID exists: the store was restored from a copy
+// that was made before the key was written.
+var errKeyLost = errors.New("rollout: the holder's key was lost")
+
+// keepAlive renews the lease and checks that the holder's key is still attached to it. The lease's validity counts from before the call,
+// because the store may have renewed it at any time during the call.
 func (l *lease) keepAlive(ctx context.Context) error {
 	id := l.currentID()
 	sentAt := l.cfg.Now()
-	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout) // For KeepAlive and Get.
 	defer cancel()
-	ttl, err := l.cfg.Store.KeepAlive(callCtx, id)
+	ttl, err := l.cfg.Store.KeepAlive(ctx, id)
+	if err == nil {
+		err = l.checkKey(ctx, id)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if errors.Is(err, store.ErrLeaseNotFound) {
+	if errors.Is(err, store.ErrLeaseNotFound) || errors.Is(err, errKeyLost) {
 		l.leaseID, l.epoch, l.holder = 0, 0, ""
 	}
 	if err == nil {
 		l.validUntil = sentAt.Add(min(ttl, l.cfg.LeaseTTL) - l.cfg.LeaseMargin)
+		if announced := l.announcedEpoch(); announced > l.epoch {
+			l.epoch = announced + 1
+		}
 	}
 	return err
 }
 
+// checkKey returns errKeyLost if the holder's key is not that of this holder or not attached to its lease. The lease is not revoked then: a
+// restored store may have given its ID to another process.
+func (l *lease) checkKey(ctx context.Context, id store.LeaseID) error {
+	kv, err := l.cfg.Store.Get(ctx, l.key)
+	if errors.Is(err, store.ErrNotFound) {
+		return errKeyLost
+	}
+	if err != nil {
+		return err
+	}
+	var record holderRecord
+	if json.Unmarshal(kv.Value, &record) != nil || record.Token != l.token || kv.Lease != id {
+		return errKeyLost
+	}
+	return nil
+}
+
+// announcedEpoch returns the highest epoch of the permits that agents of this data centre have accepted. Agents ignore permits of a lower
+// one. It is above the store's revision if the store was restored from an earlier copy.
+func (l *lease) announcedEpoch() uint64 {
+	var highest uint64
+	for _, u := range l.cfg.Table.Upstreams() {
+		if u.Node.DataCentre == l.cfg.Self.DataCentre {
+			highest = max(highest, u.Announce.SwapEpoch)
+		}
+	}
+	return highest
+}
+
 // acquire writes the holder's key under a new lease if the key does not exist. It returns nil without the lease when another
 // entry holds it.
 func (l *lease) acquire(ctx context.Context) error {
@@ -176,7 +222,7 @@
 	case err != nil || !result.Succeeded:
 		return errors.CombineErrors(err, l.cfg.Store.Revoke(ctx, id))
 	}
-	l.becomeHolder(id, uint64(result.Revision), sentAt, l.takeoverWait(result.Results))
+	l.becomeHolder(id, result.Revision, sentAt, l.takeoverWait(result))
 	return nil
 }
 
@@ -195,7 +241,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holder, l.epoch = record.Holder, uint64(kv.ModRevision)
+	l.holder, l.holderToken, l.epoch = record.Holder, record.Token, uint64(kv.ModRevision)
 	return false, nil
 }
 
@@ -213,41 +259,60 @@
 	if record.Token != l.token || kv.Lease != id {
 		return l.cfg.Store.Revoke(ctx, id)
 	}
-	l.becomeHolder(id, uint64(kv.ModRevision), sentAt, l.cfg.TakeoverWait)
+	l.becomeHolder(id, kv.ModRevision, sentAt, l.cfg.TakeoverWait)
 	return nil
 }
 
-// becomeHolder records an acquired lease. sentAt is the time before the lease was requested, wait the takeover wait.
-func (l *lease) becomeHolder(id store.LeaseID, epoch uint64, sentAt time.Time, wait time.Duration) {
+// becomeHolder records an acquired lease. keyRevision is the mod revision of the holder's key, sentAt the time before the lease was
+// requested, wait the takeover wait.
+func (l *lease) becomeHolder(id store.LeaseID, keyRevision int64, sentAt time.Time, wait time.Duration) {
+	epoch := max(uint64(keyRevision), l.announcedEpoch()+1)
+	restorations := store.Restorations(l.cfg.Store)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.leaseID, l.epoch, l.holder = id, epoch, l.cfg.Self.NodeID
+	l.leaseID, l.epoch, l.holder, l.holderToken = id, epoch, l.cfg.Self.NodeID, l.token
+	l.keyRevision, l.restorations = keyRevision, restorations
 	l.validUntil = sentAt.Add(l.cfg.LeaseTTL - l.cfg.LeaseMargin)
 	l.grantFrom = l.cfg.Now().Add(wait)
 	l.cfg.Log.Info("rollout lease acquired", "epoch", epoch, "wait", wait.String())
 }
 
-// takeoverWait returns how long to wait before granting permits, given the results of the claiming transaction: 0 when there
-// was no previous holder, the remaining lifetime of its permits when it released the lease, and TakeoverWait otherwise.
-func (l *lease) takeoverWait(results []store.OpResult) time.Duration {
-	if len(results) == 0 {
+// takeoverWait returns how long to wait before granting permits, given the result of the claiming transaction: 0 when there was no
+// previous holder, the remaining lifetime of its permits when it released the lease, and TakeoverWait otherwise.
+func (l *lease) takeoverWait(result store.TxnResult) time.Duration {
+	if len(result.Results) == 0 || l.mayHaveLostHolder(result.Revision) {
 		return l.cfg.TakeoverWait
 	}
-	if len(results[0].KVs) == 0 {
-		return 0
-	}
+	l.mu.Lock()
+	seenToken := l.holderToken
+	l.mu.Unlock()
 	var previous previousHolder
-	if json.Unmarshal(results[0].KVs[0].Value, &previous) != nil || !previous.Released {
+	if kvs := result.Results[0].KVs; len(kvs) > 0 {
+		if json.Unmarshal(kvs[0].Value, &previous) != nil || !previous.Released {
+			return l.cfg.TakeoverWait
+		}
+	}
+	if seenToken != "" && previous.Token != seenToken {
+		// The record is not that of the holder that this entry saw last.
 		return l.cfg.TakeoverWait
 	}
 	return min(l.cfg.TakeoverWait, time.Duration(previous.WaitMillis)*time.Millisecond)
 }
 
+// mayHaveLostHolder reports whether the store, at the given revision, may have lost a holder whose permits are still in force: it was
+// restored from an earlier copy since this entry last held the lease, or agents have accepted permits of a later revision.
+func (l *lease) mayHaveLostHolder(revision int64) bool {
+	restorations := store.Restorations(l.cfg.Store)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return restorations != l.restorations || l.announcedEpoch() >= uint64(revision)
+}
+
 // release deletes the holder's key, stores the remaining lifetime of this holder's permits for the next one and revokes the
 // lease.
 func (l *lease) release(remaining time.Duration) {
 	l.mu.Lock()
-	id, epoch := l.leaseID, l.epoch
+	id, keyRevision := l.leaseID, l.keyRevision
 	l.leaseID = 0
 	l.mu.Unlock()
 	if id == 0 {
@@ -255,10 +320,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
 	defer cancel()
-	value, err := json.Marshal(previousHolder{Released: true, WaitMillis: max(0, remaining.Milliseconds())})
+	value, err := json.Marshal(previousHolder{Released: true, WaitMillis: max(0, remaining.Milliseconds()), Token: l.token})
 	if err == nil {
 		_, err = l.cfg.Store.Txn(ctx, store.Txn{
-			If: []store.Compare{{Key: l.key, Target: store.CompareMod, Revision: int64(epoch)}},
+			If: []store.Compare{{Key: l.key, Target: store.CompareMod, Revision: keyRevision}},
 			Then: []store.Op{
 				{Delete: &store.Delete{Key: l.key}},
 				{Put: &store.Put{Key: l.previousKey, Value: value}},
