rollout: canary results that the restored store has lost are written again

The result of the fleet's canary is written once. When the restored store had lost it, the holder of the first data centre had it cached and did not write it again, and the other data centres waited for it.

TestCanaryResultLostByTheStoreIsWrittenAgain failed before: "Expected nil to equal [b-0]". It passes now, five times in a row.

--- a/internal/controller/rollout/canary.go
+++ b/internal/controller/rollout/canary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	results       map[string]canaryResult
 	pendingReads  map[string]bool
 	pendingWrites map[string]canaryResult
+	// restorations is the number of restorations of the store after which all results were written again.
+	restorations uint64
 }
 
 func newCanaryCache(cfg *Config) *canaryCache {
@@ -110,7 +113,13 @@
 
 // sync performs the pending writes and reads. It reports whether a read returned a result.
 func (c *canaryCache) sync(ctx context.Context) bool {
+	restorations := store.Restorations(c.cfg.Store)
 	c.mu.Lock()
+	if restorations != c.restorations {
+		// The store was restored from an earlier copy and may have lost results that the other data centres wait for.
+		maps.Copy(c.pendingWrites, c.results)
+		c.restorations = restorations
+	}
 	writes, reads := make(map[string]canaryResult), []string(nil)
 	for key, v := range c.pendingWrites {
 		writes[key] = v
--- a/internal/controller/rollout/fakes_test.go
+++ b/internal/controller/rollout/fakes_test.go
@@ -26,6 +26,8 @@
 	leases   map[store.LeaseID]time.Time
 	// ambiguousTxns makes each transaction take effect and return ErrAmbiguous.
 	ambiguousTxns bool
+	// restorations is what Restorations returns.
+	restorations uint64
 }
 
 func newFakeStore() *fakeStore {
@@ -55,6 +57,9 @@
 	s.revision, s.keys, s.leases = c.revision, maps.Clone(c.keys), maps.Clone(c.leases)
 }
 
+// Restorations implements store.RestorationCounter.
+func (s *fakeStore) Restorations() uint64 { return s.restorations }
+
 // advance moves the clock forward and drops the leases that expire.
 func (s *fakeStore) advance(d time.Duration) {
 	s.mu.Lock()
--- a/internal/controller/rollout/restoration_test.go
+++ b/internal/controller/rollout/restoration_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pimentohead/pimentohead/internal/config"
+	"github.com/pimentohead/pimentohead/internal/membership"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
@@ -72,3 +73,23 @@
 	g.Expect(granting).To(BeTrue())
 	g.Expect(epoch).To(BeEquivalentTo(201))
 }
+
+// Guards against data centres that wait for ever for the result of a canary that has passed but that the restored store has lost.
+func TestCanaryResultLostByTheStoreIsWrittenAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	a, b := newDataCentre(t, "a", s, 2), newDataCentre(t, "b", s, 2)
+	b.entries = []membership.Entry{{Node: message.Hello{NodeID: "entry-1", DataCentre: "a"}}}
+	a.applyConfig(nil)
+	b.applyConfig(nil)
+	first, second := a.newLeaseHolder("entry-1"), b.newLeaseHolder("entry-2")
+	reconcileOnce(first)
+	earlier := s.copy()
+	a.completeSwap(0, "v2")
+	reconcileOnce(first)
+	s.restore(earlier)
+	s.restorations++
+	reconcileOnce(first)
+	reconcileOnce(second)
+	g.Expect(b.takePermits()).To(Equal([]string{"b-0"}))
+}
