order: a response is recorded although the restored store has lost its claim

When the store was restored from a copy that was older than the claim of a running order, the write of the response found no record, and the ledger dropped the response without one. A repeat of the key at any agent then ran the order a second time. The ledger now creates the record again, with the response, if the key is free; a record of another claim stays.

--- a/internal/order/group.go
+++ b/internal/order/group.go
@@ -182,8 +182,12 @@
 	case c.state == stateClaiming:
 		// The store reported a conflict but returned no record: the other claim has expired or was released in the meantime.
 		l.refuseClaim(c)
+	case c.state == stateRecording && !succeeded && stored == nil && c.revision != 0:
+		// The store was restored from a copy that is older than the claim: create the record again, with the response.
+		c.revision = 0
+		l.pendingWrites = append(l.pendingWrites, c)
 	case succeeded || !isOwn || c.state == stateRecording && stored.Response != nil:
-		// The response or release is in the store, or the store no longer has the claim.
+		// The response or release is in the store, or the key belongs to another claim.
 		l.removeClaim(c)
 	default:
 		// The store has the claim at a revision other than expected, or its revision was not known yet: write again.
--- a/internal/order/ledger_test.go
+++ b/internal/order/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -127,6 +128,26 @@
 	return result
 }
 
+// storeCopy is the content of a fakeStore at one time.
+type storeCopy struct {
+	revision int64
+	kvs      map[string]store.KV
+}
+
+// copy returns a copy of the content, for restore.
+func (f *fakeStore) copy() storeCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return storeCopy{f.revision, maps.Clone(f.kvs)}
+}
+
+// restore replaces the content by an earlier copy, so that revisions are given out again.
+func (f *fakeStore) restore(c storeCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.kvs = c.revision, maps.Clone(c.kvs)
+}
+
 // setFaults makes the next calls simulate the given faults, one each, and later calls none.
 func (f *fakeStore) setFaults(remaining ...fault) {
 	f.mu.Lock()
