order: claims that the restored store has lost are put back

When the store was restored from a copy that was older than a claim, the order of a repeated key ran a second time. A ledger now keeps the claims that ended in the last minute, without their responses. Once its store client has noticed a restoration, it grants no claim until it has created the records of its held and ended claims again, create-only; a repeat then gets Unknown instead of a second run. A ledger with such claims and nothing to commit reads from the store every 2 s to notice a restoration.

A repeat that reaches another agent before the first one has put its claims back still runs a second time, as does one whose first agent has died.

Failed before: TestClaimsLostByTheStoreArePutBack and TestRepeatRightAfterARestorationIsNotRun, both with "Expected <order.Verdict>: 1 to equal <order.Verdict>: 4" (the repeat ran).

--- a/internal/order/commit.go
+++ b/internal/order/commit.go
@@ -22,6 +22,8 @@
 	retryBackoff.InitialInterval = l.cfg.CommitInterval
 	retryBackoff.MaxInterval = maxRetryIntervals * l.cfg.CommitInterval
 	defer l.abandonPendingClaims()
+	checkTicker := time.NewTicker(checkInterval)
+	defer checkTicker.Stop()
 	var retryTimer <-chan time.Time
 	for {
 		select {
@@ -29,13 +31,15 @@
 			return
 		case <-l.wake:
 		case <-retryTimer:
+		case <-checkTicker.C:
+			l.checkStore(ctx)
 		}
 		claims, writes := l.takeGroup()
 		retryTimer = nil
-		if len(claims)+len(writes) == 0 {
+		if len(claims)+len(writes) == 0 && !l.storeWasRestored() {
 			continue
 		}
-		err := l.commitGroup(ctx, claims, writes)
+		err := l.commitAndPutBack(ctx, claims, writes)
 		l.notifyProgress()
 		if err == nil {
 			retryBackoff.Reset()
@@ -43,7 +47,7 @@
 		if !sleep(ctx, l.cfg.CommitInterval) {
 			return
 		}
-		if err != nil && l.hasPending() {
+		if err != nil && (l.hasPending() || l.storeWasRestored()) {
 			retryTimer = time.After(retryBackoff.NextBackOff())
 			continue
 		}
@@ -51,6 +55,17 @@
 	}
 }
 
+// commitAndPutBack commits a group, if it has any operations, and puts back the claims that a restored store may have lost.
+func (l *Ledger) commitAndPutBack(ctx context.Context, claims, writes []*Claim) error {
+	l.calledStore = true
+	if len(claims)+len(writes) > 0 {
+		if err := l.commitGroup(ctx, claims, writes); err != nil {
+			return err
+		}
+	}
+	return l.putBackClaims(ctx)
+}
+
 // sleep waits for d and reports whether it passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/order/group.go
+++ b/internal/order/group.go
@@ -56,7 +56,7 @@
 		l.handleFailure(group, err)
 		return err
 	}
-	l.applyResults(group, result)
+	l.applyResults(group, result, l.storeWasRestored())
 	return nil
 }
 
@@ -140,8 +140,9 @@
 	close(c.resolved)
 }
 
-// applyResults updates the claims of a group from the results of its nested transactions.
-func (l *Ledger) applyResults(group []*Claim, result store.TxnResult) {
+// applyResults updates the claims of a group from the results of its nested transactions. After a restoration of the
+// store, it grants no claims: their orders may have run under a claim that the store has lost and this ledger has not put back yet.
+func (l *Ledger) applyResults(group []*Claim, result store.TxnResult, restored bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i, c := range group {
@@ -160,6 +161,10 @@
 			}
 			stored, revision = &r, kv.ModRevision
 		}
+		if restored && c.state == stateClaiming && (succeeded || stored != nil && stored.ClaimID == c.id) {
+			l.refuseAfterRestoration(c)
+			continue
+		}
 		l.applyResult(c, succeeded, result.Revision, stored, revision)
 	}
 }
@@ -188,6 +193,9 @@
 		l.pendingWrites = append(l.pendingWrites, c)
 	case succeeded || !isOwn || c.state == stateRecording && stored.Response != nil:
 		// The response or release is in the store, or the key belongs to another claim.
+		if c.state == stateRecording {
+			l.addEnded(c)
+		}
 		l.removeClaim(c)
 	default:
 		// The store has the claim at a revision other than expected, or its revision was not known yet: write again.
--- a/internal/order/ledger.go
+++ b/internal/order/ledger.go
@@ -127,6 +127,11 @@
 	lease          store.LeaseID
 	leaseGrantedAt time.Time
 
+	// restorations is the number of restorations of the store after which claims were put back. Only the goroutine of Run uses it.
+	restorations uint64
+	// calledStore is set by each commit and cleared by each check of the store. Only the goroutine of Run uses it.
+	calledStore bool
+
 	// wake holds at most one notification for Run that there is something to commit.
 	wake chan struct{}
 
@@ -134,6 +139,8 @@
 	mu sync.Mutex
 	// active holds the claims that have not ended, by store key.
 	active map[string]*Claim
+	// ended holds the latest claims that ended after their order may have run, oldest first.
+	ended []endedClaim
 	// pendingClaims holds the claims to be created in the store, pendingWrites those with a response or release to be written.
 	pendingClaims []*Claim
 	pendingWrites []*Claim
@@ -148,7 +155,7 @@
 	setDefault(&cfg.ClaimTimeout, DefaultClaimTimeout)
 	setDefault(&cfg.MaxActive, DefaultMaxActive)
 	return &Ledger{
-		cfg: cfg, store: s, wake: make(chan struct{}, 1),
+		cfg: cfg, store: s, restorations: store.Restorations(s), wake: make(chan struct{}, 1),
 		active: make(map[string]*Claim), progress: make(chan struct{}),
 	}
 }
@@ -312,6 +319,7 @@
 		return
 	}
 	if response == nil {
+		l.addEnded(c)
 		l.removeClaim(c)
 		return
 	}
--- a/internal/order/ledger_test.go
+++ b/internal/order/ledger_test.go
@@ -38,6 +38,8 @@
 	kvs       map[string]store.KV
 	nextFault func() fault
 	calls     int
+	// restorations counts the calls of restore.
+	restorations uint64
 	// When unblock is not nil, a transaction notifies entered when it arrives and then waits until unblock is closed.
 	entered, unblock chan struct{}
 }
@@ -146,6 +148,24 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision, f.kvs = c.revision, maps.Clone(c.kvs)
+	f.restorations++
+}
+
+// Restorations implements store.RestorationCounter.
+func (f *fakeStore) Restorations() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restorations
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (store.KV, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kv, ok := f.kvs[key]
+	if !ok {
+		return store.KV{}, store.ErrNotFound
+	}
+	return kv, nil
 }
 
 // setFaults makes the next calls simulate the given faults, one each, and later calls none.
