confsync: a submission on an older base stays refused as unavailable while the store is behind

After the configuration in force was put back, a submission that is based on an older one was attempted again and reported as a conflict.

--- a/internal/controller/confsync/submit.go
+++ b/internal/controller/confsync/submit.go
@@ -87,7 +87,7 @@
 	}
 	if result, done, err := c.resultFromState(ctx, state); done || err != nil {
 		if errors.Is(err, errStoreBehind) {
-			err = errors.CombineErrors(err, c.syncer.refresh(ctx))
+			err = c.putBack(ctx, err)
 		}
 		return result, err
 	}
@@ -127,6 +127,16 @@
 	return accepted, err
 }
 
+// putBack writes the configuration in force to a store that is behind, so that the next attempt can succeed. A submission that is based on
+// an older configuration than the one in force is not attempted again. behind is the error to return.
+func (c *submitCall) putBack(ctx context.Context, behind error) error {
+	behind = errors.CombineErrors(behind, c.syncer.refresh(ctx))
+	if !c.mayHaveWritten && c.submission.Base < c.syncer.cfg.Holder.Revision() {
+		return backoff.Permanent(behind)
+	}
+	return behind
+}
+
 // resultFromState returns the result of the submission if the stored state determines it, and reports whether it does. The result
 // is the envelope that was accepted under the submission ID, or a permanent error if the submission is refused. If the stored state
 // is outdated, resultFromState returns errStoreBehind.
