--- a/internal/order/ledger_test.go
+++ b/internal/order/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -37,6 +38,8 @@
 	kvs       map[string]store.KV
 	nextFault func() fault
 	calls     int
+	// restorations counts the calls of restore.
+	restorations uint64
 	// When unblock is not nil, a transaction notifies entered when it arrives and then waits until unblock is closed.
 	entered, unblock chan struct{}
 }
@@ -127,6 +130,44 @@
 	return result
 }
 
+// storeCopy is the content of a fakeStore at one time.
+type storeCopy struct {
+	revision int64
+	kvs      map[string]store.KV
+}
+
+// copy returns a copy of the content, for restore.
+func (f *fakeStore) copy() storeCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return storeCopy{f.revision, maps.Clone(f.kvs)}
+}
+
+// restore replaces the content by an earlier copy, so that revisions are given out again.
+func (f *fakeStore) restore(c storeCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.kvs = c.revision, maps.Clone(c.kvs)
+	f.restorations++
+}
+
+// Restorations implements store.RestorationCounter.
+func (f *fakeStore) Restorations() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restorations
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (store.KV, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kv, ok := f.kvs[key]
+	if !ok {
+		return store.KV{}, store.ErrNotFound
+	}
+	return kv, nil
+}
+
 // setFaults makes the next calls simulate the given faults, one each, and later calls none.
 func (f *fakeStore) setFaults(remaining ...fault) {
 	f.mu.Lock()
--- a/internal/platform/store/calls.go
+++ b/internal/platform/store/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,9 +14,11 @@
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (KV, error) {
 	var response etcdjson.RangeResponse
+	before := c.restorations.position()
 	if err := c.call(ctx, readCall, etcdjson.PathRange, etcdjson.RangeRequest{Key: []byte(key)}, &response); err != nil {
 		return KV{}, err
 	}
+	c.observe(before, response.Header)
 	if len(response.KVs) == 0 {
 		return KV{}, errors.Wrapf(ErrNotFound, "%q", key)
 	}
@@ -29,15 +32,18 @@
 		return TxnResult{}, err
 	}
 	var response etcdjson.TxnResponse
+	before := c.restorations.position()
 	if err := c.call(ctx, kind, etcdjson.PathTxn, request, &response); err != nil {
 		return TxnResult{}, err
 	}
+	c.observe(before, response.Header)
 	return fromTxn(response), nil
 }
 
-// Grant implements Store. The time to live is rounded up to whole seconds, the unit of the service.
+// Grant implements Store. The time to live is rounded up to whole seconds, the unit of the service. The ID is random, because a service
+// that was restored from an earlier copy may choose an ID again that another process still renews.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
-	request := etcdjson.GrantRequest{TTL: int64(math.Ceil(ttl.Seconds()))}
+	request := etcdjson.GrantRequest{TTL: int64(math.Ceil(ttl.Seconds())), ID: 1 + rand.Int64N(math.MaxInt64)}
 	var response etcdjson.LeaseResponse
 	if err := c.call(ctx, writeCall, etcdjson.PathGrant, request, &response); err != nil {
 		return 0, err
