fleet: accept the newest announcement in whatever order records arrive

A node that started right after a restore of the store could take a draining upstream for a ready one: it had read the older announcement of the copy, and the nodes that knew of the draining had read the copy too, so that their record had the same place in the history and was rejected. Of two announcements the later one counts now, whichever record arrives first; a removal that was written later still ends it.

TestDrainingReachesANodeThatHasReadTheCopy failed before (Expected <catalog.State>: 1 to equal <catalog.State>: 2) and passes.

--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -130,3 +130,24 @@
 		g.Expect(s.Snapshot().ByID("gone") == nil).To(Equal(removedMeanwhile))
 	}
 }
+
+// Guards against a node that has started on the copy and never hears that an upstream drains: a node that knew it from before the restore has
+// read the copy too, and reports the upstream with the same place in the history.
+func TestDrainingReachesANodeThatHasReadTheCopy(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s, started := restoredState(&now), fleet.NewState(func() time.Time { return now })
+	inCopy := fleet.UpstreamRecord{ID: "a", Era: 2, Revision: 60, Announcement: announced("a", 5, catalog.Ready)}
+	s.ApplyUpstream(fleet.UpstreamRecord{ID: "a", Era: 1, Revision: 102, Announcement: announced("a", 6, catalog.Draining)})
+	for _, state := range []*fleet.State{s, started} {
+		state.ObserveEra(2)
+		state.ApplyUpstream(inCopy)
+	}
+	_, _, records, _ := s.Records()
+	for _, u := range records {
+		started.ApplyUpstream(u)
+	}
+	g.Expect(started.Snapshot().ByID("a").State).To(Equal(catalog.Draining))
+	started.ApplyUpstream(fleet.UpstreamRecord{ID: "a", Era: 2, Revision: 61})
+	g.Expect(started.Snapshot().ByID("a")).To(BeNil())
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -169,7 +169,7 @@
 
 // ApplyUpstream merges an upstream record and reports whether it was accepted. It is rejected if it was not written after the recorded one,
 // or if its announcement was made before the newest accepted one. An announcement is also accepted if it was made later, but stored in an
-// era that is over.
+// era that is over, or before an older one that was stored late.
 func (s *State) ApplyUpstream(u UpstreamRecord) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -195,7 +195,7 @@
 		case order == 0 && s.isRevivedByCopy(u, current):
 			current.deferred, s.hasDeferred = u, true
 			return false
-		case order > 0 && u.Era < current.Era && current.Announcement != nil:
+		case order > 0 && !isAfter && current.Announcement != nil:
 			u.Era, u.Revision, isAfter = current.Era, current.Revision, true
 		}
 	}
