mesh: read records of nodes that know no eras in the era that is known

During an upgrade, an entry kept an upstream after the store had removed it, if the node that watches the store for its data centre was still of the earlier release: records of that release state no era and counted as of an earlier one. They count as of the era that the node knows, as long as it has not heard of a restore.

TestRemovalFromANodeThatKnowsNoErasIsAccepted failed before (the upstream is still listed: Expected ... to be nil) and passes.

--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -80,7 +80,7 @@
 		m.mergeConfig(p, msg)
 	}
 	for _, u := range msg.Upstreams {
-		state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Era: u.Era, Revision: u.Revision, Announcement: u.Announcement})
+		state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Era: m.eraOf(msg, u), Revision: u.Revision, Announcement: u.Announcement})
 	}
 	for _, v := range msg.Versions {
 		m.mergeVersion(p, v)
@@ -93,6 +93,15 @@
 	}
 }
 
+// eraOf returns the era of an upstream record. Nodes of earlier releases state none: as long as this node has not heard of a restore of the store,
+// their records are of the only era that it knows.
+func (m *Mesh) eraOf(msg *message.FleetState, u message.FleetUpstream) int64 {
+	if msg.Era == 0 && u.Era == 0 && m.cfg.State.RestoredAt().IsZero() {
+		return m.cfg.State.Era()
+	}
+	return u.Era
+}
+
 // mergeVersion merges a version record of another node. It logs versions that are new to this node, and ages that were only assumed
 // before.
 func (m *Mesh) mergeVersion(p *peer, v message.FleetVersion) {
