fleet: confirm the removal of an upstream that had drained, after a restore

An upstream that had drained and left in the time that a restore of the store has lost stayed ready in the list of a node that started right after the restore, for good: a node that knew of the removal recorded the older announcement of the copy as the place of the removal in the new era, so that it had nothing to tell when the store removed the upstream. A removal keeps its place until the store confirms it.

--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -94,19 +94,23 @@
 }
 
 // Guards against an upstream that has left and stays in the list of a node that read the copy first: the nodes that knew of its removal before
-// the restore did not tell the others that it holds in the new era too.
+// the restore did not tell the others that it holds in the new era too. The copy lists the last announcement or an earlier one.
 func TestSettledListingConfirmsRemovalsOfAnEarlierEra(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	s, started := restoredState(&now), fleet.NewState(func() time.Time { return now })
-	started.ObserveEra(2)
-	started.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 90, Announcement: announced("gone", 5, catalog.Ready)})
-	s.Observe(func(c fleet.Change) { started.ApplyUpstream(*c.Upstream) })
-	s.ObserveEra(2)
-	s.ApplyListing(fleet.Listing{Era: 2, Revision: 95})
-	g.Expect(started.Snapshot().ByID("gone")).NotTo(BeNil(), "it may announce itself again")
-	s.ApplyListing(fleet.Listing{Era: 2, Revision: 97, Settled: true})
-	g.Expect(started.Snapshot().ByID("gone")).To(BeNil())
+	for _, sequence := range []int64{5, 4} {
+		s, started := restoredState(&now), fleet.NewState(func() time.Time { return now })
+		inCopy := fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 90, Announcement: announced("gone", sequence, catalog.Ready)}
+		started.ObserveEra(2)
+		started.ApplyUpstream(inCopy)
+		s.Observe(func(c fleet.Change) { started.ApplyUpstream(*c.Upstream) })
+		s.ObserveEra(2)
+		s.ApplyUpstream(inCopy)
+		s.ApplyListing(fleet.Listing{Era: 2, Revision: 95})
+		g.Expect(started.Snapshot().ByID("gone")).NotTo(BeNil(), "it may announce itself again")
+		s.ApplyListing(fleet.Listing{Era: 2, Revision: 97, Settled: true})
+		g.Expect(started.Snapshot().ByID("gone")).To(BeNil(), "sequence %d", sequence)
+	}
 }
 
 // Guards against an upstream that lives, is listed unchanged by the copy, and stays out of the list of a node that does not watch the store for
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -189,8 +189,11 @@
 		switch {
 		case order < 0 && isAfter:
 			// The announcement is outdated: it was stored late, or the store was restored from a copy that holds it. The store holds it until
-			// the next one. Its place in the history is recorded, but the newer announcement stays.
-			current.Era, current.Revision = u.Era, u.Revision
+			// the next one. Its place in the history is recorded, but the newer announcement stays. A removal keeps its own place, so that it is
+			// recorded again when the store has removed the upstream too.
+			if current.Announcement != nil {
+				current.Era, current.Revision = u.Era, u.Revision
+			}
 			return false
 		case order == 0 && s.isRevivedByCopy(u, current):
 			current.deferred, s.hasDeferred = u, true
@@ -212,7 +215,7 @@
 	return true
 }
 
-// isRevivedByCopy reports whether a record repeats the last announcement of an upstream that was removed in an earlier era, while the store
+// isRevivedByCopy reports whether a record repeats an announcement of an upstream that was removed in an earlier era, while the store
 // may list it only because the copy was made before the removal. The caller holds mu.
 func (s *State) isRevivedByCopy(u UpstreamRecord, current *upstreamState) bool {
 	return current.Announcement == nil && u.Era > current.Era && !s.restoredAt.IsZero() && s.now().Sub(s.restoredAt) < copyRetention
