--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -94,19 +94,23 @@
 }
 
 // Guards against an upstream that has left and stays in the list of a node that read the copy first: the nodes that knew of its removal before
-// the restore did not tell the others that it holds in the new era too.
+// the restore did not tell the others that it holds in the new era too. The copy lists the last announcement or an earlier one.
 func TestSettledListingConfirmsRemovalsOfAnEarlierEra(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	s, started := restoredState(&now), fleet.NewState(func() time.Time { return now })
-	started.ObserveEra(2)
-	started.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 90, Announcement: announced("gone", 5, catalog.Ready)})
-	s.Observe(func(c fleet.Change) { started.ApplyUpstream(*c.Upstream) })
-	s.ObserveEra(2)
-	s.ApplyListing(fleet.Listing{Era: 2, Revision: 95})
-	g.Expect(started.Snapshot().ByID("gone")).NotTo(BeNil(), "it may announce itself again")
-	s.ApplyListing(fleet.Listing{Era: 2, Revision: 97, Settled: true})
-	g.Expect(started.Snapshot().ByID("gone")).To(BeNil())
+	for _, sequence := range []int64{5, 4} {
+		s, started := restoredState(&now), fleet.NewState(func() time.Time { return now })
+		inCopy := fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 90, Announcement: announced("gone", sequence, catalog.Ready)}
+		started.ObserveEra(2)
+		started.ApplyUpstream(inCopy)
+		s.Observe(func(c fleet.Change) { started.ApplyUpstream(*c.Upstream) })
+		s.ObserveEra(2)
+		s.ApplyUpstream(inCopy)
+		s.ApplyListing(fleet.Listing{Era: 2, Revision: 95})
+		g.Expect(started.Snapshot().ByID("gone")).NotTo(BeNil(), "it may announce itself again")
+		s.ApplyListing(fleet.Listing{Era: 2, Revision: 97, Settled: true})
+		g.Expect(started.Snapshot().ByID("gone")).To(BeNil(), "sequence %d", sequence)
+	}
 }
 
 // Guards against an upstream that lives, is listed unchanged by the copy, and stays out of the list of a node that does not watch the store for
@@ -130,3 +134,24 @@
 		g.Expect(s.Snapshot().ByID("gone") == nil).To(Equal(removedMeanwhile))
 	}
 }
+
+// Guards against a node that has started on the copy and never hears that an upstream drains: a node that knew it from before the restore has
+// read the copy too, and reports the upstream with the same place in the history.
+func TestDrainingReachesANodeThatHasReadTheCopy(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s, started := restoredState(&now), fleet.NewState(func() time.Time { return now })
+	inCopy := fleet.UpstreamRecord{ID: "a", Era: 2, Revision: 60, Announcement: announced("a", 5, catalog.Ready)}
+	s.ApplyUpstream(fleet.UpstreamRecord{ID: "a", Era: 1, Revision: 102, Announcement: announced("a", 6, catalog.Draining)})
+	for _, state := range []*fleet.State{s, started} {
+		state.ObserveEra(2)
+		state.ApplyUpstream(inCopy)
+	}
+	_, _, records, _ := s.Records()
+	for _, u := range records {
+		started.ApplyUpstream(u)
+	}
+	g.Expect(started.Snapshot().ByID("a").State).To(Equal(catalog.Draining))
+	started.ApplyUpstream(fleet.UpstreamRecord{ID: "a", Era: 2, Revision: 61})
+	g.Expect(started.Snapshot().ByID("a")).To(BeNil())
+}
