relay: a retry after a server error takes one retry from the budget

Callers got a 502 of the entry in place of the upstream's own answer when the retry budget was almost used up: a server error took one retry from the budget to decide whether to retry, and another one for the retry. If only the first was left, there was neither a retry nor the upstream's answer. The first one counts for the retry now.

TestServerErrorIsForwardedWhenTheRetryBudgetIsUsedUp failed before (502 instead of 500) and passes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -41,8 +41,10 @@
 	// extraRuns is added to the route's MaxAttempts when the next retry is decided. It is 1 if the upstream has probably terminated
 	// or was cut off (see extraRunsAfter), so that this run does not count, and 0 otherwise.
 	extraRuns int
-	cause     error
-	duration  time.Duration
+	// retryTaken is set when a retry has been taken from the budget already.
+	retryTaken bool
+	cause      error
+	duration   time.Duration
 	// timeToFirstEvent is measured from the start of the attempt. It is 0 if no event has been forwarded.
 	timeToFirstEvent time.Duration
 	// answerBegun is set when the upstream has sent the head of a response to the request.
@@ -328,7 +330,8 @@
 	if a.serverError && x.route.MayRepeat() && x.mayRetryServerError() {
 		x.lastFailure = "upstream failed"
 		a.complete = true
-		return attemptResult{kind: mayHaveRun, status: resp.StatusCode, cause: errors.Newf("relay: upstream answered %d", resp.StatusCode)}
+		return attemptResult{kind: mayHaveRun, status: resp.StatusCode, retryTaken: true,
+			cause: errors.Newf("relay: upstream answered %d", resp.StatusCode)}
 	}
 	x.copyHeaders(resp)
 	if len(body) <= maxBufferedResponse {
@@ -354,7 +357,7 @@
 // mayRetryServerError reports whether a server error of the upstream may be retried elsewhere. It takes a retry from the
 // budget if so.
 func (x *exchange) mayRetryServerError() bool {
-	return x.possibleRuns < x.route.MaxAttempts && time.Until(x.deadline) > x.route.LatencyTarget &&
+	return x.sends < maxSends && x.possibleRuns < x.route.MaxAttempts && time.Until(x.deadline) > x.route.LatencyTarget &&
 		x.relay.cfg.RetryBudget.TryRetry(x.service)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -367,6 +367,6 @@
 	case res.kind == mayHaveRun && (!x.route.MayRepeat() || x.possibleRuns >= max(x.route.MaxAttempts, 1)+res.extraRuns):
 		return false
 	default:
-		return x.relay.cfg.RetryBudget.TryRetry(x.service)
+		return res.retryTaken || x.relay.cfg.RetryBudget.TryRetry(x.service)
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -361,6 +361,19 @@
 	g.Expect(a.body).To(Equal("broken"))
 }
 
+// Guards against a server error that takes two retries from the budget, one to decide on the retry and one to make it: when only the first was
+// left, the caller got a 502 of the entry in place of the upstream's answer.
+func TestServerErrorIsForwardedWhenTheRetryBudgetIsUsedUp(t *testing.T) {
+	g := NewWithT(t)
+	fail := func(nc net.Conn, r *http.Request) { respond(nc, r, 500, "broken") }
+	e := newEntry(t, newUpstream(t, "u1", fail), newUpstream(t, "u2", fail))
+	for range 150 { // Each takes a retry, and the budget allows 104 for so many.
+		a := e.send(context.Background(), "/look/", nil)
+		g.Expect(a.status).To(Equal(500))
+		g.Expect(a.body).To(Equal("broken"))
+	}
+}
+
 // expectStreams checks that each request is answered by the stream want. It sends at least 4 requests, and more until failing has
 // received one: equal upstreams are chosen at random, and 4 requests all miss the failing one of two in 6 of 100 runs.
 func expectStreams(g Gomega, e *entry, failing *upstream, want string) {
