fleet, catalogsync: distrust the copy longer after another outage

An upstream that had left got requests again if the store was away once more within 5 s of a restore: its announcement, which only the copy of the store held, had not ended, since leases may pause while the store is away, but the 5 s in which unchanged announcements of removed upstreams are not accepted had passed. They run from the end of such an outage.

TestOutageAfterARestoreProlongsTheDistrustOfTheCopy failed before (Expected <bool>: true to be false) and passes.

--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -185,3 +185,28 @@
 		g.Expect(has(s, "left")).To(BeFalse())
 	})
 }
+
+// Guards against an upstream that has left and gets requests again because the store, which lists it since a restore, was away once more, so that
+// the lease of its announcement has not ended yet.
+func TestOutageAfterARestoreProlongsTheDistrustOfTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("up/left", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.remove("up/left")
+		time.Sleep(time.Second)
+		m.restore(4, map[string]string{"conf": "7", "up/left": "1"})
+		time.Sleep(time.Second)
+		m.withLock(func() { m.down = true })
+		time.Sleep(5 * time.Second)
+		m.withLock(func() { m.down = false })
+		time.AfterFunc(3600*time.Millisecond, func() { m.remove("up/left") })
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(has(s, "left")).To(BeFalse())
+		}
+	})
+}
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -379,6 +379,7 @@
 		return
 	}
 	duration := time.Since(w.failingSince)
+	w.state.ObserveOutage(duration)
 	w.failingSince = time.Time{}
 	if duration >= outageThreshold && w.listedOnce {
 		w.reannounceUntil = time.Now().Add(reannouncePeriod)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -76,7 +76,7 @@
 	upToDateAt        time.Time
 	upstreamsComplete bool
 	// era is the highest era of the store that is known, if eraKnown is set. restoredAt is when a node that knew an earlier one heard of it,
-	// zero if this has not happened.
+	// or the end of an outage soon after that, zero if this has not happened.
 	era         int64
 	eraKnown    bool
 	restoredAt  time.Time
@@ -153,6 +153,17 @@
 	return restored
 }
 
+// ObserveOutage records that the store answers again after an outage. Leases may have been paused in it: if it began while the copy of a restored
+// store may still have listed removed upstreams, it may do so for copyRetention from now.
+func (s *State) ObserveOutage(duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if !s.restoredAt.IsZero() && now.Add(-duration).Sub(s.restoredAt) < copyRetention {
+		s.restoredAt = now
+	}
+}
+
 // Era returns the highest era of the store that is known, 0 if none is.
 func (s *State) Era() int64 {
 	s.mu.Lock()
@@ -160,7 +171,8 @@
 	return s.era
 }
 
-// RestoredAt returns the time at which this node heard of the last restore of the store, zero if it has heard of none.
+// RestoredAt returns the time at which this node heard of the last restore of the store, or the end of an outage soon after that. It is zero if
+// the node has heard of none.
 func (s *State) RestoredAt() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
