catalogsync: never ask for a poll with a negative wait

The wait of a poll that ends with the reannounce period is computed from the clock a second time, after the check that the period lasts; a node that is paused in between would have asked the store for a negative wait.

--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -211,7 +211,7 @@
 	}
 	for _, listAt := range []time.Time{w.reannounceUntil, w.unsettledUntil} {
 		if !listAt.IsZero() {
-			wait = min(wait, time.Until(listAt)+time.Millisecond)
+			wait = min(wait, max(time.Until(listAt), 0)+time.Millisecond)
 		}
 	}
 	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.cursor, wait)
