--- /dev/null
+++ b/internal/mesh/merge.go
@@ -0,0 +1,112 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/message"
+)
+
+// mergeState merges a state message of another node. If an entry reports a newer configuration version without the
+// configuration, a request for it is scheduled. A message with RequestConfig is answered with the configuration, and its other
+// fields are ignored.
+func (m *Mesh) mergeState(p *peer, msg *message.FleetState) {
+	state := m.cfg.State
+	if msg.RequestConfig {
+		m.sendConfig(p)
+		return
+	}
+	if msg.Era > 0 && state.ObserveEra(msg.Era) {
+		m.cfg.Log.Info("store was restored from an earlier copy", "era", msg.Era, "from", p.hello.NodeID)
+	}
+	if msg.Config == nil && msg.ConfigVersion > state.Snapshot().ConfigVersion() && isEntry(p) {
+		m.requestConfigLater(p, msg.ConfigVersion)
+	}
+	if msg.Config != nil && (msg.ConfigVersion == 0 || msg.ConfigVersion > state.Snapshot().ConfigVersion()) {
+		m.mergeConfig(p, msg)
+	}
+	for _, u := range msg.Upstreams {
+		state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Era: m.eraOf(msg, u), Revision: u.Revision, Announcement: u.Announcement})
+	}
+	for _, v := range msg.Versions {
+		m.mergeVersion(p, v)
+	}
+	if msg.UpstreamsComplete {
+		state.MarkUpstreamsComplete()
+	}
+	if msg.HasStaleness && isEntry(p) {
+		state.MarkUpToDate(time.Now().Add(-time.Duration(msg.StalenessMillis) * time.Millisecond))
+	}
+}
+
+// eraOf returns the era of an upstream record. Nodes of earlier releases state none: as long as this node has not heard of a restore of the store,
+// their records are of the only era that it knows.
+func (m *Mesh) eraOf(msg *message.FleetState, u message.FleetUpstream) int64 {
+	if msg.Era == 0 && u.Era == 0 && m.cfg.State.RestoredAt().IsZero() {
+		return m.cfg.State.Era()
+	}
+	return u.Era
+}
+
+// mergeVersion merges a version record of another node. It logs versions that are new to this node, and ages that were only assumed
+// before.
+func (m *Mesh) mergeVersion(p *peer, v message.FleetVersion) {
+	state := m.cfg.State
+	before, _ := state.Snapshot().NewestVersion(v.Model)
+	record := fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: v.Model, Version: v.Version}, Revision: v.Revision,
+		NamedAt: time.Now().Add(-time.Duration(v.AgeMillis) * time.Millisecond), AgeAssumed: v.AgeAssumed}
+	if state.ApplyVersion(record) {
+		m.cfg.Log.Info("model version named", "model", v.Model, "version", v.Version, "age_ms", v.AgeMillis,
+			"age_assumed", v.AgeAssumed, "from", p.hello.NodeID)
+		return
+	}
+	if before.Version == v.Version && before.AgeAssumed && !v.AgeAssumed {
+		m.cfg.Log.Info("age of model version known", "model", v.Model, "version", v.Version, "age_ms", v.AgeMillis,
+			"assumed_age_ms", time.Since(before.NamedAt).Milliseconds(), "from", p.hello.NodeID)
+	}
+}
+
+// mergeConfig decodes the configuration of another node and puts it in force if it is newer.
+func (m *Mesh) mergeConfig(p *peer, msg *message.FleetState) {
+	config, err := message.UnpackConfig(msg.Config)
+	if err != nil {
+		m.cfg.Log.Error(err, "cannot decode configuration from peer", "peer", p.hello.NodeID, "revision", msg.ConfigRevision)
+		return
+	}
+	if m.isLocalEntry(p) {
+		m.versionFromLocalEntry.Store(config.Version)
+	}
+	if m.cfg.State.ApplyConfig(config, msg.ConfigRevision) {
+		m.cfg.Log.Info("configuration in force", "version", config.Version, "revision", msg.ConfigRevision,
+			"routes", len(config.Routes), "from", p.hello.NodeID)
+	}
+}
+
+// configRequestDelay is the time for the own data centre to get a new configuration from the store before it is requested from
+// a peer.
+const configRequestDelay = 300 * time.Millisecond
+
+// requestConfigLater requests a node's configuration after configRequestDelay unless that version has arrived from elsewhere
+// by then. A node without any configuration requests it at once.
+func (m *Mesh) requestConfigLater(p *peer, version int64) {
+	if m.configRequestPending.Swap(true) {
+		return
+	}
+	delay := configRequestDelay
+	if m.cfg.State.Snapshot().Index == nil {
+		delay = 0
+	}
+	time.AfterFunc(delay, func() {
+		m.configRequestPending.Store(false)
+		if m.cfg.State.Snapshot().ConfigVersion() >= version {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		defer cancel()
+		if err := p.conn.Send(ctx, &message.FleetState{RequestConfig: true}); err != nil {
+			m.cfg.Log.V(1).Info("configuration request was not sent", "peer", p.hello.NodeID, "cause", err.Error())
+		}
+	})
+}
