--- /dev/null
+++ b/internal/loader/load.go
@@ -0,0 +1,88 @@
+package loader
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/pause"
+)
+
+// orderTimeout is how long a load order may run before it is repeated.
+const orderTimeout = 8 * time.Second
+
+// errTooLate means that a version was not loaded because it may not be used any more once it is loaded.
+var errTooLate = errors.New("loader: load not ordered because the version may not be used any more when it completes")
+
+// waitTurn waits until an upstream that serves another version may interrupt its requests. DrainLead before that, it reports the
+// upstream as swapping, verifies the staged chunks once more, and stages corrupt ones again. An upstream without a version need
+// not wait.
+func (l *Loader) waitTurn(ctx context.Context, target Target) error {
+	if !l.ServesAnyVersion(target.Model) {
+		return nil
+	}
+	turn := target.NamedAt.Add(target.TurnDelay)
+	pause.For(ctx, time.Until(turn.Add(-target.DrainLead)))
+	if ctx.Err() == nil {
+		l.setSwapping(true)
+		l.pollOnce(ctx)
+		if err := l.stage(ctx, target); err != nil {
+			return err
+		}
+		pause.For(ctx, time.Until(turn))
+	}
+	return ctx.Err()
+}
+
+// load sends the load order and waits until the load has completed. An order with an unknown outcome is treated as accepted. It returns
+// errAbandoned without an order if the upstream is not the process that started at startedAtMillis, whose staged data was verified: its
+// count of orders need not tell, as it starts anew. It returns errTooLate without an order if the version could not be used any more.
+func (l *Loader) load(ctx context.Context, target Target, startedAtMillis int64) error {
+	report, err := l.engine.Report(ctx)
+	if err != nil {
+		return err
+	}
+	if report.StartedAtMillis != startedAtMillis {
+		return errAbandoned
+	}
+	if target.isTooLate(time.Now()) {
+		return errTooLate
+	}
+	order := Order{Model: target.Model, Version: target.Version, Interrupt: true, OrdersAccepted: report.OrdersAccepted}
+	l.log.Info("load ordered", "model", target.Model, "version", target.Version, "active", report.Active, "queued", report.Queued)
+	if err := l.engine.Load(ctx, order); err != nil {
+		if !errors.Is(err, ErrUnknownOutcome) {
+			return err
+		}
+		l.log.Info("load order outcome unknown", "cause", err.Error())
+	}
+	return l.awaitLoad(ctx, target, report.OrdersAccepted)
+}
+
+// awaitLoad waits until the version is loaded. It returns an error if the order ended without loading the version, the upstream
+// stopped answering, or orderTimeout has passed. The order counts as ended if the upstream reports no order in progress more than
+// 1 s after the wait began. ordersBefore is the upstream's count of accepted orders before this order.
+func (l *Loader) awaitLoad(ctx context.Context, target Target, ordersBefore int64) error {
+	started := time.Now()
+	for time.Since(started) < orderTimeout {
+		pause.For(ctx, loadingInterval)
+		l.pollOnce(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		report, answering := l.current()
+		switch {
+		case !answering:
+			return errors.New("loader: upstream stopped answering during a load")
+		case report.HasVersion(target.Model, target.Version, target.Layers):
+			l.log.Info("version loaded", "model", target.Model, "version", target.Version,
+				"took_ms", time.Since(started).Milliseconds(), "after_naming_ms", time.Since(target.NamedAt).Milliseconds())
+			return nil
+		case !report.OrderRunning && time.Since(started) > time.Second:
+			return errors.Newf("loader: load order ended without loading the version (orders accepted: %d before, %d after)",
+				ordersBefore, report.OrdersAccepted)
+		}
+	}
+	return errors.New("loader: load order timed out")
+}
