relay: give up a begun response only where another attempt may follow

Callers would see a response of events cut although its upstream goes on: on a route that is not for streams after 0.85 s of silence, and for a resumed stream when the upstream that takes over needs more than 2 s to answer.

Cause: canMove did not ask whether the route's responses can be resumed, as mayRetry does, and the time to wait for the head of a response did not depend on whether another attempt was possible.

Change: canMove asks for a stream that may be resumed; a response that has begun and cannot move waits for the head until the deadline of the request.

TestSilenceEndsNoEventsOfAnotherRoute and TestLateAnswerEndsNoStreamThatCannotMove failed on the code before (unexpected EOF after 0.85 s and 2.02 s) and pass now.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -288,6 +288,9 @@
 	if !x.route.MayRepeat() {
 		return 0 // The request cannot be retried, so only its deadline bounds the wait.
 	}
+	if x.responseStarted && !x.canMove(x.possibleRuns+1) {
+		return 0 // No other upstream can take over, and ending the attempt would end the caller's response.
+	}
 	if x.route.Kind == catalog.Stream {
 		return firstEventTimeout
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -184,6 +184,8 @@
 			Timeout: time.Second, LatencyTarget: 150 * time.Millisecond, MaxAttempts: 1},
 		{Name: "look", Host: "h", Prefix: "/look/", Kind: catalog.Idempotent,
 			Timeout: time.Second, LatencyTarget: 150 * time.Millisecond, MaxAttempts: 2},
+		{Name: "search", Host: "h", Prefix: "/search/", Kind: catalog.Idempotent,
+			Timeout: 3 * time.Second, LatencyTarget: time.Second, MaxAttempts: 2},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Stream, Resumable: true,
 			Timeout: 3 * time.Second, LatencyTarget: time.Second, MaxAttempts: 2},
 		{Name: "long", Host: "h", Prefix: "/long/", Kind: catalog.Stream, Resumable: true,
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -5,24 +5,45 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 )
 
+// pauseAfter returns a script that streams two events: the bytes in before, after a pause of 1.2 s the rest.
+func pauseAfter(before ...string) func(net.Conn, *http.Request) {
+	return func(nc net.Conn, req *http.Request) {
+		streamHead(nc, req)
+		sent := ""
+		for i, part := range before {
+			if i > 0 {
+				time.Sleep(500 * time.Millisecond)
+			}
+			chunk(nc, part)
+			sent += part
+		}
+		time.Sleep(1200 * time.Millisecond)
+		chunk(nc, (event(1) + event(2))[len(sent):])
+		_, _ = io.WriteString(nc, "0\r\n\r\n")
+	}
+}
+
+// startOrResume returns a script that calls start for a stream from its beginning and resume for one that continues.
+func startOrResume(start, resume func(net.Conn, *http.Request)) func(net.Conn, *http.Request) {
+	return func(nc net.Conn, req *http.Request) {
+		if after, _ := strconv.Atoi(req.Header.Get("After")); after > 0 {
+			resume(nc, req)
+			return
+		}
+		start(nc, req)
+	}
+}
+
 // Guards against a stream that the entry ends because its upstream falls silent for a second, although no other upstream can take over: the
 // caller had no complete answer, while the upstream went on.
 func TestSilenceEndsNoStreamThatCannotMove(t *testing.T) {
-	pauseAfter := func(before string) func(net.Conn, *http.Request) {
-		return func(nc net.Conn, req *http.Request) {
-			streamHead(nc, req)
-			chunk(nc, before)
-			time.Sleep(1200 * time.Millisecond)
-			chunk(nc, (event(1) + event(2))[len(before):])
-			_, _ = io.WriteString(nc, "0\r\n\r\n")
-		}
-	}
 	for name, c := range map[string]struct {
 		path, before string
 		upstreams    int
@@ -44,3 +65,35 @@
 		})
 	}
 }
+
+// Guards against an answer of events on a route of another kind that is given up after silence: only a route for streams can resume it.
+func TestSilenceEndsNoEventsOfAnotherRoute(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	u1, u2 := newUpstream(t, "u1", pauseAfter(event(1))), newUpstream(t, "u2", pauseAfter(event(1)))
+	a := newEntry(t, u1, u2).send(context.Background(), "/search/", nil)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2)))
+	g.Expect(totalRequests(u1, u2)).To(Equal(1))
+}
+
+// Guards against a stream that has begun and is cut because the upstream that resumes it takes more than two seconds to answer, although no
+// other upstream can take over.
+func TestLateAnswerEndsNoStreamThatCannotMove(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	begin := func(nc net.Conn, req *http.Request) {
+		streamHead(nc, req)
+		chunk(nc, event(1))
+		time.Sleep(20 * time.Millisecond)
+		_ = nc.Close()
+	}
+	script := startOrResume(begin, func(nc net.Conn, req *http.Request) {
+		time.Sleep(2300 * time.Millisecond)
+		streamUpTo(3)(nc, req)
+	})
+	u1, u2 := newUpstream(t, "u1", script), newUpstream(t, "u2", script)
+	a := newEntry(t, u1, u2).send(context.Background(), "/long/", func(r *http.Request) { r.Header.Set("Wait", "20000") })
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/h1"
 )
 
@@ -43,7 +44,7 @@
 	timeToFirst := time.Duration(0)
 	a.conn.SetReadTimeout(max(firstEventTimeout-time.Since(a.started), dialTimeout))
 	a.conn.OnReadTimeout(func() time.Duration {
-		if x.responseStarted && time.Since(lastRead) >= silenceTime && !x.canMove() {
+		if x.responseStarted && time.Since(lastRead) >= silenceTime && !x.canMove(x.possibleRuns) {
 			return streamIdleTimeout
 		}
 		return 0
@@ -82,10 +83,12 @@
 	}
 }
 
-// canMove reports whether another attempt could take over from a stream whose upstream is silent: there is an upstream for it and attempts and
-// budget for a retry. Otherwise the silence is waited out, because ending the attempt would end the caller's response.
-func (x *exchange) canMove() bool {
-	if x.sends >= maxSends || !x.route.MayRepeat() || x.possibleRuns >= x.route.MaxAttempts || !x.relay.cfg.RetryBudget.Available(x.service) {
+// canMove reports whether another attempt could take over from a response that has begun and whose upstream is silent: the response can be
+// resumed, and there is an upstream for it and attempts and budget for a retry. runs counts the runs so far. Otherwise the silence is waited
+// out, because ending the attempt would end the caller's response.
+func (x *exchange) canMove(runs int) bool {
+	resumable := x.route.Kind == catalog.Stream && x.route.MayRepeat()
+	if !resumable || x.sends >= maxSends || runs >= x.route.MaxAttempts || !x.relay.cfg.RetryBudget.Available(x.service) {
 		return false
 	}
 	x.snapshot = x.relay.cfg.State.Snapshot()
