relay: wait out silence that follows a part of an event

Callers would see a stream cut 0.85 s after an event if its upstream sends a part of the next one and falls silent, although it goes on and no other upstream can take over.

Cause: when the next event is overdue, an upstream that has sent bytes within the last 425 ms does not count as silent, so that the attempt was given up as one whose bytes form no event.

Change: such a stream is checked again after 425 ms, until it is silent or has had no new event for 1.7 s. A stream that can move is given up as before.

TestSilenceAfterPartOfAnEventEndsNoStream failed on the code before (unexpected EOF after 0.85 s) and passes now.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -152,6 +152,8 @@
 	proven   bool
 	// answerBegan is when the head of a response to the request arrived, whether or not the request has run; zero before.
 	answerBegan time.Time
+	// lastRead is when bytes of a stream last arrived, lastEvent when a new event did. Both begin with the stream.
+	lastRead, lastEvent time.Time
 	// begun is set when the first event or the head of the response has arrived.
 	begun atomic.Bool
 	// idleTimeout is the time after which the upstream closes an idle connection, 0 if not given.
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// Guards against a stream that the entry ends because its upstream falls silent shortly after a part of an event: the upstream did not count
+// as silent yet when the next event was overdue.
+func TestSilenceAfterPartOfAnEventEndsNoStream(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	u := newUpstream(t, "u1", pauseAfter(event(1), "id: 2\nda"))
+	a := newEntry(t, u).send(context.Background(), "/stream/", nil)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2)))
+}
+
 // Guards against an answer of events on a route of another kind that is given up after silence: only a route for streams can resume it.
 func TestSilenceEndsNoEventsOfAnotherRoute(t *testing.T) {
 	t.Parallel()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -27,6 +27,8 @@
 	// silenceTime is the time without a byte from which a stalled stream counts as silent. An upstream that sends bytes which form no event is
 	// not silent.
 	silenceTime = streamIdleTimeout / 2
+	// maxStallTime is the time without a new event after which a stream that cannot move is given up unless it is silent.
+	maxStallTime = 2 * streamIdleTimeout
 	// maxEventSize bounds one event, in bytes.
 	maxEventSize = 256 << 10
 )
@@ -40,26 +42,22 @@
 	var pending []byte
 	buf := make([]byte, streamReadSize)
 	awaitingFirst := true
-	lastRead := time.Now()
+	a.lastRead, a.lastEvent = time.Now(), time.Now()
 	timeToFirst := time.Duration(0)
 	a.conn.SetReadTimeout(max(firstEventTimeout-time.Since(a.started), dialTimeout))
-	a.conn.OnReadTimeout(func() time.Duration {
-		if x.responseStarted && time.Since(lastRead) >= silenceTime && !x.canMove(x.possibleRuns) {
-			return streamIdleTimeout
-		}
-		return 0
-	})
+	a.conn.OnReadTimeout(a.awaitStalled)
 	defer a.conn.OnReadTimeout(nil)
 	for {
 		n, err := resp.Body.Read(buf)
 		pending = append(pending, buf[:n]...)
 		if n > 0 {
-			lastRead = time.Now()
+			a.lastRead = time.Now()
 		}
 		var newEvents int
 		var forwardErr error
 		pending, newEvents, forwardErr = x.forwardEvents(resp, pending)
 		if newEvents > 0 {
+			a.lastEvent = time.Now()
 			a.tracked.RecordActivity()
 			a.conn.SetReadTimeout(streamIdleTimeout) // Bytes that form no new event do not extend it.
 		}
@@ -83,6 +81,21 @@
 	}
 }
 
+// awaitStalled is called when a new event is overdue. It returns how long to wait for it, 0 to give up the attempt.
+func (a *upstreamAttempt) awaitStalled() time.Duration {
+	if !a.x.responseStarted || a.x.canMove(a.x.possibleRuns) {
+		return 0
+	}
+	switch {
+	case time.Since(a.lastRead) >= silenceTime:
+		return streamIdleTimeout
+	case time.Since(a.lastEvent) < maxStallTime:
+		return silenceTime // A part of an event may have arrived shortly before the silence.
+	default:
+		return 0
+	}
+}
+
 // canMove reports whether another attempt could take over from a response that has begun and whose upstream is silent: the response can be
 // resumed, and there is an upstream for it and attempts and budget for a retry. runs counts the runs so far. Otherwise the silence is waited
 // out, because ending the attempt would end the caller's response.
