--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -152,6 +152,8 @@
 	proven   bool
 	// answerBegan is when the head of a response to the request arrived, whether or not the request has run; zero before.
 	answerBegan time.Time
+	// lastRead is when bytes of a stream last arrived, lastEvent when a new event did. Both begin with the stream.
+	lastRead, lastEvent time.Time
 	// begun is set when the first event or the head of the response has arrived.
 	begun atomic.Bool
 	// idleTimeout is the time after which the upstream closes an idle connection, 0 if not given.
@@ -288,6 +290,9 @@
 	if !x.route.MayRepeat() {
 		return 0 // The request cannot be retried, so only its deadline bounds the wait.
 	}
+	if x.responseStarted && !x.canMove(x.possibleRuns+1) {
+		return 0 // No other upstream can take over, and ending the attempt would end the caller's response.
+	}
 	if x.route.Kind == catalog.Stream {
 		return firstEventTimeout
 	}
