directpath, poison: a verdict states the era of the store in which it is stored

Callers would see: a request that crashes its servers runs again after all entries have restarted, although its verdict had been stored. After a restore of the store from a copy, the entry that ranks first for a verdict has to store it again. If that entry restarted within a second of the restore, other entries reported the verdict to it as one that is stored, no other entry ranked first, and it stayed lost.

Cause: each entry remembered which verdicts had been stored before the restore; "is stored" was reported over links without the era that it was true in.

Change: a verdict carries the latest era in which it is known to be stored, in the ledger, over links and from listings. An entry that ranks first stores it again if that era is earlier than the one it knows. This replaces the map of lost verdicts.

TestVerdictIsStoredAgainAfterARestore builds its ledger by reading the store in era 1 now, in place of the removed field; its checks are the same.

--- a/internal/directpath/registry.go
+++ b/internal/directpath/registry.go
@@ -63,20 +63,20 @@
 	log    logr.Logger
 }
 
-// announcement is a stored announcement of this entry.
-type announcement struct {
+// leasedKey is a key that this entry has written under a lease.
+type leasedKey struct {
 	lease store.LeaseID
-	// revision is that of the store at which the announcement was written.
+	// revision is that of the store at which the key was written.
 	revision int64
-	// era is the highest era of the store that was known then. In a later one, the announcement may be lost and the ID of its lease may belong
-	// to another node.
+	// era is the highest era of the store that was known then. In a later one, the key may be lost and the ID of its lease may belong to another
+	// node.
 	era int64
 }
 
 // announce stores the announcement of an entry and renews its lease until ctx ends, then removes it. After a restore of the store, it stores
 // the announcement again under a new lease.
 func (r *registry) announce(ctx context.Context) {
-	var current announcement
+	var current leasedKey
 	for ctx.Err() == nil {
 		var err error
 		if current.lease == 0 || r.era() > current.era {
@@ -84,7 +84,7 @@
 		} else {
 			_, err = r.store.KeepAlive(ctx, current.lease)
 			if errors.Is(err, store.ErrLeaseNotFound) {
-				current = announcement{}
+				current = leasedKey{}
 			}
 		}
 		if err != nil {
@@ -106,7 +106,7 @@
 func (r *registry) era() int64 { return max(r.store.Era(), r.state.Era()) }
 
 // awaitRenewal returns when the lease of an announcement has to be renewed, or at a random time after the era of the announcement has ended.
-func (r *registry) awaitRenewal(ctx context.Context, current announcement) {
+func (r *registry) awaitRenewal(ctx context.Context, current leasedKey) {
 	for renewAt := time.Now().Add(announcementRenewal); ctx.Err() == nil && time.Now().Before(renewAt); pause.For(ctx, eraCheckInterval) {
 		if era := r.era(); era > current.era {
 			r.log.Info("announcement may be lost, storing it again", "era", era, "era_before", current.era)
@@ -117,44 +117,40 @@
 }
 
 // putAnnouncement stores the announcement under a new lease.
-func (r *registry) putAnnouncement(ctx context.Context) (announcement, error) {
+func (r *registry) putAnnouncement(ctx context.Context) (leasedKey, error) {
 	value, err := json.Marshal(message.Member{NodeID: r.self.NodeID, Role: r.self.Role, DataCentre: r.self.DataCentre,
 		Region: r.self.Region, Address: r.self.Address, Incarnation: r.self.Incarnation})
 	if err != nil {
-		return announcement{}, errors.Wrap(err, "directpath: encode announcement")
+		return leasedKey{}, errors.Wrap(err, "directpath: encode announcement")
 	}
-	era := r.era()
-	lease, revision, err := putLeased(ctx, r.store, entriesPrefix+r.self.NodeID, value, announcementTTL)
-	if err != nil {
-		return announcement{}, err
-	}
-	return announcement{lease: lease, revision: revision, era: max(era, r.store.Era())}, nil
+	return putLeased(ctx, r.store, r.state, entriesPrefix+r.self.NodeID, value, announcementTTL)
 }
 
 // removeAnnouncement removes an announcement unless it has been replaced. It does not revoke the lease, which may belong to another node after
 // a restore of the store that this node has not heard of.
-func (r *registry) removeAnnouncement(ctx context.Context, current announcement) error {
+func (r *registry) removeAnnouncement(ctx context.Context, current leasedKey) error {
 	key := entriesPrefix + r.self.NodeID
 	_, err := r.store.Txn(ctx, store.Txn{If: []store.Compare{{Key: key, Target: store.CompareMod, Revision: current.revision}},
 		Then: []store.Op{{Delete: &store.Delete{Key: key}}}})
 	return err
 }
 
-// putLeased writes a key under a new lease and returns the lease and the revision of the store. It fails with ErrRestored if the store was
-// restored meanwhile: the lease may then be lost, or the key bound to a lease of another node.
-func putLeased(ctx context.Context, s Store, key string, value []byte, ttl time.Duration) (store.LeaseID, int64, error) {
+// putLeased writes a key under a new lease. It fails with ErrRestored if the store was restored meanwhile: the lease may then be lost, or the
+// key bound to a lease of another node. The key is written in the highest era that the state knew before, or in a later one.
+func putLeased(ctx context.Context, s Store, state *fleet.State, key string, value []byte, ttl time.Duration) (leasedKey, error) {
+	knownEra := state.Era()
 	lease, era, err := grantInEra(ctx, s, ttl)
 	if err != nil {
-		return 0, 0, err
+		return leasedKey{}, err
 	}
 	result, err := s.Txn(ctx, store.Txn{Then: []store.Op{{Put: &store.Put{Key: key, Value: value, Lease: lease}}}})
 	if err != nil {
-		return 0, 0, err
+		return leasedKey{}, err
 	}
 	if s.Era() != era {
-		return 0, 0, errors.Wrapf(store.ErrRestored, "put %s", key)
+		return leasedKey{}, errors.Wrapf(store.ErrRestored, "put %s", key)
 	}
-	return lease, result.Revision, nil
+	return leasedKey{lease: lease, revision: result.Revision, era: max(knownEra, era)}, nil
 }
 
 // grantInEra creates a lease and returns it with the era of the store in which it was granted. It creates another one if the store states a new
--- a/internal/directpath/verdicts.go
+++ b/internal/directpath/verdicts.go
@@ -38,60 +38,41 @@
 	mesh   *mesh.Mesh
 	ledger *poison.Ledger
 	log    logr.Logger
-	// era is the era of the store in which verdicts were last looked through. lost holds the keys of verdicts that were stored in an earlier
-	// one, and may have been lost since in a restore of the store.
-	era  int64
-	lost map[string]bool
 }
 
-// run stores verdicts until ctx ends.
+// run stores verdicts until ctx ends. A verdict that is known to be stored in an earlier era of the store only is stored again: it may have been
+// lost since in a restore of the store.
 func (w *verdictWriter) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, verdictCheckInterval)
 		if !w.ledger.Active() {
-			w.era = w.state.Era()
 			continue
 		}
-		verdicts := w.ledger.Verdicts()
-		w.noteLost(verdicts)
-		for _, v := range verdicts {
-			if w.ledger.IsStored(v) && !w.lost[v.Key()] || !w.mesh.RanksFirst(v.Key()) {
+		for _, v := range w.ledger.Verdicts() {
+			if w.ledger.IsStored(v, w.state.Era()) || !w.mesh.RanksFirst(v.Key()) {
 				continue
 			}
 			if err := w.put(ctx, v); err != nil {
 				w.log.Info("verdict could not be stored, will retry", "subjects", v.Key(), "cause", err.Error())
-				continue
 			}
-			w.log.Info("verdict stored", "subjects", v.Key(), "again", w.lost[v.Key()])
-			delete(w.lost, v.Key())
-			w.ledger.Merge(&message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: v.Subjects}}})
 		}
 	}
 }
 
-// noteLost records the stored verdicts as lost when the store has been restored from an earlier copy since the last call.
-func (w *verdictWriter) noteLost(verdicts []poison.Verdict) {
-	era := w.state.Era()
-	if era <= w.era {
-		return
-	}
-	w.era, w.lost = era, map[string]bool{}
-	for _, v := range verdicts {
-		if w.ledger.IsStored(v) {
-			w.lost[v.Key()] = true
-		}
-	}
-}
-
-// put writes a verdict under a lease of poison.Retention.
+// put writes a verdict under a lease of poison.Retention and records the era of the store in which it is stored.
 func (w *verdictWriter) put(ctx context.Context, v poison.Verdict) error {
 	value, err := json.Marshal(storedVerdict{Subjects: v.Subjects})
 	if err != nil {
 		return errors.Wrap(err, "directpath: encode verdict")
 	}
 	hash := sha256.Sum256([]byte(v.Key()))
-	_, _, err = putLeased(ctx, w.store, verdictsPrefix+hex.EncodeToString(hash[:8]), value, poison.Retention)
-	return err
+	stored, err := putLeased(ctx, w.store, w.state, verdictsPrefix+hex.EncodeToString(hash[:8]), value, poison.Retention)
+	if err != nil {
+		return err
+	}
+	w.log.Info("verdict stored", "subjects", v.Key(), "era", stored.era, "again", w.ledger.IsStored(v, 0))
+	w.ledger.Merge(&message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: v.Subjects, Era: stored.era}}})
+	return nil
 }
 
 // readVerdict merges a stored verdict into the ledger. A value that cannot be decoded is logged and skipped.
@@ -101,5 +82,5 @@
 		log.Info("stored verdict cannot be read", "key", kv.Key, "cause", err.Error())
 		return
 	}
-	ledger.Merge(&message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: v.Subjects}}})
+	ledger.Merge(&message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: v.Subjects, Era: kv.Era}}})
 }
--- a/internal/directpath/verdicts_test.go
+++ b/internal/directpath/verdicts_test.go
@@ -5,16 +5,33 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
 	"github.com/pimentohead/pimentohead/internal/mesh"
-	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/platform/store"
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/platform/standin"
 )
 
+// ledgerWithStoredVerdict returns a ledger with a verdict that was read from the store in its first era.
+func ledgerWithStoredVerdict() *poison.Ledger {
+	ledger := poison.New(nil)
+	readVerdict(ledger, logr.Discard(), store.KV{Key: verdictsPrefix + "x", Value: []byte(`{"subjects":["deadly"]}`), ModRevision: 1, Era: 1})
+	return ledger
+}
+
+// runVerdictWriter runs the verdict writer of an entry until the test ends.
+func runVerdictWriter(t *testing.T, r *registry, ledger *poison.Ledger) {
+	writer := &verdictWriter{store: r.store, state: r.state, mesh: r.mesh.(*mesh.Mesh), ledger: ledger, log: logr.Discard()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); writer.run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
 // Guards against verdicts on requests that crash upstreams which are gone with the last entry that knows them, because a restore of the store
 // has lost them and no entry stores them again.
 func TestVerdictIsStoredAgainAfterARestore(t *testing.T) {
@@ -23,16 +40,30 @@
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
 	r := newRegistry("a", strings.TrimPrefix(server.URL, "http://"))
-	ledger := poison.New(nil)
-	ledger.Merge(&message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: []string{"deadly"}}}})
 	r.state.ObserveEra(1)
-	writer := &verdictWriter{store: r.store, state: r.state, mesh: r.mesh.(*mesh.Mesh), ledger: ledger, log: logr.Discard(), era: 1}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); writer.run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
+	runVerdictWriter(t, r, ledgerWithStoredVerdict())
 	g.Consistently(func() []string { return s.Keys(verdictsPrefix) }, "1500ms").Should(BeEmpty(), "the verdict counts as stored")
 	s.Restore(s.Copy())
 	r.state.ObserveEra(2)
 	g.Eventually(func() []string { return s.Keys(verdictsPrefix) }, "5s").Should(HaveLen(1))
 }
+
+// Guards against a verdict that stays lost after a restore of the store because the entry that has to store it again has restarted since: other
+// entries report the verdict to it as one that is stored.
+func TestRestartedEntryStoresALostVerdictAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := standin.NewStore()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	known := ledgerWithStoredVerdict()
+	s.Restore(s.Copy())
+	r, ledger := newRegistry("restarted", strings.TrimPrefix(server.URL, "http://")), poison.New(nil)
+	r.state.ObserveEra(2)
+	runVerdictWriter(t, r, ledger)
+	time.Sleep(verdictCheckInterval + 200*time.Millisecond)
+	ledger.Merge(known.Export())
+	g.Eventually(func() []string { return s.Keys(verdictsPrefix) }, "3s").Should(HaveLen(1))
+	before := s.Calls()
+	time.Sleep(verdictCheckInterval + 200*time.Millisecond)
+	g.Expect(s.Calls()).To(Equal(before), "it is stored once")
+}
--- a/internal/message/poison.go
+++ b/internal/message/poison.go
@@ -36,6 +36,9 @@
 type PoisonVerdict struct {
 	Subjects  []string `msgpack:"p"`
 	AgeMillis int64    `msgpack:"a,omitempty"`
+	// Era is the era of the store in which the verdict is known to be stored, 0 if the sender knows none. A restore of the store from an earlier
+	// copy begins a new era and may lose the verdict.
+	Era int64 `msgpack:"e,omitempty"`
 }
 
 // MessageType implements Message.
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -94,6 +94,8 @@
 type storedVerdict struct {
 	verdict Verdict
 	until   time.Time
+	// era is the latest era of the store in which the verdict is known to be stored.
+	era int64
 }
 
 // New returns an empty ledger. now is the clock; nil selects time.Now.
@@ -260,17 +262,21 @@
 	return received.Origin != 0 || !ok
 }
 
-// addStored adds a verdict from durable storage and reports whether it was new. The caller holds mu.
+// addStored adds a verdict from durable storage and reports whether it was new, or known to be stored in an earlier era only. The caller holds
+// mu.
 func (l *Ledger) addStored(v message.PoisonVerdict, now time.Time) bool {
 	age := time.Duration(max(v.AgeMillis, 0)) * time.Millisecond
 	if len(v.Subjects) == 0 || len(v.Subjects) > maxSubjects || age >= Retention || len(l.stored) >= maxCrashes {
 		return false
 	}
 	verdict := newVerdict(v.Subjects, 0)
-	if _, known := l.stored[verdict.Key()]; known {
-		return false
+	if known, ok := l.stored[verdict.Key()]; ok {
+		isNewer := v.Era > known.era
+		known.era = max(known.era, v.Era)
+		l.stored[verdict.Key()] = known
+		return isNewer
 	}
-	l.stored[verdict.Key()] = storedVerdict{verdict: verdict, until: now.Add(Retention - age)}
+	l.stored[verdict.Key()] = storedVerdict{verdict: verdict, until: now.Add(Retention - age), era: v.Era}
 	return true
 }
 
@@ -323,7 +329,7 @@
 	for _, s := range l.stored {
 		if left := s.until.Sub(now); left > 0 {
 			out.Verdicts = append(out.Verdicts, message.PoisonVerdict{Subjects: s.verdict.Subjects,
-				AgeMillis: (Retention - left).Milliseconds()})
+				AgeMillis: (Retention - left).Milliseconds(), Era: s.era})
 		}
 	}
 	if len(out.Crashes)+len(out.Verdicts) == 0 {
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -76,12 +76,12 @@
 	return l.current.Load().verdicts
 }
 
-// IsStored reports whether a verdict is known to be in durable storage.
-func (l *Ledger) IsStored(v Verdict) bool {
+// IsStored reports whether a verdict is known to be in durable storage in an era of the store, or in a later one.
+func (l *Ledger) IsStored(v Verdict, era int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, stored := l.stored[v.Key()]
-	return stored
+	known, stored := l.stored[v.Key()]
+	return stored && known.era >= era
 }
 
 // disproved reports whether all subjects of a stored verdict have had an answer after it was reached. The caller holds mu.
