availability: a pause is kept for as long as the upstream has named, up to 24 h

What callers would see: an upstream that had named a pause of over 10 min got a request after 10 min and, if it served that one, all others within a second, although it had asked for none.

Cause: pauses were bounded to 10 min.

Change: the bound is 24 h.

Result: TestLongPauseIsKept failed before: 300 requests, one each 10 s, in a pause of 1 h. It passes now, and so do the other tests of the package, unchanged.

--- a/internal/availability/pause.go
+++ b/internal/availability/pause.go
@@ -4,7 +4,7 @@
 
 const (
 	// MaxPause bounds a pause. A process that named a longer one by mistake is asked again after it.
-	MaxPause = 10 * time.Minute
+	MaxPause = 24 * time.Hour
 	// resumeSpreadShare is the share of a pause, up to maxResumeSpread, within which entries resume at random times after its end.
 	resumeSpreadShare = 0.25
 	maxResumeSpread   = time.Second
--- a/internal/availability/pause_test.go
+++ b/internal/availability/pause_test.go
@@ -136,6 +136,28 @@
 	})
 }
 
+// Guards against requests to a process that has named a long pause before that pause is over: callers get refusals, and a process that serves
+// them anyway would soon get all its requests.
+func TestLongPauseIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const interval = 10 * time.Second
+		for _, pause := range []time.Duration{time.Hour, 23 * time.Hour} {
+			table := newTable()
+			table.RecordPause(process, pause, "r")
+			sent := 0
+			for end := time.Now().Add(pause); time.Now().Before(end); time.Sleep(interval) {
+				if table.Take(process) {
+					sent++
+					table.RecordResult(process, time.Now(), true)
+				}
+			}
+			g.Expect(sent).To(BeZero(), "in a pause of %s", pause)
+			g.Expect(table.Take(process)).To(BeTrue(), "after a pause of %s", pause)
+		}
+	})
+}
+
 // Guards against requests that go on returning although they fail, against a process that gets none any more after a failure or after a
 // request without a result, and against results of earlier requests that count.
 func TestRequestsReturnOnlyWhileTheyAreServed(t *testing.T) {
