relay: keep a silent stream open until another attempt continues it

Callers would see a stream cut after 0.85 s of silence if the other upstreams decline it or fail, although the first one goes on.

Cause: a silent attempt was ended as soon as another one was possible; whether that one would be taken was known only later.

Change: the silent attempt stays open while other attempts are made, and is closed when one of them continues the stream. If none does, it is read on. An attempt that may still take over waits for the head of its response as long as the silent one stays silent. The silence counts as a failure of the upstream at once, as before, and each attempt takes its retry from the budget as before.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -169,7 +169,11 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return nil, err
 	}
-	_ = c.nc.SetReadDeadline(earlierDeadline(deadline, time.Now().Add(maxHeadTime)))
+	now := time.Now()
+	if deadline.Before(now) {
+		deadline = time.Time{} // The wait for the response was extended, see OnReadTimeout.
+	}
+	_ = c.nc.SetReadDeadline(earlierDeadline(deadline, now.Add(maxHeadTime)))
 	return http.ReadResponse(c.br, &http.Request{Method: method})
 }
 
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -143,8 +143,11 @@
 	}
 }
 
-// noPendingInput reports whether an idle connection is open and has no unread data. Data that arrives while the connection is idle
-// belongs to no request.
+// HasInput reports whether bytes have arrived that were not read yet, or the connection has ended.
+func (c *Conn) HasInput() bool { return !c.noPendingInput() }
+
+// noPendingInput reports whether a connection is open and has no unread data. Data that arrives while the connection is idle belongs to
+// no request.
 func (c *Conn) noPendingInput() bool {
 	if c.br.Buffered() > 0 {
 		return false
@@ -158,11 +161,10 @@
 		return false
 	}
 	empty := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) { // Unlike Read, it does not fail after a read timeout.
 		var b [1]byte
 		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		empty = errors.Is(rerr, unix.EAGAIN)
-		return true
 	})
 	return err == nil && empty
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -54,6 +54,8 @@
 	// rateLimit is the requests a second that the upstream named in its response, -1 if it named none.
 	rateLimit float64
 	weights   weightsTrace
+	// successor is the result of another attempt that has taken over; nil if none has.
+	successor *attemptResult
 }
 
 const (
@@ -117,7 +119,7 @@
 	}
 	tracked.End(a.outcome(res))
 	res.duration, res.weights, res.answerBegun = time.Since(started), a.weights, !a.answerBegan.IsZero()
-	res.rateLimit = a.rateLimit
+	res.rateLimit, res.successor = a.rateLimit, a.successor
 	if errors.Is(res.cause, errVersionExpired) {
 		x.lastFailure = "version expired"
 	}
@@ -152,6 +154,8 @@
 	proven   bool
 	// answerBegan is when the head of a response to the request arrived, whether or not the request has run; zero before.
 	answerBegan time.Time
+	// successor is the result of the attempt that has taken over, nil if none has.
+	successor *attemptResult
 	// lastRead is when bytes of a stream last arrived, lastEvent when a new event did. Both begin with the stream.
 	lastRead, lastEvent time.Time
 	// begun is set when the first event or the head of the response has arrived.
@@ -186,6 +190,8 @@
 	}
 	x.sends++
 	sentAt := time.Now()
+	a.conn.OnReadTimeout(a.awaitHead)
+	defer a.conn.OnReadTimeout(nil)
 	//nolint:bodyclose // Closing a body reads it to its end; the connection is closed or returned to the pool instead.
 	resp, err := a.conn.Do(a.ctx, out, a.headTimeout(), func(resp *http.Response) bool {
 		return x.ownsResponse(x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header.Clone()))
@@ -290,7 +296,7 @@
 	if !x.route.MayRepeat() {
 		return 0 // The request cannot be retried, so only its deadline bounds the wait.
 	}
-	if x.responseStarted && !x.canMove(x.possibleRuns+1) {
+	if x.responseStarted && x.silent == nil && !x.canMove(x.possibleRuns+1) {
 		return 0 // No other upstream can take over, and ending the attempt would end the caller's response.
 	}
 	if x.route.Kind == catalog.Stream {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -145,6 +145,8 @@
 	// subjectList caches subjects. suspected is set when the upstream of an attempt may have ended because of the request.
 	subjectList []string
 	suspected   bool
+	// silent is the attempt whose stream is silent while others try to take over from it; nil otherwise.
+	silent *upstreamAttempt
 	// lastFailure describes the most recent failure, for logs.
 	lastFailure string
 	// decision is the placement decision that refused the request, if there is one.
@@ -290,8 +292,7 @@
 			x.failPlacement(d)
 			return
 		}
-		result := x.attemptUpstream(d)
-		x.logAttempt(d, result)
+		result := x.attempt(d)
 		if result.final {
 			x.relay.durations.record(x.trafficClass(), time.Since(x.received))
 			x.recordOutcome(result.outcome, result.status)
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -88,6 +88,51 @@
 	g.Expect(totalRequests(u1, u2)).To(Equal(1))
 }
 
+// Guards against a stream that leaves its silent upstream for others which do not take over, and is then cut although the first one goes on.
+func TestSilentStreamGoesOnWhenNoOtherUpstreamTakesOver(t *testing.T) {
+	for name, resume := range map[string]func(net.Conn, *http.Request){
+		"declined": decline,
+		"broken":   closeConn,
+		"failed":   func(nc net.Conn, req *http.Request) { respond(nc, req, 500, "broken") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			script := startOrResume(pauseAfter(event(1)), resume)
+			u1, u2 := newUpstream(t, "u1", script), newUpstream(t, "u2", script)
+			a := newEntry(t, u1, u2).send(context.Background(), "/stream/", nil)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.body).To(Equal(event(1) + event(2)))
+			g.Expect(totalRequests(u1, u2)).To(Equal(2))
+		})
+	}
+}
+
+// Guards against a silent upstream that keeps working on a stream which another one has taken over.
+func TestSilentStreamMovesToAnotherUpstream(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	closed := make(chan struct{}, 2)
+	hang := func(nc net.Conn, req *http.Request) {
+		streamHead(nc, req)
+		chunk(nc, event(1))
+		_, _ = nc.Read(make([]byte, 1))
+		closed <- struct{}{}
+	}
+	script := startOrResume(hang, func(nc net.Conn, req *http.Request) {
+		streamHead(nc, req)
+		chunk(nc, event(2))
+		<-closed
+		chunk(nc, event(3))
+		_, _ = io.WriteString(nc, "0\r\n\r\n")
+	})
+	u1, u2 := newUpstream(t, "u1", script), newUpstream(t, "u2", script)
+	a := newEntry(t, u1, u2).send(context.Background(), "/stream/", nil)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
+	g.Expect(totalRequests(u1, u2)).To(Equal(2))
+}
+
 // Guards against a stream that has begun and is cut because the upstream that resumes it takes more than two seconds to answer, although no
 // other upstream can take over.
 func TestLateAnswerEndsNoStreamThatCannotMove(t *testing.T) {
@@ -108,3 +153,22 @@
 	g.Expect(a.err).NotTo(HaveOccurred())
 	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
 }
+
+// Guards against an upstream that could resume a stream and is given up after two seconds for the silent one, which stays silent.
+func TestLateAnswerContinuesASilentStream(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	hang := func(nc net.Conn, req *http.Request) {
+		streamHead(nc, req)
+		chunk(nc, event(1))
+		_, _ = nc.Read(make([]byte, 1))
+	}
+	script := startOrResume(hang, func(nc net.Conn, req *http.Request) {
+		time.Sleep(2300 * time.Millisecond)
+		streamUpTo(3)(nc, req)
+	})
+	u1, u2 := newUpstream(t, "u1", script), newUpstream(t, "u2", script)
+	a := newEntry(t, u1, u2).send(context.Background(), "/long/", func(r *http.Request) { r.Header.Set("Wait", "20000") })
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -67,6 +67,7 @@
 		if newEvents > 0 && awaitingFirst {
 			awaitingFirst, timeToFirst = false, time.Since(a.started)
 			a.recordStart()
+			x.leaveSilent()
 		}
 		switch {
 		case forwardErr != nil:
@@ -83,11 +84,19 @@
 
 // awaitStalled is called when a new event is overdue. It returns how long to wait for it, 0 to give up the attempt.
 func (a *upstreamAttempt) awaitStalled() time.Duration {
-	if !a.x.responseStarted || a.x.canMove(a.x.possibleRuns) {
-		return 0
-	}
+	x := a.x
+	silent := time.Since(a.lastRead) >= silenceTime
 	switch {
-	case time.Since(a.lastRead) >= silenceTime:
+	case !x.responseStarted:
+		return 0
+	case x.silent != nil && x.silent.conn.HasInput():
+		return 0 // The attempt that this one could take over from goes on.
+	case x.canMove(x.possibleRuns):
+		if !silent || x.silent != nil || a.takeOver() {
+			return 0
+		}
+		return streamIdleTimeout
+	case silent:
 		return streamIdleTimeout
 	case time.Since(a.lastEvent) < maxStallTime:
 		return silenceTime // A part of an event may have arrived shortly before the silence.
