callerconn: keep a connection whose next request the server may hold already

Callers that send a request before the answer to the one before would see the connection closed without an answer to the second, which is passed on, if an entry closes idle connections just then.

Cause: net/http may read two requests at once. It reports the connection as idle between them, when nothing is left to read and the last write is newer than the last read.

Change: a connection counts as unused only after the server has looked for more input since the last change of the state, which it does when it holds no complete request.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -27,7 +27,10 @@
 	// inputAt is when bytes were last read after the last write; zero if none were. While the server reports the connection as idle, such
 	// bytes belong to the next request.
 	inputAt time.Time
-	closing bool
+	// awaitsInput is set when the server has found no bytes to read since the state last changed. Before that it may hold a whole request that
+	// it has read together with the one before.
+	awaitsInput bool
+	closing     bool
 }
 
 func newConn(nc net.Conn) *conn {
@@ -86,15 +89,20 @@
 		if n > 0 {
 			c.inputAt = time.Now()
 		}
+		c.awaitsInput = errors.Is(err, unix.EAGAIN)
 		return max(n, 0), err
 	}
 }
 
 // readUnlocked reads from a connection without a file descriptor. A connection that is closed meanwhile discards what was read.
 func (c *conn) readUnlocked(p []byte) (int, error) {
+	c.mu.Lock()
+	c.awaitsInput = true
+	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.awaitsInput = false
 	if c.closing {
 		return 0, net.ErrClosed
 	}
@@ -135,7 +143,7 @@
 func (c *conn) setState(state http.ConnState, limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since = state, time.Now()
+	c.state, c.since, c.awaitsInput = state, time.Now(), false
 	if state == http.StateActive {
 		c.limit = limit
 	}
@@ -159,7 +167,7 @@
 // unused reports whether no request is being read or served on the connection. The caller holds mu.
 func (c *conn) unused() bool {
 	switch {
-	case c.state == http.StateActive:
+	case c.state == http.StateActive || !c.awaitsInput:
 		return false
 	case !c.inputAt.IsZero() && time.Since(c.inputAt) < headWait:
 		return false
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -29,6 +29,7 @@
 	c := newConn(accepted)
 	t.Cleanup(func() { _, _ = c.Close(), peer.Close() })
 	c.setState(http.StateIdle, time.Minute)
+	c.awaitsInput = true
 	return c, peer
 }
 
--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -29,14 +29,21 @@
 	handled atomic.Int64
 }
 
-func newServer(t *testing.T) *server {
+func newServer(t *testing.T) *server { return newServerWithHook(t, func(*server, http.ConnState) {}) }
+
+// newServerWithHook is newServer. hook is called after each change of a connection's state.
+func newServerWithHook(t *testing.T, hook func(*server, http.ConnState)) *server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := &server{address: l.Addr().String()}
 	s.Tracker = NewTracker(func() time.Duration { return time.Duration(s.limit.Load()) })
-	httpServer := &http.Server{ConnState: s.ConnState, ReadHeaderTimeout: headWait,
+	connState := func(nc net.Conn, state http.ConnState) {
+		s.ConnState(nc, state)
+		hook(s, state)
+	}
+	httpServer := &http.Server{ConnState: connState, ReadHeaderTimeout: headWait,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			s.handled.Add(1)
 			time.Sleep(2 * time.Millisecond)
@@ -79,11 +86,11 @@
 	return c.answered()
 }
 
-// isIdle reports whether the server counts all its connections as idle.
+// isIdle reports whether the server counts all its connections as idle and awaits the next request on each.
 func (s *server) isIdle() bool {
 	for _, c := range s.all() {
 		c.mu.Lock()
-		idle := c.state == http.StateIdle
+		idle := c.state == http.StateIdle && c.awaitsInput
 		c.mu.Unlock()
 		if !idle {
 			return false
@@ -148,6 +155,22 @@
 	g.Expect(s.CloseIdle()).To(BeZero())
 }
 
+// Guards against a connection that is closed between two requests which arrived together: the server holds the second one already, passes it
+// to its handler and cannot answer it.
+func TestRequestThatArrivedWithTheOneBeforeIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	s := newServerWithHook(t, func(s *server, state http.ConnState) {
+		if state == http.StateIdle && s.handled.Load() == 1 {
+			s.CloseIdle()
+		}
+	})
+	c := s.dial(t)
+	_, _ = io.WriteString(c, request+request)
+	g.Expect(c.answered()).To(BeTrue())
+	g.Expect(c.answered()).To(BeTrue())
+	g.Eventually(s.CloseIdle, waitTimeout).Should(BeZero())
+}
+
 // Guards against idle limits that apply to connections which became idle under a longer one or none, and against connections that are never
 // closed.
 func TestIdleLimits(t *testing.T) {
