relay: count requests that timed out for the time that a leaving entry needs

Callers would see a request taken by a leaving entry and ended at the end of the grace time, although others of its class had just run until their deadlines.

Cause: only requests that were served had their duration recorded, so that a class whose slow requests time out looked fast.

Change: a request that ends at its deadline, or whose caller leaves, raises the longest duration of its class if one is known. Without one, requests are expected to take until their deadline, as before.

TestRequestsThatTimedOutCountForTheTimeToShutDown failed on the code before (taken and answered 200 instead of refused with 503) and passes now.

--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -121,6 +121,7 @@
 		x.endForShutdown()
 		return
 	}
+	x.relay.durations.extend(x.trafficClass(), time.Since(x.received))
 	if errors.Is(cause, errTimeout) {
 		if x.possibleRuns > 0 || x.sends > 0 {
 			x.respondFailure(http.StatusGatewayTimeout, "timeout", "unknown", 0)
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -67,6 +67,17 @@
 	t.current[class] = max(t.current[class], duration)
 }
 
+// extend adds a request that ended before it was served, and would have taken longer. It counts only if a duration of its class is known:
+// without one, requests are expected to take until their deadline.
+func (t *durationTable) extend(class string, elapsed time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate()
+	if known := max(t.current[class], t.previous[class]); known > 0 && elapsed > known {
+		t.current[class] = elapsed
+	}
+}
+
 // longest returns the longest recent duration of a class, and false if none is known.
 func (t *durationTable) longest(class string) (time.Duration, bool) {
 	t.mu.Lock()
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -84,3 +84,21 @@
 	g.Expect(e.send(context.Background(), "/order/", nil).status).To(Equal(503))
 	g.Expect(totalRequests(u)).To(BeZero())
 }
+
+// Guards against a leaving entry that takes a request because the few of its class that were served took little time, while others of the
+// class ran until their deadline.
+func TestRequestsThatTimedOutCountForTheTimeToShutDown(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
+		if req.Header.Get("Slow") == "" {
+			respondOK(nc, req)
+		}
+	})
+	e := newEntry(t, u)
+	g.Expect(e.send(context.Background(), "/order/", nil).status).To(Equal(200))
+	g.Expect(e.send(context.Background(), "/order/", func(r *http.Request) { r.Header.Set("Slow", "1") }).status).To(Equal(504))
+	sent := totalRequests(u)
+	e.shutDown(900 * time.Millisecond)
+	g.Expect(e.send(context.Background(), "/order/", nil).status).To(Equal(503))
+	g.Expect(totalRequests(u)).To(Equal(sent))
+}
