entry: answer requests that the shutdown timeout ends

Callers would see their connection closed without an answer when a request is still in progress at the shutdown timeout.

Cause: the server was closed with the requests in progress.

Change: at the timeout the requests are ended first, and their responses have 500 ms: 504 with outcome "unknown" for a request that an upstream may have run, 503 for one that was not sent. The upstream is told to stop. A response that has begun is aborted, a stream after an error event. The entry still reports that requests were cut off.

TestRequestInProgressAtTheShutdownTimeoutIsAnswered failed on the code before (EOF) and passes now; the package passes with -race.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -53,8 +53,12 @@
 	// A write deadline applies to the connection, so the one of an earlier request has to be replaced. The dispatcher sets its own
 	// later.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(failureWriteTimeout))
+	// The request keeps its own context, by which the chain recognises a caller that has disconnected.
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(e.shutdown, cancel)()
 	x := &filter.Exchange{Start: time.Now(), Writer: w, Request: r}
-	err := e.chain(r.Context(), x)
+	err := e.chain(ctx, x)
 	if errors.Is(err, filter.ErrAborted) || errors.Is(err, filter.ErrCallerGone) {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,6 +87,9 @@
 	callerConns *callerconn.Tracker
 	// certificate is used by the caller and admin listeners; nil means that they do not use TLS.
 	certificate *certificate.Source
+	// shutdown is cancelled by endRequests when the shutdown timeout ends the requests in progress.
+	shutdown    context.Context
+	endRequests context.CancelFunc
 	// tasks counts the running goroutines that Run has started, directly or not.
 	tasks sync.WaitGroup
 }
@@ -118,6 +121,7 @@
 			SilenceTimeout:    s.Link.SilenceTimeout.Std(),
 		},
 	}
+	e.shutdown, e.endRequests = context.WithCancel(context.Background())
 	if e.shutdownDelay <= 0 {
 		e.shutdownDelay = DefaultShutdownDelay
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -54,6 +54,14 @@
 // startEntryWithStartupTimeout is like startEntry and sets how long the entry waits for upstreams before it reports ready.
 func startEntryWithStartupTimeout(
 	t *testing.T, startupTimeout time.Duration, id, dataCentre string, peers ...string,
+) (*entry.Entry, func() error) {
+	t.Helper()
+	return startEntryWithTimeouts(t, startupTimeout, waitTimeout, id, dataCentre, peers...)
+}
+
+// startEntryWithTimeouts is like startEntryWithStartupTimeout and also sets how long a shutdown waits for requests in progress.
+func startEntryWithTimeouts(
+	t *testing.T, startupTimeout, shutdownTimeout time.Duration, id, dataCentre string, peers ...string,
 ) (*entry.Entry, func() error) {
 	t.Helper()
 	s := &settings.Settings{
@@ -63,7 +71,7 @@
 		Link:  settings.Link{Secret: secret, SilenceTimeout: settings.Duration(time.Minute)},
 		Entry: settings.Entry{Peers: peers, MaxConnections: 100},
 	}
-	s.Shutdown.Timeout = settings.Duration(waitTimeout)
+	s.Shutdown.Timeout = settings.Duration(shutdownTimeout)
 	e, err := entry.New(entry.Options{
 		Settings: s, Log: logr.Discard(), ShutdownDelay: 50 * time.Millisecond, StartupTimeout: startupTimeout,
 		BodyTimeout: 300 * time.Millisecond,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -8,8 +8,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// forwardedPollInterval is the interval at which an entry that shuts down checks for forwarded requests in progress.
-const forwardedPollInterval = 20 * time.Millisecond
+const (
+	// forwardedPollInterval is the interval at which an entry that shuts down checks for forwarded requests in progress.
+	forwardedPollInterval = 20 * time.Millisecond
+	// finalAnswerTime is the time for the responses to requests that the shutdown timeout has ended.
+	finalAnswerTime = 500 * time.Millisecond
+)
 
 // Run serves until ctx ends and then shuts down gracefully. If an HTTP server fails before that, Run stops at once and returns the
 // server's error. It must be called once.
@@ -68,7 +72,8 @@
 }
 
 // drain marks this entry as leaving, waits for the shutdown delay so that the load balancer and the other entries notice, then accepts
-// no more connections and waits until the requests in progress have ended. It returns an error when the shutdown timeout cuts them off.
+// no more connections and waits until the requests in progress have ended. When the shutdown timeout ends them, they get a final response,
+// unless one has begun, and drain returns an error.
 // It closes the connections itself: http.Server.Shutdown would also close those from which it has just read a request.
 func (e *Entry) drain(callerServer *http.Server) error {
 	e.log.Info("graceful shutdown begins")
@@ -81,6 +86,7 @@
 	var err error
 	if e.callerConns.Drain(ctx) > 0 {
 		err = ctx.Err()
+		e.answerRequests()
 	}
 	for err == nil && e.dispatcher.ForwardedInFlight() > 0 {
 		select {
@@ -96,3 +102,11 @@
 	e.log.Info("graceful shutdown is complete")
 	return nil
 }
+
+// answerRequests ends the requests in progress and waits for their responses.
+func (e *Entry) answerRequests() {
+	e.endRequests()
+	ctx, stop := context.WithTimeout(context.Background(), finalAnswerTime)
+	defer stop()
+	e.callerConns.Drain(ctx)
+}
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -46,3 +47,19 @@
 	g.Expect(status()).To(Equal(404))
 	g.Expect(<-stopped).To(Succeed())
 }
+
+// Guards against a request that is still in progress at the end of the shutdown timeout and gets no answer.
+func TestRequestInProgressAtTheShutdownTimeoutIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	e, stop := startEntryWithTimeouts(t, 50*time.Millisecond, 300*time.Millisecond, "entry-1", "a")
+	agent := newAgent(t, "agent-1", "a", "desk", 1)
+	agent.connect(e, nil)
+	answer := callAsync(e, http.MethodPost, ordersPath, "order", "Idempotency-Key", "k")
+	agent.nextSubmit()
+	g.Expect(stop()).To(HaveOccurred(), "the request was not served")
+	var result callResult
+	g.Eventually(answer, waitTimeout).Should(Receive(&result))
+	g.Expect(result.err).NotTo(HaveOccurred())
+	g.Expect(result.status).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(result.outcome()).To(Equal("unknown"))
+}
