fleet: the copy of a store does not revive an upstream known by its removal only

Callers would see: requests sent to a server that had left before a restore of the store, from an entry that had started after the server was removed. Its address may belong to another server by then.

Cause: records over links carry no announcement with a removal. A node that knows an upstream by its removal only could not compare the announcement of the copy with an earlier one, and accepted it as new.

Change: such an announcement is kept aside like one that repeats the last known announcement: until a newer announcement shows that the upstream lives, until the store removes it, or for 5 s. A server that starts again under the same ID during the restore is used up to 5 s late by these nodes.

TestCopyDoesNotReviveAnUpstreamKnownByItsRemovalOnly failed before. Packages fleet, catalogsync, mesh and platform pass.

--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -155,3 +155,37 @@
 	started.ApplyUpstream(fleet.UpstreamRecord{ID: "a", Era: 2, Revision: 61})
 	g.Expect(started.Snapshot().ByID("a")).To(BeNil())
 }
+
+// Guards against an upstream that has left and gets requests again because the copy of the store lists it: a node that has started after the
+// removal knows only that from other nodes, and not the announcement before.
+func TestCopyDoesNotReviveAnUpstreamKnownByItsRemovalOnly(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	restored := func() *fleet.State {
+		s := fleet.NewState(func() time.Time { return now })
+		s.ObserveEra(1)
+		s.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Era: 1, Revision: 101})
+		s.ObserveEra(2)
+		return s
+	}
+	inCopy := fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 90, Announcement: announced("gone", 5, catalog.Ready)}
+	s := restored()
+	g.Expect(s.ApplyListing(fleet.Listing{Era: 2, Revision: 95, Settled: true, Upstreams: []fleet.UpstreamRecord{inCopy}})).To(BeTrue(),
+		"another listing has to show whether it lives")
+	g.Expect(s.Snapshot().ByID("gone")).To(BeNil())
+	g.Expect(s.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 96, Announcement: announced("gone", 6, catalog.Ready)})).
+		To(BeTrue(), "it has announced itself again")
+
+	s = restored()
+	s.ApplyUpstream(inCopy)
+	s.ApplyUpstream(fleet.UpstreamRecord{ID: "gone", Era: 2, Revision: 96})
+	now = now.Add(5 * time.Second)
+	s.MarkUpToDate(now)
+	g.Expect(s.Snapshot().ByID("gone")).To(BeNil(), "the store has removed it")
+
+	s = restored()
+	s.ApplyUpstream(inCopy)
+	now = now.Add(5 * time.Second)
+	s.MarkUpToDate(now)
+	g.Expect(s.Snapshot().ByID("gone")).NotTo(BeNil(), "it lives")
+}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -99,6 +99,10 @@
 		s.upstreams[u.ID] = current
 	}
 	isAfter := u.isAfter(current.UpstreamRecord)
+	if u.Announcement != nil && current.lastAnnouncement == nil && s.isRevivedByCopy(u, current) {
+		s.deferRecord(u, current)
+		return false
+	}
 	if u.Announcement != nil && current.lastAnnouncement != nil {
 		order := compareAnnouncements(u.Announcement, current.lastAnnouncement)
 		switch {
@@ -111,7 +115,7 @@
 			}
 			return false
 		case order == 0 && s.isRevivedByCopy(u, current):
-			current.deferred, s.hasDeferred = u, true
+			s.deferRecord(u, current)
 			return false
 		case order > 0 && !isAfter && current.Announcement != nil:
 			u.Era, u.Revision, isAfter = current.Era, current.Revision, true
@@ -131,9 +135,24 @@
 }
 
 // isRevivedByCopy reports whether a record repeats an announcement of an upstream that was removed in an earlier era, while the store
-// may list it only because the copy was made before the removal. The caller holds mu.
+// may list it only because the copy was made before the removal. Of an upstream that is known by its removal only, any announcement may be
+// such a one, until a newer one follows. The caller holds mu.
 func (s *State) isRevivedByCopy(u UpstreamRecord, current *upstreamState) bool {
-	return current.Announcement == nil && u.Era > current.Era && !s.restoredAt.IsZero() && s.now().Sub(s.restoredAt) < copyRetention
+	if current.Announcement != nil || u.Era <= current.Era || s.restoredAt.IsZero() || s.now().Sub(s.restoredAt) >= copyRetention {
+		return false
+	}
+	if current.lastAnnouncement != nil {
+		return true
+	}
+	deferred := current.deferred.Announcement
+	return !current.removedAt.IsZero() && (deferred == nil || compareAnnouncements(u.Announcement, deferred) <= 0)
+}
+
+// deferRecord keeps a record that may come from the copy of a restored store only, until applyDeferred. The caller holds mu.
+func (s *State) deferRecord(u UpstreamRecord, current *upstreamState) {
+	if u.isAfter(current.deferred) {
+		current.deferred, s.hasDeferred = u, true
+	}
 }
 
 // applyDeferred merges the deferred records once the copy of a restored store lists no removed upstreams any more. Those that have been removed
