catalogsync: put off removals in the reannounce period for 1.8 s at most

Callers would see: requests sent to a server that has left up to 2.2 s after a node has read its removal, though servers serve for 2 s after it. This happens if the removal is read within 0.2 s of the return of the store.

Cause: removals that are read in the reannounce period (2.2 s after a restore or an outage) were ignored until the listing at its end.

Change: each such removal is applied 1.8 s after it was read, unless the upstream has announced itself again. If a call fails or the store is restored again meanwhile, the removal waits for the listing as before: upstreams could not announce themselves. Upstreams that are only missing in listings still have the whole period.

TestRemovalInTheReannouncePeriodIsNotPutOffForLong failed before: the upstream was still used 1.95 s after its removal. Package catalogsync passes.

--- a/internal/controller/catalogsync/list.go
+++ b/internal/controller/catalogsync/list.go
@@ -56,6 +56,7 @@
 	}
 	w.log.Info("store was restored from an earlier copy", "prefix", w.prefix.Name, "era", cursor.Era, "revision", cursor.Revision,
 		"era_before", w.cursor.Era)
+	w.removals = nil // Upstreams have the whole period to announce themselves in the new era.
 	if until := w.state.RestoredAt().Add(reannouncePeriod); until.After(w.reannounceUntil) {
 		w.reannounceUntil = until
 	}
@@ -72,6 +73,29 @@
 	}
 }
 
+// delayedRemoval is the removal of an upstream that was read in the reannounce period. It is applied when it is due unless the upstream has
+// announced itself again; the listing at the end of the period may remove the upstream before.
+type delayedRemoval struct {
+	document store.KV
+	due      time.Time
+}
+
+// applyRemovals applies the removals that are due.
+func (w *watcher) applyRemovals() {
+	for len(w.removals) > 0 && hasPassed(w.removals[0].due) {
+		w.apply(w.removals[0].document, true, naming{})
+		w.removals = w.removals[1:]
+	}
+}
+
+// nextRemoval returns when the next removal is due, zero if none is put off.
+func (w *watcher) nextRemoval() time.Time {
+	if len(w.removals) == 0 {
+		return time.Time{}
+	}
+	return w.removals[0].due
+}
+
 // settleEarlierEras requests a settled listing if the state holds upstreams that are recorded in an earlier era of the store only. Other nodes
 // may have reported them after the last listing. They have the reannounce period to announce themselves again.
 func (w *watcher) settleEarlierEras() {
--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -210,3 +210,61 @@
 		}
 	})
 }
+
+// Guards against requests to an upstream that has left, later than it has to serve them: its removal was read right after a restore and put off
+// until the end of the reannounce period.
+func TestRemovalInTheReannouncePeriodIsNotPutOffForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("up/leaves", "1")
+		m.put("up/lives", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.restore(3, map[string]string{"conf": "7", "up/leaves": "1", "up/lives": "1"})
+		time.Sleep(50 * time.Millisecond)
+		m.remove("up/leaves")
+		m.remove("up/lives")
+		time.AfterFunc(1500*time.Millisecond, func() { m.put("up/lives", "2") })
+		for range 39 {
+			time.Sleep(50 * time.Millisecond)
+			g.Expect(has(s, "lives")).To(BeTrue())
+		}
+		g.Expect(has(s, "leaves")).To(BeFalse(), "1.95 s after its removal")
+	})
+}
+
+// Guards against upstreams that live and are removed on all nodes because the store was away or restored again before they could announce
+// themselves: their removal was read between the two.
+func TestRemovalBeforeAnotherOutageOrRestoreWaitsForAListing(t *testing.T) {
+	for _, second := range []string{"outage", "restore"} {
+		t.Run(second, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				m := newMemoryStore()
+				m.put("conf", "7")
+				m.put("up/lives", "1")
+				s := startSyncer(t, m, alwaysActive)
+				time.Sleep(time.Second)
+				m.restore(2, map[string]string{"conf": "7", "up/lives": "1"})
+				time.Sleep(50 * time.Millisecond)
+				m.remove("up/lives")
+				time.Sleep(time.Second)
+				announceAfter := 1800 * time.Millisecond
+				if second == "outage" {
+					m.withLock(func() { m.down = true })
+					time.AfterFunc(4*time.Second, func() { m.withLock(func() { m.down = false }) })
+					announceAfter += 4 * time.Second
+				} else {
+					m.restore(2, map[string]string{"conf": "7"})
+				}
+				time.AfterFunc(announceAfter, func() { m.put("up/lives", "2") })
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					g.Expect(has(s, "lives")).To(BeTrue())
+				}
+			})
+		})
+	}
+}
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -42,6 +42,9 @@
 	// reannouncePeriod is the time after the store has recovered in which missing upstreams are kept, because they may still
 	// announce themselves again.
 	reannouncePeriod = 2200 * time.Millisecond
+	// maxRemovalDelay is the longest time for which a removal that is read in the reannounce period is put off while the store answers. An
+	// upstream that leaves serves requests for 2 s after its removal.
+	maxRemovalDelay = 1800 * time.Millisecond
 	// settledListingInterval is the time between listings while the store lists upstreams that may be left of its copy only.
 	settledListingInterval = 1500 * time.Millisecond
 )
@@ -179,6 +182,8 @@
 	// reannounceUntil is the end of the period in which a missing upstream is assumed to have lost its announcement in an outage or a
 	// restore of the store, and is kept. It is zero outside such a period.
 	reannounceUntil time.Time
+	// removals are the removals that were read in the reannounce period, oldest first.
+	removals []delayedRemoval
 	// unsettledUntil is the time at which the upstreams are listed again because the last listing left some of them undecided, zero if it
 	// left none.
 	unsettledUntil time.Time
@@ -186,6 +191,7 @@
 
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		w.applyRemovals()
 		if w.listedOnce && !w.isActive() {
 			w.cursor.Revision, w.failingSince = 0, time.Time{}
 			w.endExtension(w.prefix)
@@ -209,9 +215,9 @@
 	if !w.failingSince.IsZero() {
 		wait = pollTimeout // An answer is needed soon, because the prefix is not fresh until then.
 	}
-	for _, listAt := range []time.Time{w.reannounceUntil, w.unsettledUntil} {
-		if !listAt.IsZero() {
-			wait = min(wait, max(time.Until(listAt), 0)+time.Millisecond)
+	for _, due := range []time.Time{w.reannounceUntil, w.unsettledUntil, w.nextRemoval()} {
+		if !due.IsZero() {
+			wait = min(wait, max(time.Until(due), 0)+time.Millisecond)
 		}
 	}
 	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.cursor, wait)
@@ -227,7 +233,8 @@
 	w.recordSuccess()
 	for _, event := range events {
 		if event.Deleted && w.prefix.HoldsUpstreams && !w.reannounceUntil.IsZero() {
-			continue // The listing at the end of the reannounce period removes upstreams that are still missing.
+			w.removals = append(w.removals, delayedRemoval{document: event.KV, due: time.Now().Add(maxRemovalDelay)})
+			continue
 		}
 		w.apply(event.KV, event.Deleted, naming{at: time.Now()})
 	}
@@ -290,9 +297,11 @@
 	return fleet.UpstreamRecord{}, false
 }
 
-// recordFailure ends the extension of the prefix's freshness and increases the backoff. It logs only the first of consecutive failures.
+// recordFailure ends the extension of the prefix's freshness and increases the backoff. It logs only the first of consecutive failures. Removals
+// that are put off wait for a listing, since upstreams cannot announce themselves while the store is away.
 func (w *watcher) recordFailure(err error) {
 	w.endExtension(w.prefix)
+	w.removals = nil
 	now := time.Now()
 	if w.failingSince.IsZero() {
 		w.failingSince = now
