relay: tests of a shutdown that depend on no delay

TestShutdownEndsRequestsWithAFinalAnswer took the stream for begun once the upstream had its request: if the head came later than the end, the caller got a 502 and the test failed although the relay was right. TestShuttingDownEntryTakesOnlyWhatItCanFinish needed its first request to take less than 0.6 s of a stop of 0.9 s. The waits of 5 s let an end of the requests pass that comes long after the connections are closed.

Now the first test waits for the first event at the caller. The requests time out after 20 s, so that only the end of the shutdown can end them, the code of the answers is checked, and they have to come in the part of the grace period between the end of the requests and that of the connections, 2 s of 50 s. In the second test a stop 1 ms shorter than the timeout refuses a request whose duration is not known, whatever the delay; so does one of 250 ms if the last request took 200 ms or more; a known duration of 0.2 s admits a request 20 s before the end.

--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,29 +20,89 @@
 	e.servedUntil.Store(&until)
 }
 
+// setTimeouts sets the timeout of all routes.
+func (e *entry) setTimeouts(timeout time.Duration) {
+	config := *e.state.Snapshot().Index.Config
+	config.Version, config.Routes = config.Version+1, slices.Clone(config.Routes)
+	for i := range config.Routes {
+		config.Routes[i].Timeout = timeout
+	}
+	e.state.ApplyConfig(&config, 100)
+}
+
+const (
+	// longTimeout is a timeout that does not pass within a test.
+	longTimeout = 20 * time.Second
+	// gracePeriod is the grace period of the entries that the tests assume. finalAnswerTime is the part of it between the end of the requests
+	// and the end of the connections: package directpath ends the former after 0.88 and the latter after 0.92 of the period.
+	gracePeriod     = 50 * time.Second
+	finalAnswerTime = gracePeriod * (92 - 88) / 100
+)
+
+// withLongTimeout makes a caller wait for longTimeout.
+func withLongTimeout(r *http.Request) {
+	r.Header.Set("Wait", strconv.FormatInt(longTimeout.Milliseconds(), 10))
+}
+
 // Guards against a request that is taken although it may not end before the process does, and against one that is refused although requests
 // of its class end in time.
 func TestShuttingDownEntryTakesOnlyWhatItCanFinish(t *testing.T) {
 	g := NewWithT(t)
-	u := newUpstream(t, "u1", respondOK)
+	const duration = 200 * time.Millisecond
+	u := newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
+		time.Sleep(duration)
+		respondOK(nc, req)
+	})
 	e := newEntry(t, u)
-	e.shutDown(900 * time.Millisecond)
-	a := e.send(context.Background(), "/order/", nil) // Times out after 1 s; no duration is known.
-	g.Expect(a.status).To(Equal(503))
-	g.Expect(a.body).To(ContainSubstring("shutting-down"))
-	g.Expect(a.body).To(ContainSubstring("not-run"))
-	g.Expect(a.closes).To(BeTrue())
-	g.Expect(a.header.Get("Retry-After")).To(Equal("0.10"))
-	g.Expect(totalRequests(u)).To(BeZero())
+	e.setTimeouts(longTimeout)
+	send := func() callResult { return e.send(context.Background(), "/order/", withLongTimeout) }
+	expectRefused := func() {
+		before := totalRequests(u)
+		a := send()
+		g.Expect(a.status).To(Equal(503))
+		g.Expect(a.body).To(ContainSubstring(`"code":"shutting-down","outcome":"not-run"`))
+		g.Expect(a.closes).To(BeTrue())
+		g.Expect(a.header.Get("Retry-After")).To(Equal("0.10"))
+		g.Expect(totalRequests(u)).To(Equal(before))
+	}
+	// Time that passes before a request arrives only shortens the rest of the service, so that no delay turns a refusal into an acceptance.
+	e.shutDown(longTimeout - time.Millisecond)
+	expectRefused() // No duration is known.
 
 	e.shutDown(time.Minute)
-	g.Expect(e.send(context.Background(), "/order/", nil).status).To(Equal(200))
-	e.shutDown(900 * time.Millisecond)
-	a = e.send(context.Background(), "/order/", nil)
-	g.Expect(a.status).To(Equal(200), "requests of this class take a few milliseconds")
+	g.Expect(send().status).To(Equal(200), "it times out before the end")
+	e.shutDown(longTimeout - time.Millisecond)
+	a := send()
+	g.Expect(a.status).To(Equal(200), "requests of this class end in time")
 	g.Expect(a.closes).To(BeTrue())
+	e.shutDown(duration + duration/4)
+	expectRefused() // The longest recent request took at least four fifths of this.
 	e.shutDown(-time.Millisecond)
-	g.Expect(e.send(context.Background(), "/order/", nil).status).To(Equal(503))
+	expectRefused()
+}
+
+// readStream sends a request whose response is a stream, closes began when the first event has arrived, and returns the error that ends the
+// stream, nil if it is complete.
+func (e *entry) readStream(path string, began chan<- struct{}) error {
+	req, err := http.NewRequest(http.MethodPost, e.url+path, strings.NewReader("body"))
+	if err != nil {
+		return err
+	}
+	req.Host = e.host
+	req.Header.Set("Id", "streamed")
+	req.Header.Set("Key", "k")
+	withLongTimeout(req)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.ReadFull(resp.Body, make([]byte, len(event(1)))); err != nil {
+		return err
+	}
+	close(began)
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
 }
 
 // Guards against requests that get no answer because the process ends, against a refusal of one that may have run, and against a stream
@@ -46,7 +110,6 @@
 func TestShutdownEndsRequestsWithAFinalAnswer(t *testing.T) {
 	g := NewWithT(t)
 	held := make(chan struct{})
-	t.Cleanup(func() { close(held) })
 	u := newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
 		if req.URL.Path == "/long/" {
 			streamHead(nc, req)
@@ -55,23 +118,29 @@
 		<-held
 	})
 	e := newEntry(t, u)
-	answers := map[string]chan callResult{"/order/": make(chan callResult, 1), "/look/": make(chan callResult, 1),
-		"/long/": make(chan callResult, 1)}
+	t.Cleanup(func() { close(held) }) // Runs before the relay and the upstream are closed, which wait for their requests.
+	e.setTimeouts(longTimeout)
+	answers := map[string]chan callResult{"/order/": make(chan callResult, 1), "/look/": make(chan callResult, 1)}
 	for path, answer := range answers {
-		go func() { answer <- e.send(context.Background(), path, nil) }()
+		go func() { answer <- e.send(context.Background(), path, withLongTimeout) }()
 	}
-	g.Eventually(func() int { return totalRequests(u) }, "5s").Should(Equal(3))
+	began, streamEnd := make(chan struct{}), make(chan error, 1)
+	go func() { streamEnd <- e.readStream("/long/", began) }()
+	g.Eventually(began, "10s").Should(BeClosed())
+	g.Eventually(func() int { return totalRequests(u) }, "10s").Should(Equal(3))
 	e.shutDown(0)
+	ended := time.Now()
 	e.relay.EndRequests()
-	var order, look, long callResult
-	g.Eventually(answers["/order/"], "5s").Should(Receive(&order))
-	g.Expect(order.status).To(Equal(502))
-	g.Expect(order.body).To(ContainSubstring("unknown"))
-	g.Expect(order.closes).To(BeTrue())
-	g.Eventually(answers["/look/"], "5s").Should(Receive(&look))
-	g.Expect(look.status).To(Equal(502))
-	g.Eventually(answers["/long/"], "5s").Should(Receive(&long))
-	g.Expect(long.err).To(HaveOccurred(), "the response that had begun is not complete")
+	for path, answer := range answers {
+		var a callResult
+		g.Eventually(answer, finalAnswerTime-time.Since(ended)).Should(Receive(&a), path)
+		g.Expect(a.status).To(Equal(502), path)
+		g.Expect(a.body).To(ContainSubstring(`"code":"shutting-down","outcome":"unknown"`), path)
+		g.Expect(a.closes).To(BeTrue(), path)
+	}
+	var streamErr error
+	g.Eventually(streamEnd, finalAnswerTime-time.Since(ended)).Should(Receive(&streamErr))
+	g.Expect(streamErr).To(HaveOccurred(), "the response that had begun is not complete")
 }
 
 // Guards against a request that is passed on after the requests in progress were ended.
