relay: callers come back after a pause as gradually as requests return

What callers saw: while all upstreams that could take their request paused, they were told to come back at a time spread evenly over the 0.5 s after the first pause. Requests return by slow start in that time, so that most were refused again. Many callers have only one retry.

Cause: the evenly spread return did not follow the slow start.

Change: callers are spread over 1 s, with a number that doubles eight times in it. A caller is told about 0.6 s more on average than before.

--- a/internal/relay/left_out.go
+++ b/internal/relay/left_out.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -18,10 +19,12 @@
 	minRefusalWait = 300 * time.Millisecond
 	// maxRateLimitWait bounds the Retry-After sent with rateLimitReached. Shares change with demand, so that a long wait means little.
 	maxRateLimitWait = 1900 * time.Millisecond
-	// maxPauseWait bounds the Retry-After sent with upstreamsPause to the longest that callers observe. pauseWaitSpread is the time
-	// within which callers are spread after a pause, while requests return gradually.
-	maxPauseWait    = 10 * time.Second
-	pauseWaitSpread = 500 * time.Millisecond
+	// maxPauseWait bounds the Retry-After sent with upstreamsPause to the longest that callers observe.
+	maxPauseWait = 10 * time.Second
+	// pauseWaitSpread is the time within which callers are spread after a pause, pauseWaitDoublings how often the number of those that come
+	// back doubles in it: requests return as gradually, see package availability.
+	pauseWaitSpread    = time.Second
+	pauseWaitDoublings = 8
 )
 
 // leftOut describes the ready upstreams that cannot take a request.
@@ -49,7 +52,7 @@
 	switch {
 	case d.Reason != placement.NoUpstream:
 	case o.waiting > 0 && o.reason == upstreamsPause:
-		wait := o.wait + rand.N(pauseWaitSpread)
+		wait := o.wait + spreadAfterPause(rand.Float64())
 		if o.tried+o.unqualified > 0 {
 			wait = min(wait, d.RetryAfter) // One of these may be able to take the request before the end of the pause.
 		}
@@ -61,3 +64,9 @@
 	}
 	return d
 }
+
+// spreadAfterPause returns the time after the end of a pause at which a caller shall come back. random is a number from 0 to 1.
+func spreadAfterPause(random float64) time.Duration {
+	doublings := math.Log2(1 + random*(math.Exp2(pauseWaitDoublings)-1))
+	return time.Duration(doublings / pauseWaitDoublings * float64(pauseWaitSpread))
+}
