soak: requests to servers that leave or pause are judged

The soak played servers that say that they leave or pause, but nothing checked what reached them then. It does now, from the record of each server, by entry and process of the server: a request that a caller sent more than 2 s after the entry had passed on an answer of the leaving server, and more than two requests from 0.5 s after a refusal with Retry-After until the end of its time. Stops, kills and pauses of the entry since then excuse both. A break of the link around the refusal excuses the second, as the refusal may have been lost. The summary of a run names how many answers were judged.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -46,7 +46,11 @@
 	mu       sync.Mutex
 	findings []string
 	results  []callResult
-	lastID   int
+	// sent holds the requests by ID.
+	sent   map[string]sentRequest
+	lastID int
+	// judged counts the statements of servers that were checked.
+	judged judgedStatements
 }
 
 // reportf records a finding.
@@ -72,7 +76,7 @@
 		return nil, "", err
 	}
 	defer fleet.close()
-	c := &checker{fleet: fleet}
+	c := &checker{fleet: fleet, sent: map[string]sentRequest{}}
 	// The faults and each caller have a generator of their own, so that the callers do not affect the sequence of faults.
 	rng := rand.New(rand.NewPCG(seed, 1))
 	if !c.awaitServing(startTimeout, "at the start") {
@@ -90,11 +94,8 @@
 	}
 	restored := fleet.restoreStore(rand.New(rand.NewPCG(seed, callerCount+2)), length)
 	statements := make(chan struct{})
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		fleet.injectStatements(rand.New(rand.NewPCG(seed, callerCount+3)), statements)
-	}()
+	wg.Go(func() { fleet.injectModelStatements(rand.New(rand.NewPCG(seed, callerCount+3)), statements) })
+	wg.Go(func() { fleet.injectDeskStatements(rand.New(rand.NewPCG(seed, callerCount+4)), statements) })
 	faultNames := append(fleet.injectFaults(rng, length), fmt.Sprintf("%d times store restored", <-restored))
 	close(statements)
 	c.awaitServing(recoveryTimeout, "after the last fault")
@@ -102,6 +103,7 @@
 	close(stop)
 	wg.Wait()
 	c.checkResults()
+	c.checkStatements()
 	return c.result(seed, logDir, faultNames)
 }
 
@@ -113,8 +115,8 @@
 	for _, r := range c.results {
 		counts[r.status]++
 	}
-	summary := fmt.Sprintf("%d requests %v, %d statements of servers, faults: %s", len(c.results), counts, c.fleet.statements.Load(),
-		strings.Join(faultNames, ", "))
+	summary := fmt.Sprintf("%d requests %v, %d statements of servers (%s), faults: %s", len(c.results), counts,
+		c.fleet.statements.Load(), c.judged, strings.Join(faultNames, ", "))
 	var err error
 	if len(c.findings) > 0 && logDir != "" {
 		err = c.fleet.copyLogs(filepath.Join(logDir, fmt.Sprintf("seed-%d", seed)))
@@ -136,6 +138,7 @@
 	sent := time.Now()
 	defer func() { r.elapsed = time.Since(sent) }()
 	resp, err := client.Do(req)
+	c.recordSent(r.id, entry, sent, resp)
 	if err != nil {
 		var failed *net.OpError
 		r.unsent = errors.As(err, &failed) && failed.Op == "dial"
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -18,21 +18,27 @@
 // faults lists the failures that injectFaults picks from at random. Several may be active at the same time.
 var faults = []fault{
 	{"entry killed", func(fleet *testFleet, rng *rand.Rand) func() {
-		return killNode(fleet.entries[rng.IntN(len(fleet.entries))])
+		i := rng.IntN(len(fleet.entries))
+		return fleet.disturbances.during(entryName(i), func() func() { return killNode(fleet.entries[i]) })
 	}},
 	{"agent killed", func(fleet *testFleet, rng *rand.Rand) func() {
 		return killNode(fleet.agents[rng.IntN(len(fleet.agents))])
 	}},
 	{"entry stopped", func(fleet *testFleet, rng *rand.Rand) func() {
-		n := fleet.entries[rng.IntN(len(fleet.entries))]
-		ended := n.Ended()
-		go func() { _ = n.Stop(stopTimeout) }()
-		return restartAfterExit(n, ended)
+		i := rng.IntN(len(fleet.entries))
+		return fleet.disturbances.during(entryName(i), func() func() {
+			n := fleet.entries[i]
+			ended := n.Ended()
+			go func() { _ = n.Stop(stopTimeout) }()
+			return restartAfterExit(n, ended)
+		})
 	}},
 	{"entry paused", func(fleet *testFleet, rng *rand.Rand) func() {
-		n := fleet.entries[rng.IntN(len(fleet.entries))]
-		n.Pause()
-		return n.Resume
+		i := rng.IntN(len(fleet.entries))
+		return fleet.disturbances.during(entryName(i), func() func() {
+			fleet.entries[i].Pause()
+			return fleet.entries[i].Resume
+		})
 	}},
 	{"agent paused", func(fleet *testFleet, rng *rand.Rand) func() {
 		n := fleet.agents[rng.IntN(len(fleet.agents))]
@@ -62,16 +68,23 @@
 		return func() {}
 	}},
 	{"server connections reset", func(fleet *testFleet, rng *rand.Rand) func() {
-		fleet.proxies[fleet.randomServerName(rng)].Break(faultproxy.Any)
+		name := fleet.randomServerName(rng)
+		fleet.disturbances.during(name, func() func() {
+			fleet.proxies[name].Break(faultproxy.Any)
+			return func() {}
+		})()
 		return func() {}
 	}},
 	{"server unresponsive", func(fleet *testFleet, rng *rand.Rand) func() {
-		return holdConnections(fleet, fleet.randomServerName(rng))
+		name := fleet.randomServerName(rng)
+		return fleet.disturbances.during(name, func() func() { return holdConnections(fleet, name) })
 	}},
 	{"server unreachable", func(fleet *testFleet, rng *rand.Rand) func() {
-		p := fleet.proxies[fleet.randomServerName(rng)]
-		p.Cut()
-		return func() { _ = p.Listen() }
+		name := fleet.randomServerName(rng)
+		return fleet.disturbances.during(name, func() func() {
+			fleet.proxies[name].Cut()
+			return func() { _ = fleet.proxies[name].Listen() }
+		})
 	}},
 	{"server delayed", func(fleet *testFleet, rng *rand.Rand) func() {
 		p := fleet.proxies[fleet.randomServerName(rng)]
@@ -172,7 +185,12 @@
 	for range started {
 		<-done
 	}
-	for _, n := range append(append([]*node(nil), fleet.entries...), fleet.agents...) {
+	for i, n := range fleet.entries {
+		if !n.Running() {
+			fleet.disturbances.during(entryName(i), func() func() { return restartAfterExit(n, n.Ended()) })()
+		}
+	}
+	for _, n := range fleet.agents {
 		if !n.Running() {
 			_ = n.Start()
 		}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -46,6 +46,8 @@
 	announceCount atomic.Int64
 	// configVersion is the version of the configuration that was written last.
 	configVersion atomic.Int64
+	// disturbances records when faults stopped entries and broke the links to servers.
+	disturbances disturbances
 	// statements counts how often a server has said that it pauses or leaves.
 	statements atomic.Int64
 	// operatorMu serialises what the operator writes. It guards newestVersion, the version that was published last.
@@ -63,6 +65,9 @@
 // dataCentreName returns the data centre of the i-th node or server.
 func dataCentreName(i int) string { return fmt.Sprintf("zone-%d", i%dataCentres) }
 
+// entryName returns the name of the i-th entry.
+func entryName(i int) string { return fmt.Sprintf("edge-%d", i) }
+
 // newTestFleet starts the stand-ins and the processes.
 func newTestFleet() (fleet *testFleet, err error) {
 	fleet = &testFleet{newestVersion: 1, store: standin.NewStore(), origin: &standin.Origin{}, proxies: map[string]*faultproxy.Proxy{},
@@ -197,7 +202,7 @@
 		}
 		listen := fmt.Sprintf("[listen]\nfrontend = %q\nreadiness = %q\ncontrol_plane = %q\n", n.callerAddress, n.readyAddress, control)
 		if n.Process, err = fleet.startNode(
-			daemon, "entry", fmt.Sprintf("edge-%d", i), dataCentreName(i), seedAddress, "", listen); err != nil {
+			daemon, "entry", entryName(i), dataCentreName(i), seedAddress, "", listen); err != nil {
 			return err
 		}
 		fleet.entries = append(fleet.entries, n)
