callerconn: tests of idle limits on virtual time

TestIdleLimits and TestIdleTimeWithoutALimitDoesNotCount set back the start of the idle time and then had less than IdleMargin, 1 s, to look at the connection: a test that was held up for longer failed although the connections were right. They also checked the times of closing only to 1 s.

Now they run a server with a connection in memory on virtual time, and check that a connection is open after exactly the limit and IdleMargin and closed 1 ns later. A limit that is raised to a very long one is new; "lifted" is now a case of the second test. Waits of the other tests come from headWait: bytes that were read before them still count as a request.

--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -16,8 +17,8 @@
 const (
 	// request is a whole request without a body.
 	request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-	// waitTimeout bounds the wait for a condition.
-	waitTimeout = 10 * time.Second
+	// waitTimeout bounds the wait for a condition. Bytes that were read before the wait still count as a part of a request after it.
+	waitTimeout = headWait * 2 / 3
 )
 
 // server is an HTTP server whose connections are tracked.
@@ -34,6 +35,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serve(t, l)
+}
+
+// serve starts a server with the connections of a listener.
+func serve(t *testing.T, l net.Listener) *server {
 	s := &server{address: l.Addr().String()}
 	s.Tracker = NewTracker(func() time.Duration { return time.Duration(s.limit.Load()) })
 	httpServer := &http.Server{ConnState: s.ConnState, ReadHeaderTimeout: headWait,
@@ -59,9 +65,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = nc.Close() })
-	return &client{Conn: nc, answers: bufio.NewReader(nc)}
+	return newClient(nc)
 }
 
+func newClient(nc net.Conn) *client { return &client{Conn: nc, answers: bufio.NewReader(nc)} }
+
 // answered reads an answer and reports whether it is complete.
 func (c *client) answered() bool {
 	resp, err := http.ReadResponse(c.answers, nil)
@@ -148,55 +156,100 @@
 	g.Expect(s.CloseIdle()).To(BeZero())
 }
 
+// pipeListener is a listener for one connection in memory, with which a server can run on virtual time.
+type pipeListener struct{ conns chan net.Conn }
+
+// Accept implements net.Listener.
+func (l pipeListener) Accept() (net.Conn, error) {
+	nc, open := <-l.conns
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return nc, nil
+}
+
+// Close implements net.Listener.
+func (l pipeListener) Close() error { close(l.conns); return nil }
+
+// Addr implements net.Listener.
+func (pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+// newIdleConn returns a server on virtual time and both ends of the only connection to it, which has become idle under the given limit.
+func newIdleConn(t *testing.T, g *WithT, limit time.Duration) (*server, *conn, *client) {
+	l := pipeListener{conns: make(chan net.Conn, 1)}
+	accepted, peer := net.Pipe()
+	t.Cleanup(func() { _ = peer.Close() })
+	s := serve(t, l)
+	s.limit.Store(int64(limit))
+	l.conns <- accepted
+	c := newClient(peer)
+	g.Expect(c.exchange()).To(BeTrue())
+	synctest.Wait()
+	g.Expect(s.isIdle()).To(BeTrue())
+	return s, s.all()[0], c
+}
+
+// isClosing reports whether the Tracker has decided to close the connection.
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // Guards against idle limits that apply to connections which became idle under a longer one or none, and against connections that are never
 // closed.
 func TestIdleLimits(t *testing.T) {
 	for name, test := range map[string]struct {
-		before, after, idle time.Duration
-		closed              bool
+		before, after time.Duration
+		// kept is the longest idle time for which the connection stays open.
+		kept time.Duration
 	}{
-		"within the limit and the margin": {before: 5 * time.Second, after: 5 * time.Second, idle: 5 * time.Second},
-		"beyond the limit":                {before: 5 * time.Second, after: 5 * time.Second, idle: 7 * time.Second, closed: true},
-		"lowered, within the earlier":     {before: 30 * time.Second, after: time.Second, idle: 30 * time.Second},
-		"lowered, beyond the earlier":     {before: 30 * time.Second, after: time.Second, idle: 32 * time.Second, closed: true},
-		"lowered from a very long one":    {before: time.Hour, after: time.Second, idle: MaxIdleHold + 2*time.Second, closed: true},
-		"raised":                          {before: time.Second, after: 30 * time.Second, idle: 29 * time.Second},
-		"raised, beyond":                  {before: time.Second, after: 30 * time.Second, idle: 32 * time.Second, closed: true},
-		"very long":                       {before: time.Hour, after: time.Hour, idle: 59 * time.Minute},
-		"lifted":                          {before: time.Second, idle: time.Hour},
+		"unchanged":                 {before: 5 * time.Second, after: 5 * time.Second, kept: 5*time.Second + IdleMargin},
+		"lowered":                   {before: 30 * time.Second, after: time.Second, kept: 30*time.Second + IdleMargin},
+		"lowered from a long one":   {before: time.Hour, after: time.Second, kept: MaxIdleHold + IdleMargin},
+		"raised":                    {before: time.Second, after: 30 * time.Second, kept: 30*time.Second + IdleMargin},
+		"raised to a very long one": {before: time.Second, after: time.Hour, kept: time.Hour + IdleMargin},
+		"very long":                 {before: time.Hour, after: time.Hour, kept: time.Hour + IdleMargin},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
-			s := newServer(t)
-			s.limit.Store(int64(test.before))
-			g.Expect(s.dial(t).exchange()).To(BeTrue())
-			g.Eventually(s.isIdle, waitTimeout).Should(BeTrue())
-			s.limit.Store(int64(test.after))
-			tracked := s.all()[0]
-			tracked.mu.Lock()
-			tracked.since = time.Now().Add(-test.idle)
-			tracked.mu.Unlock()
-			s.CloseExpired()
-			tracked.mu.Lock()
-			defer tracked.mu.Unlock()
-			g.Expect(tracked.closing).To(Equal(test.closed))
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s, tracked, _ := newIdleConn(t, g, test.before)
+				s.limit.Store(int64(test.after))
+				s.CloseExpired()
+				time.Sleep(test.kept)
+				s.CloseExpired()
+				g.Expect(tracked.isClosing()).To(BeFalse())
+				time.Sleep(time.Nanosecond)
+				s.CloseExpired()
+				g.Expect(tracked.isClosing()).To(BeTrue())
+			})
 		})
 	}
 }
 
-// Guards against connections that had no limit and are closed as soon as there is one.
+// Guards against connections that are closed although there is no limit any more, or as soon as there is one.
 func TestIdleTimeWithoutALimitDoesNotCount(t *testing.T) {
-	g := NewWithT(t)
-	s := newServer(t)
-	g.Expect(s.dial(t).exchange()).To(BeTrue())
-	g.Eventually(s.isIdle, waitTimeout).Should(BeTrue())
-	tracked := s.all()[0]
-	tracked.mu.Lock()
-	tracked.since = time.Now().Add(-time.Hour)
-	tracked.mu.Unlock()
-	s.CloseExpired()
-	s.limit.Store(int64(time.Second))
-	s.CloseExpired()
-	g.Expect(s.dial(t).exchange()).To(BeTrue())
-	g.Expect(tracked.closing).To(BeFalse())
+	for name, before := range map[string]time.Duration{"lifted": time.Second, "never set": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s, tracked, c := newIdleConn(t, g, before)
+				s.limit.Store(0)
+				time.Sleep(time.Hour)
+				s.CloseExpired()
+				g.Expect(tracked.isClosing()).To(BeFalse())
+				s.limit.Store(int64(time.Second))
+				s.CloseExpired()
+				g.Expect(c.exchange()).To(BeTrue())
+				synctest.Wait()
+				time.Sleep(time.Second + IdleMargin)
+				s.CloseExpired()
+				g.Expect(tracked.isClosing()).To(BeFalse())
+				time.Sleep(time.Nanosecond)
+				s.CloseExpired()
+				g.Expect(tracked.isClosing()).To(BeTrue())
+			})
+		})
+	}
 }
