relay, directpath: let responses that have begun go on to the end of a stop

Callers would see a stream that is still in progress at 0.88 of the grace time cut at once, although the process only ends after 0.92 of it.

Cause: the time for final responses was taken from all requests, also from responses that have begun and cannot get one.

Change: at 0.88 only requests whose response has not begun are ended, each with its final response; responses that have begun are ended at 0.92, with the connections. New requests are refused from 0.88 on, as before.

TestStreamThatHasBegunOutlastsTheFinalAnswers failed with the call that the entry made before, EndRequests instead of AnswerRequests (unexpected EOF), and passes now. The packages relay and directpath pass with -race.

--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -46,8 +46,9 @@
 	// drainDelay is how long a stopping entry accepts new connections, at most half of GracePeriod. The load balancer notices that
 	// the entry is leaving within two readiness checks and opens no connections after that.
 	drainDelay = 3 * time.Second
-	// servedFraction is the fraction of GracePeriod after which requests still in progress are ended with a final response, and
-	// drainFraction the one after which connections are closed whose callers have not received it.
+	// servedFraction is the fraction of GracePeriod after which requests whose response has not begun are ended with a final response.
+	// drainFraction is the one after which the other requests are ended and all connections are closed. What remains is for the process to
+	// end by itself.
 	servedFraction = 0.88
 	drainFraction  = 0.92
 	// sweepInterval is the time between checks for idle connections.
@@ -154,8 +155,9 @@
 }
 
 // drain makes the readiness check fail, accepts new connections for drainDelay, and waits for the requests in progress. Until
-// servedFraction of GracePeriod the relay serves requests that it can finish in time; then it ends those in progress. Connections are
-// closed once they have no request: http.Server.Shutdown would also close those from which it has just read one.
+// servedFraction of GracePeriod the relay serves requests that it can finish in time; then it answers those in progress. Responses that
+// have begun go on until drainFraction. Connections are closed once they have no request: http.Server.Shutdown would also close those from
+// which it has just read one.
 func (e *Entry) drain(callers net.Listener, server *http.Server) {
 	started := time.Now()
 	servedUntil := started.Add(time.Duration(float64(e.GracePeriod) * servedFraction))
@@ -168,11 +170,12 @@
 	defer cancel()
 	if inUse := e.conns.Drain(ctx); inUse > 0 {
 		e.Log.Info("requests were still in progress at the end of the grace time", "connections", inUse)
-		e.relay.EndRequests()
+		e.relay.AnswerRequests()
 		ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(float64(e.GracePeriod)*drainFraction)))
 		defer cancel()
 		e.conns.Drain(ctx)
 	}
+	e.relay.EndRequests()
 	_ = server.Close()
 	e.Log.Info("entry stopped", "node", e.ID, "took_ms", time.Since(started).Milliseconds())
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -222,7 +222,7 @@
 	resp.Body = http.MaxBytesReader(nil, resp.Body, maxResponseBytes)
 	isStream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 	switch {
-	case x.responseStarted && (!isStream || resp.StatusCode != http.StatusOK):
+	case x.responseStarted.Load() && (!isStream || resp.StatusCode != http.StatusOK):
 		x.lastFailure = "no stream to resume"
 		return attemptResult{kind: mayHaveRun, status: resp.StatusCode,
 			cause: errors.Newf("relay: response with status %d that does not continue the stream", resp.StatusCode)}
@@ -281,7 +281,7 @@
 // target before sending it can no longer meet the target and gets the last rank of its customer priority: 2, 5 or 8.
 func (x *exchange) upstreamRank() int {
 	switch {
-	case x.responseStarted:
+	case x.responseStarted.Load():
 		return 0
 	case x.priorWait > x.route.LatencyTarget:
 		return x.rank/priorityLevels*priorityLevels + priorityLevels - 1
@@ -296,7 +296,7 @@
 	if !x.route.MayRepeat() {
 		return 0 // The request cannot be retried, so only its deadline bounds the wait.
 	}
-	if x.responseStarted && x.silent == nil && !x.canMove(x.possibleRuns+1) {
+	if x.responseStarted.Load() && x.silent == nil && !x.canMove(x.possibleRuns+1) {
 		return 0 // No other upstream can take over, and ending the attempt would end the caller's response.
 	}
 	if x.route.Kind == catalog.Stream {
@@ -350,7 +350,7 @@
 		a.complete = true
 	}
 	x.w.WriteHeader(resp.StatusCode)
-	x.responseStarted = true
+	x.responseStarted.Store(true)
 	if _, err = x.w.Write(body); err != nil {
 		return attemptResult{kind: mayHaveRun, cause: errors.Mark(err, errCallerGone), status: resp.StatusCode}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -90,9 +91,9 @@
 	inProgress attemptTable
 	// durations holds how long requests took, to decide which ones can still be served during a shutdown.
 	durations durationTable
-	// shutdown is cancelled by endRequests.
-	shutdown    context.Context
-	endRequests context.CancelFunc
+	// answering is cancelled by answerRequests, shutdown by endRequests.
+	answering, shutdown         context.Context
+	answerRequests, endRequests context.CancelFunc
 }
 
 // New returns a Relay.
@@ -108,6 +109,7 @@
 	}
 	r := &Relay{cfg: cfg}
 	r.shutdown, r.endRequests = context.WithCancel(context.Background())
+	r.answering, r.answerRequests = context.WithCancel(r.shutdown)
 	r.availability = availability.New(availability.Config{Observe: r.observeAvailability})
 	cfg.Poison.ObserveVerdicts(func(verdicts []poison.Verdict) {
 		r.logVerdicts(verdicts)
@@ -152,7 +154,7 @@
 	// decision is the placement decision that refused the request, if there is one.
 	decision placement.Decision
 	// responseStarted is set when the head of the response has been sent to the caller.
-	responseStarted bool
+	responseStarted atomic.Bool
 	// timeToFirstEvent is the time from receipt until the stream's response started, 0 for other requests.
 	timeToFirstEvent time.Duration
 	// events is the progress of a streamed response.
@@ -173,6 +175,11 @@
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
 	defer context.AfterFunc(r.shutdown, func() { cancel(errShutdown) })()
+	defer context.AfterFunc(r.answering, func() {
+		if !x.responseStarted.Load() {
+			cancel(errShutdown)
+		}
+	})()
 	timer := time.AfterFunc(time.Until(x.deadline), func() { cancel(errTimeout) })
 	defer timer.Stop()
 	x.ctx = ctx
@@ -327,7 +334,7 @@
 	x.snapshot = x.relay.cfg.State.Snapshot()
 	list, out := x.candidates(now)
 	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
-		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted || x.possibleRuns > 0,
+		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.Load() || x.possibleRuns > 0,
 		Returning: x.returning,
 		MaxWait:   x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
 	for {
@@ -363,7 +370,7 @@
 		return len(x.tried) < maxSends
 	case x.sends >= maxSends:
 		return false
-	case x.responseStarted && (x.route.Kind != catalog.Stream || x.events.count == 0):
+	case x.responseStarted.Load() && (x.route.Kind != catalog.Stream || x.events.count == 0):
 		return false // Only a stream of events can be resumed.
 	case res.kind == mayHaveRun && (!x.route.MayRepeat() || x.possibleRuns >= max(x.route.MaxAttempts, 1)+res.extraRuns):
 		return false
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -22,8 +22,12 @@
 // errShutdown is the cause with which the contexts of requests are cancelled that are in progress at the end of a shutdown.
 var errShutdown = errors.New("relay: the process shuts down")
 
-// EndRequests ends all requests in progress: each gets a final response, and a response that has begun is aborted. It is called once,
-// when the time to shut down is nearly over.
+// AnswerRequests ends the requests in progress whose response has not begun: each gets a final response. A response that has begun goes on,
+// because ending it would leave the caller without a complete one. It is called when the time to shut down is nearly over.
+func (r *Relay) AnswerRequests() { r.answerRequests() }
+
+// EndRequests ends all requests in progress: each gets a final response, and a response that has begun is aborted. It is called once, when
+// the time to shut down is over.
 func (r *Relay) EndRequests() { r.endRequests() }
 
 // outlastsShutdown reports whether the process is shutting down and may end before the request does.
@@ -32,7 +36,7 @@
 	if servedUntil.IsZero() {
 		return false
 	}
-	if x.relay.shutdown.Err() != nil {
+	if x.relay.answering.Err() != nil {
 		return true
 	}
 	end := x.deadline
@@ -44,7 +48,7 @@
 
 // endForShutdown responds to a request that is in progress at the end of a shutdown.
 func (x *exchange) endForShutdown() {
-	if x.possibleRuns > 0 || x.responseStarted {
+	if x.possibleRuns > 0 || x.responseStarted.Load() {
 		x.respondFailure(http.StatusBadGateway, shutdownCode, "unknown", 0)
 		return
 	}
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -102,3 +102,35 @@
 	g.Expect(e.send(context.Background(), "/order/", nil).status).To(Equal(503))
 	g.Expect(totalRequests(u)).To(Equal(sent))
 }
+
+// Guards against a stream that is cut while requests whose response has not begun are answered: it may end before the process does.
+func TestStreamThatHasBegunOutlastsTheFinalAnswers(t *testing.T) {
+	g := NewWithT(t)
+	resume, held := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(held) })
+	u := newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
+		if req.URL.Path != "/stream/" {
+			<-held
+			return
+		}
+		streamHead(nc, req)
+		chunk(nc, event(1))
+		<-resume
+		chunk(nc, event(2))
+		_, _ = nc.Write([]byte("0\r\n\r\n"))
+	})
+	e := newEntry(t, u)
+	stream, order := make(chan callResult, 1), make(chan callResult, 1)
+	go func() { stream <- e.send(context.Background(), "/stream/", nil) }()
+	go func() { order <- e.send(context.Background(), "/order/", nil) }()
+	g.Eventually(func() int { return totalRequests(u) }, "5s").Should(Equal(2))
+	time.Sleep(100 * time.Millisecond) // The first event reaches the caller.
+	e.shutDown(0)
+	e.relay.AnswerRequests()
+	g.Expect((<-order).status).To(Equal(502))
+	g.Expect(e.send(context.Background(), "/order/", nil).status).To(Equal(503))
+	close(resume)
+	a := <-stream
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2)))
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -87,7 +87,7 @@
 	x := a.x
 	silent := time.Since(a.lastRead) >= silenceTime
 	switch {
-	case !x.responseStarted:
+	case !x.responseStarted.Load():
 		return 0
 	case x.silent != nil && x.silent.conn.HasInput():
 		return 0 // The attempt that this one could take over from goes on.
@@ -145,12 +145,12 @@
 // startStreamResponse sends the head of the response unless it has been sent. A resumed stream keeps the head from its first
 // upstream.
 func (x *exchange) startStreamResponse(resp *http.Response) {
-	if x.responseStarted {
+	if x.responseStarted.Load() {
 		return
 	}
 	x.copyHeaders(resp)
 	x.w.WriteHeader(resp.StatusCode)
-	x.responseStarted = true
+	x.responseStarted.Store(true)
 	x.timeToFirstEvent = time.Since(x.received)
 }
 
