--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/message"
 )
 
 // Guards against a graceful shutdown that closes a connection while a request is read from it.
@@ -56,10 +58,17 @@
 	agent.connect(e, nil)
 	answer := callAsync(e, http.MethodPost, ordersPath, "order", "Idempotency-Key", "k")
 	agent.nextSubmit()
+	unsent := callAsync(e, http.MethodPost, chatPath, `{"messages":[]}`) // Its pool has no upstream, and it waits for one.
+	time.Sleep(50 * time.Millisecond)
 	g.Expect(stop()).To(HaveOccurred(), "the request was not served")
 	var result callResult
 	g.Eventually(answer, waitTimeout).Should(Receive(&result))
 	g.Expect(result.err).NotTo(HaveOccurred())
 	g.Expect(result.status).To(Equal(http.StatusGatewayTimeout))
 	g.Expect(result.outcome()).To(Equal("unknown"))
+	g.Expect(agent.nextMessage().m).To(BeAssignableToTypeOf(&message.Cancel{}))
+	g.Eventually(unsent, waitTimeout).Should(Receive(&result))
+	g.Expect(result.err).NotTo(HaveOccurred())
+	g.Expect(result.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(result.outcome()).To(Equal("not-run"))
 }
