--- a/internal/callerconn/tracker_test.go
+++ b/internal/callerconn/tracker_test.go
@@ -30,19 +30,29 @@
 	handled atomic.Int64
 }
 
-func newServer(t *testing.T) *server {
+func newServer(t *testing.T) *server { return newServerWithHook(t, noHook) }
+
+// newServerWithHook is newServer. hook is called after each change of a connection's state.
+func newServerWithHook(t *testing.T, hook func(*server, http.ConnState)) *server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return serve(t, l)
+	return serve(t, l, hook)
 }
 
+// noHook is a hook that does nothing.
+func noHook(*server, http.ConnState) {}
+
 // serve starts a server with the connections of a listener.
-func serve(t *testing.T, l net.Listener) *server {
+func serve(t *testing.T, l net.Listener, hook func(*server, http.ConnState)) *server {
 	s := &server{address: l.Addr().String()}
 	s.Tracker = NewTracker(func() time.Duration { return time.Duration(s.limit.Load()) })
-	httpServer := &http.Server{ConnState: s.ConnState, ReadHeaderTimeout: headWait,
+	connState := func(nc net.Conn, state http.ConnState) {
+		s.ConnState(nc, state)
+		hook(s, state)
+	}
+	httpServer := &http.Server{ConnState: connState, ReadHeaderTimeout: headWait,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			s.handled.Add(1)
 			time.Sleep(2 * time.Millisecond)
@@ -87,11 +97,11 @@
 	return c.answered()
 }
 
-// isIdle reports whether the server counts all its connections as idle.
+// isIdle reports whether the server counts all its connections as idle and awaits the next request on each.
 func (s *server) isIdle() bool {
 	for _, c := range s.all() {
 		c.mu.Lock()
-		idle := c.state == http.StateIdle
+		idle := c.state == http.StateIdle && c.awaitsInput
 		c.mu.Unlock()
 		if !idle {
 			return false
@@ -156,6 +166,22 @@
 	g.Expect(s.CloseIdle()).To(BeZero())
 }
 
+// Guards against a connection that is closed between two requests which arrived together: the server holds the second one already, passes it
+// to its handler and cannot answer it.
+func TestRequestThatArrivedWithTheOneBeforeIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	s := newServerWithHook(t, func(s *server, state http.ConnState) {
+		if state == http.StateIdle && s.handled.Load() == 1 {
+			s.CloseIdle()
+		}
+	})
+	c := s.dial(t)
+	_, _ = io.WriteString(c, request+request)
+	g.Expect(c.answered()).To(BeTrue())
+	g.Expect(c.answered()).To(BeTrue())
+	g.Eventually(s.CloseIdle, waitTimeout).Should(BeZero())
+}
+
 // pipeListener is a listener for one connection in memory, with which a server can run on virtual time.
 type pipeListener struct{ conns chan net.Conn }
 
@@ -179,7 +205,7 @@
 	l := pipeListener{conns: make(chan net.Conn, 1)}
 	accepted, peer := net.Pipe()
 	t.Cleanup(func() { _ = peer.Close() })
-	s := serve(t, l)
+	s := serve(t, l, noHook)
 	s.limit.Store(int64(limit))
 	l.conns <- accepted
 	c := newClient(peer)
