relay: count the crash of an upstream that accepts connections again before its agent has reported

Callers saw nothing, but a part of prompts that crashes upstreams reached up to two of them more than intended, and so did a request that came to an entry right after its start (TestVerdictOutlivesAllEntries, 7 or 8 crashes instead of at most 6).

Cause, traced in a trial with the times of each crash, each sign and each piece of evidence: an entry that knows no recent report of an upstream, as after its start or beside load, took one accepted connection as proof that the process goes on running, 0 to 4 ms after the connection broke. Such a crash was never evidence, and the retry did not wait.

The search now goes on for the attempts that are waiting for it, until a report or the list shows a later process, a report shows the same one, or 1.5 s have passed. Attempts that fail meanwhile start a search of their own, with a connection of their own, as before. A retry of an unproven request waits for it for up to 0.3 s, as it does at an upstream whose agent reports.

--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -280,3 +280,51 @@
 	}
 	g.Expect(e.limiter.MaxWait("another class", 2, time.Second)).To(BeZero())
 }
+
+// Guards against losing the crash of an upstream that accepts connections again at once, because no report of its agent was known then:
+// the part that crashed it reached one upstream more for each such crash.
+func TestRestartThatBecomesKnownLaterIsACrash(t *testing.T) {
+	for name, learn := range map[string]func(*entry, *upstream){
+		"from its agent": func(e *entry, u *upstream) {
+			e.loads.Apply([]message.UpstreamLoad{{Address: u.addr, StartedAtMillis: 2}})
+		},
+		"from the list": func(e *entry, u *upstream) { e.announceProcess(u, 2, 2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			u := newUpstream(t, "u", breakStream)
+			e := newEntry(t, u)
+			e.announceProcess(u, 1, 1)
+			g.Expect(sendParts(e, "first,"+deadlyPart+",own").status).NotTo(Equal(http.StatusOK))
+			g.Expect(e.poison.Export()).To(BeNil())
+			learn(e, u)
+			g.Eventually(e.poison.Export, "5s").Should(HaveField("Crashes", ConsistOf(
+				And(HaveField("Upstream", "u"), HaveField("StartedAtMillis", int64(1)), HaveField("Begun", true)))))
+		})
+	}
+}
+
+// Guards against a retry that crashes one upstream more at an entry that has just started, because it has no reports yet and takes an
+// upstream that accepts connections again for one that goes on running: the verdict of the other entries arrives meanwhile.
+func TestRetryWaitsForVerdictWithoutReports(t *testing.T) {
+	g := NewWithT(t)
+	var e *entry
+	var runs atomic.Int32
+	var upstreams []*upstream
+	for i := range 3 {
+		upstreams = append(upstreams, newUpstream(t, fmt.Sprint("u", i), func(nc net.Conn, req *http.Request) {
+			runs.Add(1)
+			breakStream(nc, req)
+			time.Sleep(20 * time.Millisecond)
+			for j := range 3 {
+				e.poison.Record(message.CrashedAttempt{Upstream: fmt.Sprint("m", j), Request: "r", Begun: true,
+					Subjects: []string{poison.PartSubject(deadlyPart)}})
+			}
+		}))
+	}
+	e = newEntry(t, upstreams...)
+	result := sendParts(e, "first,"+deadlyPart+",own")
+	g.Expect(result.status).To(Equal(http.StatusBadGateway))
+	g.Expect(result.body).To(ContainSubstring("crashes-upstreams"))
+	g.Expect(runs.Load()).To(Equal(int32(1)))
+}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -22,6 +22,8 @@
 	// endCheckTime bounds the search for signs that a process has ended, endCheckInterval is the time between checks.
 	endCheckTime     = 1500 * time.Millisecond
 	endCheckInterval = 20 * time.Millisecond
+	// restartCheckInterval is the time between checks for the restart of an upstream that accepts connections.
+	restartCheckInterval = 50 * time.Millisecond
 	// endRetention is how long the result of such a search is kept, for attempts whose failure is noticed later.
 	endRetention = 5 * time.Second
 )
@@ -71,24 +73,16 @@
 	return s.done
 }
 
-// search decides whether a process has ended and records its attempts as evidence if so.
+// search decides whether a process has ended and records its attempts as evidence if so. An upstream of which no reports are known, as at
+// an entry that has just started, may accept connections because it has restarted. The search then goes on for its attempts, while
+// attempts that fail later start a new one.
 func (t *endingTable) search(r *Relay, u *catalog.Upstream, key endedProcess, s *endSearch) {
 	ended, sign := r.hasEnded(u, s.brokenAt)
-	t.mu.Lock()
-	s.decided, s.ended = true, ended
-	attempts := s.attempts
-	s.attempts = nil
-	t.mu.Unlock()
-	age := time.Since(s.brokenAt).Milliseconds()
-	r.cfg.Log.Info("connections to upstream broke", "upstream", u.ID, "started", u.StartedAtMillis, "ended", ended, "sign", sign,
-		"attempts", len(attempts), "after_ms", age)
-	if ended {
-		evidence := &message.CrashEvidence{}
-		for _, attempt := range attempts {
-			attempt.AgeMillis = age
-			evidence.Crashes = append(evidence.Crashes, attempt)
-		}
-		r.cfg.Poison.Merge(evidence)
+	attempts := t.decide(s, ended)
+	r.recordEnd(u, s.brokenAt, attempts, ended, sign)
+	if sign == acceptsConnections && r.showsRestart(u, s.brokenAt) {
+		t.decide(s, true)
+		r.recordEnd(u, s.brokenAt, attempts, true, restarted)
 	}
 	close(s.done)
 	time.AfterFunc(endRetention, func() {
@@ -100,6 +94,38 @@
 	})
 }
 
+// decide sets the result of a search and returns the attempts that have waited for it.
+func (t *endingTable) decide(s *endSearch, ended bool) []message.CrashedAttempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.decided, s.ended = true, ended
+	attempts := s.attempts
+	s.attempts = nil
+	return attempts
+}
+
+// recordEnd logs a decision on attempts at a process to which connections broke, and records the attempts as evidence if it has ended.
+func (r *Relay) recordEnd(u *catalog.Upstream, brokenAt time.Time, attempts []message.CrashedAttempt, ended bool, sign string) {
+	age := time.Since(brokenAt).Milliseconds()
+	r.cfg.Log.Info("connections to upstream broke", "upstream", u.ID, "started", u.StartedAtMillis, "ended", ended, "sign", sign,
+		"attempts", len(attempts), "after_ms", age)
+	if !ended {
+		return
+	}
+	evidence := &message.CrashEvidence{}
+	for _, attempt := range attempts {
+		attempt.AgeMillis = age
+		evidence.Crashes = append(evidence.Crashes, attempt)
+	}
+	r.cfg.Poison.Merge(evidence)
+}
+
+// Signs that more than one function names.
+const (
+	restarted          = "restarted"
+	acceptsConnections = "accepts connections"
+)
+
 // hasEnded decides whether the process of an upstream ended when a connection to it broke at brokenAt, and names the sign that decided.
 // A process that has ended refuses connections, unlike one behind a reset or a cut, and its agent reports it as down or restarted. A
 // report made later that still shows the process contradicts a refused connection.
@@ -109,7 +135,7 @@
 		load, age, known := r.cfg.Loads.Get(u.Address)
 		switch reportedAt := time.Now().Add(-age); {
 		case known && u.StartedAtMillis != 0 && load.StartedAtMillis > u.StartedAtMillis:
-			return true, "restarted"
+			return true, restarted
 		case known && load.Down && reportedAt.After(brokenAt):
 			return true, "reported down"
 		case known && !load.Down && reportedAt.After(brokenAt.Add(reportTransferTime)):
@@ -117,16 +143,38 @@
 		case refused && time.Since(brokenAt) >= refusalTime, refused && (!known || age > unresponsiveAfter):
 			return true, "refuses connections"
 		case connected && (!known || age > unresponsiveAfter):
-			return false, "accepts connections"
+			return false, acceptsConnections
 		}
-		if current := r.cfg.State.Snapshot().ByID(u.ID); current != nil && current.StartedAtMillis > u.StartedAtMillis {
-			return true, "restarted"
+		if r.listsRestart(u) {
+			return true, restarted
 		}
 		pause.For(context.Background(), endCheckInterval)
 	}
 	return false, "no sign"
 }
 
+// showsRestart waits until a report of the upstream's agent or the list shows a process that started later, and returns false if a
+// report made after brokenAt shows the same process or endCheckTime has passed.
+func (r *Relay) showsRestart(u *catalog.Upstream, brokenAt time.Time) bool {
+	for time.Since(brokenAt) < endCheckTime {
+		load, age, known := r.cfg.Loads.Get(u.Address)
+		switch {
+		case known && u.StartedAtMillis != 0 && load.StartedAtMillis > u.StartedAtMillis, r.listsRestart(u):
+			return true
+		case known && !load.Down && time.Now().Add(-age).After(brokenAt.Add(reportTransferTime)):
+			return false
+		}
+		pause.For(context.Background(), restartCheckInterval)
+	}
+	return false
+}
+
+// listsRestart reports whether the list of upstreams shows a later process of the upstream.
+func (r *Relay) listsRestart(u *catalog.Upstream) bool {
+	current := r.cfg.State.Snapshot().ByID(u.ID)
+	return current != nil && u.StartedAtMillis != 0 && current.StartedAtMillis > u.StartedAtMillis
+}
+
 // probe opens a connection to an address and closes it. It reports whether the connection was accepted or refused; both are false
 // if there was no answer.
 func probe(address string) (connected, refused bool) {
