--- a/internal/controller/catalogsync/list.go
+++ b/internal/controller/catalogsync/list.go
@@ -40,6 +40,8 @@
 	}
 	if w.prefix.HoldsUpstreams && (!awaitingReannounce || !w.listedOnce) {
 		w.applyListing(fleet.Listing{Upstreams: upstreams, Era: listing.Cursor.Era, Revision: listing.Cursor.Revision, Settled: settled})
+	} else {
+		w.state.ApplyUpstreams(upstreams)
 	}
 	w.listedOnce = true
 	w.cursor = store.Cursor{Era: listing.Cursor.Era, Revision: max(listing.Cursor.Revision, 1)}
@@ -83,7 +85,9 @@
 // applyRemovals applies the removals that are due.
 func (w *watcher) applyRemovals() {
 	for len(w.removals) > 0 && hasPassed(w.removals[0].due) {
-		w.apply(w.removals[0].document, true, naming{})
+		if upstream, ok := w.apply(w.removals[0].document, true, naming{}); ok {
+			w.state.ApplyUpstream(upstream)
+		}
 		w.removals = w.removals[1:]
 	}
 }
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -231,13 +231,17 @@
 		return err
 	}
 	w.recordSuccess()
+	var upstreams []fleet.UpstreamRecord
 	for _, event := range events {
 		if event.Deleted && w.prefix.HoldsUpstreams && !w.reannounceUntil.IsZero() {
 			w.removals = append(w.removals, delayedRemoval{document: event.KV, due: time.Now().Add(maxRemovalDelay)})
 			continue
 		}
-		w.apply(event.KV, event.Deleted, naming{at: time.Now()})
+		if upstream, ok := w.apply(event.KV, event.Deleted, naming{at: time.Now()}); ok {
+			upstreams = append(upstreams, upstream)
+		}
 	}
+	w.state.ApplyUpstreams(upstreams)
 	w.cursor = next
 	w.markFresh(w.prefix)
 	w.settleEarlierEras()
@@ -263,8 +267,8 @@
 	return naming{at: w.startedAt.Add(-w.assumedVersionAge), assumed: true}
 }
 
-// apply decodes a document and merges it into the state. named is the time at which a model version was named. It returns the
-// upstream and true if the document describes one.
+// apply decodes a document and merges it into the state, unless it describes an upstream: then it returns the record of the upstream, to be
+// merged together with others, and true. named is the time at which a model version was named.
 func (w *watcher) apply(kv store.KV, deleted bool, named naming) (fleet.UpstreamRecord, bool) {
 	document, err := w.decoder.Decode(kv.Key, kv.Value, deleted)
 	if err != nil {
@@ -290,9 +294,7 @@
 				"age_ms", time.Since(named.at).Milliseconds(), "age_assumed", named.assumed, "from", "store")
 		}
 	case document.UpstreamID != "":
-		upstream := fleet.UpstreamRecord{ID: document.UpstreamID, Era: kv.Era, Revision: kv.ModRevision, Announcement: document.Upstream}
-		w.state.ApplyUpstream(upstream)
-		return upstream, true
+		return fleet.UpstreamRecord{ID: document.UpstreamID, Era: kv.Era, Revision: kv.ModRevision, Announcement: document.Upstream}, true
 	}
 	return fleet.UpstreamRecord{}, false
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -55,8 +55,10 @@
 	eraKnown    bool
 	restoredAt  time.Time
 	hasDeferred bool // An upstream has a deferred record.
-	observers   []func(Change)
-	subscribers []chan struct{}
+	// acceptedUpstreams holds the changes of upstreams that are not published yet. It is empty while mu is not held.
+	acceptedUpstreams []Change
+	observers         []func(Change)
+	subscribers       []chan struct{}
 }
 
 // NewState returns an empty state. now is the clock; nil selects time.Now.
@@ -194,11 +196,21 @@
 	}
 }
 
-// publish rebuilds the snapshot and notifies observers and subscribers. The caller holds mu.
-func (s *State) publish(c Change) {
+// publish rebuilds the snapshot and notifies observers and subscribers of changes. The caller holds mu.
+func (s *State) publish(changes ...Change) {
 	s.rebuild()
-	for _, observer := range s.observers {
-		observer(c)
+	s.notify(changes...)
+}
+
+// notify notifies observers of each change, and subscribers. The caller holds mu.
+func (s *State) notify(changes ...Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		for _, observer := range s.observers {
+			observer(c)
+		}
 	}
 	for _, ch := range s.subscribers {
 		select {
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -88,10 +88,30 @@
 func (s *State) ApplyUpstream(u UpstreamRecord) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.applyUpstream(u)
+	accepted := s.applyUpstream(u)
+	s.publishUpstreams()
+	return accepted
 }
 
-// applyUpstream implements ApplyUpstream. The caller holds mu.
+// ApplyUpstreams merges upstream records as ApplyUpstream does, with one new snapshot for all.
+func (s *State) ApplyUpstreams(records []UpstreamRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range records {
+		s.applyUpstream(u)
+	}
+	s.publishUpstreams()
+}
+
+// publishUpstreams publishes the upstream records that were accepted since the last call. The caller holds mu.
+func (s *State) publishUpstreams() {
+	if len(s.acceptedUpstreams) > 0 {
+		s.publish(s.acceptedUpstreams...)
+		s.acceptedUpstreams = nil
+	}
+}
+
+// applyUpstream merges an upstream record and adds it to acceptedUpstreams if it was accepted, see ApplyUpstream. The caller holds mu.
 func (s *State) applyUpstream(u UpstreamRecord) bool {
 	current := s.upstreams[u.ID]
 	if current == nil {
@@ -130,7 +150,7 @@
 	} else {
 		current.removedAt = s.now()
 	}
-	s.publish(Change{Upstream: &u})
+	s.acceptedUpstreams = append(s.acceptedUpstreams, Change{Upstream: &u})
 	return true
 }
 
@@ -168,6 +188,7 @@
 			s.applyUpstream(deferred)
 		}
 	}
+	s.publishUpstreams()
 }
 
 // compareAnnouncements compares two announcements of one upstream by the time at which they were made.
@@ -201,6 +222,8 @@
 	}
 	s.upstreamsComplete = true
 	s.rebuild()
+	s.notify(s.acceptedUpstreams...)
+	s.acceptedUpstreams = nil
 	return needsAnother
 }
 
--- a/internal/mesh/merge.go
+++ b/internal/mesh/merge.go
@@ -27,9 +27,11 @@
 	if msg.Config != nil && (msg.ConfigVersion == 0 || msg.ConfigVersion > state.Snapshot().ConfigVersion()) {
 		m.mergeConfig(p, msg)
 	}
+	upstreams := make([]fleet.UpstreamRecord, 0, len(msg.Upstreams))
 	for _, u := range msg.Upstreams {
-		state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Era: m.eraOf(msg, u), Revision: u.Revision, Announcement: u.Announcement})
+		upstreams = append(upstreams, fleet.UpstreamRecord{ID: u.ID, Era: m.eraOf(msg, u), Revision: u.Revision, Announcement: u.Announcement})
 	}
+	state.ApplyUpstreams(upstreams)
 	for _, v := range msg.Versions {
 		m.mergeVersion(p, v)
 	}
