catalogsync: test two restores of the store between two calls

The era rises by two while a node makes no call, the copies lack a named version and an upstream, and the operator names versions again. The node keeps the version, the time of its naming, the configuration and the upstream, and follows the next change.

--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -268,3 +268,42 @@
 		})
 	}
 }
+
+// Guards against weights that go back to an older version, or count as named again, and against upstreams that are removed, when the store is
+// restored twice between two calls, so that its era rises by more than one.
+func TestTwoRestoresBetweenTwoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := newMemoryStore()
+		m.put("conf", "7")
+		m.put("conf/weights", "2")
+		m.put("up/lives", "1")
+		s := startSyncer(t, m, alwaysActive)
+		time.Sleep(time.Second)
+		m.put("conf/weights", "3")
+		time.Sleep(time.Second)
+		named, _ := s.Snapshot().NewestVersion("m")
+		m.withLock(func() { m.down = true })
+		time.Sleep(time.Second)
+		m.restore(4, map[string]string{"conf": "7", "conf/weights": "2", "up/lives": "1"})
+		m.restore(2, map[string]string{"conf": "6"})
+		m.withLock(func() { m.down = false })
+		time.AfterFunc(1800*time.Millisecond, func() {
+			m.put("conf/weights", "2")
+			m.put("conf/weights", "3")
+			m.put("up/lives", "1")
+		})
+		for range 80 {
+			time.Sleep(100 * time.Millisecond)
+			newest, _ := s.Snapshot().NewestVersion("m")
+			g.Expect(newest.Version).To(Equal(int64(3)))
+			g.Expect(newest.NamedAt).To(Equal(named.NamedAt))
+			g.Expect(has(s, "lives")).To(BeTrue())
+			g.Expect(configVersion(s)()).To(Equal(int64(7)))
+		}
+		g.Expect(s.Era()).To(Equal(int64(2)))
+		m.put("conf", "8")
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(configVersion(s)()).To(Equal(int64(8)))
+	})
+}
