relay: a reset connection allows no run more than the route

Cause: after a broken connection one run more was allowed, because most upstreams whose connections break have ended and their runs do not count. Upstreams behind a reset go on.

Change: the run does not count only if the upstream is found to have ended: it refuses connections, its agent reports a restart, or the list shows one. An attempt that was ended before it began does not count, as before.

The package passes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -38,9 +38,8 @@
 	status  int
 	// kind is set when the attempt has no final response.
 	kind failureKind
-	// extraRuns is added to the route's MaxAttempts when the next retry is decided. It is 1 if the upstream has probably terminated
-	// or was cut off (see extraRunsAfter), so that this run does not count, and 0 otherwise.
-	extraRuns int
+	// upstream is the upstream to which the request was sent.
+	upstream *catalog.Upstream
 	// retryTaken is set when a retry has been taken from the budget already.
 	retryTaken bool
 	cause      error
@@ -119,7 +118,7 @@
 	}
 	tracked.End(a.outcome(res))
 	res.duration, res.weights, res.answerBegun = time.Since(started), a.weights, !a.answerBegan.IsZero()
-	res.rateLimit, res.successor = a.rateLimit, a.successor
+	res.upstream, res.rateLimit, res.successor = u, a.rateLimit, a.successor
 	if errors.Is(res.cause, errVersionExpired) {
 		x.lastFailure = "version expired"
 	}
@@ -208,7 +207,7 @@
 		if context.Cause(a.ctx) == nil {
 			x.relay.availability.RecordResult(processOf(a.upstream), sentAt, false)
 		}
-		return attemptResult{kind: mayHaveRun, cause: err, extraRuns: extraRunsAfter(err)}
+		return attemptResult{kind: mayHaveRun, cause: err}
 	}
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
 	a.answerBegan = time.Now()
@@ -252,15 +251,6 @@
 	return parsed.Misdirected && parsed.Instance != "" && parsed.Instance != a.upstream.ID
 }
 
-// extraRunsAfter returns attemptResult.extraRuns for a failed attempt: 1 if the connection was closed or reset, which usually means that
-// the upstream has terminated, or if the attempt was ended before it began (see endWithVersion), and 0 otherwise.
-func extraRunsAfter(err error) int {
-	if errors.Is(err, h1.ErrBroken) && !errors.Is(err, h1.ErrMalformed) {
-		return 1
-	}
-	return 0
-}
-
 // buildRequest returns the request to the upstream. Once a minimum version of the weights applies, the request names the version that
 // the upstream was last known to hold, so that an upstream that holds another one refuses it.
 func (a *upstreamAttempt) buildRequest() *h1.Request {
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -153,6 +153,24 @@
 	return false, "no sign"
 }
 
+// awaitEnd reports whether an upstream to which a connection has just broken has ended. It waits for a sign of that for verdictWait at most.
+func (x *exchange) awaitEnd(u *catalog.Upstream) bool {
+	brokenAt, decided := time.Now(), make(chan bool, 1)
+	go func() {
+		ended, _ := x.relay.hasEnded(u, brokenAt)
+		decided <- ended
+	}()
+	timer := time.NewTimer(verdictWait)
+	defer timer.Stop()
+	select {
+	case ended := <-decided:
+		return ended
+	case <-timer.C:
+	case <-x.ctx.Done():
+	}
+	return false
+}
+
 // showsRestart waits until a report of the upstream's agent or the list shows a process that started later, and returns false if a
 // report made after brokenAt shows the same process or endCheckTime has passed.
 func (r *Relay) showsRestart(u *catalog.Upstream, brokenAt time.Time) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -372,9 +372,23 @@
 		return false
 	case x.responseStarted.Load() && (x.route.Kind != catalog.Stream || x.events.count == 0):
 		return false // Only a stream of events can be resumed.
-	case res.kind == mayHaveRun && (!x.route.MayRepeat() || x.possibleRuns >= max(x.route.MaxAttempts, 1)+res.extraRuns):
+	case res.kind == mayHaveRun && (!x.route.MayRepeat() || !x.mayRunAgain(res)):
 		return false
 	default:
 		return res.retryTaken || x.relay.cfg.RetryBudget.TryRetry(x.service)
 	}
 }
+
+// mayRunAgain reports whether the route allows another run after an attempt that may have run. A run counts unless its attempt was ended
+// before it began or its upstream has ended: a connection may also be reset while the upstream works on.
+func (x *exchange) mayRunAgain(res attemptResult) bool {
+	allowed := max(x.route.MaxAttempts, 1)
+	switch {
+	case x.possibleRuns != allowed:
+		return x.possibleRuns < allowed
+	case errors.Is(res.cause, errVersionExpired):
+		return true
+	default:
+		return errors.Is(res.cause, h1.ErrBroken) && !errors.Is(res.cause, h1.ErrMalformed) && x.awaitEnd(res.upstream)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -139,7 +139,7 @@
 // failStream returns the result of a stream that ended early because of cause.
 func (a *upstreamAttempt) failStream(cause error, timeToFirst time.Duration) attemptResult {
 	a.x.lastFailure = "stream broke off"
-	return attemptResult{kind: mayHaveRun, cause: cause, timeToFirstEvent: timeToFirst, extraRuns: extraRunsAfter(cause)}
+	return attemptResult{kind: mayHaveRun, cause: cause, timeToFirstEvent: timeToFirst}
 }
 
 // startStreamResponse sends the head of the response unless it has been sent. A resumed stream keeps the head from its first
