soak: option -scale for larger fleets

-scale N multiplies the entries, agents, servers and callers. The summary names the longest time for which the checker itself, which is also the store and the servers, was not scheduled.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,7 @@
 )
 
 const (
-	// callerCount is the number of callers that send requests concurrently.
+	// callerCount is the number of callers that send requests concurrently to a fleet of scale 1.
 	callerCount = 12
 	// startTimeout limits the start of the fleet, recoveryTimeout the return to full service after the last fault.
 	startTimeout    = 15 * time.Second
@@ -49,6 +50,8 @@
 	// sent holds the requests by ID.
 	sent   map[string]sentRequest
 	lastID int
+	// longestStall is the longest time for which this process, which also serves as store and upstreams, was not scheduled.
+	longestStall time.Duration
 	// judged counts the statements of servers that were checked.
 	judged judgedStatements
 }
@@ -68,35 +71,44 @@
 	return "r" + strconv.Itoa(c.lastID)
 }
 
-// runSeed runs one seed with faults for the given time. It returns the findings and a summary of the run. Logs of a run with
-// findings are copied to a directory below logDir unless that is empty.
-func runSeed(seed uint64, length time.Duration, logDir string) (findings []string, summary string, err error) {
-	fleet, err := newTestFleet()
+// runOptions are the options of a run. Faults are injected for length. The scale multiplies the nodes and servers of each data centre and
+// the callers. Logs of a run with findings are copied to a directory below logDir unless that is empty.
+type runOptions struct {
+	length time.Duration
+	scale  int
+	logDir string
+}
+
+// runSeed runs one seed. It returns the findings and a summary of the run.
+func runSeed(seed uint64, options runOptions) (findings []string, summary string, err error) {
+	fleet, err := newTestFleet(options.scale)
 	if err != nil {
 		return nil, "", err
 	}
 	defer fleet.close()
 	c := &checker{fleet: fleet, sent: map[string]sentRequest{}}
+	defer c.measureStalls()()
 	// The faults and each caller have a generator of their own, so that the callers do not affect the sequence of faults.
 	rng := rand.New(rand.NewPCG(seed, 1))
 	if !c.awaitServing(startTimeout, "at the start") {
-		return c.result(seed, logDir, nil)
+		return c.result(seed, options.logDir, nil)
 	}
 	c.runPlannedStops(seed)
 	if !c.awaitServing(startTimeout, "after the planned stops") {
-		return c.result(seed, logDir, nil)
+		return c.result(seed, options.logDir, nil)
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for i := range callerCount {
-		wg.Add(1)
-		go func() { defer wg.Done(); c.sendRequests(rand.New(rand.NewPCG(seed, uint64(i)+2)), stop) }()
+	callers := callerCount * options.scale
+	random := func(stream int) *rand.Rand { return rand.New(rand.NewPCG(seed, uint64(stream))) }
+	for i := range callers {
+		wg.Go(func() { c.sendRequests(random(i+2), stop) })
 	}
-	restored := fleet.restoreStore(rand.New(rand.NewPCG(seed, callerCount+2)), length)
+	restored := fleet.restoreStore(random(callers+2), options.length)
 	statements := make(chan struct{})
-	wg.Go(func() { fleet.injectModelStatements(rand.New(rand.NewPCG(seed, callerCount+3)), statements) })
-	wg.Go(func() { fleet.injectDeskStatements(rand.New(rand.NewPCG(seed, callerCount+4)), statements) })
-	faultNames := append(fleet.injectFaults(rng, length), fmt.Sprintf("%d times store restored", <-restored))
+	wg.Go(func() { fleet.injectModelStatements(random(callers+3), statements) })
+	wg.Go(func() { fleet.injectDeskStatements(random(callers+4), statements) })
+	faultNames := append(fleet.injectFaults(rng, options.length), fmt.Sprintf("%d times store restored", <-restored))
 	close(statements)
 	c.awaitServing(recoveryTimeout, "after the last fault")
 	c.awaitNewestVersion()
@@ -104,7 +116,22 @@
 	wg.Wait()
 	c.checkResults()
 	c.checkStatements()
-	return c.result(seed, logDir, faultNames)
+	return c.result(seed, options.logDir, faultNames)
+}
+
+// measureStalls records longestStall until the returned function is called.
+func (c *checker) measureStalls() (stop func()) {
+	const interval = 10 * time.Millisecond
+	done := make(chan struct{})
+	go func() {
+		for last := time.Now(); sleep(interval, done); last = time.Now() {
+			stall := time.Since(last) - interval
+			c.mu.Lock()
+			c.longestStall = max(c.longestStall, stall)
+			c.mu.Unlock()
+		}
+	}()
+	return func() { close(done) }
 }
 
 // result returns the findings and the summary, and copies the logs of a run with findings.
@@ -115,8 +142,8 @@
 	for _, r := range c.results {
 		counts[r.status]++
 	}
-	summary := fmt.Sprintf("%d requests %v, %d statements of servers (%s), faults: %s", len(c.results), counts,
-		c.fleet.statements.Load(), c.judged, strings.Join(faultNames, ", "))
+	summary := fmt.Sprintf("%d requests %v, %d statements of servers (%s), longest stall of the checker: %s, faults: %s", len(c.results),
+		counts, c.fleet.statements.Load(), c.judged, c.longestStall.Round(time.Millisecond), strings.Join(faultNames, ", "))
 	var err error
 	if len(c.findings) > 0 && logDir != "" {
 		err = c.fleet.copyLogs(filepath.Join(logDir, fmt.Sprintf("seed-%d", seed)))
@@ -171,22 +198,35 @@
 
 // awaitServing waits until each entry serves each route of the newest configuration and reports whether that happened in time.
 func (c *checker) awaitServing(timeout time.Duration, when string) bool {
+	var entries sync.WaitGroup
+	var failed atomic.Bool
+	for i := range c.fleet.entries {
+		entries.Go(func() {
+			if !c.awaitEntryServing(i, timeout, when) {
+				failed.Store(true)
+			}
+		})
+	}
+	entries.Wait()
+	return !failed.Load()
+}
+
+// awaitEntryServing waits until one entry serves each route and reports whether that happened in time.
+func (c *checker) awaitEntryServing(entry int, timeout time.Duration, when string) bool {
 	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	deadline := time.Now().Add(timeout)
 	newestPath := fmt.Sprintf("/v%d/", c.fleet.configVersion.Load())
-	for i := range c.fleet.entries {
-		for _, path := range []string{"/stream/", "/order/", "/look/", newestPath} {
-			for {
-				r := c.send(client, i, path)
-				if r.status == http.StatusOK && r.complete {
-					break
-				}
-				if time.Now().After(deadline) {
-					c.reportf("entry %d did not serve %s %s within %s: status %d, body: %s", i, path, when, timeout, r.status, r.body)
-					return false
-				}
-				time.Sleep(100 * time.Millisecond)
+	for _, path := range []string{"/stream/", "/order/", "/look/", newestPath} {
+		for {
+			r := c.send(client, entry, path)
+			if r.status == http.StatusOK && r.complete {
+				break
+			}
+			if time.Now().After(deadline) {
+				c.reportf("entry %d did not serve %s %s within %s: status %d, body: %s", entry, path, when, timeout, r.status, r.body)
+				return false
 			}
+			time.Sleep(100 * time.Millisecond)
 		}
 	}
 	return true
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -19,11 +19,13 @@
 	"github.com/pimentohead/pimentohead/platform/standin"
 )
 
-// Size and timing of the fleet, which is small so that several runs fit on one machine.
+// Size and timing of a fleet of scale 1, which is small so that several runs fit on one machine. The scale multiplies the sizes of data
+// centres.
 const (
 	dataCentres          = 2
 	entriesPerDataCentre = 2
 	modelsPerDataCentre  = 2
+	desksPerDataCentre   = 1
 	announceInterval     = 400 * time.Millisecond
 	// versionApplyMS is the time in milliseconds after the publication of a version after which no request may start on an older one.
 	versionApplyMS = 8000
@@ -68,8 +70,8 @@
 // entryName returns the name of the i-th entry.
 func entryName(i int) string { return fmt.Sprintf("edge-%d", i) }
 
-// newTestFleet starts the stand-ins and the processes.
-func newTestFleet() (fleet *testFleet, err error) {
+// newTestFleet starts the stand-ins and the processes of a fleet.
+func newTestFleet(scale int) (fleet *testFleet, err error) {
 	fleet = &testFleet{newestVersion: 1, store: standin.NewStore(), origin: &standin.Origin{}, proxies: map[string]*faultproxy.Proxy{},
 		stop: make(chan struct{})}
 	defer func() {
@@ -88,25 +90,34 @@
 			return fleet, err
 		}
 	}
-	for i := range dataCentres * modelsPerDataCentre {
+	if err := fleet.startServers(scale); err != nil {
+		return fleet, err
+	}
+	fleet.writeNextConfig()
+	fleet.announceServers()
+	go fleet.announcePeriodically()
+	return fleet, fleet.startNodes(scale)
+}
+
+// startServers starts the stand-ins for the servers.
+func (fleet *testFleet) startServers(scale int) error {
+	models := dataCentres * modelsPerDataCentre * scale
+	for i := range models {
 		// The last one starts without weights (version 0), the others with version 1.
-		m := standin.NewModelServer(fmt.Sprintf("model-%d", i), int64(1-i/(dataCentres*modelsPerDataCentre-1)))
+		m := standin.NewModelServer(fmt.Sprintf("model-%d", i), int64(1-i/(models-1)))
 		fleet.models = append(fleet.models, m)
 		if err := fleet.startStandIn(m.ID, m); err != nil {
-			return fleet, err
+			return err
 		}
 	}
-	for i := range dataCentres {
+	for i := range dataCentres * desksPerDataCentre * scale {
 		d := standin.NewPlainServer(fmt.Sprintf("desk-%d", i))
 		fleet.desks = append(fleet.desks, d)
 		if err := fleet.startStandIn(d.ID, d); err != nil {
-			return fleet, err
+			return err
 		}
 	}
-	fleet.writeNextConfig()
-	fleet.announceServers()
-	go fleet.announcePeriodically()
-	return fleet, fleet.startNodes()
+	return nil
 }
 
 // startStandIn serves a handler behind a fault proxy.
@@ -188,13 +199,13 @@
 }
 
 // startNodes starts the entries and one agent for each model server.
-func (fleet *testFleet) startNodes() error {
+func (fleet *testFleet) startNodes(scale int) error {
 	daemon, err := testbed.Daemon()
 	if err != nil {
 		return err
 	}
 	seedAddress := fleet.addrs.Take() // The nodes join the fleet through this address of the first entry.
-	for i := range dataCentres * entriesPerDataCentre {
+	for i := range dataCentres * entriesPerDataCentre * scale {
 		n := &node{callerAddress: fleet.addrs.Take(), readyAddress: fleet.addrs.Take()}
 		control := fleet.addrs.Take()
 		if i == 0 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,7 +25,7 @@
 // are complete, and the fleet returns to full service.
 func TestRegressionSeeds(t *testing.T) {
 	for seed, cause := range regressionSeeds {
-		findings, summary, err := runSeed(seed, 6*time.Second, "")
+		findings, summary, err := runSeed(seed, runOptions{length: 6 * time.Second, scale: 1})
 		if err != nil {
 			t.Fatal(err)
 		}
