agent: a lost request is no crash only if the process still answers after 100 ms

Callers of a service that crashed got upstream-error instead of upstream-crash now and then: the crash was not counted against the request, which went on to the next upstream.

Cause: the health check that follows the loss of a request may succeed on a connection that the ending process closes a little later than that of the request. One successful check then counted as proof that the process lives. The agent now checks once more after 100 ms before it says so; a process that is found gone at once, and a request that was not sent, are reported without that delay. A request whose connection a living process has closed is reported 100 ms later.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -84,7 +84,11 @@
 	return f
 }
 
-// serve is the upstream. It responds to /wait after release is closed, never to /hang, and closes the connection on /reset.
+// connectionCloseDelay is the time between the end of the connection of a /crash request and that of the other connections.
+const connectionCloseDelay = 20 * time.Millisecond
+
+// serve is the upstream. It responds to /wait after release is closed, never to /hang, closes the connection on /reset, and that
+// connection and then all others on /crash.
 func (f *fixture) serve(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/health":
@@ -97,10 +101,14 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
-	case "/reset":
+	case "/reset", "/crash":
 		_, _ = io.Copy(io.Discard, r.Body)
 		netConn, _, _ := w.(http.Hijacker).Hijack()
 		_ = netConn.Close()
+		if r.URL.Path == "/crash" {
+			time.Sleep(connectionCloseDelay)
+			f.upstream.CloseClientConnections()
+		}
 		return
 	default:
 		f.runs.Add(1)
@@ -271,6 +279,16 @@
 	f.g.Expect(f.awaitEnd(0, "r2")).To(HaveField("Outcome", message.OutcomeOK))
 }
 
+// Guards against missing a crash because a health check still succeeds on a connection that the ending process closes later than that of
+// the lost request.
+func TestCrashThatClosesConnectionsOneByOneIsACrash(t *testing.T) {
+	f := start(t, 1)
+	f.send(0, submit("r1", "/crash", ""))
+	f.g.Expect(f.awaitEnd(0, "r1")).To(And(HaveField("Reason", message.ReasonUpstreamCrash), HaveField("Outcome", message.OutcomeUnknown)))
+	f.send(0, submit("r2", "/orders", ""))
+	f.g.Expect(f.awaitEnd(0, "r2")).To(HaveField("Outcome", message.OutcomeOK))
+}
+
 // Guards against a leaving agent that starts queued requests long after it has announced that it leaves.
 func TestLeavingAgentRejectsItsQueue(t *testing.T) {
 	f := start(t, 1)
--- a/internal/agent/monitor.go
+++ b/internal/agent/monitor.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pimentohead/pimentohead/internal/engine"
+	"github.com/pimentohead/pimentohead/internal/pause"
 )
 
 const (
@@ -16,6 +17,8 @@
 	// maxFailedChecks is the number of consecutive failed checks after which the upstream is down, because a busy upstream may
 	// respond too slowly to one check. When a connection is refused or lost, the upstream is down at once.
 	maxFailedChecks = 3
+	// endingTime is how long a process that is ending may still answer health checks after it has closed the connection of a request.
+	endingTime = 100 * time.Millisecond
 )
 
 // monitor checks the health of the upstream and detects crashes and restarts.
@@ -68,8 +71,18 @@
 	return m.up
 }
 
-// checkGone checks the upstream now and reports whether the process with this incarnation has gone.
-func (m *monitor) checkGone(incarnation uint64) bool {
+// checkGone reports whether the process with this incarnation, which has just closed the connection of a request, has gone. It has not if
+// it still answers after endingTime. The end of ctx cuts that time short.
+func (m *monitor) checkGone(ctx context.Context, incarnation uint64) bool {
+	if m.checkGoneNow(incarnation) {
+		return true
+	}
+	pause.For(ctx, endingTime)
+	return m.checkGoneNow(incarnation)
+}
+
+// checkGoneNow checks the upstream and reports whether the process with this incarnation has gone.
+func (m *monitor) checkGoneNow(incarnation uint64) bool {
 	m.check(context.Background())
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -115,11 +115,14 @@
 // counts as a crash only when the upstream process has gone or restarted.
 func (a *Agent) classifyError(att *attempt, err error) message.ResponseEnd {
 	cause := context.Cause(att.ctx)
-	lost := errors.Is(err, engine.ErrDisconnected)
-	if errors.Is(cause, errCrashed) || lost && a.monitor.checkGone(att.incarnation) {
-		if errors.Is(err, engine.ErrNotSent) {
-			return message.ResponseEnd{Reason: message.ReasonNoUpstream}
+	lost, notSent := errors.Is(err, engine.ErrDisconnected), errors.Is(err, engine.ErrNotSent)
+	if notSent && (errors.Is(cause, errCrashed) || lost) {
+		if lost {
+			a.monitor.check(context.Background()) // Entries learn at once that the upstream is down.
 		}
+		return message.ResponseEnd{Reason: message.ReasonNoUpstream}
+	}
+	if errors.Is(cause, errCrashed) || lost && a.monitor.checkGone(att.ctx, att.incarnation) {
 		return message.ResponseEnd{
 			Reason: message.ReasonUpstreamCrash, UpstreamIncarnation: att.incarnation,
 			BesideSuspect: !att.submit.Suspect && a.suspects.presentOn(att.incarnation),
@@ -130,7 +133,7 @@
 		return message.ResponseEnd{Reason: message.ReasonCancelled}
 	case errors.Is(cause, errDeadline), errors.Is(err, engine.ErrIdleTimeout):
 		return message.ResponseEnd{Reason: message.ReasonTimeout}
-	case errors.Is(err, engine.ErrNotSent):
+	case notSent:
 		return message.ResponseEnd{Reason: message.ReasonNoUpstream}
 	default:
 		return message.ResponseEnd{Reason: message.ReasonUpstreamError}
