--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -118,7 +118,7 @@
 		<-held
 	})
 	e := newEntry(t, u)
-	t.Cleanup(func() { close(held) }) // Runs before the relay and the upstream are closed, which wait for their requests.
+	t.Cleanup(func() { close(held) }) // Runs before the relay is closed, which waits for its requests.
 	e.setTimeouts(longTimeout)
 	answers := map[string]chan callResult{"/order/": make(chan callResult, 1), "/look/": make(chan callResult, 1)}
 	for path, answer := range answers {
