relay: the test of a silent stream that goes on waits for events, not for times

TestSilentStreamGoesOnWhenNoOtherUpstreamTakesOver failed in 1 of 10 runs beside load (1 request instead of 2): the upstream went on after a fixed 1.2 s, the relay asks another one 0.85 s after it has read the event before.

The upstream now goes on once the other one has been asked, and the route has a timeout of 20 s.

--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -98,9 +99,23 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			script := startOrResume(pauseAfter(event(1)), resume)
+			asked := make(chan struct{})
+			setAsked := sync.OnceFunc(func() { close(asked) })
+			goOnWhenAsked := func(nc net.Conn, req *http.Request) {
+				streamHead(nc, req)
+				chunk(nc, event(1))
+				<-asked
+				chunk(nc, event(2))
+				_, _ = io.WriteString(nc, "0\r\n\r\n")
+			}
+			script := startOrResume(goOnWhenAsked, func(nc net.Conn, req *http.Request) {
+				resume(nc, req)
+				setAsked()
+			})
 			u1, u2 := newUpstream(t, "u1", script), newUpstream(t, "u2", script)
-			a := newEntry(t, u1, u2).send(context.Background(), "/stream/", nil)
+			e := newEntry(t, u1, u2)
+			t.Cleanup(setAsked) // Runs before the relay is closed, which waits for its requests.
+			a := e.send(context.Background(), "/long/", func(r *http.Request) { r.Header.Set("Wait", "20000") })
 			g.Expect(a.err).NotTo(HaveOccurred())
 			g.Expect(a.body).To(Equal(event(1) + event(2)))
 			g.Expect(totalRequests(u1, u2)).To(Equal(2))
