catalogsync, relay: tests share their setup

The checks are unchanged; both packages' tests pass (relay: those of silence, late answers and runs).

--- a/internal/controller/catalogsync/restored_test.go
+++ b/internal/controller/catalogsync/restored_test.go
@@ -15,6 +15,16 @@
 // has returns whether the state holds an upstream.
 func has(s *fleet.State, id string) bool { return s.Snapshot().ByID(id) != nil }
 
+// storeWithUpstreams returns a store with configuration 7 and announcements of the given upstreams.
+func storeWithUpstreams(ids ...string) *memoryStore {
+	m := newMemoryStore()
+	m.put("conf", "7")
+	for _, id := range ids {
+		m.put("up/"+id, "1")
+	}
+	return m
+}
+
 // callCount returns the number of calls of List and Poll so far.
 func (m *memoryStore) callCount() (calls int) {
 	m.withLock(func() { calls = m.calls })
@@ -26,11 +36,7 @@
 func TestUpstreamsAreKeptAfterARestoreUntilReannouncePeriodEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		m := newMemoryStore()
-		m.put("conf", "7")
-		for _, key := range []string{"up/old", "up/lives", "up/ended"} {
-			m.put(key, "1")
-		}
+		m := storeWithUpstreams("old", "lives", "ended")
 		s := startSyncer(t, m, alwaysActive)
 		time.Sleep(time.Second)
 		g.Expect(has(s, "ended")).To(BeTrue())
@@ -53,10 +59,7 @@
 func TestUpstreamThatOnlyTheCopyListsIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		m := newMemoryStore()
-		m.put("conf", "7")
-		m.put("up/left", "1")
-		m.put("up/silent", "1")
+		m := storeWithUpstreams("left", "silent")
 		s := startSyncer(t, m, alwaysActive)
 		time.Sleep(time.Second)
 		m.remove("up/left")
@@ -79,9 +82,7 @@
 func TestReannouncePeriodEndsOnTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		m := newMemoryStore()
-		m.put("conf", "7")
-		m.put("up/leaves", "1")
+		m := storeWithUpstreams("leaves")
 		s := startSyncer(t, m, alwaysActive)
 		time.Sleep(time.Second)
 		m.restore(2, map[string]string{"conf": "7", "up/leaves": "1"})
@@ -99,10 +100,8 @@
 func TestSecondRestoreDoesNotCauseListingsWithoutPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		m := newMemoryStore()
+		m := storeWithUpstreams("left")
 		m.listDelay = 4 * time.Millisecond
-		m.put("conf", "7")
-		m.put("up/left", "1")
 		s := startSyncer(t, m, alwaysActive)
 		time.Sleep(time.Second)
 		m.remove("up/left")
@@ -123,10 +122,7 @@
 func TestRemovalAfterASettledListingIsApplied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		m := newMemoryStore()
-		m.put("conf", "7")
-		m.put("up/left", "1")
-		m.put("up/leaves", "1")
+		m := storeWithUpstreams("left", "leaves")
 		s := startSyncer(t, m, alwaysActive)
 		time.Sleep(time.Second)
 		m.remove("up/left")
@@ -168,9 +164,7 @@
 func TestTakeoverLongAfterARestoreRemovesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		m := newMemoryStore()
-		m.put("conf", "7")
-		m.put("up/left", "1")
+		m := storeWithUpstreams("left")
 		var active atomic.Bool
 		s := startSyncer(t, m, active.Load)
 		time.Sleep(time.Second)
@@ -191,9 +185,7 @@
 func TestOutageAfterARestoreProlongsTheDistrustOfTheCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		m := newMemoryStore()
-		m.put("conf", "7")
-		m.put("up/left", "1")
+		m := storeWithUpstreams("left")
 		s := startSyncer(t, m, alwaysActive)
 		time.Sleep(time.Second)
 		m.remove("up/left")
@@ -216,10 +208,7 @@
 func TestRemovalInTheReannouncePeriodIsNotPutOffForLong(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		m := newMemoryStore()
-		m.put("conf", "7")
-		m.put("up/leaves", "1")
-		m.put("up/lives", "1")
+		m := storeWithUpstreams("leaves", "lives")
 		s := startSyncer(t, m, alwaysActive)
 		time.Sleep(time.Second)
 		m.restore(3, map[string]string{"conf": "7", "up/leaves": "1", "up/lives": "1"})
@@ -242,9 +231,7 @@
 		t.Run(second, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				m := newMemoryStore()
-				m.put("conf", "7")
-				m.put("up/lives", "1")
+				m := storeWithUpstreams("lives")
 				s := startSyncer(t, m, alwaysActive)
 				time.Sleep(time.Second)
 				m.restore(2, map[string]string{"conf": "7", "up/lives": "1"})
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -153,13 +153,7 @@
 func TestLateAnswerEndsNoStreamThatCannotMove(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	begin := func(nc net.Conn, req *http.Request) {
-		streamHead(nc, req)
-		chunk(nc, event(1))
-		time.Sleep(20 * time.Millisecond)
-		_ = nc.Close()
-	}
-	script := startOrResume(begin, func(nc net.Conn, req *http.Request) {
+	script := startOrResume(breakOff, func(nc net.Conn, req *http.Request) {
 		time.Sleep(2300 * time.Millisecond)
 		streamUpTo(3)(nc, req)
 	})
