link, directpath: count frames and bytes by type of message

Cause: nothing showed which messages load a node of a large fleet. Change: Traffic counts frames and bytes by wire code; the direct path serves them by direction and type (pimentohead_link_frames_total, pimentohead_link_size_bytes_total). A link can be given its own dial function, for tests. Test: TestMetricsShowFramesByType (new function, so it could not be compiled before).

--- /dev/null
+++ b/internal/directpath/metrics.go
@@ -0,0 +1,34 @@
+package directpath
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/pimentohead/pimentohead/internal/link"
+)
+
+// observeTraffic registers counters of the frames and the bytes on all links, by direction and type of message.
+func observeTraffic(meter metric.Meter, traffic *link.Traffic) error {
+	frames, err := meter.Int64ObservableCounter("pimentohead_link_frames")
+	if err != nil {
+		return errors.Wrap(err, "directpath: create the counter of frames")
+	}
+	sizes, err := meter.Int64ObservableCounter("pimentohead_link_size", metric.WithUnit("By"))
+	if err != nil {
+		return errors.Wrap(err, "directpath: create the counter of bytes")
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for direction, counts := range map[string][]link.FrameCount{"sent": traffic.Sent(), "received": traffic.Received()} {
+			for _, c := range counts {
+				set := metric.WithAttributes(attribute.String("direction", direction), attribute.String("type", c.Type.String()))
+				o.ObserveInt64(frames, int64(c.Frames), set)
+				o.ObserveInt64(sizes, int64(c.Bytes), set)
+			}
+		}
+		return nil
+	}, frames, sizes)
+	return errors.Wrap(err, "directpath: register the counters of links")
+}
--- /dev/null
+++ b/internal/directpath/metrics_test.go
@@ -0,0 +1,53 @@
+package directpath
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/mesh"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/refusal"
+	"github.com/pimentohead/pimentohead/internal/telemetry"
+)
+
+// Guards against messages on links that no metric shows: nobody could tell which of them load a large fleet.
+func TestMetricsShowFramesByType(t *testing.T) {
+	g := NewWithT(t)
+	metrics, err := telemetry.NewMetrics("test")
+	g.Expect(err).NotTo(HaveOccurred())
+	traffic := &link.Traffic{}
+	g.Expect(observeTraffic(metrics.Meter, traffic)).To(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	entry := func(id string, traffic *link.Traffic, seeds ...string) string {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = listener.Close() })
+		m := mesh.New(mesh.Config{Self: message.Hello{NodeID: id, Role: message.RoleEntry, DataCentre: "z", Address: listener.Addr().String()},
+			Secret: []byte("sixteen byte key"), Seeds: seeds, State: fleet.NewState(nil), Loads: loadview.NewTable(nil), Log: logr.Discard(),
+			PeerWork: loadview.NewWorkTable(nil), OwnWork: func() []message.UpstreamWork { return nil }, Refusals: refusal.New(nil),
+			Traffic: traffic})
+		go m.Serve(ctx, listener)
+		go m.Run(ctx)
+		return listener.Addr().String()
+	}
+	entry("b", traffic, entry("a", nil))
+	scrape := func() string {
+		recorder := httptest.NewRecorder()
+		metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+		return recorder.Body.String()
+	}
+	for _, direction := range []string{"sent", "received"} {
+		g.Eventually(scrape, 3*time.Second).Should(MatchRegexp(
+			`pimentohead_link_frames_total\{[^}]*direction="`+direction+`"[^}]*type="Heartbeat"[^}]*\} [1-9]`), direction)
+	}
+}
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -15,6 +15,7 @@
 	"github.com/pimentohead/pimentohead/internal/chunkcache"
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
 	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
@@ -96,7 +97,12 @@
 	c.self = message.Hello{NodeID: n.ID, Role: role, DataCentre: n.DataCentre, Region: n.Region,
 		Incarnation: uint64(time.Now().UnixNano())}
 	c.self.Address = address
-	cfg := mesh.Config{Self: c.self, Secret: n.Secret, Seeds: n.Seeds, State: c.state, Loads: c.loads, Log: n.Log, Leaving: leaving}
+	traffic := &link.Traffic{}
+	if err := observeTraffic(metrics.Meter, traffic); err != nil {
+		return nil, err
+	}
+	cfg := mesh.Config{Self: c.self, Secret: n.Secret, Seeds: n.Seeds, State: c.state, Loads: c.loads, Log: n.Log, Leaving: leaving,
+		Traffic: traffic}
 	c.rateLimits = ratelimit.New(ratelimit.Config{Self: n.ID, Members: func() []string { return c.mesh.EntryIDs() }})
 	if role == message.RoleEntry {
 		cfg.RateLimits, cfg.Refusals = c.rateLimits, c.refusals
--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -5,7 +5,11 @@
 // arrives any more.
 package link
 
-import "time"
+import (
+	"context"
+	"net"
+	"time"
+)
 
 // Config holds the parameters of a link. The zero value of a field selects its default.
 type Config struct {
@@ -24,6 +28,8 @@
 	DataQueueSize    int
 	// Traffic counts the bytes of this link and of all others that share it. Optional.
 	Traffic *Traffic
+	// DialContext opens connections. Default net.Dialer.DialContext.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Defaults of Config.
@@ -55,5 +61,8 @@
 	if c.DataQueueSize <= 0 {
 		c.DataQueueSize = DefaultQueueSize
 	}
+	if c.DialContext == nil {
+		c.DialContext = new(net.Dialer).DialContext
+	}
 	return c
 }
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -54,8 +54,9 @@
 // It returns ErrHandshake when the handshake fails, or the error of the dial.
 func Dial(ctx context.Context, addr string, self message.Hello, cfg Config, status func() message.Heartbeat) (*Conn, error) {
 	cfg = cfg.withDefaults()
-	dialer := net.Dialer{Timeout: cfg.HandshakeTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	ctx, cancel := context.WithTimeout(ctx, cfg.HandshakeTimeout)
+	defer cancel()
+	nc, err := cfg.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "link: dial %s", addr)
 	}
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -6,11 +6,43 @@
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
-// Traffic counts the frame bytes of all links of a process. Data messages are those of requests, responses and weights; all
+// Traffic counts the frames and their bytes of all links of a process. Data messages are those of requests, responses and weights; all
 // others are control messages. The zero value is ready to use. Traffic is safe for concurrent use.
 type Traffic struct {
 	ControlSent, ControlReceived atomic.Uint64
 	DataSent, DataReceived       atomic.Uint64
+	// sentByType and receivedByType are indexed by the wire code of the message.
+	sentByType, receivedByType [message.TypeCount]frameCounter
+}
+
+// frameCounter counts frames and their bytes.
+type frameCounter struct{ frames, bytes atomic.Uint64 }
+
+func (c *frameCounter) add(bytes int) {
+	c.frames.Add(1)
+	c.bytes.Add(uint64(bytes))
+}
+
+// FrameCount is the number of frames of one type of message and the sum of their bytes.
+type FrameCount struct {
+	Type          message.Type
+	Frames, Bytes uint64
+}
+
+// Sent returns the frames sent so far, one entry for each type of message that was sent.
+func (t *Traffic) Sent() []FrameCount { return frameCounts(&t.sentByType) }
+
+// Received returns the frames received so far, one entry for each type of message that was received.
+func (t *Traffic) Received() []FrameCount { return frameCounts(&t.receivedByType) }
+
+func frameCounts(counters *[message.TypeCount]frameCounter) []FrameCount {
+	var out []FrameCount
+	for code := range counters {
+		if frames := counters[code].frames.Load(); frames > 0 {
+			out = append(out, FrameCount{Type: message.Type(code), Frames: frames, Bytes: counters[code].bytes.Load()})
+		}
+	}
+	return out
 }
 
 // sent counts a sent message of the given frame size. It does nothing on a nil Traffic.
@@ -18,6 +50,7 @@
 	if t == nil {
 		return
 	}
+	t.sentByType[m.MessageType()].add(bytes)
 	if isData(m) {
 		t.DataSent.Add(uint64(bytes))
 	} else {
@@ -30,6 +63,7 @@
 	if t == nil {
 		return
 	}
+	t.receivedByType[m.MessageType()].add(bytes)
 	if isData(m) {
 		t.DataReceived.Add(uint64(bytes))
 	} else {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -6,6 +6,8 @@
 
 import (
 	"bytes"
+	"reflect"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -48,6 +50,9 @@
 	TypeCrashEvidence
 	TypeRateShares
 	TypeRefusals
+
+	// TypeCount is one more than the highest wire code.
+	TypeCount
 )
 
 // Errors returned by Decode.
@@ -132,6 +137,15 @@
 	TypeRefusals:        func() Message { return new(Refusals) },
 }
 
+// String returns the name of the message, such as "Heartbeat", or the wire code if it is unknown.
+func (t Type) String() string {
+	m := newMessage(t)
+	if m == nil {
+		return strconv.Itoa(int(t))
+	}
+	return reflect.TypeOf(m).Elem().Name()
+}
+
 // newMessage returns an empty message of type t, or nil if the type is unknown.
 func newMessage(t Type) Message {
 	construct, ok := constructors[t]
