mesh: a node stays linked while one of two links to it is open

Cause: two nodes that dial each other at the same time may each register both links. The later one replaced the earlier one in the table of links; when it was closed as a duplicate, the node was removed, though the earlier link was open. Change: the table remembers replaced links and falls back to one that is still open.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -110,6 +111,8 @@
 	members map[string]*memberState
 	links   map[string]*peer
 	dials   map[string]*dialState
+	// replacedLinks holds the open links that a later one to the same node has replaced, by node ID, oldest first.
+	replacedLinks map[string][]*peer
 	// dialNow wakes dialLoop before its next tick.
 	dialNow chan struct{}
 }
@@ -141,7 +144,7 @@
 		linkCfg: link.Config{Secret: cfg.Secret, HeartbeatInterval: heartbeatInterval, SilenceTimeout: silenceTimeout,
 			HandshakeTimeout: handshakeTimeout, Traffic: cfg.Traffic},
 		changes: make(chan fleet.Change, changeQueueSize),
-		members: map[string]*memberState{}, links: map[string]*peer{}, dials: map[string]*dialState{},
+		members: map[string]*memberState{}, links: map[string]*peer{}, replacedLinks: map[string][]*peer{}, dials: map[string]*dialState{},
 		dialNow: make(chan struct{}, 1),
 	}
 	m.encoder.log = cfg.Log
@@ -207,23 +210,15 @@
 func (m *Mesh) serveLink(ctx context.Context, conn *link.Conn) {
 	hello := conn.Peer()
 	p := &peer{conn: conn, hello: hello}
-	m.mu.Lock()
-	if old := m.links[hello.NodeID]; old != nil && old.hello.Incarnation > hello.Incarnation {
-		m.mu.Unlock()
+	if !m.register(p) {
 		conn.Close()
 		return
 	}
-	m.links[hello.NodeID] = p
-	m.mu.Unlock()
 	m.mergeMembers([]message.Member{memberOf(hello)})
 	m.cfg.Log.Info("link up", "peer", hello.NodeID, "data_centre", hello.DataCentre, "address", hello.Address)
 	go m.sendInitialState(ctx, p)
 	err := conn.Serve(ctx, func(_ *link.Conn, msg message.Message) { m.handle(ctx, p, msg) })
-	m.mu.Lock()
-	if m.links[hello.NodeID] == p {
-		delete(m.links, hello.NodeID)
-	}
-	m.mu.Unlock()
+	m.unregister(p)
 	m.pending.failAll(p)
 	if ctx.Err() == nil {
 		m.cfg.Log.Info("link lost", "peer", hello.NodeID, "data_centre", hello.DataCentre, "cause", errorText(err))
@@ -231,6 +226,43 @@
 	m.triggerDial()
 }
 
+// register makes a link the one over which messages to its node are sent, and returns false if a newer incarnation of the node is
+// linked.
+func (m *Mesh) register(p *peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := p.hello.NodeID
+	if old := m.links[id]; old != nil {
+		if old.hello.Incarnation > p.hello.Incarnation {
+			return false
+		}
+		m.replacedLinks[id] = append(m.replacedLinks[id], old)
+	}
+	m.links[id] = p
+	return true
+}
+
+// unregister removes a closed link. If it had replaced another one that is still open, as when two nodes dial each other at the same
+// time, messages go over that one again.
+func (m *Mesh) unregister(p *peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := p.hello.NodeID
+	replaced := slices.DeleteFunc(m.replacedLinks[id], func(other *peer) bool { return other == p })
+	if m.links[id] == p {
+		delete(m.links, id)
+		if last := len(replaced) - 1; last >= 0 {
+			m.links[id] = replaced[last]
+			replaced = replaced[:last]
+		}
+	}
+	if len(replaced) == 0 {
+		delete(m.replacedLinks, id)
+	} else {
+		m.replacedLinks[id] = replaced
+	}
+}
+
 // memberOf returns the member that a handshake describes.
 func memberOf(h message.Hello) message.Member {
 	return message.Member{NodeID: h.NodeID, Role: h.Role, DataCentre: h.DataCentre, Region: h.Region, Address: h.Address,
