mesh, overlay: hubs and relays for data centres of any size

Cause: an entry dialled at most 12 entries of its data centre and an agent at most 12, and what each had to tell went one hop. With 20 entries in a data centre an entry lacked the loads of four in ten upstreams and the work of one in seven entries. Every entry kept links to two entries of each other data centre, and sent all members to all links whenever one was new: in a trial with 100 entries and 120 agents, 230 MB of members in the first 6 s, and 54 MB for 120 new upstreams. Change: package overlay plans links from the list of entries. Beyond 13 entries in a data centre, all entries and agents link to its hubs (four, by rank); two of them are relays, which pass on in one message for each entry and interval what entries and agents report: exact sums of work, loads, refusals, rate shares. Only hubs keep links to other data centres, one relay sends the work at upstreams there, and each relay sends to one entry of a data centre. Only relays forward records of the catalog to all. News of members are sent once, batched, and a rare full list repairs what was missed. Hubs are the candidates for duties (watch, sending, verdicts), and the first readers of weights. Links to other data centres that the dialling side does not need any more are closed. Tests on virtual time with 1, 8, 20, 60 and 138 entries, losses, cuts and late joiners: TestEntriesKnowTheirWholeDataCentre, TestViewsAreCompleteAgainAfterLosses; package overlay; sums in loadview. With relays that pass nothing on, those with 20 and more entries fail.

--- a/internal/loadview/work.go
+++ b/internal/loadview/work.go
@@ -16,14 +16,24 @@
 type WorkTable struct {
 	now func() time.Time
 	mu  sync.Mutex
-	// entries maps the node IDs of entries to their newest reports. It is guarded by mu.
+	// entries maps the node IDs of entries to their newest reports, totals those of relays to their newest sums. Both are guarded by mu.
 	entries map[string]entryWork
+	totals  map[string]relayTotals
+}
+
+// relayTotals is the newest sum of one relay, without the work of the receiver.
+type relayTotals struct {
+	receivedAt time.Time
+	// reports is the number of reports in the sum. work is indexed by the ID of the upstream.
+	reports int
+	work    map[string]message.UpstreamWork
 }
 
 // entryWork is the newest report of one entry.
 type entryWork struct {
 	receivedAt time.Time
-	// work is indexed by the ID of the upstream.
+	// seq is the sequence number of the report. work is indexed by the ID of the upstream.
+	seq  uint64
 	work map[string]message.UpstreamWork
 }
 
@@ -32,7 +42,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &WorkTable{now: now, entries: map[string]entryWork{}}
+	return &WorkTable{now: now, entries: map[string]entryWork{}, totals: map[string]relayTotals{}}
 }
 
 // Apply replaces the stored work of one entry with a new report.
@@ -43,20 +53,93 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entries[m.NodeID] = entryWork{receivedAt: t.now(), work: work}
+	t.entries[m.NodeID] = entryWork{receivedAt: t.now(), seq: m.Seq, work: work}
 }
 
-// Total returns the sum of the work that all other entries have in progress at an upstream, and drops expired reports.
-func (t *WorkTable) Total(upstream string) message.UpstreamWork {
+// ApplyTotals replaces the stored sum of a relay. own is the report of this entry that the sum contains, nil if it contains none.
+func (t *WorkTable) ApplyTotals(relay string, totals *message.WorkTotals, own *message.EntryWork) {
+	sum := relayTotals{reports: totals.Reports, work: make(map[string]message.UpstreamWork, len(totals.Work))}
+	for _, w := range totals.Work {
+		sum.work[w.ID] = w
+	}
+	if own != nil {
+		sum.reports--
+		for _, w := range own.Work {
+			rest := sum.work[w.ID]
+			rest.ID = w.ID
+			rest.Running = max(rest.Running-w.Running, 0)
+			rest.Waiting = max(rest.Waiting-w.Waiting, 0)
+			rest.WaitingTokens = max(rest.WaitingTokens-w.WaitingTokens, 0)
+			sum.work[w.ID] = rest
+		}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := message.UpstreamWork{ID: upstream}
+	sum.receivedAt = t.now()
+	t.totals[relay] = sum
+}
+
+// Seq returns the sequence number of an entry's newest report, 0 if there is none.
+func (t *WorkTable) Seq(nodeID string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dropExpired()
+	return t.entries[nodeID].seq
+}
+
+// Sum returns the work in the reports of the entries for which include returns true, by upstream, and the number of these reports.
+func (t *WorkTable) Sum(include func(nodeID string) bool) (map[string]message.UpstreamWork, int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dropExpired()
+	sums, reports := map[string]message.UpstreamWork{}, 0
 	for id, e := range t.entries {
-		if t.now().Sub(e.receivedAt) > workRetention {
-			delete(t.entries, id)
+		if !include(id) {
 			continue
 		}
+		reports++
+		for upstream, w := range e.work {
+			sum := sums[upstream].Plus(w)
+			sum.ID = upstream
+			sums[upstream] = sum
+		}
+	}
+	return sums, reports
+}
+
+// Total returns the sum of the work that all other entries have in progress at an upstream, and drops expired reports. It comes from the
+// reports of the entries, or from the sum of a relay that contains more of them.
+func (t *WorkTable) Total(upstream string) message.UpstreamWork {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dropExpired()
+	best := relayTotals{reports: len(t.entries)}
+	for _, sum := range t.totals {
+		if sum.reports > best.reports || sum.reports == best.reports && best.work != nil && sum.receivedAt.After(best.receivedAt) {
+			best = sum
+		}
+	}
+	sum := message.UpstreamWork{ID: upstream}
+	if best.work != nil {
+		return sum.Plus(best.work[upstream])
+	}
+	for _, e := range t.entries {
 		sum = sum.Plus(e.work[upstream])
 	}
 	return sum
 }
+
+// dropExpired drops reports and sums that are older than workRetention. The caller holds mu.
+func (t *WorkTable) dropExpired() {
+	now := t.now()
+	for id, e := range t.entries {
+		if now.Sub(e.receivedAt) > workRetention {
+			delete(t.entries, id)
+		}
+	}
+	for relay, sum := range t.totals {
+		if now.Sub(sum.receivedAt) > workRetention {
+			delete(t.totals, relay)
+		}
+	}
+}
--- a/internal/mesh/dial.go
+++ b/internal/mesh/dial.go
@@ -2,20 +2,17 @@
 
 import (
 	"context"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/overlay"
+	"github.com/pimentohead/pimentohead/internal/pause"
 )
 
-// rank returns the rendezvous hash of a node for a key, by which all nodes order the nodes in the same way. It is never 0, because
-// ShouldWatchStore uses 0 to record that another node ranks higher. The text of a key is part of the protocol: nodes that used
-// different keys for the same purpose would compute different orders.
-func rank(key, nodeID string) uint64 { return xxhash.Sum64String(key+"/"+nodeID) | 1 }
-
 // nodeJitter returns a fixed delay of less than 300 ms for a node, so that nodes do not react to the same event all at once.
 func nodeJitter(nodeID string) time.Duration {
 	return time.Duration(xxhash.Sum64String(nodeID)%300) * time.Millisecond
@@ -43,7 +40,6 @@
 func (m *Mesh) addressesToDial() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	byDataCentre := map[string][]*memberState{}
 	now := time.Now()
 	for id, member := range m.members {
 		if m.links[id] != nil {
@@ -51,27 +47,12 @@
 		}
 		if now.Sub(member.lastSeen) > memberRetention {
 			delete(m.members, id)
-			continue
 		}
-		byDataCentre[member.DataCentre] = append(byDataCentre[member.DataCentre], member)
 	}
 	var out []string
-	for dataCentre, list := range byDataCentre {
-		sort.Slice(list, func(i, j int) bool {
-			return rank(m.cfg.Self.NodeID, list[i].NodeID) > rank(m.cfg.Self.NodeID, list[j].NodeID)
-		})
-		remaining := m.linkQuota(dataCentre, len(byDataCentre))
-		for _, member := range list {
-			if remaining == 0 {
-				break
-			}
-			if m.links[member.NodeID] == nil {
-				out = append(out, member.Address)
-				if state := m.dials[member.Address]; state != nil && state.backoff > maxDialBackoff/2 {
-					continue // It does not answer: it does not count towards the quota, so that the next member is dialled as well.
-				}
-			}
-			remaining--
+	for _, id := range m.overlayNode().Plan(m.knownEntries()) {
+		if m.links[id] == nil {
+			out = append(out, m.members[id].Address)
 		}
 	}
 	if len(m.links) == 0 {
@@ -80,32 +61,56 @@
 	return out
 }
 
-// linkQuota returns the number of links that this node keeps to entries of a data centre. dataCentres is the number of data
-// centres with known entries. The caller holds mu.
-func (m *Mesh) linkQuota(dataCentre string, dataCentres int) int {
-	local := dataCentre == m.cfg.Self.DataCentre
-	switch {
-	case m.cfg.Self.Role == message.RoleEntry && local:
-		return maxLocalLinks
-	case m.cfg.Self.Role == message.RoleEntry:
-		return remoteLinks
-	case local:
-		return maxAgentLinks
-	case dataCentres == 1 || !m.hasLocalLink():
-		return remoteLinks // The agent knows no entry of its own data centre, or is linked to none.
-	default:
-		return 0
+// overlayNode returns this node as package overlay sees it.
+func (m *Mesh) overlayNode() overlay.Node {
+	return overlay.Node{ID: m.cfg.Self.NodeID, DataCentre: m.cfg.Self.DataCentre, IsEntry: m.cfg.Self.Role == message.RoleEntry}
+}
+
+// surplusCheckInterval is the time between checks for links that are not needed any more. A link is closed at the second check in a row that
+// finds it so.
+const surplusCheckInterval = 2 * time.Second
+
+// closeSurplusLinks closes links to other data centres that this node has dialled and does not need any more, until ctx ends. Nodes that
+// start know only a few others, and link to those. The other side dials again if it needs the link.
+func (m *Mesh) closeSurplusLinks(ctx context.Context) {
+	surplus := map[*peer]bool{}
+	for {
+		pause.For(ctx, surplusCheckInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		found := map[*peer]bool{}
+		for _, p := range m.surplusLinks() {
+			if surplus[p] {
+				m.cfg.Log.Info("link closed, it is not needed any more", "peer", p.hello.NodeID, "data_centre", p.hello.DataCentre)
+				p.conn.Close()
+			} else {
+				found[p] = true
+			}
+		}
+		surplus = found
 	}
 }
 
-// hasLocalLink reports whether an entry of this node's data centre is linked. The caller holds mu.
-func (m *Mesh) hasLocalLink() bool {
+// surplusLinks returns the dialled links to other data centres that this node does not plan to keep. There are none while it has no link in
+// its own data centre.
+func (m *Mesh) surplusLinks() []*peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var remote []*peer
+	hasLocalLink := false
 	for _, p := range m.links {
-		if isEntry(p) && p.hello.DataCentre == m.cfg.Self.DataCentre {
-			return true
+		local := p.hello.DataCentre == m.cfg.Self.DataCentre
+		hasLocalLink = hasLocalLink || local && isEntry(p)
+		if p.dialled && !local {
+			remote = append(remote, p)
 		}
 	}
-	return false
+	if !hasLocalLink || len(remote) == 0 {
+		return nil
+	}
+	planned := m.overlayNode().Plan(m.knownEntries())
+	return slices.DeleteFunc(remote, func(p *peer) bool { return slices.Contains(planned, p.hello.NodeID) })
 }
 
 // maxBackoff returns the upper bound of the backoff between attempts to dial. A node without any link retries at dialInterval:
@@ -154,6 +159,6 @@
 			conn.Close()
 			return
 		}
-		m.serveLink(ctx, conn)
+		m.serveLink(ctx, conn, true)
 	}()
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,7 +1,8 @@
 // Package mesh keeps links to other nodes and distributes state over them: members, records of the catalog and upstream loads.
 //
-// An entry keeps links to entries of its own data centre and to two entries in each other data centre. An agent keeps links to
-// the entries of its data centre. Each entry forwards records that are new to it, so that they reach all nodes in a few hops.
+// Package overlay decides which nodes are linked. In a small data centre all entries are linked to each other. In a larger one, each entry
+// sends what the others have to know to two relays, which pass it on in batches. Records of the catalog are forwarded by each
+// entry to which they are new, so that they reach all nodes over any path.
 package mesh
 
 import (
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/link"
@@ -42,14 +44,6 @@
 	remoteStalenessRounds = 3
 	// loadInterval is the time between load messages to other data centres. The links to them have little bandwidth.
 	loadInterval = 400 * time.Millisecond
-	// maxLocalLinks bounds the links of an entry to entries of its own data centre. remoteLinks is the number of links to
-	// entries of each other data centre.
-	maxLocalLinks = 12
-	remoteLinks   = 2
-	// maxAgentLinks bounds the number of entries that an agent links to.
-	maxAgentLinks = 12
-	// memberRetention is how long an entry stays a member without a link to it.
-	memberRetention = 2 * time.Minute
 	// changeQueueSize bounds the queue of changes to send. When the queue overflows, the full state is sent on all links
 	// instead.
 	changeQueueSize = 1024
@@ -83,6 +77,8 @@
 	Leaving func() bool
 	// Traffic counts the bytes of all links. Optional.
 	Traffic *link.Traffic
+	// DialContext opens connections. Default net.Dialer.DialContext.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Mesh maintains the links of one node and exchanges state over them. It is safe for concurrent use.
@@ -105,29 +101,33 @@
 	// versionFromLocalEntry is the version of the last configuration that arrived from an entry of the own data centre.
 	versionFromLocalEntry atomic.Int64
 
-	// mu guards members, links and dials.
+	// relayed collects what this entry passes on to the others of its data centre, see relayMessages.
+	relayed relayQueue
+	// sentWork holds the work that this entry has sent to the relays, see ownWorkAt.
+	sentWork workHistory
+	// seenRefusals holds the messages with refusals that have been merged.
+	seenRefusals *lru.Cache[refusalMessage, struct{}]
+
+	// mu guards the fields below.
 	mu sync.Mutex
 	// members and links are keyed by node ID, dials by link address.
 	members map[string]*memberState
-	links   map[string]*peer
-	dials   map[string]*dialState
 	// replacedLinks holds the open links that a later one to the same node has replaced, by node ID, oldest first.
 	replacedLinks map[string][]*peer
+	// memberNews holds the members that have not been sent on yet.
+	memberNews []message.Member
+	links      map[string]*peer
+	dials      map[string]*dialState
 	// dialNow wakes dialLoop before its next tick.
 	dialNow chan struct{}
 }
 
-// memberState is an entry of the fleet that this node may link to.
-type memberState struct {
-	message.Member
-	// lastSeen is when a link to the member was last open, or when the member was added or changed.
-	lastSeen time.Time
-}
-
 // peer is a node with an open link.
 type peer struct {
 	conn  *link.Conn
 	hello message.Hello
+	// dialled is set if this node opened the link.
+	dialled bool
 }
 
 // dialState holds the progress and the backoff of the attempts to dial one address.
@@ -142,10 +142,10 @@
 	m := &Mesh{
 		cfg: cfg,
 		linkCfg: link.Config{Secret: cfg.Secret, HeartbeatInterval: heartbeatInterval, SilenceTimeout: silenceTimeout,
-			HandshakeTimeout: handshakeTimeout, Traffic: cfg.Traffic},
+			HandshakeTimeout: handshakeTimeout, Traffic: cfg.Traffic, DialContext: cfg.DialContext},
 		changes: make(chan fleet.Change, changeQueueSize),
 		members: map[string]*memberState{}, links: map[string]*peer{}, replacedLinks: map[string][]*peer{}, dials: map[string]*dialState{},
-		dialNow: make(chan struct{}, 1),
+		dialNow: make(chan struct{}, 1), seenRefusals: newSeenRefusals(),
 	}
 	m.encoder.log = cfg.Log
 	m.observeEvidence()
@@ -165,10 +165,10 @@
 // Run keeps the links and, on an entry, distributes state until ctx ends.
 func (m *Mesh) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	loops := []func(context.Context){m.dialLoop}
+	loops := []func(context.Context){m.dialLoop, m.closeSurplusLinks}
 	if m.cfg.Self.Role == message.RoleEntry {
-		loops = append(loops, m.shareChanges, m.shareStaleness, m.shareLoads, m.shareWork, m.shareEvidence, m.shareRateLimits,
-			m.shareRefusals)
+		loops = append(loops, m.shareChanges, m.shareStaleness, m.shareLoads, m.shareWork, m.shareRemoteWork, m.shareEvidence,
+			m.shareRateLimits, m.shareRefusals, m.relayMessages, m.repairMembers)
 	}
 	for _, loop := range loops {
 		wg.Add(1)
@@ -195,7 +195,7 @@
 				m.cfg.Log.V(1).Info("link refused", "cause", err.Error())
 				return
 			}
-			m.serveLink(ctx, conn)
+			m.serveLink(ctx, conn, false)
 		}()
 	}
 }
@@ -206,10 +206,10 @@
 }
 
 // serveLink registers a link, sends the initial state, and handles messages until the link fails. It closes the link if a newer
-// incarnation of the node is linked already.
-func (m *Mesh) serveLink(ctx context.Context, conn *link.Conn) {
+// incarnation of the node is linked already. dialled is set if this node opened it.
+func (m *Mesh) serveLink(ctx context.Context, conn *link.Conn, dialled bool) {
 	hello := conn.Peer()
-	p := &peer{conn: conn, hello: hello}
+	p := &peer{conn: conn, hello: hello, dialled: dialled}
 	if !m.register(p) {
 		conn.Close()
 		return
@@ -263,12 +263,6 @@
 	}
 }
 
-// memberOf returns the member that a handshake describes.
-func memberOf(h message.Hello) message.Member {
-	return message.Member{NodeID: h.NodeID, Role: h.Role, DataCentre: h.DataCentre, Region: h.Region, Address: h.Address,
-		Incarnation: h.Incarnation}
-}
-
 // sendInitialState sends the members on a new link and, from an entry, the full state. An agent sends its records of versions.
 func (m *Mesh) sendInitialState(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
@@ -304,8 +298,7 @@
 	case *message.FleetState:
 		m.mergeState(p, msg)
 	case *message.UpstreamLoads:
-		m.forwardLocally(p, copyLoads(msg))
-		m.cfg.Loads.Apply(msg.Loads)
+		m.handleLoads(p, msg)
 	case *message.EntryWork:
 		if m.cfg.PeerWork != nil {
 			m.cfg.PeerWork.Apply(msg)
@@ -316,14 +309,11 @@
 			m.cfg.Poison.Merge(msg)
 		}
 	case *message.RateShares:
-		if m.cfg.RateLimits != nil {
-			m.cfg.RateLimits.Merge(msg)
-			m.forwardLocally(p, msg)
-		}
+		m.handleRateShares(p, msg)
 	case *message.Refusals:
-		if m.cfg.Refusals != nil {
-			m.cfg.Refusals.Merge(msg)
-		}
+		m.handleRefusals(msg)
+	case *message.Relayed:
+		m.handleRelayed(p, msg)
 	case *message.WeightsRequest:
 		if m.cfg.ServeWeights != nil {
 			go m.handleWeightsRequest(ctx, p, msg)
@@ -333,48 +323,6 @@
 	}
 }
 
-// mergeMembers adds new or changed entries to the members and, on an entry, forwards all members if there were any.
-func (m *Mesh) mergeMembers(list []message.Member) {
-	now := time.Now()
-	changed := false
-	m.mu.Lock()
-	for _, received := range list {
-		if received.NodeID == m.cfg.Self.NodeID || received.Role != message.RoleEntry || received.Address == "" {
-			continue
-		}
-		member := m.members[received.NodeID]
-		if member == nil || member.Incarnation < received.Incarnation ||
-			member.Address != received.Address && member.Incarnation == received.Incarnation {
-			m.members[received.NodeID] = &memberState{Member: received, lastSeen: now}
-			changed = true
-		}
-	}
-	m.mu.Unlock()
-	if changed {
-		m.triggerDial()
-		if m.cfg.Self.Role == message.RoleEntry {
-			m.broadcast(&message.Members{Members: m.memberList()}, func(*peer) bool { return true })
-		}
-	}
-}
-
-// AddMembers merges entries that were discovered elsewhere, such as in the store.
-func (m *Mesh) AddMembers(list []message.Member) { m.mergeMembers(list) }
-
-// memberList returns the known entries, including this node if it is one.
-func (m *Mesh) memberList() []message.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []message.Member
-	if m.cfg.Self.Role == message.RoleEntry {
-		out = append(out, memberOf(m.cfg.Self))
-	}
-	for _, member := range m.members {
-		out = append(out, member.Member)
-	}
-	return out
-}
-
 // triggerDial makes dialLoop check for missing links at once.
 func (m *Mesh) triggerDial() {
 	select {
@@ -414,60 +362,9 @@
 
 func isEntry(p *peer) bool { return p.hello.Role == message.RoleEntry }
 
-// EntryCount returns the number of known entries in the fleet. It counts this node as one, so it is correct only on entries.
-func (m *Mesh) EntryCount() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.members) + 1
-}
-
-// EntryIDs returns the IDs of the other known entries in the fleet, linked or not.
-func (m *Mesh) EntryIDs() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make([]string, 0, len(m.members))
-	for id := range m.members {
-		out = append(out, id)
-	}
-	return out
-}
-
 // LinkedEntryCount returns the number of entries with an open link.
 func (m *Mesh) LinkedEntryCount() int { return len(m.peers(isEntry)) }
 
-// RanksFirst reports whether this entry ranks highest for a key, among itself and the linked entries. Entries without links to each other
-// may each rank first.
-func (m *Mesh) RanksFirst(key string) bool {
-	own := rank(key, m.cfg.Self.NodeID)
-	for _, p := range m.peers(isEntry) {
-		if rank(key, p.hello.NodeID) > own {
-			return false
-		}
-	}
-	return true
-}
-
-// ShouldWatchStore reports whether this node has to watch the store: it ranks highest among itself and the linked entries of its
-// data centre, or its state has not been up to date for watchTakeoverAge, for example because no other node watches.
-func (m *Mesh) ShouldWatchStore() bool {
-	ownRank := rank("watch", m.cfg.Self.NodeID)
-	for _, p := range m.peers(isEntry) {
-		if p.hello.DataCentre == m.cfg.Self.DataCentre && rank("watch", p.hello.NodeID) > ownRank {
-			ownRank = 0
-			break
-		}
-	}
-	if ownRank != 0 {
-		return true
-	}
-	age, known := m.cfg.State.Staleness()
-	return !known || age > watchTakeoverAge+nodeJitter(m.cfg.Self.NodeID)
-}
-
-// watchTakeoverAge is the staleness, plus a jitter, after which a node watches the store though another one ranks higher. While the
-// store has no changes, the staleness rises to the poll timeout of catalogsync (0.6 s) plus stalenessInterval.
-const watchTakeoverAge = 1200 * time.Millisecond
-
 // errorText returns the text of an error, or an empty text for nil.
 func errorText(err error) string {
 	if err == nil {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -46,6 +46,8 @@
 	seeds          []string
 	work           []message.UpstreamWork
 	serveWeights   func(context.Context, *message.WeightsRequest) *message.WeightsReply
+	// network replaces the loopback network.
+	network *network
 }
 
 // startNode runs a node until the test ends or its stop function is called. Entries listen on a free port.
@@ -57,7 +59,7 @@
 	t.Cleanup(cancel)
 	var listener net.Listener
 	if o.role == message.RoleEntry {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := o.listen()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -67,6 +69,9 @@
 	cfg := mesh.Config{Self: message.Hello{NodeID: o.id, Role: o.role, DataCentre: o.dataCentre, Region: o.dataCentre, Address: n.addr,
 		Incarnation: uint64(time.Now().UnixNano())}, Secret: []byte("sixteen byte key"), Seeds: o.seeds, State: n.state, Loads: n.loads,
 		Log: logr.Discard(), ServeWeights: o.serveWeights, Traffic: n.traffic}
+	if o.network != nil {
+		cfg.DialContext = o.network.dialer(o.id)
+	}
 	if o.role == message.RoleEntry {
 		n.poison = poison.New(nil)
 		n.limiter = ratelimit.New(ratelimit.Config{Self: o.id, Members: func() []string { return n.EntryIDs() }})
@@ -82,6 +87,14 @@
 	return n
 }
 
+// listen opens the listener of an entry.
+func (o options) listen() (net.Listener, error) {
+	if o.network != nil {
+		return o.network.listen(o.id), nil
+	}
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
 func entryNode(t *testing.T, id, dataCentre string, seeds ...string) *node {
 	return startNode(t, options{id: id, dataCentre: dataCentre, role: message.RoleEntry, seeds: seeds})
 }
--- a/internal/mesh/ratelimits.go
+++ b/internal/mesh/ratelimits.go
@@ -10,7 +10,7 @@
 // rateSharesInterval is the time between reports on rate limits while any limit is known. New limits are reported at once.
 const rateSharesInterval = 300 * time.Millisecond
 
-// shareRateLimits sends all linked entries what this one knows of rate limits, and its demand, until ctx ends.
+// shareRateLimits sends the other entries what this one knows of rate limits, and its demand, until ctx ends.
 func (m *Mesh) shareRateLimits(ctx context.Context) {
 	if m.cfg.RateLimits == nil {
 		return
@@ -32,7 +32,10 @@
 		case <-ticker.C:
 		}
 		if report := m.cfg.RateLimits.Export(); report != nil {
-			m.broadcast(report, isEntry)
+			m.broadcast(report, m.reports())
+			if m.isRemoteSender() {
+				m.broadcast(report, m.remoteReceivers())
+			}
 		}
 	}
 }
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
@@ -78,34 +77,20 @@
 			continue
 		}
 		local, remote, agents := m.batchChanges(first)
-		m.broadcast(local, m.isLocalEntry)
+		m.broadcast(local, m.records())
 		if m.isRemoteSender() {
-			m.broadcast(remote, m.isRemoteEntry)
+			m.broadcast(remote, m.remoteReceivers())
 		}
-		m.broadcast(agents, isAgent)
-	}
-}
-
-// remoteSenders is the number of entries per data centre that send its state to other data centres. Links between regions have
-// little bandwidth and are expensive; if all entries sent, the same data would be transferred over them many times.
-const remoteSenders = 2
-
-// isRemoteSender reports whether this entry is one of the remoteSenders of its data centre: those that rank highest for a key.
-func (m *Mesh) isRemoteSender() bool {
-	ownRank := rank("speak", m.cfg.Self.NodeID)
-	rankedHigher := 0
-	for _, p := range m.peers(m.isLocalEntry) {
-		if rank("speak", p.hello.NodeID) > ownRank {
-			rankedHigher++
+		if m.localRanking().isHub() {
+			m.broadcast(agents, isAgent)
 		}
 	}
-	return rankedHigher < remoteSenders
 }
 
-// forwardLocally forwards a message of an entry in another data centre to the entries of the own data centre.
+// forwardLocally forwards a report of another data centre to the entries of the own data centre, or to the relays.
 func (m *Mesh) forwardLocally(p *peer, msg message.Message) {
 	if m.isRemoteEntry(p) {
-		go m.broadcast(msg, m.isLocalEntry)
+		go m.broadcast(msg, m.reports())
 	}
 }
 
@@ -195,9 +180,9 @@
 			if !msg.HasStaleness {
 				continue
 			}
-			m.broadcast(msg, m.isLocalEntry)
+			m.broadcast(msg, m.records())
 			if rounds++; rounds%remoteStalenessRounds == 0 && m.isRemoteSender() {
-				m.broadcast(msg, m.isRemoteEntry)
+				m.broadcast(msg, m.remoteReceivers())
 			}
 		}
 	}
@@ -212,62 +197,16 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			loads := m.localLoads()
-			if len(loads) > 0 && m.isRemoteSender() {
-				m.broadcast(&message.UpstreamLoads{Loads: loads}, m.isRemoteEntry)
-			}
-		}
-	}
-}
-
-const (
-	// workInterval is the time between checks of the work in progress; changed work is sent to local entries at each.
-	workInterval = 40 * time.Millisecond
-	// workRepeatInterval is the time after which unchanged work is sent again. remoteWorkInterval is the shortest time between
-	// work messages to other data centres.
-	workRepeatInterval = 600 * time.Millisecond
-	remoteWorkInterval = 300 * time.Millisecond
-)
-
-// shareWork sends other entries the requests in progress at this one. Other data centres get only the work at upstreams outside
-// this data centre, and one empty message when there is none any more.
-func (m *Mesh) shareWork(ctx context.Context) {
-	ticker := time.NewTicker(workInterval)
-	defer ticker.Stop()
-	var lastWork []message.UpstreamWork
-	var sentAt, remoteSentAt time.Time
-	lastRemoteNonEmpty := false
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			work := m.cfg.OwnWork()
-			if slices.Equal(work, lastWork) && now.Sub(sentAt) < workRepeatInterval {
+			if !m.isRemoteSender() {
 				continue
 			}
-			lastWork, sentAt = work, now
-			m.broadcast(&message.EntryWork{NodeID: m.cfg.Self.NodeID, Work: work}, m.isLocalEntry)
-			if remote := m.remoteWork(work); (len(remote) > 0 || lastRemoteNonEmpty) && now.Sub(remoteSentAt) >= remoteWorkInterval {
-				remoteSentAt, lastRemoteNonEmpty = now, len(remote) > 0
-				m.broadcast(&message.EntryWork{NodeID: m.cfg.Self.NodeID, Work: remote}, m.isRemoteEntry)
+			if loads := m.localLoads(); len(loads) > 0 {
+				m.broadcast(&message.UpstreamLoads{Loads: loads}, m.remoteReceivers())
 			}
 		}
 	}
 }
 
-// remoteWork returns the work at upstreams in other data centres.
-func (m *Mesh) remoteWork(work []message.UpstreamWork) []message.UpstreamWork {
-	snap := m.cfg.State.Snapshot()
-	var out []message.UpstreamWork
-	for _, w := range work {
-		if u := snap.ByID(w.ID); u != nil && u.DataCentre != m.cfg.Self.DataCentre {
-			out = append(out, w)
-		}
-	}
-	return out
-}
-
 // localLoads returns the loads of upstreams in the own data centre that were reported within loadInterval, with the work of all
 // entries of the data centre at each.
 func (m *Mesh) localLoads() []message.UpstreamLoad {
@@ -287,12 +226,12 @@
 	return out
 }
 
-// ReportLoad sends the load of an agent's upstream to all linked entries.
+// ReportLoad sends the load of an agent's upstream to the entries that pass it on, or to all linked ones if it has no links to entries of its
+// own data centre.
 func (m *Mesh) ReportLoad(l message.UpstreamLoad) {
-	m.broadcast(&message.UpstreamLoads{Loads: []message.UpstreamLoad{l}}, isEntry)
-}
-
-// copyLoads copies a message so that the copy can be sent while the original is merged.
-func copyLoads(msg *message.UpstreamLoads) *message.UpstreamLoads {
-	return &message.UpstreamLoads{Loads: append([]message.UpstreamLoad(nil), msg.Loads...)}
+	match := m.reports()
+	if len(m.peers(match)) == 0 {
+		match = isEntry
+	}
+	m.broadcast(&message.UpstreamLoads{Loads: []message.UpstreamLoad{l}}, match)
 }
--- a/internal/mesh/weights.go
+++ b/internal/mesh/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -119,11 +120,12 @@
 // WeightPeers returns the linked nodes from which this node should request a chunk, in order of preference. The list may be
 // empty. The origin is read only if none of them delivers the chunk, and only by nodes that may read it.
 //
-// In each data centre the entry that ranks highest for a chunk is its leader. The other entries request the chunk from the
-// entries that rank higher, the leader first. Except shortly after the newest version of the model was named, the leader first
-// asks other local entries for a copy that they hold. It then asks local agents whose upstream has loaded the version, and then
-// the entries of the origin's data centre. The leader in the origin's data centre reads the origin instead. Each chunk has its
-// own leader, which spreads the load over the entries.
+// In each data centre the hub that ranks highest for a chunk is its leader, because only hubs keep links to other data centres. The other
+// hubs request the chunk from the hubs that rank higher, the leader first. Except shortly after the newest version of the model was
+// named, the leader first asks other local entries for a copy that they hold. It then asks local agents whose upstream has loaded the
+// version, and then the entries of the origin's data centre. The leader in the origin's data centre reads the origin instead. An entry
+// that is no hub requests the chunk from the linked entries that are no hubs either and rank higher, then from the hubs. Each chunk has
+// its own leader, and its own first reader among the other entries, which spreads the load over the entries.
 //
 // An agent requests chunks from the entries of its data centre, or from all linked entries if it is linked to none there.
 func (m *Mesh) WeightPeers(originDataCentre, model string, version int64, chunk int) []chunkcache.Source {
@@ -136,13 +138,21 @@
 		}
 		return rankedSources(local, m.cfg.Self.NodeID+key) // The agent's ID in the key spreads agents over the entries.
 	}
+	r := m.localRanking()
 	ownRank := rank(key, m.cfg.Self.NodeID)
-	var higher []*peer
+	var hubs, higher []*peer
 	for _, p := range local {
-		if rank(key, p.hello.NodeID) > ownRank {
+		isHub := slices.Contains(r.hubs, p.hello.NodeID)
+		if isHub {
+			hubs = append(hubs, p)
+		}
+		if isHub == r.isHub() && rank(key, p.hello.NodeID) > ownRank {
 			higher = append(higher, p)
 		}
 	}
+	if !r.isHub() {
+		return append(rankedSources(higher, key), rankedSources(hubs, key)...)
+	}
 	if len(higher) > 0 {
 		return rankedSources(higher, key)
 	}
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -92,10 +92,13 @@
 	HasDataCentreWork bool         `msgpack:"he,omitempty"`
 }
 
-// EntryWork lists the work that one entry has in progress at each upstream. Each message replaces the previous one.
+// EntryWork lists the work that one entry has in progress at each upstream, or the entries of one data centre at those of another. Each
+// message replaces the previous one with the same NodeID.
 type EntryWork struct {
 	NodeID string         `msgpack:"id"`
 	Work   []UpstreamWork `msgpack:"w,omitempty"`
+	// Seq numbers the reports of an entry, from 1.
+	Seq uint64 `msgpack:"s,omitempty"`
 }
 
 // UpstreamWork is the work in progress at one upstream, identified by ID.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -50,6 +50,7 @@
 	TypeCrashEvidence
 	TypeRateShares
 	TypeRefusals
+	TypeRelayed
 
 	// TypeCount is one more than the highest wire code.
 	TypeCount
@@ -135,6 +136,7 @@
 	TypeCrashEvidence:   func() Message { return new(CrashEvidence) },
 	TypeRateShares:      func() Message { return new(RateShares) },
 	TypeRefusals:        func() Message { return new(Refusals) },
+	TypeRelayed:         func() Message { return new(Relayed) },
 }
 
 // String returns the name of the message, such as "Heartbeat", or the wire code if it is unknown.
--- a/internal/message/refusal.go
+++ b/internal/message/refusal.go
@@ -4,6 +4,9 @@
 // package refusal.
 type Refusals struct {
 	Refusals []Refusal `msgpack:"r"`
+	// NodeID is the entry that refused the requests, and Seq numbers its messages from 1. Entries of earlier releases set neither.
+	NodeID string `msgpack:"id,omitempty"`
+	Seq    uint64 `msgpack:"s,omitempty"`
 }
 
 // Refusal is one refused request.
