ctl: a timeout keeps the cause of earlier attempts

Cause: the last attempt before the timeout of a command is cut off by it, and its "context deadline exceeded" replaced what the attempts before had said. Change: an attempt that the timeout cuts off replaces no earlier error, unless its answer is definitive.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -125,10 +125,12 @@
 		for range c.urls {
 			attemptMaybeRan, err := c.doOnce(ctx, method, c.urls[c.preferred]+path, body, result)
 			maybeRan = maybeRan || attemptMaybeRan
-			lastErr = err
 			if err == nil {
 				return struct{}{}, nil
 			}
+			if lastErr == nil || ctx.Err() == nil || errors.Is(err, errDefinitive) {
+				lastErr = err // An attempt that the timeout cuts off says less than those before it.
+			}
 			if errors.Is(err, errDefinitive) {
 				return struct{}{}, backoff.Permanent(err)
 			}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -340,3 +340,21 @@
 	g.Expect(code).To(Equal(ctl.ExitFailed))
 	g.Expect(stderr).NotTo(ContainSubstring("unknown"))
 }
+
+// Guards against a timeout that hides why the attempts before it failed: the last attempt is cut off by the deadline.
+func TestTimeoutKeepsTheCauseOfEarlierAttempts(t *testing.T) {
+	g := NewWithT(t)
+	attempts := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if attempts++; attempts > 1 {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write([]byte(`{"error":{"code":"internal","message":"disk of the entry is full"}}`))
+	}))
+	t.Cleanup(server.Close)
+	code, _, stderr := run(map[string]string{"PIMENTOCTL_TOKEN": "t"}, "status", "-timeout", "1500ms", "-admin", server.URL)
+	g.Expect(code).To(Equal(ctl.ExitFailed))
+	g.Expect(stderr).To(ContainSubstring("disk of the entry is full"))
+}
