confsync: revisions are logged in the order in which they are in force

Cause: the line "configuration in force" was written after the lock was released, so that two revisions could be logged in reverse. Specs of test/control read these lines and then see a reversion (listed in KNOWN-RED.txt, by a trial with a delay before the line). Change: the line is written with the lock held.

--- a/internal/controller/confsync/syncer.go
+++ b/internal/controller/confsync/syncer.go
@@ -158,7 +158,6 @@
 func (s *Syncer) apply(e config.Envelope, from source) error {
 	changed, err := s.tryApply(e, from)
 	if changed {
-		s.cfg.Log.Info("configuration in force", "revision", e.Revision, "digest", e.Digest, "author", e.Author, "from", from)
 		s.cfg.Announce()
 	}
 	return err
@@ -204,6 +203,8 @@
 		s.replacedRevision.Store(e.Revision)
 	}
 	s.addRecent(e)
+	// Logged with applyMu held, so that the log shows revisions in the order in which they are in force.
+	s.cfg.Log.Info("configuration in force", "revision", e.Revision, "digest", e.Digest, "author", e.Author, "from", from)
 	return true, nil
 }
 
