h1: the test of pending input waits for the input, not for 150 ms

Cause: TestIdleConnectionWithPendingInputIsNotReused slept 150 ms, in which the other end had to send 50 ms after its response. Input that arrives after the check of an idle connection is skipped or fails the request; that is another test. Change: the test waits until the connection has input; what it expects is as before.

--- a/internal/h1/conn_test.go
+++ b/internal/h1/conn_test.go
@@ -110,7 +110,7 @@
 			_, c, err := roundTrip(t, p, addr, "1", time.Second)
 			g.Expect(err).NotTo(HaveOccurred())
 			p.Put(c, 0)
-			time.Sleep(150 * time.Millisecond)
+			g.Eventually(c.HasInput, 5*time.Second, time.Millisecond).Should(BeTrue())
 			body, _, err := roundTrip(t, p, addr, "2", time.Second)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(body).To(Equal("ok"))
