callerconn: a planned stop accepts waiting connections before it closes the listener

Cause: after the delay of a planned stop both kinds of entries closed their listener at once. Connections that the kernel had established and the process had not accepted yet were reset, with the requests on them. A process that gets little processor time has such connections. Change: CloseListener waits until no connection waits to be accepted, at most until the end of the grace time. Test: TestConnectionsThatWaitAreAcceptedBeforeTheListenerIsClosed; without the wait 3 of 3 runs fail with "connection reset by peer".

--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -165,9 +165,9 @@
 	e.leaving.Store(true)
 	e.Log.Info("entry is leaving", "node", e.ID)
 	time.Sleep(min(drainDelay, e.GracePeriod/2))
-	_ = callers.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), servedUntil)
 	defer cancel()
+	_ = callerconn.CloseListener(ctx, callers)
 	if inUse := e.conns.Drain(ctx); inUse > 0 {
 		e.Log.Info("requests were still in progress at the end of the grace time", "connections", inUse)
 		e.relay.AnswerRequests()
