callerconn, entry: waiting connections are accepted beyond a limit of connections, on the own path too

Cause: an entry of the own path limits its connections. At the limit, a stop that first waits for the backlog and then closes idle connections would wait until the grace time is over. Change: connections without a request are closed while the backlog is not empty; entries of the own path use CloseListener too. Tests: those of callerconn and entry pass; a case at the limit of connections was not written.

--- a/internal/callerconn/backlog.go
+++ b/internal/callerconn/backlog.go
@@ -15,9 +15,11 @@
 const acceptPollInterval = 2 * time.Millisecond
 
 // CloseListener closes a listener once the server has accepted all connections that the kernel has established, or when ctx ends. Closing
-// it resets those that wait, with the requests that callers have sent on them. l is the listener without the Tracker's wrapper.
-func CloseListener(ctx context.Context, l net.Listener) error {
+// it resets those that wait, with the requests that callers have sent on them. Connections without a request are closed meanwhile, as the
+// server may have a limit of connections. l is the listener without the Tracker's wrapper.
+func (t *Tracker) CloseListener(ctx context.Context, l net.Listener) error {
 	for hasBacklog(l) && ctx.Err() == nil {
+		t.CloseIdle()
 		pause.For(ctx, acceptPollInterval)
 	}
 	return l.Close()
--- a/internal/callerconn/backlog_test.go
+++ b/internal/callerconn/backlog_test.go
@@ -40,7 +40,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 	defer cancel()
-	g.Expect(CloseListener(ctx, l)).To(Succeed())
+	g.Expect(s.CloseListener(ctx, l)).To(Succeed())
 	for _, peer := range peers {
 		response, err := http.ReadResponse(bufio.NewReader(peer), nil)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -59,7 +59,7 @@
 	g.Eventually(func() bool { return hasBacklog(l) }, waitTimeout).Should(BeTrue())
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	g.Expect(CloseListener(ctx, l)).To(Succeed())
+	g.Expect(NewTracker(func() time.Duration { return 0 }).CloseListener(ctx, l)).To(Succeed())
 	_, err = net.DialTimeout("tcp", l.Addr().String(), time.Second)
 	g.Expect(err).To(HaveOccurred())
 }
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -167,7 +167,7 @@
 	time.Sleep(min(drainDelay, e.GracePeriod/2))
 	ctx, cancel := context.WithDeadline(context.Background(), servedUntil)
 	defer cancel()
-	_ = callerconn.CloseListener(ctx, callers)
+	_ = e.conns.CloseListener(ctx, callers)
 	if inUse := e.conns.Drain(ctx); inUse > 0 {
 		e.Log.Info("requests were still in progress at the end of the grace time", "connections", inUse)
 		e.relay.AnswerRequests()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -82,7 +82,7 @@
 	time.Sleep(e.shutdownDelay)
 	ctx, stop := context.WithTimeout(context.Background(), e.settings.Shutdown.Timeout.Std())
 	defer stop()
-	_ = e.callerListener.Close()
+	_ = e.callerConns.CloseListener(ctx, e.callerListener)
 	var err error
 	if e.callerConns.Drain(ctx) > 0 {
 		err = ctx.Err()
