directpath, catalogsync: at the first start of the system few nodes read the store

Cause: every entry listed the configuration, all upstreams and the entries as soon as it started. Change: if the settings say that the whole system starts for the first time (bootstrap), a node waits up to 1.5 s for links. The entry that ranks first among the linked ones lists the store, the others get the records from it, and list them only if they have none by then. Restarts and a start after a loss of power are as before: callers wait then. Staleness messages in a data centre say that the list of upstreams is complete, which an entry that has not listed it itself has to know.

--- a/cmd/pimentoheadd/platform.go
+++ b/cmd/pimentoheadd/platform.go
@@ -89,6 +89,7 @@
 		MetricsAddress: address(s.MetricsPort), Secret: []byte(secret), Seeds: s.Seeds, Store: platform.NewStore(s.StoreAddress).LogTo(log),
 		Log:          log,
 		VersionApply: s.Bounds.VersionApply, RecoveryGrace: s.Bounds.RecoveryGrace, GracePeriod: s.Bounds.GracePeriod,
+		FirstStart: s.FirstStart,
 	}
 	if role == message.RoleAgent {
 		agent, err := directpath.NewAgent(directpath.AgentConfig{Node: node, UpstreamAddress: s.UpstreamAddress, Service: s.Service,
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -96,6 +96,8 @@
 	// assumedVersionAge is the age that is assumed for model versions at startedAt; see watcher.assumedNaming.
 	assumedVersionAge time.Duration
 	startedAt         time.Time
+	// waitForPeers is the time after startedAt in which only a node that isActive selects lists the prefixes.
+	waitForPeers time.Duration
 
 	// mu guards freshness, the freshness of each prefix.
 	mu        sync.Mutex
@@ -122,8 +124,15 @@
 		startedAt: time.Now(), freshness: map[string]freshness{}}
 }
 
-// Run keeps the state up to date until ctx ends. On every node it lists each prefix until one listing has succeeded. After that it
-// calls the store only while isActive returns true.
+// WaitForPeers sets the time after the start in which the Syncer lists the prefixes only while isActive returns true, and returns the Syncer.
+// After it, a node lists them only if it has not got all records from its peers. It has to be called before Run.
+func (s *Syncer) WaitForPeers(wait time.Duration) *Syncer {
+	s.waitForPeers = wait
+	return s
+}
+
+// Run keeps the state up to date until ctx ends. On every node it lists each prefix until one listing has succeeded, unless WaitForPeers
+// was called. After that it calls the store only while isActive returns true.
 func (s *Syncer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, prefix := range s.decoder.Prefixes() {
@@ -192,7 +201,7 @@
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.applyRemovals()
-		if w.listedOnce && !w.isActive() {
+		if (w.listedOnce || w.mayLeaveListingToPeers()) && !w.isActive() {
 			w.cursor.Revision, w.failingSince = 0, time.Time{}
 			w.endExtension(w.prefix)
 			pause.For(ctx, activeCheckInterval)
@@ -205,6 +214,12 @@
 	}
 }
 
+// mayLeaveListingToPeers reports whether this node, which has not listed the prefix yet, need not do so: it still waits for its peers, or has all
+// that is needed from them.
+func (w *watcher) mayLeaveListingToPeers() bool {
+	return w.waitForPeers > 0 && (time.Since(w.startedAt) < w.waitForPeers || w.state.Snapshot().Ready())
+}
+
 // syncOnce makes one call to the store and applies the result. The call is a listing if the revision is unknown or the reannounce
 // period has ended, and a poll otherwise.
 func (w *watcher) syncOnce(ctx context.Context) error {
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -112,7 +112,8 @@
 	}
 	var wg sync.WaitGroup
 	prefetcher := &prefetcher{state: e.state, cache: e.cache, linkWait: linkWaitTime}
-	registry := &registry{store: e.Store, lister: e.Store, state: e.state, mesh: e.mesh, self: e.self, ledger: e.poison, log: e.Log}
+	registry := &registry{store: e.Store, lister: e.Store, state: e.state, mesh: e.mesh, self: e.self, ledger: e.poison, log: e.Log,
+		startWait: e.startWait()}
 	verdicts := &verdictWriter{store: e.Store, state: e.state, mesh: e.mesh, ledger: e.poison, log: e.Log}
 	for _, run := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Decoder).Run, registry.announce, registry.discover, verdicts.run,
 		e.sweep, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -58,6 +58,20 @@
 	RecoveryGrace time.Duration
 	// GracePeriod is the time between SIGTERM and SIGKILL in which the process has to shut down.
 	GracePeriod time.Duration
+	// FirstStart is set if the whole system starts for the first time: no callers are waiting yet, and nodes first wait for links, so that
+	// not all of them read the store.
+	FirstStart bool
+}
+
+// firstStartWait is the time in which the nodes of a system that starts for the first time wait for links. Links are up within a second.
+const firstStartWait = 1500 * time.Millisecond
+
+// startWait returns the time after the start in which a node waits for links before it reads the store.
+func (n Node) startWait() time.Duration {
+	if n.FirstStart {
+		return firstStartWait
+	}
+	return 0
 }
 
 // weightsServer answers a request for weights.
@@ -102,7 +116,7 @@
 		return nil, err
 	}
 	cfg := mesh.Config{Self: c.self, Secret: n.Secret, Seeds: n.Seeds, State: c.state, Loads: c.loads, Log: n.Log, Leaving: leaving,
-		Traffic: traffic}
+		Traffic: traffic, StartWait: n.startWait()}
 	c.rateLimits = ratelimit.New(ratelimit.Config{Self: n.ID, Members: func() []string { return c.mesh.EntryIDs() }})
 	if role == message.RoleEntry {
 		cfg.RateLimits, cfg.Refusals = c.rateLimits, c.refusals
@@ -165,5 +179,5 @@
 // begin on no older one from RecoveryGrace after the start.
 func (c *components) syncer(decoder catalogsync.Decoder) *catalogsync.Syncer {
 	age := max(c.VersionApply-c.RecoveryGrace, 0)
-	return catalogsync.New(c.Store, decoder, c.state, c.Log, c.mesh.ShouldWatchStore, age)
+	return catalogsync.New(c.Store, decoder, c.state, c.Log, c.mesh.ShouldWatchStore, age).WaitForPeers(c.startWait())
 }
--- a/internal/directpath/registry.go
+++ b/internal/directpath/registry.go
@@ -58,6 +58,8 @@
 	state  *fleet.State
 	mesh   memberSet
 	self   message.Hello
+	// startWait is the time after the start in which the node waits for links before it lists the entries.
+	startWait time.Duration
 	// ledger receives the stored verdicts on requests that crash upstreams.
 	ledger *poison.Ledger
 	log    logr.Logger
@@ -170,9 +172,10 @@
 }
 
 // discover lists the entries in the store while this node has no link to one, until ctx ends. An entry also does so at its start,
-// until a listing succeeds.
+// until a listing succeeds, unless it has waited for links and got some: then all that is in the store comes over the links.
 func (r *registry) discover(ctx context.Context) {
-	initialListing := r.self.Role == message.RoleEntry
+	pause.For(ctx, r.startWait)
+	initialListing := r.self.Role == message.RoleEntry && (r.startWait == 0 || r.mesh.LinkedEntryCount() == 0)
 	for ctx.Err() == nil {
 		if initialListing || r.mesh.LinkedEntryCount() == 0 {
 			if err := r.findEntries(ctx); err != nil {
--- a/internal/mesh/duties.go
+++ b/internal/mesh/duties.go
@@ -114,11 +114,15 @@
 // not been up to date for watchTakeoverAge, for example because no other node watches.
 func (m *Mesh) ShouldWatchStore() bool {
 	r := m.localRanking()
+	age, known := m.cfg.State.Staleness()
+	isWaiting := !known && time.Since(m.startedAt) < m.cfg.StartWait+nodeJitter(m.cfg.Self.NodeID)
+	if isWaiting && len(r.ids) == 1 {
+		return false // Links are not up yet.
+	}
 	if slices.Equal(overlay.Top("watch", r.candidates(), 1), []string{r.selfID}) {
 		return true
 	}
-	age, known := m.cfg.State.Staleness()
-	return !known || age > watchTakeoverAge+nodeJitter(m.cfg.Self.NodeID)
+	return !known && !isWaiting || known && age > watchTakeoverAge+nodeJitter(m.cfg.Self.NodeID)
 }
 
 // watchTakeoverAge is the staleness, plus a jitter, after which a node watches the store though another one ranks higher. While the
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -79,12 +79,15 @@
 	Traffic *link.Traffic
 	// DialContext opens connections. Default net.Dialer.DialContext.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// StartWait is the time after the start in which the node waits for links before it reads the store. Default 0.
+	StartWait time.Duration
 }
 
 // Mesh maintains the links of one node and exchanges state over them. It is safe for concurrent use.
 type Mesh struct {
-	cfg     Config
-	linkCfg link.Config
+	cfg       Config
+	linkCfg   link.Config
+	startedAt time.Time
 	// changes queues changes of the state to be sent to other nodes. Only entries send them.
 	changes chan fleet.Change
 	// resyncNeeded is set when changes were dropped because the queue was full.
@@ -140,7 +143,7 @@
 // New returns a Mesh. Run starts it.
 func New(cfg Config) *Mesh {
 	m := &Mesh{
-		cfg: cfg,
+		cfg: cfg, startedAt: time.Now(),
 		linkCfg: link.Config{Secret: cfg.Secret, HeartbeatInterval: heartbeatInterval, SilenceTimeout: silenceTimeout,
 			HandshakeTimeout: handshakeTimeout, Traffic: cfg.Traffic, DialContext: cfg.DialContext},
 		changes: make(chan fleet.Change, changeQueueSize),
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -48,6 +48,8 @@
 	serveWeights   func(context.Context, *message.WeightsRequest) *message.WeightsReply
 	// network replaces the loopback network.
 	network *network
+	// startWait is the time in which the node waits for links before it reads the store.
+	startWait time.Duration
 }
 
 // startNode runs a node until the test ends or its stop function is called. Entries listen on a free port.
@@ -68,7 +70,8 @@
 	}
 	cfg := mesh.Config{Self: message.Hello{NodeID: o.id, Role: o.role, DataCentre: o.dataCentre, Region: o.dataCentre, Address: n.addr,
 		Incarnation: uint64(time.Now().UnixNano())}, Secret: []byte("sixteen byte key"), Seeds: o.seeds, State: n.state, Loads: n.loads,
-		Log: logr.Discard(), ServeWeights: o.serveWeights, Traffic: n.traffic}
+		Log: logr.Discard(), ServeWeights: o.serveWeights, Traffic: n.traffic,
+		StartWait: o.startWait}
 	if o.network != nil {
 		cfg.DialContext = o.network.dialer(o.id)
 	}
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -180,7 +180,9 @@
 			if !msg.HasStaleness {
 				continue
 			}
-			m.broadcast(msg, m.records())
+			local := *msg
+			local.UpstreamsComplete = m.cfg.State.Snapshot().UpstreamsComplete
+			m.broadcast(&local, m.records())
 			if rounds++; rounds%remoteStalenessRounds == 0 && m.isRemoteSender() {
 				m.broadcast(msg, m.remoteReceivers())
 			}
