link: no heartbeat beside other messages

Change: at a tick, no heartbeat is written if another message was written since the last tick and the status has not changed. The longest gap between messages is then below two intervals, half of the silence timeout on the direct path and two thirds on the own one.

--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -16,6 +16,10 @@
 	buffered *bufio.Writer
 	// frame is reused for the encoding of each message.
 	frame []byte
+	// written is set when a message was written since the last tick of the heartbeat interval, lastStatus is the content of the last
+	// heartbeat.
+	written    bool
+	lastStatus message.Heartbeat
 }
 
 // writeLoop writes heartbeats and queued messages until the connection fails or is closed.
@@ -34,7 +38,7 @@
 		case <-c.closed:
 			return
 		case <-ticker.C:
-			if !w.heartbeat(false) {
+			if !w.tick() {
 				return
 			}
 		case probe := <-c.heartbeatRequests:
@@ -75,9 +79,21 @@
 	}
 }
 
+// tick writes a heartbeat unless the status is the same as in the last one and another message was written since the last tick, which shows
+// the peer as well that the connection works.
+func (w *frameWriter) tick() bool {
+	written := w.written
+	w.written = false
+	if written && w.conn.status() == w.lastStatus {
+		return true
+	}
+	return w.heartbeat(false)
+}
+
 // heartbeat writes a heartbeat with the current status.
 func (w *frameWriter) heartbeat(probe bool) bool {
 	status := w.conn.status()
+	w.lastStatus = status
 	status.Probe = probe
 	return w.write(&status)
 }
@@ -90,6 +106,7 @@
 		return false
 	}
 	w.frame = frame
+	w.written = w.written || m.MessageType() != message.TypeHeartbeat
 	w.conn.sent.Add(uint64(len(frame)))
 	w.conn.cfg.Traffic.sent(m, len(frame))
 	if _, err := w.buffered.Write(frame); err != nil {
