--- a/internal/callerconn/backlog_test.go
+++ b/internal/callerconn/backlog_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/net/netutil"
 )
 
 // slowListener takes a while to accept each connection, as a process does that gets little processor time.
@@ -63,3 +64,36 @@
 	_, err = net.DialTimeout("tcp", l.Addr().String(), time.Second)
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against a stop that waits for its whole grace time at the limit of connections: idle ones keep those that wait from being accepted.
+func TestIdleConnectionsMakeRoomForThoseThatWait(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	s := &server{address: l.Addr().String(), Tracker: NewTracker(func() time.Duration { return time.Minute })}
+	httpServer := &http.Server{ConnState: s.ConnState, ReadHeaderTimeout: headWait,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
+	go func() { _ = httpServer.Serve(netutil.LimitListener(s.Listener(l), 1)) }()
+	t.Cleanup(func() { _ = httpServer.Close() })
+	send := func() *bufio.Reader {
+		peer, err := net.Dial("tcp", s.address)
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = peer.Close() })
+		_, err = io.WriteString(peer, request)
+		g.Expect(err).NotTo(HaveOccurred())
+		return bufio.NewReader(peer)
+	}
+	answered := func(input *bufio.Reader) {
+		response, err := http.ReadResponse(input, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	answered(send())
+	waiting := send()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	g.Expect(s.CloseListener(ctx, l)).To(Succeed())
+	g.Expect(ctx.Err()).NotTo(HaveOccurred())
+	answered(waiting)
+}
