mesh: reports over relays every 20 ms in data centres of up to 20 entries

Cause: with relays a report takes two intervals. Change: the interval is 20 ms up to 20 entries and grows by 1 ms for each further one, up to 200 ms. Direct links keep 40 ms.

--- a/internal/mesh/work.go
+++ b/internal/mesh/work.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	// minReportInterval is the time between checks of the work in progress; changed work is sent at each. It is longer in large data
-	// centres, by reportIntervalPerEntry for each entry up to maxReportInterval, so that the messages of a node grow less than
-	// the number of entries.
-	minReportInterval      = 40 * time.Millisecond
-	reportIntervalPerEntry = 4 * time.Millisecond
+	// directReportInterval is the time between checks of the work in progress while all entries of a data centre are linked; changed work
+	// is sent at each.
+	directReportInterval = 40 * time.Millisecond
+	// With relays, a report takes two intervals, and entries that do not know each other's newest requests choose the same upstreams. The
+	// interval is therefore minReportInterval up to 20 entries, and grows by reportIntervalPerEntry for each entry up to
+	// maxReportInterval, so that the messages of a node grow less than the number of entries.
+	minReportInterval      = 20 * time.Millisecond
+	reportIntervalPerEntry = time.Millisecond
 	maxReportInterval      = 200 * time.Millisecond
 	// workRepeatInterval is the time after which unchanged work is sent again.
 	workRepeatInterval = 600 * time.Millisecond
@@ -30,6 +33,9 @@
 
 // reportInterval returns the time between reports to the entries of a data centre.
 func (r ranking) reportInterval() time.Duration {
+	if r.direct {
+		return directReportInterval
+	}
 	return min(max(time.Duration(len(r.ids))*reportIntervalPerEntry, minReportInterval), maxReportInterval)
 }
 
