--- a/internal/mesh/network_test.go
+++ b/internal/mesh/network_test.go
@@ -151,7 +151,7 @@
 			if d := c.network.delay(); d > 0 {
 				time.Sleep(d)
 			}
-			_ = c.Conn.SetWriteDeadline(time.Time{}) // The deadlines of the caller are those of Write.
+			_ = c.SetWriteDeadline(time.Time{}) // The deadlines of the caller are those of Write.
 			if _, err := c.Conn.Write(data); err != nil {
 				_ = c.Close()
 			}
--- a/internal/overlay/overlay.go
+++ b/internal/overlay/overlay.go
@@ -23,8 +23,9 @@
 	// leaves no gap.
 	RelayCount = 2
 	// SpreadLinks is the number of entries beside the hubs that an entry of a larger data centre links to. Weights are transferred over these
-	// links. AgentSpreadLinks is the same for an agent.
-	SpreadLinks      = 4
+	// links.
+	SpreadLinks = 4
+	// AgentSpreadLinks is the same for an agent.
 	AgentSpreadLinks = 2
 	// RemoteLinks is the number of hubs of each other data centre that a hub links to.
 	RemoteLinks = 2
