mesh, loadview: a relay names the reports that are in its sum

Cause: a relay read the sequence number of the receiver's report when it sent to that entry, after it had computed the sum. A report that arrived in between was subtracted though the sum contained the one before, so that the entry counted its own newest request as work of others, or others' work as its own. Change: the sum carries the sequence numbers of the reports in it.

--- a/internal/loadview/work.go
+++ b/internal/loadview/work.go
@@ -79,32 +79,32 @@
 	t.totals[relay] = sum
 }
 
-// Seq returns the sequence number of an entry's newest report, 0 if there is none.
-func (t *WorkTable) Seq(nodeID string) uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.dropExpired()
-	return t.entries[nodeID].seq
+// WorkSum is the sum of the reports of several entries.
+type WorkSum struct {
+	// Work is indexed by the ID of the upstream.
+	Work map[string]message.UpstreamWork
+	// Seqs holds the sequence numbers of the reports in the sum, by the node IDs of the entries.
+	Seqs map[string]uint64
 }
 
-// Sum returns the work in the reports of the entries for which include returns true, by upstream, and the number of these reports.
-func (t *WorkTable) Sum(include func(nodeID string) bool) (map[string]message.UpstreamWork, int) {
+// Sum returns the sum of the reports of the entries for which include returns true.
+func (t *WorkTable) Sum(include func(nodeID string) bool) WorkSum {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropExpired()
-	sums, reports := map[string]message.UpstreamWork{}, 0
+	out := WorkSum{Work: map[string]message.UpstreamWork{}, Seqs: map[string]uint64{}}
 	for id, e := range t.entries {
 		if !include(id) {
 			continue
 		}
-		reports++
+		out.Seqs[id] = e.seq
 		for upstream, w := range e.work {
-			sum := sums[upstream].Plus(w)
+			sum := out.Work[upstream].Plus(w)
 			sum.ID = upstream
-			sums[upstream] = sum
+			out.Work[upstream] = sum
 		}
 	}
-	return sums, reports
+	return out
 }
 
 // Total returns the sum of the work that all other entries have in progress at an upstream, and drops expired reports. It comes from the
--- a/internal/loadview/work_test.go
+++ b/internal/loadview/work_test.go
@@ -42,3 +42,15 @@
 	table.ApplyTotals("r1", &message.WorkTotals{Reports: 5, ReceiverSeq: 1, Work: []message.UpstreamWork{{ID: "u", Running: 1}}}, own)
 	g.Expect(table.Total("u")).To(Equal(message.UpstreamWork{ID: "u"}))
 }
+
+// Guards against a sum that is sent with the number of a newer report than the one in it: the receiver would subtract the wrong one.
+func TestSumNamesTheReportsInIt(t *testing.T) {
+	g := NewWithT(t)
+	table := loadview.NewWorkTable(nil)
+	table.Apply(&message.EntryWork{NodeID: "a", Seq: 7, Work: []message.UpstreamWork{{ID: "u", Running: 2}}})
+	table.Apply(&message.EntryWork{NodeID: "b", Seq: 3, Work: []message.UpstreamWork{{ID: "u", Running: 1}}})
+	sum := table.Sum(func(string) bool { return true })
+	table.Apply(&message.EntryWork{NodeID: "a", Seq: 8})
+	g.Expect(sum.Work["u"].Running).To(Equal(3))
+	g.Expect(sum.Seqs).To(Equal(map[string]uint64{"a": 7, "b": 3}))
+}
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -94,38 +94,40 @@
 			return
 		}
 		batch := m.relayed.take()
+		var seqs map[string]uint64
 		if r.isRelay() && (!r.direct || time.Since(workSentAt) >= workRepeatInterval) {
-			sums, reports := m.cfg.PeerWork.Sum(func(string) bool { return true })
-			totals := plusWork(sums, m.cfg.OwnWork())
+			sum := m.cfg.PeerWork.Sum(func(string) bool { return true })
+			totals := plusWork(sum.Work, m.cfg.OwnWork())
 			if now := time.Now(); !slices.Equal(totals, last) || now.Sub(workSentAt) >= workRepeatInterval {
-				last, workSentAt = totals, now
-				batch.Work = &message.WorkTotals{Work: totals, Reports: reports + 1}
+				last, workSentAt, seqs = totals, now, sum.Seqs
+				batch.Work = &message.WorkTotals{Work: totals, Reports: len(sum.Seqs) + 1}
 			}
 		}
 		for _, p := range m.peers(m.isLocalEntry) {
-			if msg := m.batchFor(p, batch); msg != nil {
+			if msg := batchFor(p.hello.NodeID, batch, seqs); msg != nil {
 				m.broadcast(msg, func(other *peer) bool { return other == p })
 			}
 		}
 	}
 }
 
-// batchFor returns the part of a batch that an entry needs, nil if there is none. It leaves out the messages of the entry itself.
-func (m *Mesh) batchFor(p *peer, batch *message.Relayed) *message.Relayed {
+// batchFor returns the part of a batch that an entry needs, nil if there is none. It leaves out the messages of the entry itself. seqs are the
+// sequence numbers of the reports in the sum of work.
+func batchFor(nodeID string, batch *message.Relayed, seqs map[string]uint64) *message.Relayed {
 	out := &message.Relayed{Loads: batch.Loads}
 	for _, msg := range batch.Refusals {
-		if msg.NodeID != p.hello.NodeID {
+		if msg.NodeID != nodeID {
 			out.Refusals = append(out.Refusals, msg)
 		}
 	}
 	for _, report := range batch.RateShares {
-		if report.NodeID != p.hello.NodeID {
+		if report.NodeID != nodeID {
 			out.RateShares = append(out.RateShares, report)
 		}
 	}
 	if batch.Work != nil {
 		work := *batch.Work
-		work.ReceiverSeq = m.cfg.PeerWork.Seq(p.hello.NodeID)
+		work.ReceiverSeq = seqs[nodeID]
 		out.Work = &work
 	}
 	if out.Work == nil && len(out.Loads) == 0 && len(out.Refusals) == 0 && len(out.RateShares) == 0 {
--- a/internal/mesh/work.go
+++ b/internal/mesh/work.go
@@ -120,9 +120,9 @@
 // remoteWork returns the work of the entries of this data centre at upstreams in other data centres, by data centre of the upstream.
 func (m *Mesh) remoteWork() map[string][]message.UpstreamWork {
 	snap := m.cfg.State.Snapshot()
-	reported, _ := m.cfg.PeerWork.Sum(func(nodeID string) bool { return !strings.HasPrefix(nodeID, dataCentrePrefix) })
+	reported := m.cfg.PeerWork.Sum(func(nodeID string) bool { return !strings.HasPrefix(nodeID, dataCentrePrefix) })
 	out := map[string][]message.UpstreamWork{}
-	for _, w := range plusWork(reported, m.cfg.OwnWork()) {
+	for _, w := range plusWork(reported.Work, m.cfg.OwnWork()) {
 		if u := snap.ByID(w.ID); u != nil && u.DataCentre != m.cfg.Self.DataCentre {
 			out[u.DataCentre] = append(out[u.DataCentre], w)
 		}
