link: a panic while a message is handled ends the link, not the process

Cause: a message is handled on the goroutine that reads its link; a panic there ended the process, with all requests of other callers. Change: the link recovers, closes with ErrHandlerPanic and the stack as its cause, which the owner logs as the cause of the lost link.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -208,10 +209,25 @@
 		if heartbeat, ok := m.(*message.Heartbeat); ok && heartbeat.Probe {
 			c.NotifyStatus()
 		}
-		handle(c, m)
+		if err := c.handleMessage(handle, m); err != nil {
+			c.fail(err)
+			return
+		}
 	}
 }
 
+// handleMessage passes a message to handle. A panic ends the link and not the process, which serves other nodes and callers; the error contains
+// the stack, and the owner of the link logs it as the cause of the loss.
+func (c *Conn) handleMessage(handle Handler, m message.Message) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.Wrapf(ErrHandlerPanic, "%s from %s: %v\n%s", m.MessageType(), c.peer.NodeID, r, debug.Stack())
+		}
+	}()
+	handle(c, m)
+	return nil
+}
+
 // activityReader reads from the connection and records the time of each read that returned bytes, so that the silence timeout
 // does not expire while a large frame arrives over a slow link.
 type activityReader struct{ c *Conn }
--- a/internal/link/errors.go
+++ b/internal/link/errors.go
@@ -15,4 +15,6 @@
 	ErrHandshake = errors.New("link: handshake failed")
 	// ErrEncode means that, after the handshake, a message could not be encoded as a frame within the limit.
 	ErrEncode = errors.New("link: cannot encode message")
+	// ErrHandlerPanic means that the handling of a received message panicked. The text of the error contains the stack.
+	ErrHandlerPanic = errors.New("link: panic while handling a message")
 )
