mesh: a start that does not wait for links reads the store as before

Cause: the wait for links at the first start added its jitter of up to 0.3 s also where there is no wait: an entry without links then stopped to poll a prefix after its first listing and listed it again. Change: no wait without StartWait.

--- a/internal/mesh/duties.go
+++ b/internal/mesh/duties.go
@@ -124,7 +124,7 @@
 func (m *Mesh) ShouldWatchStore() bool {
 	r := m.localRanking()
 	age, known := m.cfg.State.Staleness()
-	isWaiting := !known && time.Since(m.startedAt) < m.cfg.StartWait+nodeJitter(m.cfg.Self.NodeID)
+	isWaiting := !known && m.cfg.StartWait > 0 && time.Since(m.startedAt) < m.cfg.StartWait+nodeJitter(m.cfg.Self.NodeID)
 	if isWaiting && len(r.ids) == 1 {
 		return false // Links are not up yet.
 	}
