catalogsync, loader: log an older model version in the store, and the load of one

An entry that knew version 3 logged nothing when the store held version 2 again, and an agent did not say that it replaced a newer version by an older one. So the logs of the incident did not show when and how the version went back.

The naming of a version from the store is logged with era and revision now, an older version in the store with both versions and revisions, and agents log when the upstream holds a newer version than the one that they are about to load.

--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -299,21 +299,31 @@
 				"version_in_force", index.Config.Version, "revision_in_force", w.state.Snapshot().ConfigRevision)
 		}
 	case document.Version != nil:
-		version := fleet.VersionRecord{NamedVersion: *document.Version, Revision: kv.ModRevision, NamedAt: named.at,
-			AgeAssumed: named.assumed}
-		if newest, ok := w.state.Snapshot().NewestVersion(document.Version.Model); ok && newest.Version == version.Version {
-			break // The recorded time is at least as reliable.
-		}
-		if w.state.ApplyVersion(version) {
-			w.log.Info("model version named", "model", version.Model, "version", version.Version,
-				"age_ms", time.Since(named.at).Milliseconds(), "age_assumed", named.assumed, "from", "store")
-		}
+		w.applyVersion(*document.Version, kv, named)
 	case document.UpstreamID != "":
 		return fleet.UpstreamRecord{ID: document.UpstreamID, Era: kv.Era, Revision: kv.ModRevision, Announcement: document.Upstream}, true
 	}
 	return fleet.UpstreamRecord{}, false
 }
 
+// applyVersion merges the named version that a document of the store holds. A version that is known already changes nothing: the recorded time
+// is at least as reliable. The operator's versions only rise, so that a document with an older one than the newest known is left from an
+// earlier time, see fleet.State.ApplyVersion. It is logged, because only nodes that run know better.
+func (w *watcher) applyVersion(v catalog.NamedVersion, kv store.KV, named naming) {
+	newest, known := w.state.Snapshot().NewestVersion(v.Model)
+	switch {
+	case known && newest.Version == v.Version:
+		return
+	case known && newest.Version > v.Version:
+		w.log.Info("store holds an older model version than the newest one", "model", v.Model, "version", v.Version,
+			"newest_version", newest.Version, "era", kv.Era, "revision", kv.ModRevision, "newest_revision", newest.Revision)
+	}
+	if w.state.ApplyVersion(fleet.VersionRecord{NamedVersion: v, Revision: kv.ModRevision, NamedAt: named.at, AgeAssumed: named.assumed}) {
+		w.log.Info("model version named", "model", v.Model, "version", v.Version, "age_ms", time.Since(named.at).Milliseconds(),
+			"age_assumed", named.assumed, "from", "store", "era", kv.Era, "revision", kv.ModRevision)
+	}
+}
+
 // recordFailure ends the extension of the prefix's freshness and increases the backoff. It logs only the first of consecutive failures. Removals
 // that are put off wait for a listing, since upstreams cannot announce themselves while the store is away.
 func (w *watcher) recordFailure(err error) {
--- a/internal/loader/engine.go
+++ b/internal/loader/engine.go
@@ -38,6 +38,17 @@
 	return CountLoadedLayers(r.Models, model, version) >= max(layers, 1)
 }
 
+// NewestVersion returns the newest version of a model of which any layers are loaded, 0 if there is none.
+func (r Report) NewestVersion(model string) int64 {
+	var newest int64
+	for _, m := range r.Models {
+		if m.Model == model {
+			newest = max(newest, m.Version)
+		}
+	}
+	return newest
+}
+
 // CountLoadedLayers returns the number of layers of a version that are loaded. A model that is reported at the version without a
 // range of layers counts as fully loaded; the result is then larger than the number of layers of any model.
 func CountLoadedLayers(models []catalog.LoadedLayers, model string, version int64) int {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -172,6 +172,9 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	l.setLastTarget(target)
+	if newest := report.NewestVersion(target.Model); newest > target.Version {
+		l.log.Info("upstream has a newer version than the one to load", "model", target.Model, "version", target.Version, "loaded_version", newest)
+	}
 	go l.cancelWhenObsolete(ctx, cancel, target, report.StartedAtMillis)
 	if target.NextVersion > 0 {
 		next := target
