checkpoint: copies of the operator's newest documents survive a restart of all nodes

Cause: a write of the operator that got no response was carried out after a newer one had been acknowledged, so that the store held version 2 again. Running nodes ignored it, because versions only rise; but only their memory held version 3, and the restart of all processes lost it. The class of fault: durable state is taken from a register that may go back, and what protects against that is in memory. Configurations and a restored store had the same fault.

Entries keep copies of the newest documents under keys of the system's own, written by compare-and-swap, so that a late execution of such a write has no effect. One entry of the fleet writes; the others hear of it, and take over one after the other. Nodes read the copies whenever they list the operator's keys, and the higher number counts. After a restore of the store they are written again.

--- a/internal/controller/catalogsync/list.go
+++ b/internal/controller/catalogsync/list.go
@@ -23,6 +23,12 @@
 	if known := w.state.Era(); listing.Cursor.Era < known {
 		return errors.Wrapf(store.ErrUnavailable, "listing of era %d of the store, %d is known", listing.Cursor.Era, known)
 	}
+	mergeCheckpoints := func(time.Time) {}
+	if !w.prefix.HoldsUpstreams && w.readCheckpoints != nil {
+		if mergeCheckpoints, err = w.readCheckpoints(ctx); err != nil {
+			return err
+		}
+	}
 	w.recordSuccess()
 	w.observeEra(listing.Cursor)
 	awaitingReannounce := time.Now().Before(w.reannounceUntil)
@@ -38,6 +44,7 @@
 			upstreams = append(upstreams, upstream)
 		}
 	}
+	mergeCheckpoints(assumed.at)
 	if w.prefix.HoldsUpstreams && (!awaitingReannounce || !w.listedOnce) {
 		w.applyListing(fleet.Listing{Upstreams: upstreams, Era: listing.Cursor.Era, Revision: listing.Cursor.Revision, Settled: settled})
 	} else {
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -98,6 +98,8 @@
 	startedAt         time.Time
 	// waitForPeers is the time after startedAt in which only a node that isActive selects lists the prefixes.
 	waitForPeers time.Duration
+	// readCheckpoints reads the checkpoints of the operator's documents; see WithCheckpoints. It may be nil.
+	readCheckpoints CheckpointReader
 
 	// mu guards freshness, the freshness of each prefix.
 	mu        sync.Mutex
@@ -131,6 +133,18 @@
 	return s
 }
 
+// CheckpointReader reads the checkpoints of the operator's documents from the store. It returns a function that merges them into the state; a
+// version is taken for named at the given time.
+type CheckpointReader func(ctx context.Context) (merge func(namedAt time.Time), err error)
+
+// WithCheckpoints sets the function that reads the checkpoints, and returns the Syncer. It is called with each listing of a prefix that does
+// not hold upstreams: the store may hold a document that is older than one that was in force, and a node that lists it may have missed
+// the newer one. A listing fails if the checkpoints cannot be read. It has to be called before Run.
+func (s *Syncer) WithCheckpoints(read CheckpointReader) *Syncer {
+	s.readCheckpoints = read
+	return s
+}
+
 // Run keeps the state up to date until ctx ends. On every node it lists each prefix until one listing has succeeded, unless WaitForPeers
 // was called. After that it calls the store only while isActive returns true.
 func (s *Syncer) Run(ctx context.Context) {
--- /dev/null
+++ b/internal/controller/checkpoint/document.go
@@ -0,0 +1,125 @@
+// Package checkpoint keeps copies of the operator's newest documents in the store, under keys of the system's own.
+//
+// The operator's own keys do not suffice to find the newest document after a restart of all nodes: a write that got no response may be
+// carried out after a newer one was acknowledged, and a store that is restored from an earlier copy loses the newest writes. Running nodes
+// reject older documents by the operator's numbers, which only rise. Checkpoints are read with the operator's keys, and the higher number counts.
+//
+// Invariant: a checkpoint never goes back within an era of the store, also if a write of a checkpoint is carried out late. Each is written on
+// condition that the key has not changed since it was found to hold a lower number.
+package checkpoint
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/platform/store"
+)
+
+// Keys of checkpoints, after the prefix that the caller names.
+const (
+	configKey = "config"
+	// versionKeyPrefix is followed by the name of the model.
+	versionKeyPrefix = "version/"
+)
+
+// ErrMalformed means that a checkpoint cannot be decoded.
+var ErrMalformed = errors.New("checkpoint: malformed")
+
+// document is an operator's document of which a checkpoint is kept. Exactly one of config and version is set.
+type document struct {
+	// key is the key of the checkpoint in the store.
+	key     string
+	config  *catalog.Config
+	version *catalog.NamedVersion
+}
+
+// number returns the operator's number by which documents of one key are ordered.
+func (d document) number() int64 {
+	if d.config != nil {
+		return d.config.Version
+	}
+	return d.version.Version
+}
+
+// storedVersion is the value of the checkpoint of a model's version.
+type storedVersion struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+}
+
+// encode returns the value of the checkpoint.
+func (d document) encode() ([]byte, error) {
+	if d.config != nil {
+		return message.PackConfig(d.config)
+	}
+	value, err := json.Marshal(storedVersion(*d.version))
+	return value, errors.Wrap(err, "checkpoint: encode version")
+}
+
+// decode decodes a checkpoint. It returns ErrMalformed for a key or a value that is none.
+func decode(prefix string, kv store.KV) (document, error) {
+	d := document{key: kv.Key}
+	switch name := strings.TrimPrefix(kv.Key, prefix); {
+	case name == configKey:
+		config, err := message.UnpackConfig(kv.Value)
+		if err != nil {
+			return d, errors.Mark(err, ErrMalformed)
+		}
+		d.config = config
+	case strings.HasPrefix(name, versionKeyPrefix):
+		var v storedVersion
+		if err := json.Unmarshal(kv.Value, &v); err != nil {
+			return d, errors.Mark(errors.Wrap(err, "checkpoint: decode version"), ErrMalformed)
+		}
+		if v.Model != strings.TrimPrefix(name, versionKeyPrefix) {
+			return d, errors.Wrapf(ErrMalformed, "version of another model, %q", v.Model)
+		}
+		version := catalog.NamedVersion(v)
+		d.version = &version
+	default:
+		return d, errors.Wrapf(ErrMalformed, "unknown key %q", kv.Key)
+	}
+	if d.number() <= 0 {
+		return d, errors.Wrapf(ErrMalformed, "number %d", d.number())
+	}
+	return d, nil
+}
+
+// newestDocuments returns the newest documents in a state, versions first: they are small, and the sooner they are stored the better.
+func newestDocuments(prefix string, state *fleet.State) []document {
+	snap := state.Snapshot()
+	var out []document
+	for _, v := range snap.NewestVersions() {
+		out = append(out, document{key: prefix + versionKeyPrefix + v.Model, version: &v.NamedVersion})
+	}
+	if snap.Index != nil {
+		out = append(out, document{key: prefix + configKey, config: snap.Index.Config})
+	}
+	return out
+}
+
+// merge merges a stored checkpoint into a state. A version that is new there is taken for named at the given time, as an assumption.
+func (d document) merge(state *fleet.State, log logr.Logger, kv store.KV, namedAt time.Time) {
+	state.ApplyCheckpoint(fleet.CheckpointRecord{Key: d.key, Number: d.number(), Era: kv.Era})
+	switch {
+	case d.config != nil:
+		if state.ApplyConfig(d.config, kv.ModRevision) {
+			log.Info("configuration in force", "version", d.config.Version, "revision", kv.ModRevision, "routes", len(d.config.Routes),
+				"from", "checkpoint")
+		}
+	case d.version != nil:
+		if newest, ok := state.Snapshot().NewestVersion(d.version.Model); ok && newest.Version >= d.version.Version {
+			return
+		}
+		state.ApplyVersion(fleet.VersionRecord{NamedVersion: *d.version, Revision: kv.ModRevision, NamedAt: namedAt, AgeAssumed: true})
+		log.Info("model version named", "model", d.version.Model, "version", d.version.Version,
+			"age_ms", time.Since(namedAt).Milliseconds(), "age_assumed", true, "from", "checkpoint", "era", kv.Era, "revision", kv.ModRevision)
+	}
+}
--- /dev/null
+++ b/internal/controller/checkpoint/reader.go
@@ -0,0 +1,47 @@
+package checkpoint
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/pimentohead/pimentohead/internal/fleet"
+	"github.com/pimentohead/pimentohead/internal/platform/store"
+)
+
+// Reader reads the checkpoints of a store into a state.
+type Reader struct {
+	lister store.Lister
+	prefix string
+	state  *fleet.State
+	log    logr.Logger
+}
+
+// NewReader returns a Reader of the checkpoints under a key prefix.
+func NewReader(lister store.Lister, prefix string, state *fleet.State, log logr.Logger) *Reader {
+	return &Reader{lister: lister, prefix: prefix, state: state, log: log}
+}
+
+// Read lists the checkpoints and returns a function that merges them into the state. It implements catalogsync.CheckpointReader. Checkpoints
+// that cannot be decoded are logged and skipped. It returns ErrUnavailable if the store cannot be read, or answers from an era that is over.
+func (r *Reader) Read(ctx context.Context) (merge func(namedAt time.Time), err error) {
+	listing, err := r.lister.List(ctx, r.prefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "checkpoint: list")
+	}
+	if known := r.state.Era(); listing.Cursor.Era < known {
+		return nil, errors.Wrapf(store.ErrUnavailable, "checkpoint: listing of era %d of the store, %d is known", listing.Cursor.Era, known)
+	}
+	return func(namedAt time.Time) {
+		for _, kv := range listing.KVs {
+			d, err := decode(r.prefix, kv)
+			if err != nil {
+				r.log.Info("checkpoint cannot be read", "key", kv.Key, "revision", kv.ModRevision, "cause", err.Error())
+				continue
+			}
+			d.merge(r.state, r.log, kv, namedAt)
+		}
+	}, nil
+}
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -15,6 +15,7 @@
 	"github.com/pimentohead/pimentohead/internal/callerconn"
 	"github.com/pimentohead/pimentohead/internal/chunkcache"
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
+	"github.com/pimentohead/pimentohead/internal/controller/checkpoint"
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
@@ -115,8 +116,10 @@
 	registry := &registry{store: e.Store, lister: e.Store, state: e.state, mesh: e.mesh, self: e.self, ledger: e.poison, log: e.Log,
 		startWait: e.startWait()}
 	verdicts := &verdictWriter{store: e.Store, state: e.state, mesh: e.mesh, ledger: e.poison, log: e.Log}
+	checkpoints := checkpoint.NewWriter(checkpoint.WriterConfig{Store: e.Store, Prefix: checkpointsPrefix, State: e.state,
+		Position: e.mesh.Position, Log: e.Log, StartWait: e.startWait(), AssumedAge: e.assumedVersionAge()})
 	for _, run := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Decoder).Run, registry.announce, registry.discover, verdicts.run,
-		e.sweep, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
+		checkpoints.Run, e.sweep, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
 		wg.Add(1)
 		go func() { defer wg.Done(); run(serveCtx) }()
 	}
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -14,6 +14,7 @@
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/chunkcache"
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
+	"github.com/pimentohead/pimentohead/internal/controller/checkpoint"
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/loadview"
@@ -63,6 +64,9 @@
 	FirstStart bool
 }
 
+// checkpointsPrefix is the key prefix of the checkpoints of the operator's documents.
+const checkpointsPrefix = rootPrefix + "checkpoint/"
+
 // firstStartWait is the time in which the nodes of a system that starts for the first time wait for links. Links are up within a second.
 const firstStartWait = 1500 * time.Millisecond
 
@@ -174,10 +178,12 @@
 	}
 }
 
-// syncer returns the syncer that copies the configuration and the named versions from the store into the state of the node. The store
-// does not say when a version was named. A version that the node finds there after its start is assumed to be so old that requests
-// begin on no older one from RecoveryGrace after the start.
+// assumedVersionAge returns the age that a version is assumed to have which the node finds in the store after its start, as the store does not
+// say when it was named. It is so old that requests begin on no older one from RecoveryGrace after the start.
+func (n Node) assumedVersionAge() time.Duration { return max(n.VersionApply-n.RecoveryGrace, 0) }
+
+// syncer returns the syncer that copies the configuration and the named versions from the store into the state of the node.
 func (c *components) syncer(decoder catalogsync.Decoder) *catalogsync.Syncer {
-	age := max(c.VersionApply-c.RecoveryGrace, 0)
-	return catalogsync.New(c.Store, decoder, c.state, c.Log, c.mesh.ShouldWatchStore, age).WaitForPeers(c.startWait())
+	return catalogsync.New(c.Store, decoder, c.state, c.Log, c.mesh.ShouldWatchStore, c.assumedVersionAge()).WaitForPeers(c.startWait()).
+		WithCheckpoints(checkpoint.NewReader(c.Store, checkpointsPrefix, c.state, c.Log).Read)
 }
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -49,6 +49,15 @@
 	return history[len(history)-1], true
 }
 
+// NewestVersions returns the newest named version of each model for which one was named.
+func (s *Snapshot) NewestVersions() []VersionRecord {
+	var out []VersionRecord
+	for _, history := range s.versions {
+		out = append(out, history[len(history)-1])
+	}
+	return out
+}
+
 // PreviousVersion returns the version of a model that was named before the newest one, and false if there is none.
 func (s *Snapshot) PreviousVersion(model string) (VersionRecord, bool) {
 	history := s.versions[model]
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -27,13 +27,14 @@
 	AgeAssumed bool
 }
 
-// Change describes the effect of one merge: a new configuration with its revision, an upstream record or a version record.
-// Exactly one of the pointers is set.
+// Change describes the effect of one merge: a new configuration with its revision, an upstream record, a version record or the record of a
+// checkpoint. Exactly one of the pointers is set.
 type Change struct {
-	Config   *catalog.Config
-	Revision int64
-	Upstream *UpstreamRecord
-	Version  *VersionRecord
+	Config     *catalog.Config
+	Revision   int64
+	Upstream   *UpstreamRecord
+	Version    *VersionRecord
+	Checkpoint *CheckpointRecord
 }
 
 // State holds the merged records of one node. It is safe for concurrent use.
@@ -47,6 +48,7 @@
 	configRevision    int64
 	upstreams         map[string]*upstreamState
 	versions          map[string][]VersionRecord
+	checkpoints       map[string]CheckpointRecord
 	upToDateAt        time.Time
 	upstreamsComplete bool
 	// era is the highest era of the store that is known, if eraKnown is set. restoredAt is when a node that knew an earlier one heard of it,
@@ -66,7 +68,8 @@
 	if now == nil {
 		now = time.Now
 	}
-	s := &State{now: now, upstreams: map[string]*upstreamState{}, versions: map[string][]VersionRecord{}}
+	s := &State{now: now, upstreams: map[string]*upstreamState{}, versions: map[string][]VersionRecord{},
+		checkpoints: map[string]CheckpointRecord{}}
 	s.snap.Store(&Snapshot{})
 	return s
 }
--- a/internal/mesh/duties.go
+++ b/internal/mesh/duties.go
@@ -104,19 +104,25 @@
 	return func(p *peer) bool { return selected[p.hello.NodeID] }
 }
 
-// RanksFirst reports whether this entry ranks highest for a key, among the linked entries and itself. Entries that are no hubs leave duties of
-// the fleet to those that are. Entries without links to each other may each rank first.
+// RanksFirst reports whether this entry ranks highest for a key, see Position.
 func (m *Mesh) RanksFirst(key string) bool {
+	position, ok := m.Position(key)
+	return ok && position == 0
+}
+
+// Position returns the number of linked entries that rank higher than this one for a key, and false on an entry that is no hub: it leaves
+// duties of the fleet to those that are. Entries without links to each other may have the same position.
+func (m *Mesh) Position(key string) (position int, ok bool) {
 	if !m.localRanking().isHub() {
-		return false
+		return 0, false
 	}
 	own := rank(key, m.cfg.Self.NodeID)
 	for _, p := range m.peers(isEntry) {
 		if rank(key, p.hello.NodeID) > own {
-			return false
+			position++
 		}
 	}
-	return true
+	return position, true
 }
 
 // ShouldWatchStore reports whether this node has to watch the store: it ranks highest among the candidates of its data centre, or its state has
--- a/internal/mesh/merge.go
+++ b/internal/mesh/merge.go
@@ -36,6 +36,9 @@
 	for _, v := range msg.Versions {
 		m.mergeVersion(p, v)
 	}
+	for _, c := range msg.Checkpoints {
+		state.ApplyCheckpoint(fleet.CheckpointRecord(c))
+	}
 	if msg.UpstreamsComplete {
 		state.MarkUpstreamsComplete()
 	}
--- a/internal/mesh/share.go
+++ b/internal/mesh/share.go
@@ -25,6 +25,11 @@
 		out.Upstreams = append(out.Upstreams, upstreamMessage(u))
 	}
 	out.Versions = versionMessages(versions)
+	if to.Role == message.RoleEntry {
+		for _, c := range m.cfg.State.Checkpoints() {
+			out.Checkpoints = append(out.Checkpoints, message.FleetCheckpoint(c))
+		}
+	}
 	m.setStaleness(out)
 	return out
 }
@@ -84,7 +89,7 @@
 		if m.isRemoteSender() {
 			m.broadcast(remote, m.remoteReceivers())
 		}
-		if m.localRanking().isHub() {
+		if m.localRanking().isHub() && !isEmptyState(agents) {
 			m.broadcast(agents, isAgent)
 		}
 	}
@@ -145,6 +150,8 @@
 			}
 		case c.Version != nil:
 			toEntries.Versions = append(toEntries.Versions, versionMessage(*c.Version))
+		case c.Checkpoint != nil:
+			toEntries.Checkpoints = append(toEntries.Checkpoints, message.FleetCheckpoint(*c.Checkpoint))
 		}
 		select {
 		case c = <-m.changes:
@@ -154,7 +161,7 @@
 	}
 	m.setStaleness(toEntries)
 	forAgents, forRemote := *toEntries, *toEntries
-	toEntries.Upstreams = ownUpstreams
+	toEntries.Upstreams, forAgents.Checkpoints = ownUpstreams, nil
 	if config != nil {
 		forAgents.Config = m.encoder.encode(config, message.RoleAgent)
 		if m.versionFromLocalEntry.Load() != config.Version {
@@ -166,7 +173,7 @@
 
 // isEmptyState reports whether a message carries no records. The version of the configuration is also in the messages with the staleness.
 func isEmptyState(msg *message.FleetState) bool {
-	return msg.Config == nil && len(msg.Upstreams) == 0 && len(msg.Versions) == 0
+	return msg.Config == nil && len(msg.Upstreams) == 0 && len(msg.Versions) == 0 && len(msg.Checkpoints) == 0
 }
 
 // drainChanges discards the queued changes.
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -16,6 +16,8 @@
 	RequestConfig bool            `msgpack:"p,omitempty"`
 	Upstreams     []FleetUpstream `msgpack:"u,omitempty"`
 	Versions      []FleetVersion  `msgpack:"v,omitempty"`
+	// Checkpoints are the records of checkpoints of the sender. Only entries send and use them.
+	Checkpoints []FleetCheckpoint `msgpack:"cp,omitempty"`
 	// Era is the highest era of the store that the sender knows, 0 if it knows none.
 	Era int64 `msgpack:"er,omitempty"`
 	// StalenessMillis is the time since the sender's state was last known to be up to date. HasStaleness reports whether it is
@@ -45,6 +47,13 @@
 	AgeAssumed bool   `msgpack:"aa,omitempty"`
 }
 
+// FleetCheckpoint records that a checkpoint of the operator's document with the given number is stored under a key, in an era of the store.
+type FleetCheckpoint struct {
+	Key    string `msgpack:"k"`
+	Number int64  `msgpack:"n"`
+	Era    int64  `msgpack:"er,omitempty"`
+}
+
 // Members lists the nodes that the sender knows.
 type Members struct {
 	Members []Member `msgpack:"m"`
