loader: a newer version is not replaced by an older one

An agent that knew only version 2 loaded it over version 3, and callers got answers of version 2 from servers that had served the newer one. This could also happen for as long as the naming of a version had not reached an agent that had just started, and until the checkpoint of a version is stored.

The operator's versions only rise, so an agent keeps a complete newer version and logs it.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -79,6 +79,9 @@
 	swapping bool
 	// lastTarget is the target that was last staged, whether or not that has completed.
 	lastTarget Target
+
+	// keptFrom is the version of the last target that the upstream was kept from. Only reconcile uses it.
+	keptFrom int64
 }
 
 // New returns a Loader for engine. target and publish are called from the goroutines of Run; see the fields of Loader.
@@ -123,7 +126,7 @@
 		if !answering && ok && l.lastReportFailed() {
 			l.prefetchWhileDown(ctx, target)
 		}
-		if !answering || !ok || report.HasVersion(target.Model, target.Version, target.Layers) {
+		if !answering || !ok || report.HasVersion(target.Model, target.Version, target.Layers) || l.keepsNewer(report, target) {
 			pause.For(ctx, loadingInterval)
 			continue
 		}
@@ -134,6 +137,20 @@
 	}
 }
 
+// keepsNewer reports whether the upstream has loaded a newer version than the target, which it keeps: versions only rise, so the naming of
+// the newer one is not known any more, or not yet. It logs that once for each target.
+func (l *Loader) keepsNewer(report Report, target Target) bool {
+	newest := report.NewestVersion(target.Model)
+	if newest <= target.Version || !report.HasVersion(target.Model, newest, target.Layers) {
+		return false
+	}
+	if l.keptFrom != target.Version {
+		l.keptFrom = target.Version
+		l.log.Info("upstream keeps a newer version than the one named", "model", target.Model, "version", target.Version, "loaded_version", newest)
+	}
+	return true
+}
+
 // prefetchWhileDown reads the target version into memory until the upstream answers or the target changes. An upstream that does
 // not answer is starting or restarting, and needs the weights as soon as it is up.
 func (l *Loader) prefetchWhileDown(parent context.Context, target Target) {
@@ -172,9 +189,6 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	l.setLastTarget(target)
-	if newest := report.NewestVersion(target.Model); newest > target.Version {
-		l.log.Info("upstream has a newer version than the one to load", "model", target.Model, "version", target.Version, "loaded_version", newest)
-	}
 	go l.cancelWhenObsolete(ctx, cancel, target, report.StartedAtMillis)
 	if target.NextVersion > 0 {
 		next := target
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -338,3 +338,15 @@
 	close(w.released)
 	g.Eventually(loadedVersion(e), "2s").Should(Equal(int64(2)))
 }
+
+// Guards against an older version that replaces a newer one, when an agent has restarted and the naming of the newer version is known to no
+// node any more, and against a server that then stays on its version after the next naming.
+func TestNewerVersionIsNotReplacedByAnOlderOne(t *testing.T) {
+	g := NewWithT(t)
+	e, target := &fakeEngine{startedAtMillis: 1, loaded: 3}, &targetVersion{}
+	target.set(2)
+	start(t, e, &fakeWeights{}, target)
+	g.Consistently(loadedVersion(e), "600ms", "5ms").Should(Equal(int64(3)))
+	target.set(4)
+	g.Eventually(loadedVersion(e), "3s").Should(Equal(int64(4)))
+}
