--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -77,7 +77,7 @@
 			return errors.New("loader: upstream stopped answering during a load")
 		case report.HasVersion(target.Model, target.Version, target.Layers):
 			l.log.Info("version loaded", "model", target.Model, "version", target.Version,
-				"took_ms", time.Since(started).Milliseconds(), "after_naming_ms", time.Since(target.NamedAt).Milliseconds())
+				"took_ms", time.Since(started).Milliseconds(), "after_naming_ms", target.sinceNaming().Milliseconds())
 			return nil
 		case !report.OrderRunning && time.Since(started) > time.Second:
 			return errors.Newf("loader: load order ended without loading the version (orders accepted: %d before, %d after)",
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -42,6 +42,14 @@
 	UsableUntil time.Time
 }
 
+// sinceNaming returns the time since the version was named, 0 for one that nobody has named.
+func (t Target) sinceNaming() time.Duration {
+	if t.NamedAt.IsZero() {
+		return 0
+	}
+	return time.Since(t.NamedAt)
+}
+
 // isTooLate reports whether a load that is ordered now would complete when the version may not be used any more.
 func (t Target) isTooLate(now time.Time) bool {
 	return !t.UsableUntil.IsZero() && now.Add(LoadDuration).After(t.UsableUntil)
