soak: late writes to the store and restarts of all nodes

The soak could not see a version or a configuration that processes know in memory only. Its store was disturbed all the time, so that no bound applied, it never restarted all processes at once, and no write overtook a newer one.

A run with -late-writes does that in rounds: a share of all writes is late, the operator's first write of a version and a configuration is executed again after newer ones were acknowledged, and all nodes are killed once or twice at random moments, at least 2 s after the newest acknowledgement, so that they had the time to record what they read. The check reports requests that model servers began on an older version than the one required, the use of an older configuration, and a required one that is not known. Bounds apply to entries that ran for 3 s with the store undisturbed; the 8 s for a version count in one stretch without disturbance of the store. A run in which no bound applied fails. The mix of faults, its sequences and its settings are unchanged; its results are now checked also after planned stops from which the entries do not recover.

--- /dev/null
+++ b/soak/bounds.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pimentohead/pimentohead/platform/standin"
+)
+
+// Times from the acknowledgement of a version of the model or of the configuration after which no older one may be in use. They apply to
+// entries that have run, with the store undisturbed, for contactTime.
+const (
+	versionApply = versionApplyMS * time.Millisecond
+	configApply  = configApplyMS * time.Millisecond
+	contactTime  = 3 * time.Second
+)
+
+// inTouch reports whether bounds apply to an entry at a time.
+func (c *checker) inTouch(entry int, at time.Time) bool {
+	since := at.Add(-contactTime)
+	return !c.fleet.disturbances.overlap(entryName(entry), since, at) && !c.fleet.disturbances.overlap(storeName, since, at)
+}
+
+// requiredVersion returns the newest version of the model of which a request must not begin on an older one at a time, and whether there is
+// one. The time for its rollout counts in one stretch in which the store was undisturbed.
+func (c *checker) requiredVersion(at time.Time) (required publication, found bool) {
+	for _, p := range c.fleet.versions.all() {
+		if c.fleet.disturbances.longestCalm(storeName, p.acknowledgedAt, at, contactTime) > versionApply {
+			required, found = p, true
+		}
+	}
+	return required, found
+}
+
+// requiredConfig returns the newest version of the configuration that must be in force at a time, and whether there is one.
+func (c *checker) requiredConfig(at time.Time) (required publication, found bool) {
+	for _, p := range c.fleet.configs.all() {
+		if at.Sub(p.acknowledgedAt) > configApply {
+			required, found = p, true
+		}
+	}
+	return required, found
+}
+
+// checkVersions reports the requests that model servers began on an older version than the one required. One finding stands for all
+// requests that an entry sent on one version.
+func (c *checker) checkVersions() {
+	type key struct {
+		entry             int
+		version, required int64
+	}
+	counts := map[key]int{}
+	latest := map[key]time.Duration{}
+	for _, m := range c.fleet.models {
+		for _, run := range m.Runs() {
+			entry, required, late := c.outdated(run)
+			if late > 0 {
+				k := key{entry, run.Version, required}
+				counts[k]++
+				latest[k] = max(latest[k], late)
+			}
+		}
+	}
+	for k, count := range counts {
+		c.reportf("%d requests of %s began on version %d although version %d is required, the last one %s after its acknowledgement",
+			count, entryName(k.entry), k.version, k.required, latest[k].Round(time.Millisecond))
+	}
+}
+
+// outdated returns how long after the acknowledgement of the required version a run began on an older one, 0 if that is allowed.
+func (c *checker) outdated(run standin.Run) (entry int, required int64, late time.Duration) {
+	entry = c.sent[run.ID].entry
+	p, found := c.requiredVersion(run.At)
+	if !found || !c.inTouch(entry, run.At) {
+		return entry, p.version, 0
+	}
+	c.bounded++
+	if run.Version >= p.version {
+		return entry, p.version, 0
+	}
+	return entry, p.version, run.At.Sub(p.acknowledgedAt)
+}
+
+// checkConfigs reports requests that entries handled as only a configuration allows that is older than the one required.
+func (c *checker) checkConfigs() {
+	found := map[string]int{}
+	for _, probe := range c.probes {
+		runs := 0
+		for _, d := range c.fleet.desks {
+			runs += d.Runs(probe.id)
+		}
+		if finding := c.checkProbe(probe, runs); finding != "" {
+			found[finding]++
+		}
+	}
+	for finding, count := range found {
+		c.reportf("%d times: %s", count, finding)
+	}
+}
+
+// checkProbe returns what is wrong with the answer to a probe, which a server has run so often, or an empty text.
+func (c *checker) checkProbe(probe configProbe, runs int) (finding string) {
+	sent := c.sent[probe.id]
+	required, found := c.requiredConfig(sent.at)
+	if !found || !c.inTouch(sent.entry, sent.at) {
+		return ""
+	}
+	c.bounded++
+	switch {
+	case probe.version < required.version && runs > 0:
+		return fmt.Sprintf("%s used configuration %d although %d is required", entryName(sent.entry), probe.version, required.version)
+	case probe.version == required.version && probe.status == http.StatusNotFound &&
+		!c.configSentBefore(required.version+1, sent.at.Add(probe.elapsed)):
+		return fmt.Sprintf("%s did not know the route of configuration %d, which is required", entryName(sent.entry), required.version)
+	}
+	return ""
+}
+
+// configSentBefore reports whether the operator had sent a version of the configuration to the store before a time. Its routes may have
+// replaced those of the version before.
+func (c *checker) configSentBefore(version int64, at time.Time) bool {
+	for _, p := range c.fleet.configs.all() {
+		if p.version == version && p.sentAt.Before(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// longestCalm returns the longest stretch between two times in which what has a name was undisturbed. A stretch begins after the given time
+// without disturbance.
+func (d *disturbances) longestCalm(name string, begin, end time.Time, after time.Duration) (longest time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	from := begin
+	for _, p := range d.periods[name] {
+		if p.begin.After(end) {
+			break
+		}
+		longest = max(longest, p.begin.Sub(from))
+		if p.end.IsZero() {
+			return longest
+		}
+		if calm := p.end.Add(after); calm.After(from) {
+			from = calm
+		}
+	}
+	return max(longest, end.Sub(from))
+}
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -22,8 +22,7 @@
 const (
 	// callerCount is the number of callers that send requests concurrently to a fleet of scale 1.
 	callerCount = 12
-	// startTimeout limits the start of the fleet, recoveryTimeout the return to full service after the last fault.
-	startTimeout    = 15 * time.Second
+	// recoveryTimeout limits the start of the fleet and the return to full service after the last fault.
 	recoveryTimeout = 15 * time.Second
 	requestTimeout  = 6 * time.Second
 )
@@ -47,13 +46,16 @@
 	mu       sync.Mutex
 	findings []string
 	results  []callResult
+	probes   []configProbe
 	// sent holds the requests by ID.
 	sent   map[string]sentRequest
 	lastID int
 	// longestStall is the longest time for which this process, which also serves as store and upstreams, was not scheduled.
 	longestStall time.Duration
-	// judged counts the statements of servers that were checked.
-	judged judgedStatements
+	// judged counts the statements of servers that were checked, bounded the requests that had to use a version of the model or of the
+	// configuration.
+	judged  judgedStatements
+	bounded int
 }
 
 // reportf records a finding.
@@ -72,30 +74,45 @@
 }
 
 // runOptions are the options of a run. Faults are injected for length. The scale multiplies the nodes and servers of each data centre and
-// the callers. Logs of a run with findings are copied to a directory below logDir unless that is empty.
+// the callers. Logs of a run with findings are copied to a directory below logDir unless that is empty. With lateWrites, the faults are late
+// writes to the store and restarts of all nodes.
 type runOptions struct {
-	length time.Duration
-	scale  int
-	logDir string
+	length     time.Duration
+	scale      int
+	logDir     string
+	lateWrites bool
 }
 
 // runSeed runs one seed. It returns the findings and a summary of the run.
 func runSeed(seed uint64, options runOptions) (findings []string, summary string, err error) {
-	fleet, err := newTestFleet(options.scale)
+	injectFaults, contactMS := (*checker).runMixedFaults, int64(0)
+	if options.lateWrites {
+		injectFaults, contactMS = (*checker).runLateWrites, contactTime.Milliseconds()
+	}
+	fleet, err := newTestFleet(options.scale, contactMS)
 	if err != nil {
 		return nil, "", err
 	}
 	defer fleet.close()
 	c := &checker{fleet: fleet, sent: map[string]sentRequest{}}
 	defer c.measureStalls()()
-	// The faults and each caller have a generator of their own, so that the callers do not affect the sequence of faults.
-	rng := rand.New(rand.NewPCG(seed, 1))
-	if !c.awaitServing(startTimeout, "at the start") {
+	if !c.awaitServing("at the start") {
 		return c.result(seed, options.logDir, nil)
 	}
+	faultNames := injectFaults(c, seed, options)
+	c.checkResults()
+	c.checkStatements()
+	return c.result(seed, options.logDir, faultNames)
+}
+
+// runMixedFaults runs planned stops and then random faults beside callers, and returns their names.
+func (c *checker) runMixedFaults(seed uint64, options runOptions) (faultNames []string) {
+	fleet := c.fleet
+	// The faults and each caller have a generator of their own, so that the callers do not affect the sequence of faults.
+	rng := rand.New(rand.NewPCG(seed, 1))
 	c.runPlannedStops(seed)
-	if !c.awaitServing(startTimeout, "after the planned stops") {
-		return c.result(seed, options.logDir, nil)
+	if !c.awaitServing("after the planned stops") {
+		return nil
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -108,15 +125,13 @@
 	statements := make(chan struct{})
 	wg.Go(func() { fleet.injectModelStatements(random(callers+3), statements) })
 	wg.Go(func() { fleet.injectDeskStatements(random(callers+4), statements) })
-	faultNames := append(fleet.injectFaults(rng, options.length), fmt.Sprintf("%d times store restored", <-restored))
+	faultNames = append(fleet.injectFaults(rng, options.length), fmt.Sprintf("%d times store restored", <-restored))
 	close(statements)
-	c.awaitServing(recoveryTimeout, "after the last fault")
+	c.awaitServing("after the last fault")
 	c.awaitNewestVersion()
 	close(stop)
 	wg.Wait()
-	c.checkResults()
-	c.checkStatements()
-	return c.result(seed, options.logDir, faultNames)
+	return faultNames
 }
 
 // measureStalls records longestStall until the returned function is called.
@@ -142,8 +157,9 @@
 	for _, r := range c.results {
 		counts[r.status]++
 	}
-	summary := fmt.Sprintf("%d requests %v, %d statements of servers (%s), longest stall of the checker: %s, faults: %s", len(c.results),
-		counts, c.fleet.statements.Load(), c.judged, c.longestStall.Round(time.Millisecond), strings.Join(faultNames, ", "))
+	summary := fmt.Sprintf("%d requests %v, %d statements of servers (%s), %d requests required a version, longest stall of the checker: %s, "+
+		"faults: %s", len(c.results), counts, c.fleet.statements.Load(), c.judged, c.bounded, c.longestStall.Round(time.Millisecond),
+		strings.Join(faultNames, ", "))
 	var err error
 	if len(c.findings) > 0 && logDir != "" {
 		err = c.fleet.copyLogs(filepath.Join(logDir, fmt.Sprintf("seed-%d", seed)))
@@ -197,12 +213,12 @@
 }
 
 // awaitServing waits until each entry serves each route of the newest configuration and reports whether that happened in time.
-func (c *checker) awaitServing(timeout time.Duration, when string) bool {
+func (c *checker) awaitServing(when string) bool {
 	var entries sync.WaitGroup
 	var failed atomic.Bool
 	for i := range c.fleet.entries {
 		entries.Go(func() {
-			if !c.awaitEntryServing(i, timeout, when) {
+			if !c.awaitEntryServing(i, when) {
 				failed.Store(true)
 			}
 		})
@@ -212,10 +228,10 @@
 }
 
 // awaitEntryServing waits until one entry serves each route and reports whether that happened in time.
-func (c *checker) awaitEntryServing(entry int, timeout time.Duration, when string) bool {
+func (c *checker) awaitEntryServing(entry int, when string) bool {
 	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	deadline := time.Now().Add(timeout)
-	newestPath := fmt.Sprintf("/v%d/", c.fleet.configVersion.Load())
+	deadline := time.Now().Add(recoveryTimeout)
+	newestPath := newestConfigPath(c.fleet.configVersion.Load())
 	for _, path := range []string{"/stream/", "/order/", "/look/", newestPath} {
 		for {
 			r := c.send(client, entry, path)
@@ -223,7 +239,7 @@
 				break
 			}
 			if time.Now().After(deadline) {
-				c.reportf("entry %d did not serve %s %s within %s: status %d, body: %s", entry, path, when, timeout, r.status, r.body)
+				c.reportf("entry %d did not serve %s %s within %s: status %d, body: %s", entry, path, when, recoveryTimeout, r.status, r.body)
 				return false
 			}
 			time.Sleep(100 * time.Millisecond)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -143,19 +143,6 @@
 	return func() { fleet.proxies[name].Clear("hold") }
 }
 
-// publishNextVersion publishes the next version of the model in the store.
-func (fleet *testFleet) publishNextVersion() {
-	fleet.operatorMu.Lock()
-	defer fleet.operatorMu.Unlock()
-	fleet.newestVersion++
-	fleet.writeVersion()
-}
-
-// writeVersion writes the newest version of the model to the store. The caller holds operatorMu.
-func (fleet *testFleet) writeVersion() {
-	fleet.store.Put("op/version/m", map[string]any{"model": "m", "version": fleet.newestVersion})
-}
-
 // injectFaults starts random faults for the given time, waits until all of them have ended and starts the processes that are not
 // running. It returns the names of the faults in the order of their start.
 func (fleet *testFleet) injectFaults(rng *rand.Rand, length time.Duration) []string {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -29,7 +29,9 @@
 	announceInterval     = 400 * time.Millisecond
 	// versionApplyMS is the time in milliseconds after the publication of a version after which no request may start on an older one.
 	versionApplyMS = 8000
-	linkSecret     = "a secret of sixteen bytes or more"
+	// configApplyMS is the same for the publication of a configuration.
+	configApplyMS = 2000
+	linkSecret    = "a secret of sixteen bytes or more"
 )
 
 // testFleet is a fleet of real processes with the stand-ins for the platform that they connect to through fault proxies.
@@ -52,10 +54,16 @@
 	disturbances disturbances
 	// statements counts how often a server has said that it pauses or leaves.
 	statements atomic.Int64
-	// operatorMu serialises what the operator writes. It guards newestVersion, the version that was published last.
+	// operatorMu serialises what the operator writes. It guards newestVersion, the version that was published last, and lateCopyAfter, the
+	// delay of the late copies of the operator's writes, 0 for none.
 	operatorMu    sync.Mutex
 	newestVersion int64
-	stop          chan struct{}
+	lateCopyAfter time.Duration
+	// versions and configs are the versions of the model and of the configuration that the operator has published.
+	versions, configs publications
+	// contactMS is the time in milliseconds for which a node must have been undisturbed for bounds to apply to it.
+	contactMS int64
+	stop      chan struct{}
 }
 
 // node is an entry or agent process. The addresses are set for entries only.
@@ -71,9 +79,9 @@
 func entryName(i int) string { return fmt.Sprintf("edge-%d", i) }
 
 // newTestFleet starts the stand-ins and the processes of a fleet.
-func newTestFleet(scale int) (fleet *testFleet, err error) {
-	fleet = &testFleet{newestVersion: 1, store: standin.NewStore(), origin: &standin.Origin{}, proxies: map[string]*faultproxy.Proxy{},
-		stop: make(chan struct{})}
+func newTestFleet(scale int, contactMS int64) (fleet *testFleet, err error) {
+	fleet = &testFleet{contactMS: contactMS, newestVersion: 1, store: standin.NewStore(), origin: &standin.Origin{},
+		proxies: map[string]*faultproxy.Proxy{}, stop: make(chan struct{})}
 	defer func() {
 		if err != nil {
 			fleet.close()
@@ -137,12 +145,8 @@
 	return nil
 }
 
-// writeNextConfig writes the next configuration to the store.
-func (fleet *testFleet) writeNextConfig() {
-	fleet.operatorMu.Lock()
-	defer fleet.operatorMu.Unlock()
-	fleet.writeConfig(fleet.configVersion.Add(1))
-}
+// newestConfigPath returns the path of the route that only one version of the configuration has.
+func newestConfigPath(version int64) string { return fmt.Sprintf("/v%d/", version) }
 
 // writeConfig writes a version of the configuration to the store. The path of one of its routes contains the version, so that callers can see
 // which configuration an entry uses. Its idle limit differs from that of the one before. The caller holds operatorMu.
@@ -155,14 +159,14 @@
 		}
 		return r
 	}
-	fleet.store.Put("op/config", map[string]any{"version": version,
+	fleet.publish(&fleet.configs, version, "op/config", map[string]any{"version": version,
 		"limits": map[string]any{"idle_timeout_ms": idleTimeoutsMS[int(version)%len(idleTimeoutsMS)]},
 		"routes": []any{
 			route("stream", "/stream/", "streaming", "pool", map[string]any{"sticky": true, "resumable": true, "target_gap_ms": 400}),
 			route("order", "/order/", "non_idempotent", "desk", map[string]any{"max_attempts": 1}),
 			route("slow", "/slow/", "non_idempotent", "desk", map[string]any{"max_attempts": 1}),
 			route("look", "/look/", "idempotent", "desk", nil),
-			route("newest", fmt.Sprintf("/v%d/", version), "idempotent", "desk", nil)},
+			route("newest", newestConfigPath(version), "idempotent", "desk", nil)},
 		"services": []any{
 			map[string]any{"name": "pool", "engine": map[string]any{"slots": 16, "stride": 5, "step_ms": 1, "read_per_s": 100000,
 				"chunk": 2048, "layers": standin.Layers, "chunks": standin.Chunks, "usual": map[string]any{"prompt": 100, "answer": 20},
@@ -237,8 +241,8 @@
 	_, lastPort, _ := strings.Cut(last, ":")
 	text := fmt.Sprintf("node_name = %q\nip = %q\nzone = %q\nregion = %q\ninternal_ports = [%s, %s]\nseeds = [%q]\n%s",
 		name, ip, dataCentre, dataCentre, port, lastPort, seedAddress, app)
-	text += listen + fmt.Sprintf("[bounds]\ngrace_s = 3\nversion_ms = %d\nretry_budget_ratio = 0.2\nretry_slack = 200\n"+
-		"budget_window_s = 10\n[platform]\naddress = %q\n", versionApplyMS, fleet.proxies["store"].Address())
+	text += listen + fmt.Sprintf("[bounds]\ngrace_s = 3\ncontact_ms = %d\nversion_ms = %d\nretry_budget_ratio = 0.2\nretry_slack = 200\n"+
+		"budget_window_s = 10\n[platform]\naddress = %q\n", fleet.contactMS, versionApplyMS, fleet.proxies["store"].Address())
 	path := filepath.Join(fleet.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "soak: write settings")
