--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,3 +36,21 @@
 		t.Log(summary)
 	}
 }
+
+// lateWriteSeeds are the seeds of runs with late writes to the store.
+var lateWriteSeeds = []uint64{1, 2}
+
+// Guards against versions and configurations that are known in the memory of processes only: a write to the store that is executed after a
+// newer one was acknowledged must not put the older value in force once all processes have been restarted.
+func TestNewestVersionsOutliveLateWritesAndRestartsOfAllNodes(t *testing.T) {
+	for _, seed := range lateWriteSeeds {
+		findings, summary, err := runSeed(seed, runOptions{length: time.Second, scale: 1, lateWrites: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range findings {
+			t.Errorf("seed %d: %s", seed, f)
+		}
+		t.Log(summary)
+	}
+}
