checkpoint, catalogsync: tests without data races

The tests of checkpoints read and changed counters of the test store, and a flag, while goroutines of the code under test used them. The race detector reported TestNextEntryStoresWhatIsMissing and TestDocumentsAreMergedWithTheirCheckpoints, so that a run with -race failed and could have hidden a race of the code. Sleep on virtual time does not order memory accesses.

The counters are read under the lock of the store and the flag is atomic. What the tests expect is unchanged.

--- a/internal/controller/catalogsync/checkpoints_test.go
+++ b/internal/controller/catalogsync/checkpoints_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,9 +25,10 @@
 		m := storeWithUpstreams("a")
 		m.put("conf/weights", "2")
 		state := fleet.NewState(nil)
-		reads, readable := 0, false
+		var reads atomic.Int32
+		var readable atomic.Bool
 		read := func(context.Context) (func(time.Time), error) {
-			if reads++; !readable {
+			if reads.Add(1); !readable.Load() {
 				return nil, errors.WithStack(store.ErrUnavailable)
 			}
 			return func(namedAt time.Time) {
@@ -45,7 +47,7 @@
 		_, known := state.Staleness()
 		g.Expect(known).To(BeFalse())
 
-		readable = true
+		readable.Store(true)
 		time.Sleep(2 * time.Second)
 		g.Expect(configVersion(state)()).To(Equal(int64(7)))
 		g.Expect(state.Snapshot().Index.Config.Limits.MaxBodyBytes).To(BeZero(), "the configuration is that of the operator")
@@ -54,10 +56,10 @@
 		g.Expect(newest.NamedAt).To(Equal(started.Add(-testVersionAge)))
 		g.Expect(state.Snapshot().MinVersion("m", started.Add(3*time.Second), 8*time.Second)).To(Equal(int64(3)))
 
-		before := reads
+		before := reads.Load()
 		m.put("conf", "8")
 		time.Sleep(5 * time.Second)
 		g.Expect(configVersion(state)()).To(Equal(int64(8)))
-		g.Expect(reads).To(Equal(before), "polls miss no document")
+		g.Expect(reads.Load()).To(Equal(before), "polls miss no document")
 	})
 }
--- a/internal/controller/checkpoint/checkpoint_test.go
+++ b/internal/controller/checkpoint/checkpoint_test.go
@@ -151,6 +151,27 @@
 	return store.TxnResult{Succeeded: true, Revision: m.revision}
 }
 
+// writeCount returns the number of transactions.
+func (m *memoryStore) writeCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
+
+// callCount returns the number of all calls.
+func (m *memoryStore) callCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// delayNext makes the next transaction get no response, and be carried out after the given time.
+func (m *memoryStore) delayNext(by time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lateBy = by
+}
+
 func (m *memoryStore) setFailing(failing bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -197,7 +218,7 @@
 		time.Sleep(writeTime)
 		name(state, 3)
 		time.Sleep(writeTime)
-		g.Expect(m.writes).To(Equal(3))
+		g.Expect(m.writeCount()).To(Equal(3))
 		read := fleet.NewState(nil)
 		merge, err := checkpoint.NewReader(m, prefix, read, logr.Discard()).Read(t.Context())
 		g.Expect(err).NotTo(HaveOccurred())
@@ -210,7 +231,7 @@
 		g.Expect(newest.AgeAssumed).To(BeTrue(), "other nodes may know when it was named")
 		startWriter(t, m, read, 0)
 		time.Sleep(5 * time.Second)
-		g.Expect(m.writes).To(Equal(3), "what was read is not written again")
+		g.Expect(m.writeCount()).To(Equal(3), "what was read is not written again")
 	})
 }
 
@@ -221,7 +242,7 @@
 		g := NewWithT(t)
 		m, state := newMemoryStore(), fleet.NewState(nil)
 		startWriter(t, m, state, 0)
-		m.lateBy = 3 * time.Second
+		m.delayNext(3 * time.Second)
 		name(state, 2)
 		time.Sleep(writeTime)
 		name(state, 3)
@@ -272,12 +293,12 @@
 			name(state, 2)
 		}
 		time.Sleep(time.Second)
-		g.Expect(m.writes).To(BeZero())
+		g.Expect(m.writeCount()).To(BeZero())
 		time.Sleep(time.Second)
 		version, _ := stored(t, m)
 		g.Expect(version).To(Equal(int64(2)))
 		time.Sleep(10 * time.Second)
-		g.Expect(m.writes).To(Equal(1))
+		g.Expect(m.writeCount()).To(Equal(1))
 	})
 }
 
@@ -325,7 +346,7 @@
 			state.ApplyConfig(&catalog.Config{Version: version}, version)
 		}
 		const keys, attemptsIn20s = 2, 12
-		g.Expect(m.calls).To(BeNumerically("<=", keys*attemptsIn20s))
+		g.Expect(m.callCount()).To(BeNumerically("<=", keys*attemptsIn20s))
 		m.setFailing(false)
 		time.Sleep(2500 * time.Millisecond)
 		version, _ := stored(t, m)
