mesh: only hubs count for the position of a hub

In a data centre of 138 entries, the copy of a newly named version or configuration was stored late: the hub with the best position for a key was at position 13 in a run, which is 19.5 s after the naming. With 8 entries hubs were at positions 0, 1, 5 and 7. If all nodes stopped in that time and the store held an older document, callers got answers by the older one. For the same reason no entry ranked first for most verdicts on requests that crash upstreams, so that these were not stored.

Cause: only hubs carry out duties of the fleet, but Position and RanksFirst counted all linked entries, also those that leave the duty to the hubs. So a hub waited for entries that never write.

Position counts linked hubs only. TestHubsTakeConsecutivePositionsForEachKey failed before with 8, 20, 60 and 138 entries and passes now.

--- a/internal/mesh/duties.go
+++ b/internal/mesh/duties.go
@@ -110,21 +110,36 @@
 	return ok && position == 0
 }
 
-// Position returns the number of linked entries that rank higher than this one for a key, and false on an entry that is no hub: it leaves
-// duties of the fleet to those that are. Entries without links to each other may have the same position.
+// Position returns the number of linked hubs that rank higher than this one for a key, and false on an entry that is no hub: it leaves duties
+// of the fleet to those that are. Entries without links to each other may have the same position.
 func (m *Mesh) Position(key string) (position int, ok bool) {
 	if !m.localRanking().isHub() {
 		return 0, false
 	}
 	own := rank(key, m.cfg.Self.NodeID)
-	for _, p := range m.peers(isEntry) {
-		if rank(key, p.hello.NodeID) > own {
+	for _, id := range m.linkedHubs() {
+		if rank(key, id) > own {
 			position++
 		}
 	}
 	return position, true
 }
 
+// linkedHubs returns the linked entries that are hubs. In other data centres these are the highest ranking ones of those that are linked, because
+// only hubs keep links there.
+func (m *Mesh) linkedHubs() []string {
+	local := m.localRanking()
+	out := slices.DeleteFunc(slices.Clone(local.hubs), func(id string) bool { return id == local.selfID })
+	remote := map[string][]string{}
+	for _, p := range m.peers(m.isRemoteEntry) {
+		remote[p.hello.DataCentre] = append(remote[p.hello.DataCentre], p.hello.NodeID)
+	}
+	for _, ids := range remote {
+		out = append(out, overlay.Hubs(ids)...)
+	}
+	return out
+}
+
 // ShouldWatchStore reports whether this node has to watch the store: it ranks highest among the candidates of its data centre, or its state has
 // not been up to date for watchTakeoverAge, for example because no other node watches.
 func (m *Mesh) ShouldWatchStore() bool {
