loader: a newer version is kept also if it was loaded during staging

An upstream went back to an older version that its agent took for the newest, although it had loaded a newer one: if the load of that one, ordered by the agent's previous process, completed while the new process staged the older version, and if some layers of a third version were loaded too.

Cause: the agent compared the versions before it began to stage, which takes seconds, and only with the newest version of which any layer was loaded.

The agent compares with the newest complete version, and once more with the report that it reads directly before the order. TestNewerVersionThatIsLoadedMeanwhileIsNotReplaced and TestCompleteNewerVersionIsKeptBesideAnIncompleteOne failed before (version 2 in place of 3) and pass now.

--- a/internal/loader/engine.go
+++ b/internal/loader/engine.go
@@ -38,12 +38,12 @@
 	return CountLoadedLayers(r.Models, model, version) >= max(layers, 1)
 }
 
-// NewestVersion returns the newest version of a model of which any layers are loaded, 0 if there is none.
-func (r Report) NewestVersion(model string) int64 {
+// NewestCompleteVersion returns the newest version of a model of which all layers are loaded, 0 if there is none.
+func (r Report) NewestCompleteVersion(model string, layers int) int64 {
 	var newest int64
 	for _, m := range r.Models {
-		if m.Model == model {
-			newest = max(newest, m.Version)
+		if m.Model == model && m.Version > newest && r.HasVersion(model, m.Version, layers) {
+			newest = m.Version
 		}
 	}
 	return newest
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -37,7 +37,8 @@
 
 // load sends the load order and waits until the load has completed. An order with an unknown outcome is treated as accepted. It returns
 // errAbandoned without an order if the upstream is not the process that started at startedAtMillis, whose staged data was verified: its
-// count of orders need not tell, as it starts anew. It returns errTooLate without an order if the version could not be used any more.
+// count of orders need not tell, as it starts anew. It returns errNewerLoaded without an order if the upstream has loaded a newer version, and
+// errTooLate if the version could not be used any more.
 func (l *Loader) load(ctx context.Context, target Target, startedAtMillis int64) error {
 	report, err := l.engine.Report(ctx)
 	if err != nil {
@@ -46,6 +47,9 @@
 	if report.StartedAtMillis != startedAtMillis {
 		return errAbandoned
 	}
+	if report.NewestCompleteVersion(target.Model, target.Layers) > target.Version {
+		return errNewerLoaded
+	}
 	if target.isTooLate(time.Now()) {
 		return errTooLate
 	}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -140,8 +140,8 @@
 // keepsNewer reports whether the upstream has loaded a newer version than the target, which it keeps: versions only rise, so the naming of
 // the newer one is not known any more, or not yet. It logs that once for each target.
 func (l *Loader) keepsNewer(report Report, target Target) bool {
-	newest := report.NewestVersion(target.Model)
-	if newest <= target.Version || !report.HasVersion(target.Model, newest, target.Layers) {
+	newest := report.NewestCompleteVersion(target.Model, target.Layers)
+	if newest <= target.Version {
 		return false
 	}
 	if l.keptFrom != target.Version {
@@ -184,6 +184,9 @@
 // errAbandoned means that work on a version ended because the target changed or the upstream restarted.
 var errAbandoned = errors.New("loader: load abandoned because the target changed or the upstream restarted")
 
+// errNewerLoaded means that a version was not loaded because the upstream has loaded a newer one meanwhile.
+var errNewerLoaded = errors.New("loader: load not ordered because the upstream has loaded a newer version")
+
 // stageAndLoad stages and loads one version. It returns errAbandoned as soon as the target changes or the upstream restarts.
 func (l *Loader) stageAndLoad(parent context.Context, target Target, report Report) error {
 	ctx, cancel := context.WithCancelCause(parent)
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -52,6 +52,8 @@
 	down bool
 	// onOrder, unless nil, is called before an order is carried out.
 	onOrder func(e *fakeEngine)
+	// loading is a version of which the first layer is loaded beside the loaded version, or 0.
+	loading int64
 	// losePowerWhenStaged makes the engine lose its staged chunks and start anew, once, as soon as all chunks are staged.
 	losePowerWhenStaged bool
 }
@@ -66,6 +68,9 @@
 	if e.loaded > 0 {
 		r.Models = []catalog.LoadedLayers{{Model: model, Version: e.loaded, From: 0, To: layers}}
 	}
+	if e.loading > 0 {
+		r.Models = append(r.Models, catalog.LoadedLayers{Model: model, Version: e.loading, From: 0, To: 1})
+	}
 	return r, nil
 }
 
@@ -350,3 +355,31 @@
 	target.set(4)
 	g.Eventually(loadedVersion(e), "3s").Should(Equal(int64(4)))
 }
+
+// Guards against an older version that replaces a complete newer one, because some layers of a third version are loaded beside that.
+func TestCompleteNewerVersionIsKeptBesideAnIncompleteOne(t *testing.T) {
+	g := NewWithT(t)
+	e, target := &fakeEngine{startedAtMillis: 1, loaded: 3, loading: 4}, &targetVersion{}
+	target.set(2)
+	start(t, e, &fakeWeights{}, target)
+	g.Consistently(loadedVersion(e), "600ms", "5ms").Should(Equal(int64(3)))
+}
+
+// Guards against an older version that replaces a newer one whose load the agent's previous process had ordered, and which completes while
+// the older one is staged.
+func TestNewerVersionThatIsLoadedMeanwhileIsNotReplaced(t *testing.T) {
+	g := NewWithT(t)
+	e, target := &fakeEngine{startedAtMillis: 1}, &targetVersion{}
+	w := &fakeWeights{block: map[int64]chan struct{}{2: make(chan struct{})}}
+	target.set(2)
+	start(t, e, w, target)
+	time.Sleep(300 * time.Millisecond) // The agent is staging version 2.
+	e.mu.Lock()
+	e.loaded = 3
+	e.mu.Unlock()
+	w.mu.Lock()
+	close(w.block[2])
+	delete(w.block, 2)
+	w.mu.Unlock()
+	g.Consistently(loadedVersion(e), "2s", "5ms").Should(Equal(int64(3)))
+}
