checkpoint: entries take over also while documents change often

If the entry that ranks first for a key could not reach the store and the operator wrote configurations less than 1.5 s apart, no entry stored a copy until the changes ended. A restart of all nodes could bring an older configuration in force.

Cause: each newer document began the wait of the other entries anew.

The wait begins anew only when a checkpoint of the key is found to be stored. TestNextEntryStoresDocumentsThatChangeOften failed before (nothing stored in 5 s) and passes now; TestOneEntryStoresDocumentsThatChangeOften guards against additional writes while the first entry stores each document.

--- a/internal/controller/checkpoint/checkpoint_test.go
+++ b/internal/controller/checkpoint/checkpoint_test.go
@@ -302,6 +302,36 @@
 	})
 }
 
+// Guards against a document that is not stored as long as newer ones follow quickly, while the entry that ranks first cannot reach the store.
+func TestNextEntryStoresDocumentsThatChangeOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m, state := newMemoryStore(), fleet.NewState(nil)
+		startWriter(t, m, state, 1)
+		for version := int64(1); version <= 10; version++ {
+			state.ApplyConfig(&catalog.Config{Version: version}, version)
+			time.Sleep(500 * time.Millisecond)
+		}
+		_, config := stored(t, m)
+		g.Expect(config).To(BeNumerically(">=", 4))
+	})
+}
+
+// Guards against entries that write too while the one that ranks first stores each of many documents, a little after they hear of it.
+func TestOneEntryStoresDocumentsThatChangeOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m, state := newMemoryStore(), fleet.NewState(nil)
+		startWriter(t, m, state, 1)
+		for version := int64(1); version <= 100; version++ {
+			state.ApplyConfig(&catalog.Config{Version: version}, version)
+			state.ApplyCheckpoint(fleet.CheckpointRecord{Key: configKey, Number: version - 1})
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(m.writeCount()).To(BeZero())
+	})
+}
+
 // Guards against checkpoints that are lost when the store is restored from an earlier copy, and against a revision of an earlier era that is
 // taken for one of the new era and makes a checkpoint go back.
 func TestCheckpointsAreStoredAgainAfterARestore(t *testing.T) {
--- a/internal/controller/checkpoint/writer.go
+++ b/internal/controller/checkpoint/writer.go
@@ -61,9 +61,11 @@
 
 // missingDocument is a document that is not known to be stored.
 type missingDocument struct {
-	number int64
-	// since is when it was first found missing, retryAt the time before which no other attempt to store it is made.
+	// since is when it was first found missing, or when an older document of the key was last found to be stored meanwhile. retryAt is the time
+	// before which no other attempt to store it is made.
 	since, retryAt time.Time
+	// stored is the record of the checkpoint that was known at since.
+	stored fleet.CheckpointRecord
 	// pause is the pause before the last retry, 0 before the first one.
 	pause time.Duration
 }
@@ -130,8 +132,9 @@
 		return time.Time{}, false
 	}
 	m := w.missing[d.key]
-	if m.number != d.number() { // The pauses after failed attempts hold for a newer document too.
-		m.number, m.since = d.number(), time.Now()
+	// The times hold for newer documents too: they may follow each other so quickly that no other entry would ever take over.
+	if stored := w.State.Checkpoint(d.key); m.since.IsZero() || m.stored != stored {
+		m.since, m.stored = time.Now(), stored
 		w.missing[d.key] = m
 	}
 	due = m.since.Add(time.Duration(position) * takeoverDelay)
--- a/internal/fleet/checkpoints.go
+++ b/internal/fleet/checkpoints.go
@@ -27,6 +27,13 @@
 	return true
 }
 
+// Checkpoint returns the record that is known for a key, the zero value if there is none.
+func (s *State) Checkpoint(key string) CheckpointRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checkpoints[key]
+}
+
 // HasCheckpoint reports whether the document with the given number, or a newer one, is known to be stored under a key in the era of the store
 // that is known.
 func (s *State) HasCheckpoint(key string, number int64) bool {
