checkpoint: the records of checkpoints come before the operator's documents

An entry that starts made a write and a read call for each document although its checkpoint was stored, if its Writer ran between the merge of the operator's documents and that of the checkpoints. All entries that start at once are not linked yet and rank first, so that calls are billed and limited for all of them.

Cause: a listing merges the operator's documents first, and the record that a checkpoint is stored came only with the checkpoint itself.

Reader.Read records what is stored before it returns. TestCheckpointsThatWereReadAreNotWritten failed before (3 calls in place of 1) and passes now; it holds the gap open, how often starting entries meet it was not measured.

--- a/internal/controller/checkpoint/checkpoint_test.go
+++ b/internal/controller/checkpoint/checkpoint_test.go
@@ -332,6 +332,25 @@
 	})
 }
 
+// Guards against a write and a read of each entry that starts: it merges the operator's documents first, and its writer sees them before the
+// checkpoints are merged.
+func TestCheckpointsThatWereReadAreNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m, state := newMemoryStore(), fleet.NewState(nil)
+		m.put(versionKey, []byte(`{"model":"m","version":3}`))
+		startWriter(t, m, state, 0)
+		merge, err := checkpoint.NewReader(m, prefix, state, logr.Discard()).Read(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		name(state, 3)
+		time.Sleep(writeTime)
+		merge(time.Now())
+		time.Sleep(writeTime)
+		const listing = 1
+		g.Expect(m.callCount()).To(Equal(listing))
+	})
+}
+
 // Guards against checkpoints that are lost when the store is restored from an earlier copy, and against a revision of an earlier era that is
 // taken for one of the new era and makes a checkpoint go back.
 func TestCheckpointsAreStoredAgainAfterARestore(t *testing.T) {
--- a/internal/controller/checkpoint/document.go
+++ b/internal/controller/checkpoint/document.go
@@ -105,9 +105,14 @@
 	return out
 }
 
-// merge merges a stored checkpoint into a state. A version that is new there is taken for named at the given time, as an assumption.
+// record records in a state that the document is stored as a checkpoint in an era of the store.
+func (d document) record(state *fleet.State, era int64) {
+	state.ApplyCheckpoint(fleet.CheckpointRecord{Key: d.key, Number: d.number(), Era: era})
+}
+
+// merge merges the document of a stored checkpoint into a state. A version that is new there is taken for named at the given time, as an
+// assumption.
 func (d document) merge(state *fleet.State, log logr.Logger, kv store.KV, namedAt time.Time) {
-	state.ApplyCheckpoint(fleet.CheckpointRecord{Key: d.key, Number: d.number(), Era: kv.Era})
 	switch {
 	case d.config != nil:
 		if state.ApplyConfig(d.config, kv.ModRevision) {
--- a/internal/controller/checkpoint/reader.go
+++ b/internal/controller/checkpoint/reader.go
@@ -24,8 +24,10 @@
 	return &Reader{lister: lister, prefix: prefix, state: state, log: log}
 }
 
-// Read lists the checkpoints and returns a function that merges them into the state. It implements catalogsync.CheckpointReader. Checkpoints
-// that cannot be decoded are logged and skipped. It returns ErrUnavailable if the store cannot be read, or answers from an era that is over.
+// Read lists the checkpoints, records in the state that they are stored, and returns a function that merges them. It implements
+// catalogsync.CheckpointReader. The records come first because the operator's documents are merged before the checkpoints, and the Writer would
+// store again what is stored. Checkpoints that cannot be decoded are logged and skipped. Read returns ErrUnavailable if the store cannot be read,
+// or answers from an era that is over.
 func (r *Reader) Read(ctx context.Context) (merge func(namedAt time.Time), err error) {
 	listing, err := r.lister.List(ctx, r.prefix)
 	if err != nil {
@@ -34,14 +36,23 @@
 	if known := r.state.Era(); listing.Cursor.Era < known {
 		return nil, errors.Wrapf(store.ErrUnavailable, "checkpoint: listing of era %d of the store, %d is known", listing.Cursor.Era, known)
 	}
+	type stored struct {
+		document
+		kv store.KV
+	}
+	var checkpoints []stored
+	for _, kv := range listing.KVs {
+		d, err := decode(r.prefix, kv)
+		if err != nil {
+			r.log.Info("checkpoint cannot be read", "key", kv.Key, "revision", kv.ModRevision, "cause", err.Error())
+			continue
+		}
+		d.record(r.state, kv.Era)
+		checkpoints = append(checkpoints, stored{d, kv})
+	}
 	return func(namedAt time.Time) {
-		for _, kv := range listing.KVs {
-			d, err := decode(r.prefix, kv)
-			if err != nil {
-				r.log.Info("checkpoint cannot be read", "key", kv.Key, "revision", kv.ModRevision, "cause", err.Error())
-				continue
-			}
-			d.merge(r.state, r.log, kv, namedAt)
+		for _, c := range checkpoints {
+			c.merge(r.state, r.log, c.kv, namedAt)
 		}
 	}, nil
 }
--- a/internal/controller/checkpoint/writer.go
+++ b/internal/controller/checkpoint/writer.go
@@ -197,6 +197,7 @@
 		w.Log.Info("checkpoint cannot be read, writing it again", "key", key, "revision", kv.ModRevision, "cause", err.Error())
 		return 0, nil
 	}
+	stored.record(w.State, kv.Era)
 	stored.merge(w.State, w.Log, kv, time.Now().Add(-w.AssumedAge))
 	return stored.number(), nil
 }
