mesh: hubs of other data centres are told from other linked entries there

Between data centres, an entry that is no hub may stay linked for some time, and counted for the position of hubs although it leaves duties of the fleet to them.

A linked entry counts if it is among the highest ranking ones of all known entries of its data centre.

--- a/internal/mesh/duties.go
+++ b/internal/mesh/duties.go
@@ -125,17 +125,24 @@
 	return position, true
 }
 
-// linkedHubs returns the linked entries that are hubs. In other data centres these are the highest ranking ones of those that are linked, because
-// only hubs keep links there.
+// linkedHubs returns the linked entries that are hubs of their data centre, as far as this entry knows the entries there.
 func (m *Mesh) linkedHubs() []string {
 	local := m.localRanking()
 	out := slices.DeleteFunc(slices.Clone(local.hubs), func(id string) bool { return id == local.selfID })
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	remote := map[string][]string{}
-	for _, p := range m.peers(m.isRemoteEntry) {
-		remote[p.hello.DataCentre] = append(remote[p.hello.DataCentre], p.hello.NodeID)
+	for _, e := range m.knownEntries() {
+		if e.DataCentre != m.cfg.Self.DataCentre && (e.Linked || !e.Silent) {
+			remote[e.DataCentre] = append(remote[e.DataCentre], e.ID)
+		}
 	}
 	for _, ids := range remote {
-		out = append(out, overlay.Hubs(ids)...)
+		for _, id := range overlay.Hubs(ids) {
+			if m.links[id] != nil {
+				out = append(out, id)
+			}
+		}
 	}
 	return out
 }
