mesh: an agent that joined through another data centre learns of entries of its own

Callers saw: uneven load. In some starts of a fleet of four entries, in four data centres, two or three of them never knew the load of one upstream, among them the entry in the data centre of that upstream. Placement predicts the shortest wait where it knows no load: two entries sent that upstream 114 and 111 of 116 requests. Cause: since news of members goes to the agents of the data centre of the sender only; before, the whole list went to all links. An agent whose seed is in another data centre, and which joined before the entries of its own, was not told of them, stayed linked to the seed alone for as long as it ran and reported its load there only. Change: an entry sends each linked agent the news of the members of the agent's data centre.

--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -68,22 +68,24 @@
 	}
 }
 
-// sendMemberNews sends the members that have become known since the last call to the linked nodes of the own data centre, and those of the own
-// data centre to others.
+// sendMemberNews sends the members that have become known since the last call to the linked entries of the own data centre, and those of the
+// own data centre to entries of others. Each linked agent gets those of its data centre: one that has joined through an entry of another
+// data centre learns in no other way of an entry of its own that joins later.
 func (m *Mesh) sendMemberNews() {
 	m.mu.Lock()
 	news := m.memberNews
 	m.memberNews = nil
 	m.mu.Unlock()
-	var own []message.Member
+	byDataCentre := map[string][]message.Member{}
 	for _, member := range news {
-		if member.DataCentre == m.cfg.Self.DataCentre {
-			own = append(own, member)
-		}
+		byDataCentre[member.DataCentre] = append(byDataCentre[member.DataCentre], member)
 	}
 	m.broadcast(&message.Members{Members: news}, m.isLocalEntry)
-	if len(own) > 0 {
-		m.broadcast(&message.Members{Members: own}, func(p *peer) bool { return isAgent(p) || m.isRemoteEntry(p) })
+	if own := byDataCentre[m.cfg.Self.DataCentre]; len(own) > 0 {
+		m.broadcast(&message.Members{Members: own}, m.isRemoteEntry)
+	}
+	for dataCentre, members := range byDataCentre {
+		m.broadcast(&message.Members{Members: members}, func(p *peer) bool { return isAgent(p) && p.hello.DataCentre == dataCentre })
 	}
 }
 
