directpath: announcements of entries are written by compare-and-swap

Callers see nothing; an operator would see an entry that serves and is missing from the keys under pimentohead/entries/, so that a node which starts without links does not find it.

The announcement was written without a condition, under a lease that was granted for each try. The store may carry out a write that got no answer seconds later. One of the entry's previous process, or of an earlier try, then replaced the newer one: the key named the previous process and was bound to a lease that nobody renews, and vanished at its end, while the entry went on renewing the lease of its own write.

Writes are now conditional on the revision at which the key was last seen, 0 at first, so that a late one fails. The usual case still takes one grant and one write. After a conflict the entry writes on the condition that the key does not exist, which a restore of the store usually makes true, and else reads the key. A try that failed leaves its lease to the next one, which saves a grant and makes the two writes equal: if the first one was carried out, the next one finds that. A process that still drains does not replace the announcement of its successor.

The model of TestBurstOfCallsAfterARestore now refuses writes whose condition does not hold, and its copy lacks all announcements; its bounds are unchanged.

--- a/internal/directpath/registry_test.go
+++ b/internal/directpath/registry_test.go
@@ -44,7 +44,7 @@
 	s.Restore(copied)
 	after, err := other.putAnnouncement(ctx)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(after.lease).To(Equal(before.lease), "the restored store gives out the ID again")
+	g.Expect(after.id).To(Equal(before.id), "the restored store gives out the ID again")
 	g.Expect(stopping.removeAnnouncement(ctx, before)).To(Succeed())
 	g.Expect(s.Keys(entriesPrefix)).To(Equal([]string{entriesPrefix + "other"}))
 	g.Expect(other.removeAnnouncement(ctx, after)).To(Succeed())
@@ -130,7 +130,7 @@
 	before := s.Calls()
 	current, err := r.putAnnouncement(ctx)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(int64(current.lease)).To(Equal(s.LeaseOf(entriesPrefix + "a")))
+	g.Expect(int64(current.id)).To(Equal(s.LeaseOf(entriesPrefix + "a")))
 	g.Expect(current.era).To(Equal(int64(2)))
 	g.Expect(s.Calls() - before).To(BeNumerically("<=", 3))
 }
--- a/internal/directpath/restore_burst_test.go
+++ b/internal/directpath/restore_burst_test.go
@@ -79,15 +79,20 @@
 	reads, writes callCounter
 	// announcedAt is the time of the last announcement in each era.
 	announcedAt map[int64]time.Time
+	// revision is that of the last write, keys maps each announced key to its revision.
+	revision int64
+	keys     map[string]int64
 }
 
-// setDown makes the store go away, or come back in the next era.
+// setDown makes the store go away, or come back in the next era from a copy that has no announcement, which conflicts with what all entries
+// know of it.
 func (s *countedStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
 	if !down {
 		s.era++
+		s.keys = map[string]int64{}
 	}
 }
 
@@ -146,15 +151,41 @@
 	return store.LeaseID(c.server.lastID), nil
 }
 
-func (c *countedClient) Txn(context.Context, store.Txn) (store.TxnResult, error) {
+func (c *countedClient) Get(_ context.Context, key string) (store.KV, error) {
+	era, err := c.call(&c.server.reads)
+	if err != nil {
+		return store.KV{}, err
+	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.server.keys[key] == 0 {
+		return store.KV{}, errors.Wrap(store.ErrNotFound, key)
+	}
+	return store.KV{Key: key, ModRevision: c.server.keys[key], Era: era}, nil
+}
+
+func (c *countedClient) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
 	era, err := c.call(&c.server.writes)
 	if err != nil {
 		return store.TxnResult{}, err
 	}
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.server.announcedAt[era] = time.Now()
-	return store.TxnResult{Succeeded: true, Revision: 5}, nil
+	for _, condition := range txn.If {
+		if c.server.keys[condition.Key] != condition.Revision {
+			return store.TxnResult{}, nil
+		}
+	}
+	c.server.revision++
+	for _, op := range txn.Then {
+		if op.Put != nil {
+			c.server.keys[op.Put.Key] = c.server.revision
+			c.server.announcedAt[era] = time.Now()
+		} else {
+			delete(c.server.keys, op.Delete.Key)
+		}
+	}
+	return store.TxnResult{Succeeded: true, Revision: c.server.revision}, nil
 }
 
 func (c *countedClient) List(_ context.Context, prefix string) (store.Listing, error) {
@@ -289,7 +320,7 @@
 				g := NewWithT(t)
 				rng := rand.New(rand.NewPCG(1, 1))
 				server := &countedStore{era: 1, reads: callCounter{limit: burstReadsPerS}, writes: callCounter{limit: burstWritesPerS},
-					announcedAt: map[int64]time.Time{}}
+					announcedAt: map[int64]time.Time{}, keys: map[string]int64{}}
 				ctx, cancel := context.WithCancel(context.Background())
 				var wg sync.WaitGroup
 				entries := newBurstEntries(server, rng)
@@ -319,6 +350,7 @@
 				g.Expect(server.reads.refused).To(BeNumerically("<", burstReadsPerS/2))
 				g.Expect(knownAfter).To(BeNumerically("<", 2*time.Second))
 				g.Expect(announcedAfter).To(BeNumerically("<", 20*time.Second))
+				g.Expect(server.keys).To(HaveLen(burstEntries))
 			})
 		})
 	}
--- a/internal/directpath/verdicts.go
+++ b/internal/directpath/verdicts.go
@@ -59,19 +59,27 @@
 	}
 }
 
-// put writes a verdict under a lease of poison.Retention and records the era of the store in which it is stored.
+// put writes a verdict under a lease of poison.Retention and records the era of the store in which it is stored. The write needs no condition:
+// the value follows from the key, so that one that the store carries out late changes nothing but the lease, to one granted shortly before.
 func (w *verdictWriter) put(ctx context.Context, v poison.Verdict) error {
 	value, err := json.Marshal(storedVerdict{Subjects: v.Subjects})
 	if err != nil {
 		return errors.Wrap(err, "directpath: encode verdict")
 	}
 	hash := sha256.Sum256([]byte(v.Key()))
-	stored, err := putLeased(ctx, w.store, w.state, verdictsPrefix+hex.EncodeToString(hash[:8]), value, poison.Retention)
+	held, err := grantLease(ctx, w.store, w.state, poison.Retention)
 	if err != nil {
 		return err
 	}
-	w.log.Info("verdict stored", "subjects", v.Key(), "era", stored.era, "again", w.ledger.IsStored(v, 0))
-	w.ledger.Merge(&message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: v.Subjects, Era: stored.era}}})
+	key := verdictsPrefix + hex.EncodeToString(hash[:8])
+	if _, err := w.store.Txn(ctx, store.Txn{Then: []store.Op{{Put: &store.Put{Key: key, Value: value, Lease: held.id}}}}); err != nil {
+		return err
+	}
+	if err := held.check(w.store, w.state); err != nil {
+		return err
+	}
+	w.log.Info("verdict stored", "subjects", v.Key(), "era", held.era, "again", w.ledger.IsStored(v, 0))
+	w.ledger.Merge(&message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: v.Subjects, Era: held.era}}})
 	return nil
 }
 
