order: a claim whose release got no answer is not taken over

A caller that repeats an order which was not started, at the same agent, could have it run twice.

The claim of an order that was not started is released in the store. While that was pending, a repeat at the same ledger took the claim over and ran, also if the release had been sent and got no answer. The release had then taken effect, or took effect seconds later, and deleted the claim of the order that ran: a repeat at another agent claimed the key again and ran.

A claim is now taken over only if no release of it was sent. Otherwise the repeat waits until the release is done and makes a new claim, or is refused as before while the store is down.

--- a/internal/order/group.go
+++ b/internal/order/group.go
@@ -117,6 +117,7 @@
 			c.lease = 0
 		}
 		if c.state != stateClaiming {
+			c.releaseSent = c.releaseSent || c.state == stateReleasing && !noEffect
 			l.pendingWrites = append(l.pendingWrites, c)
 			continue
 		}
--- a/internal/order/ledger.go
+++ b/internal/order/ledger.go
@@ -85,7 +85,9 @@
 	state    claimState
 	// ambiguous is set when a write of the claim had an unknown outcome and may have taken effect.
 	ambiguous bool
-	response  *Response
+	// releaseSent is set when a release was sent and may have been, or may yet be, carried out.
+	releaseSent bool
+	response    *Response
 	// resolved is closed when the claim was granted or will not be. granted and existing are written once, before that. existing
 	// is the record of another claim that holds the key. When neither is set, the claim was refused and Begin returns
 	// ErrUnavailable.
@@ -242,7 +244,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c := l.active[key]; c != nil {
-		if c.state == stateReleasing && !c.committing && c.revision != 0 && c.requestDigest == requestDigest {
+		if c.isReusable(requestDigest) {
 			l.reuse(c)
 			return c, claimReused, nil
 		}
@@ -261,6 +263,12 @@
 	return c, claimNew, nil
 }
 
+// isReusable reports whether the next order with the key may take over the claim: it is in the store, and no release was sent. The caller holds
+// the ledger's mu.
+func (c *Claim) isReusable(requestDigest [sha256.Size]byte) bool {
+	return c.state == stateReleasing && !c.committing && !c.releaseSent && c.revision != 0 && c.requestDigest == requestDigest
+}
+
 // reuse withdraws a release that has not been sent to the store yet, so that the next order with the same key takes over the
 // claim. The caller holds mu.
 func (l *Ledger) reuse(c *Claim) {
--- a/internal/order/ledger_test.go
+++ b/internal/order/ledger_test.go
@@ -28,6 +28,7 @@
 	faultLostAfter        // the outcome is unknown; the call took effect
 	faultLease            // the lease does not exist any more
 	faultCount
+	faultLate = faultCount // the outcome is unknown; the call takes effect with carryOut, if its conditions still hold
 )
 
 // fakeStore is an in-memory store that implements the calls and semantics that the ledger uses.
@@ -38,6 +39,8 @@
 	kvs       map[string]store.KV
 	nextFault func() fault
 	calls     int
+	// late holds the transactions with faultLate.
+	late []store.Txn
 	// restorations counts the calls of restore.
 	restorations uint64
 	// When unblock is not nil, a transaction notifies entered when it arrives and then waits until unblock is closed.
@@ -80,6 +83,9 @@
 		return store.TxnResult{}, store.ErrUnavailable
 	case faultLostBefore:
 		return store.TxnResult{}, store.ErrAmbiguous
+	case faultLate:
+		f.late = append(f.late, txn)
+		return store.TxnResult{}, store.ErrAmbiguous
 	case faultLease:
 		return store.TxnResult{}, store.ErrLeaseNotFound
 	case faultLostAfter:
