order: a claim that is carried out after its release is released again

A caller whose order was refused, or not started, could not send it again: its key stayed claimed for up to 25 h and each repeat got "unknown".

A claim is created on the condition that its key is free. If that call got no answer, the ledger released the claim, or a second try was granted and released. The condition then held again, and the store created the claim when it carried out the first call seconds later. Nobody owned it.

The ledger now releases such a claim once more, 10 s later: one read, in a group with others, and a delete if the claim exists. A repeat at the same ledger meanwhile waits for it or takes the claim over.

--- a/internal/order/commit.go
+++ b/internal/order/commit.go
@@ -32,6 +32,7 @@
 		case <-l.wake:
 		case <-retryTimer:
 		case <-checkTicker.C:
+			l.releaseAgain()
 			l.checkStore(ctx)
 		}
 		claims, writes := l.takeGroup()
--- a/internal/order/group.go
+++ b/internal/order/group.go
@@ -196,6 +196,8 @@
 		// The response or release is in the store, or the key belongs to another claim.
 		if c.state == stateRecording {
 			l.addEnded(c)
+		} else {
+			l.addReleased(c)
 		}
 		l.removeClaim(c)
 	default:
--- a/internal/order/late_test.go
+++ b/internal/order/late_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/pimentohead/pimentohead/internal/order"
@@ -21,6 +22,13 @@
 	f.late = nil
 }
 
+// records returns the number of keys in the store.
+func (f *fakeStore) records() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.kvs)
+}
+
 // setFaultsThenAlways makes the next calls simulate the given faults, one each, and all later calls the last one.
 func (f *fakeStore) setFaultsThenAlways(remaining ...fault) {
 	f.mu.Lock()
@@ -63,3 +71,65 @@
 		})
 	}
 }
+
+// Guards against a repeat that is not answered, runs twice or loses its record because the ledger releases the late claim of an earlier order
+// with the key beside it.
+func TestLateClaimIsReleasedBesideRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newFakeStore()
+		l := startLedger(t, s)
+		l.Release(begin(g, l, "lease").Claim)
+		s.setFaults(faultLate)
+		l.Release(begin(g, l, "k").Claim)
+		g.Expect(l.Flush(ctx)).To(Succeed())
+		s.carryOut()
+		g.Expect(begin(g, l, "k").Verdict).To(Equal(order.Unknown), "the late claim holds the key")
+		runs := 0
+		for range 15 {
+			time.Sleep(time.Second)
+			if repeat := begin(g, l, "k"); repeat.Verdict == order.Run {
+				runs++
+				time.Sleep(3 * time.Second)
+				l.Finish(repeat.Claim, &order.Response{Status: 201})
+			}
+		}
+		g.Expect(runs).To(Equal(1))
+		g.Expect(begin(g, startLedger(t, s), "k").Verdict).To(Equal(order.Replay))
+	})
+}
+
+// Guards against a key that stays claimed until the end of its lease although its order was refused or released: the store carries out the
+// claim after the ledger has released it.
+func TestClaimThatIsCarriedOutAfterItsReleaseIsReleasedAgain(t *testing.T) {
+	for _, granted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFakeStore()
+			l := startLedger(t, s)
+			l.Release(begin(g, l, "lease").Claim) // Makes the ledger obtain its store lease.
+			g.Expect(l.Flush(ctx)).To(Succeed())
+			if granted {
+				s.setFaults(faultLate)
+				l.Release(begin(g, l, "k").Claim)
+			} else {
+				s.setFaultsThenAlways(faultLate, faultLostBefore)
+				_, err := l.Begin(ctx, "caller", "k", bodyDigest)
+				g.Expect(errors.Is(err, order.ErrUnavailable)).To(BeTrue(), "%v", err)
+				s.setFaults()
+			}
+			g.Expect(l.Flush(ctx)).To(Succeed())
+			g.Expect(s.records()).To(BeZero())
+			time.Sleep(6 * time.Second)
+			s.carryOut()
+			g.Expect(s.records()).To(Equal(1))
+			time.Sleep(10 * time.Second)
+			g.Expect(s.records()).To(BeZero())
+			run := begin(g, l, "k")
+			g.Expect(run.Verdict).To(Equal(order.Run))
+			l.Release(run.Claim)
+			g.Expect(l.Flush(ctx)).To(Succeed())
+			g.Expect(begin(g, startLedger(t, s), "k").Verdict).To(Equal(order.Run))
+		})
+	}
+}
--- a/internal/order/ledger.go
+++ b/internal/order/ledger.go
@@ -143,6 +143,8 @@
 	active map[string]*Claim
 	// ended holds the latest claims that ended after their order may have run, oldest first.
 	ended []endedClaim
+	// released holds claims that were released but that the store may still create, oldest first.
+	released []releasedClaim
 	// pendingClaims holds the claims to be created in the store, pendingWrites those with a response or release to be written.
 	pendingClaims []*Claim
 	pendingWrites []*Claim
