rollout: a claim of the lease that is carried out late holds nothing

Operators would see a rollout that grants no permits in a data centre until the lease ends, 10 s by default.

An entry that claims the holder's key and gets no answer reads the key. If there was none, it gave up and left its store lease to end by itself. The store could carry out the claim after the read: the key then belonged to an entry that does not know of it, and no other one could claim it.

The entry now ends the lease in that case, so that the store refuses the late claim, at the price of one call.

TestLateClaimDoesNotHoldTheLease failed before.

--- a/internal/controller/rollout/controller_test.go
+++ b/internal/controller/rollout/controller_test.go
@@ -173,6 +173,20 @@
 	g.Expect(granting).To(BeFalse())
 }
 
+// Guards against a data centre in which no entry can acquire the lease until it ends, because the store carries out a claim of the holder's key
+// after the entry has read that there is none.
+func TestLateClaimDoesNotHoldTheLease(t *testing.T) {
+	g := NewWithT(t)
+	c := newDataCentre(t, "a", newFakeStore(), 1)
+	c.applyConfig(nil)
+	ctl := c.newController("entry-1")
+	c.store.holdTxns = true
+	g.Expect(ctl.lease.acquire(ctxBackground)).To(HaveOccurred())
+	g.Expect(ctl.lease.currentID()).To(BeZero())
+	c.store.carryOut()
+	g.Expect(c.newLeaseHolder("entry-2").lease.currentID()).NotTo(BeZero())
+}
+
 // Guards against permits that expire during a long swap, that stay in force after a pause, or that block a changed target.
 func TestPermitsAreRenewedRevokedAndReplaced(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/controller/rollout/fakes_test.go
+++ b/internal/controller/rollout/fakes_test.go
@@ -26,6 +26,9 @@
 	leases   map[store.LeaseID]time.Time
 	// ambiguousTxns makes each transaction take effect and return ErrAmbiguous.
 	ambiguousTxns bool
+	// holdTxns makes each transaction return ErrAmbiguous and take effect with carryOut, if its conditions still hold. held holds them.
+	holdTxns bool
+	held     []store.Txn
 	// restorations is what Restorations returns.
 	restorations uint64
 }
@@ -95,6 +98,15 @@
 func (s *fakeStore) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.holdTxns {
+		s.held = append(s.held, txn)
+		return store.TxnResult{}, store.ErrAmbiguous
+	}
+	for _, op := range txn.Then {
+		if op.Put != nil && op.Put.Lease != 0 && s.leases[op.Put.Lease].IsZero() {
+			return store.TxnResult{}, store.ErrLeaseNotFound
+		}
+	}
 	result := store.TxnResult{Succeeded: true}
 	for _, c := range txn.If {
 		kv := s.keys[c.Key]
@@ -126,6 +138,15 @@
 	return result, nil
 }
 
+// carryOut ends holdTxns and runs the transactions that it has held.
+func (s *fakeStore) carryOut() {
+	s.holdTxns = false
+	for _, txn := range s.held {
+		_, _ = s.Txn(context.Background(), txn)
+	}
+	s.held = nil
+}
+
 func (s *fakeStore) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/controller/rollout/lease.go
+++ b/internal/controller/rollout/lease.go
@@ -246,9 +246,13 @@
 }
 
 // resolveAmbiguousClaim reads the key to find out whether a write with an unknown outcome took effect. The state of the
-// previous holder was lost with the answer, so the full TakeoverWait applies.
+// previous holder was lost with the answer, so the full TakeoverWait applies. If the key does not exist, it ends the lease, without which the
+// store cannot carry out the write later.
 func (l *lease) resolveAmbiguousClaim(ctx context.Context, id store.LeaseID, sentAt time.Time) error {
 	kv, err := l.cfg.Store.Get(ctx, l.key)
+	if errors.Is(err, store.ErrNotFound) {
+		err = errors.CombineErrors(err, l.cfg.Store.Revoke(ctx, id))
+	}
 	if err != nil {
 		return errors.Wrap(err, "rollout: read holder key after an ambiguous write")
 	}
