--- a/internal/directpath/verdicts_test.go
+++ b/internal/directpath/verdicts_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
@@ -67,3 +68,30 @@
 	time.Sleep(verdictCheckInterval + 200*time.Millisecond)
 	g.Expect(s.Calls()).To(Equal(before), "it is stored once")
 }
+
+// Guards against a verdict that is changed or lost because the store carries out its first write, which got no answer, after the second one.
+func TestLateWriteOfAVerdictChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	s := standin.NewStore()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	r := newRegistry("a", strings.TrimPrefix(server.URL, "http://"))
+	late := &lateStore{Store: r.store, hold: 1}
+	writer := &verdictWriter{store: late, state: r.state, ledger: poison.New(nil), log: logr.Discard()}
+	verdict := poison.Verdict{Subjects: []string{"deadly"}}
+	g.Expect(errors.Is(writer.put(t.Context(), verdict), store.ErrAmbiguous)).To(BeTrue())
+	g.Expect(writer.put(t.Context(), verdict)).To(Succeed())
+	keys := s.Keys(verdictsPrefix)
+	g.Expect(keys).To(HaveLen(1))
+	before, err := r.store.Get(t.Context(), keys[0])
+	g.Expect(err).NotTo(HaveOccurred())
+
+	late.carryOut(g)
+
+	after, err := r.store.Get(t.Context(), keys[0])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(after.Value).To(Equal(before.Value))
+	ttl, err := r.store.KeepAlive(t.Context(), after.Lease)
+	g.Expect(err).NotTo(HaveOccurred(), "the lease of the first write runs")
+	g.Expect(ttl).To(BeNumerically(">", 0))
+}
