directpath: an entry that starts replaces its previous announcement

An operator would see an entry without an announcement for up to 2 min.

If the clock of a machine is set back and the entry then restarts, its previous process seems to be a later one, and the entry waited until that one's lease had ended.

A process that has not announced itself yet is now the latest one. The one whose announcement it replaces is remembered as its predecessor, as a restore of the store may bring that back.

TestProcessThatStartsReplacesItsPredecessorWhateverTheClock failed before.

--- a/internal/directpath/announcement.go
+++ b/internal/directpath/announcement.go
@@ -46,6 +46,10 @@
 	// revision is that of the store at which the key was last seen to change, 0 if it is not known to exist. A write is conditional on it,
 	// so that one which the store carries out late does not replace a newer one.
 	revision int64
+	// written is set once this process has announced itself. replaced is the incarnation of the last other process whose announcement it
+	// has replaced, 0 if there was none.
+	written  bool
+	replaced uint64
 	// unused is a lease under which no write of the key was acknowledged. The next attempt uses it again.
 	unused heldLease
 }
@@ -142,7 +146,7 @@
 			return leasedKey{}, err
 		}
 		if written {
-			r.announced.unused = heldLease{}
+			r.announced.unused, r.announced.written = heldLease{}, true
 			return leasedKey{heldLease: lease, revision: r.announced.revision}, nil
 		}
 	}
@@ -198,13 +202,22 @@
 	if err != nil {
 		return false, err
 	}
-	if stored, err := decodeAnnouncement(kv); err == nil && stored.Incarnation > r.self.Incarnation {
-		return false, errors.Wrapf(errSuperseded, "incarnation %d at %s", stored.Incarnation, stored.Address)
+	if stored, err := decodeAnnouncement(kv); err == nil && stored.Incarnation != r.self.Incarnation {
+		if r.isSuccessor(stored) {
+			return false, errors.Wrapf(errSuperseded, "incarnation %d at %s", stored.Incarnation, stored.Address)
+		}
+		r.announced.replaced = stored.Incarnation
 	}
 	r.announced.revision = kv.ModRevision
 	return kv.Lease == lease.id && bytes.Equal(kv.Value, value), nil
 }
 
+// isSuccessor reports whether an announcement is that of a later process of this entry. A process that has just started is the latest one. After
+// that, incarnations tell, which are times of day: the predecessor may have a later one if the clock was set back.
+func (r *registry) isSuccessor(stored message.Member) bool {
+	return r.announced.written && stored.Incarnation > r.self.Incarnation && stored.Incarnation != r.announced.replaced
+}
+
 // removeAnnouncement removes an announcement unless it has been replaced. It does not revoke the lease, which may belong to another node after
 // a restore of the store that this node has not heard of.
 func (r *registry) removeAnnouncement(ctx context.Context, current leasedKey) error {
--- a/internal/directpath/announcement_test.go
+++ b/internal/directpath/announcement_test.go
@@ -211,3 +211,24 @@
 	g.Expect(f.Calls() - before).To(Equal(2))
 	g.Expect(f.lease()).To(Equal(current.id))
 }
+
+// Guards against an entry that is not announced because the clock of its machine was set back before it started, so that its previous process
+// seems to be a later one.
+func TestProcessThatStartsReplacesItsPredecessorWhateverTheClock(t *testing.T) {
+	g := NewWithT(t)
+	f := newAnnouncementFixture(t)
+	previous, _ := f.process(time.Minute)
+	_, err := previous.putAnnouncement(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	copied := f.Copy()
+	r, _ := f.process(0)
+	current, err := r.putAnnouncement(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.incarnation(g, r)).To(Equal(r.self.Incarnation))
+	g.Expect(f.lease()).To(Equal(current.id))
+	f.Restore(copied)
+	r.state.ObserveEra(2)
+	_, err = r.putAnnouncement(t.Context())
+	g.Expect(err).NotTo(HaveOccurred(), "the copy has the announcement of the previous process")
+	g.Expect(f.incarnation(g, r)).To(Equal(r.self.Incarnation))
+}
