poison: a disproved verdict is not taken over from the store again

Callers with sound requests got "refused" for up to 10 min at all entries.

A verdict is dropped when all that it names was answered after it, but the store keeps it until its lease ends. An entry that restarted, or had no links, listed it and told the others, which took it over as a new one: the answers seemed older than the verdict, whose age the store does not say.

Entries now remember which stored verdicts were disproved, for as long as the store may have them. New crashes that lead to the same verdict end that. The entry that has restarted still refuses; see decision 0018.

TestDisprovedVerdictIsNotTakenOverFromTheStore failed before.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -85,9 +85,11 @@
 	// lastCrash maps the subjects of crashes to the time of the newest crash that involved them.
 	lastCrash map[string]time.Time
 	// stored maps the keys of verdicts that were read from durable storage to their ends.
-	stored    map[string]storedVerdict
-	observers []func(*message.CrashEvidence)
-	onVerdict []func([]Verdict)
+	stored map[string]storedVerdict
+	// disprovedAt maps the keys of verdicts from durable storage, which still has them, to the times at which answers disproved them.
+	disprovedAt map[string]time.Time
+	observers   []func(*message.CrashEvidence)
+	onVerdict   []func([]Verdict)
 }
 
 // storedVerdict is a verdict that was reached by entries that may all have been restarted since.
@@ -108,7 +110,7 @@
 		panic(err) // The size is a positive constant.
 	}
 	l := &Ledger{now: now, origin: rand.Uint64() | 1, crashes: map[process]*crash{}, cleared: cleared, lastCrash: map[string]time.Time{},
-		stored: map[string]storedVerdict{}}
+		stored: map[string]storedVerdict{}, disprovedAt: map[string]time.Time{}}
 	l.current.Store(&verdictSet{})
 	return l
 }
@@ -262,8 +264,8 @@
 	return received.Origin != 0 || !ok
 }
 
-// addStored adds a verdict from durable storage and reports whether it was new, or known to be stored in an earlier era only. The caller holds
-// mu.
+// addStored adds a verdict from durable storage, unless it was disproved, and reports whether it was new, or known to be stored in an earlier
+// era only. The caller holds mu.
 func (l *Ledger) addStored(v message.PoisonVerdict, now time.Time) bool {
 	age := time.Duration(max(v.AgeMillis, 0)) * time.Millisecond
 	if len(v.Subjects) == 0 || len(v.Subjects) > maxSubjects || age >= Retention || len(l.stored) >= maxCrashes {
@@ -276,6 +278,9 @@
 		l.stored[verdict.Key()] = known
 		return isNewer
 	}
+	if at, disproved := l.disprovedAt[verdict.Key()]; disproved && now.Sub(at) < Retention {
+		return false
+	}
 	l.stored[verdict.Key()] = storedVerdict{verdict: verdict, until: now.Add(Retention - age), era: v.Era}
 	return true
 }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -281,3 +281,36 @@
 	}
 	g.Expect(len(l.Export().Crashes)).To(BeNumerically("<=", 256))
 }
+
+// Guards against sound requests that all entries refuse again because one entry that has restarted reads from the store a verdict that the
+// others know to be disproved by an answer, and tells them.
+func TestDisprovedVerdictIsNotTakenOverFromTheStore(t *testing.T) {
+	g := NewWithT(t)
+	l, clock := newLedger()
+	shared := parts("", "sound")[:1]
+	stored := &message.CrashEvidence{Verdicts: []message.PoisonVerdict{{Subjects: shared, Era: 1}}}
+	l.Merge(stored)
+	g.Expect(l.Verdicts()).To(HaveLen(1))
+	clock.advance(time.Second)
+	l.Clear(shared)
+	g.Expect(l.Verdicts()).To(BeEmpty())
+	clock.advance(time.Second)
+
+	l.Merge(stored)
+
+	g.Expect(l.Verdicts()).To(BeEmpty())
+	g.Expect(l.Export()).To(BeNil())
+	clock.advance(poison.Retention)
+	l.Merge(stored)
+	g.Expect(l.Verdicts()).To(HaveLen(1), "a later verdict is taken over")
+	clock.advance(time.Second)
+	l.Clear(shared)
+	for i := range 5 { // New crashes reach the verdict again, and it counts as stored.
+		clock.advance(time.Second)
+		l.Record(crashed(fmt.Sprint("u", i), fmt.Sprint("r", i), "sound"))
+	}
+	g.Expect(l.Verdicts()).To(HaveLen(1))
+	verdict := l.Verdicts()[0]
+	l.Merge(stored)
+	g.Expect(l.IsStored(verdict, 1)).To(BeTrue())
+}
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -95,6 +96,23 @@
 	return true
 }
 
+// dropDisproved drops stored verdicts that have ended or were disproved. It remembers the disproved ones until storage drops them too, or until
+// evidence leads to the same verdict again. The caller holds mu.
+func (l *Ledger) dropDisproved(verdicts []Verdict, now time.Time) {
+	for key, s := range l.stored {
+		isDisproved := l.disproved(s)
+		if isDisproved {
+			l.disprovedAt[key] = now
+		}
+		if isDisproved || !now.Before(s.until) {
+			delete(l.stored, key)
+		}
+	}
+	maps.DeleteFunc(l.disprovedAt, func(key string, at time.Time) bool {
+		return now.Sub(at) >= Retention || slices.ContainsFunc(verdicts, func(v Verdict) bool { return v.Key() == key })
+	})
+}
+
 // evaluate derives the verdicts from the evidence. The caller holds mu.
 func (l *Ledger) evaluate(now time.Time) {
 	counts := l.countCrashes(now)
@@ -110,11 +128,8 @@
 			counts.explain(found)
 		}
 	}
+	l.dropDisproved(verdicts, now)
 	for key, s := range l.stored {
-		if !now.Before(s.until) || l.disproved(s) {
-			delete(l.stored, key)
-			continue
-		}
 		if !slices.ContainsFunc(verdicts, func(v Verdict) bool { return v.Key() == key }) {
 			verdicts = append(verdicts, s.verdict)
 		}
