--- a/internal/order/group.go
+++ b/internal/order/group.go
@@ -117,6 +117,7 @@
 			c.lease = 0
 		}
 		if c.state != stateClaiming {
+			c.releaseSent = c.releaseSent || c.state == stateReleasing && !noEffect
 			l.pendingWrites = append(l.pendingWrites, c)
 			continue
 		}
@@ -195,6 +196,8 @@
 		// The response or release is in the store, or the key belongs to another claim.
 		if c.state == stateRecording {
 			l.addEnded(c)
+		} else {
+			l.addReleased(c)
 		}
 		l.removeClaim(c)
 	default:
