fleet: subscribers are woken when the store has been restored

A checkpoint that a restore of the store had lost was stored again up to a second later, when the writer looked for it. If all nodes stopped in that time, they took an older document for the newest one.

TestCheckpointsAreStoredAgainAfterARestore, which now allows 0.1 s in place of 2 s, failed before (versions 2 and 0 instead of 3 and 7) and passes now, with -race too.

--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -215,6 +215,11 @@
 			observer(c)
 		}
 	}
+	s.wakeSubscribers()
+}
+
+// wakeSubscribers sends a value to each subscriber that has received the last one. The caller holds mu.
+func (s *State) wakeSubscribers() {
 	for _, ch := range s.subscribers {
 		select {
 		case ch <- struct{}{}:
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -51,10 +51,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	restored := s.eraKnown && era > s.era
+	s.era, s.eraKnown = max(s.era, era), true
 	if restored {
 		s.restoredAt = s.now()
+		s.wakeSubscribers() // What is recorded as stored may be lost.
 	}
-	s.era, s.eraKnown = max(s.era, era), true
 	return restored
 }
 
