checkpoint: no revision of an earlier era of the store is compared

A checkpoint could go back after a restore of the store, if an entry that had heard of it from other nodes only wrote at a revision that the restored store had given out again, to a newer checkpoint of another entry.

Known revisions are dropped when the highest era changes that the entry knows, from its own calls or from other nodes. TestRevisionOfAnEarlierEraIsNotCompared failed before (version 3 in place of 4) and passes now, with -race too.

--- a/internal/controller/checkpoint/checkpoint_test.go
+++ b/internal/controller/checkpoint/checkpoint_test.go
@@ -368,7 +368,7 @@
 		written, _ := m.get(versionKey)
 		m.restore(map[string]store.KV{versionKey: copied})
 		state.ObserveEra(2)
-		time.Sleep(2 * time.Second)
+		time.Sleep(writeTime)
 		version, config := stored(t, m)
 		g.Expect([]int64{version, config}).To(Equal([]int64{3, 7}))
 
@@ -382,6 +382,50 @@
 	})
 }
 
+// lateEra is a store client that learns the era of the store from its own calls only.
+type lateEra struct {
+	*memoryStore
+	known int64
+}
+
+func (s *lateEra) Era() int64 { return s.known }
+
+func (s *lateEra) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	defer func() { s.known = s.memoryStore.Era() }()
+	return s.memoryStore.Txn(ctx, txn)
+}
+
+func (s *lateEra) Get(ctx context.Context, key string) (store.KV, error) {
+	defer func() { s.known = s.memoryStore.Era() }()
+	return s.memoryStore.Get(ctx, key)
+}
+
+// Guards against a checkpoint that goes back because an entry that has heard of a restore from other nodes only compares with a revision of the
+// earlier era, at which another entry has stored a newer document since.
+func TestRevisionOfAnEarlierEraIsNotCompared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m, state := newMemoryStore(), fleet.NewState(nil)
+		state.ObserveEra(1)
+		w := checkpoint.NewWriter(checkpoint.WriterConfig{Store: &lateEra{memoryStore: m, known: 1}, Prefix: prefix, State: state,
+			Log: logr.Discard(), Position: func(string) (int, bool) { return 0, true }})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); w.Run(ctx) }()
+		t.Cleanup(func() { cancel(); <-done })
+		name(state, 2)
+		time.Sleep(writeTime)
+		newer, _ := m.get(versionKey)
+		newer.Value = []byte(`{"model":"m","version":4}`)
+		m.restore(map[string]store.KV{versionKey: newer})
+		state.ObserveEra(2)
+		name(state, 3)
+		time.Sleep(2 * time.Second)
+		version, _ := stored(t, m)
+		g.Expect(version).To(Equal(int64(4)))
+	})
+}
+
 // Guards against calls without a pause while the store refuses them, and against a document that is not stored once the store is back.
 func TestFailedWritesAreRetriedWithPauses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/controller/checkpoint/writer.go
+++ b/internal/controller/checkpoint/writer.go
@@ -153,9 +153,9 @@
 	}
 	for range maxConflicts {
 		era, knownEra := w.Store.Era(), w.State.Era()
-		if era != w.revisionsEra {
+		if newest := max(era, knownEra); newest != w.revisionsEra {
 			clear(w.revisions)
-			w.revisionsEra = era
+			w.revisionsEra = newest
 		}
 		result, err := w.Store.Txn(ctx, store.Txn{
 			If:   []store.Compare{{Key: d.key, Target: store.CompareMod, Revision: w.revisions[d.key]}},
