checkpoint: the store of the tests has a file of its own

checkpoint_test.go held 130 lines of a store before the first test, the name of the function "name" did not say what it names, and one test started a writer in its own way.

--- a/internal/controller/checkpoint/checkpoint_test.go
+++ b/internal/controller/checkpoint/checkpoint_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,160 +24,10 @@
 	writeTime = 100 * time.Millisecond
 )
 
-// memoryStore is a store in memory that supports what checkpoints need.
-type memoryStore struct {
-	store.Store // Methods that are not implemented panic.
-
-	mu       sync.Mutex
-	era      int64
-	revision int64
-	keys     map[string]store.KV
-	// writes counts transactions, calls all calls.
-	writes, calls int
-	// failing makes all calls fail. lateBy makes the next transaction get no response; it is carried out after that time.
-	failing bool
-	lateBy  time.Duration
-}
-
-func newMemoryStore() *memoryStore {
-	return &memoryStore{era: 1, revision: 1, keys: map[string]store.KV{}}
-}
-
-func (m *memoryStore) Era() int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.era
-}
-
-// restore begins a new era in which the store holds the given keys only.
-func (m *memoryStore) restore(keys map[string]store.KV) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.era++
-	m.keys = map[string]store.KV{}
-	for key, kv := range keys {
-		kv.Era = m.era
-		m.keys[key] = kv
-	}
-}
-
-func (m *memoryStore) get(key string) (store.KV, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	kv, ok := m.keys[key]
-	return kv, ok
-}
-
-func (m *memoryStore) put(key string, value []byte) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.set(key, value)
-}
-
-// set writes a key. The caller holds mu.
-func (m *memoryStore) set(key string, value []byte) {
-	m.revision++
-	m.keys[key] = store.KV{Key: key, Value: value, ModRevision: m.revision, Era: m.era}
-}
-
-func (m *memoryStore) Get(_ context.Context, key string) (store.KV, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.calls++
-	kv, ok := m.keys[key]
-	if m.failing {
-		return kv, errors.WithStack(store.ErrUnavailable)
-	}
-	if !ok {
-		return kv, errors.WithStack(store.ErrNotFound)
-	}
-	return kv, nil
-}
-
-// List returns the keys in descending order, as no order is promised.
-func (m *memoryStore) List(_ context.Context, keyPrefix string) (store.Listing, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.calls++
-	if m.failing {
-		return store.Listing{}, errors.WithStack(store.ErrUnavailable)
-	}
-	listing := store.Listing{Cursor: store.Cursor{Era: m.era, Revision: m.revision}}
-	for key, kv := range m.keys {
-		if strings.HasPrefix(key, keyPrefix) {
-			listing.KVs = append(listing.KVs, kv)
-		}
-	}
-	slices.SortFunc(listing.KVs, func(a, b store.KV) int { return strings.Compare(b.Key, a.Key) })
-	return listing, nil
-}
-
-func (m *memoryStore) Poll(context.Context, string, store.Cursor, time.Duration) ([]store.Event, store.Cursor, error) {
-	panic("not used")
-}
-
-func (m *memoryStore) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.calls, m.writes = m.calls+1, m.writes+1
-	switch {
-	case m.failing:
-		return store.TxnResult{}, errors.WithStack(store.ErrUnavailable)
-	case m.lateBy > 0:
-		time.AfterFunc(m.lateBy, func() {
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			m.run(txn)
-		})
-		m.lateBy = 0
-		return store.TxnResult{}, errors.WithStack(store.ErrAmbiguous)
-	}
-	return m.run(txn), nil
-}
-
-// run carries out a transaction. The caller holds mu.
-func (m *memoryStore) run(txn store.Txn) store.TxnResult {
-	for _, c := range txn.If {
-		if m.keys[c.Key].ModRevision != c.Revision {
-			return store.TxnResult{}
-		}
-	}
-	for _, op := range txn.Then {
-		m.set(op.Put.Key, op.Put.Value)
-	}
-	return store.TxnResult{Succeeded: true, Revision: m.revision}
-}
-
-// writeCount returns the number of transactions.
-func (m *memoryStore) writeCount() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.writes
-}
-
-// callCount returns the number of all calls.
-func (m *memoryStore) callCount() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.calls
-}
-
-// delayNext makes the next transaction get no response, and be carried out after the given time.
-func (m *memoryStore) delayNext(by time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lateBy = by
-}
-
-func (m *memoryStore) setFailing(failing bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.failing = failing
-}
-
-// startWriter runs the writer of an entry with a position among the entries until the end of the test.
-func startWriter(t *testing.T, m *memoryStore, state *fleet.State, position int) {
-	w := checkpoint.NewWriter(checkpoint.WriterConfig{Store: m, Prefix: prefix, State: state, Log: logr.Discard(),
+// startWriter runs the writer of an entry until the end of the test. The position is that of the entry for all keys; a negative one means that the
+// entry leaves the keys to others.
+func startWriter(t *testing.T, s checkpoint.Store, state *fleet.State, position int) {
+	w := checkpoint.NewWriter(checkpoint.WriterConfig{Store: s, Prefix: prefix, State: state, Log: logr.Discard(),
 		Position: func(string) (int, bool) { return position, position >= 0 }, AssumedAge: 5 * time.Second})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -188,8 +35,8 @@
 	t.Cleanup(func() { cancel(); <-done })
 }
 
-// name merges the naming of a version of model m into a state, as a node does that sees it.
-func name(s *fleet.State, version int64) {
+// nameVersion merges the naming of a version of model m into a state, as a node does that sees it.
+func nameVersion(s *fleet.State, version int64) {
 	s.ApplyVersion(fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: "m", Version: version}, NamedAt: time.Now()})
 }
 
@@ -212,11 +59,11 @@
 		g := NewWithT(t)
 		m, state := newMemoryStore(), fleet.NewState(nil)
 		startWriter(t, m, state, 0)
-		name(state, 2)
+		nameVersion(state, 2)
 		config := &catalog.Config{Version: 7, Routes: []catalog.Route{{Name: "r", Host: "h.example", Prefix: "/x/", Timeout: time.Second}}}
 		state.ApplyConfig(config, 1)
 		time.Sleep(writeTime)
-		name(state, 3)
+		nameVersion(state, 3)
 		time.Sleep(writeTime)
 		g.Expect(m.writeCount()).To(Equal(3))
 		read := fleet.NewState(nil)
@@ -243,9 +90,9 @@
 		m, state := newMemoryStore(), fleet.NewState(nil)
 		startWriter(t, m, state, 0)
 		m.delayNext(3 * time.Second)
-		name(state, 2)
+		nameVersion(state, 2)
 		time.Sleep(writeTime)
-		name(state, 3)
+		nameVersion(state, 3)
 		time.Sleep(time.Second)
 		version, _ := stored(t, m)
 		g.Expect(version).To(Equal(int64(3)))
@@ -254,7 +101,7 @@
 		g.Expect(version).To(Equal(int64(3)))
 
 		behind := fleet.NewState(nil)
-		name(behind, 2)
+		nameVersion(behind, 2)
 		startWriter(t, m, behind, 0)
 		time.Sleep(writeTime)
 		version, _ = stored(t, m)
@@ -290,7 +137,7 @@
 		leaving := fleet.NewState(nil)
 		startWriter(t, m, leaving, -1)
 		for _, state := range append(states, leaving) {
-			name(state, 2)
+			nameVersion(state, 2)
 		}
 		time.Sleep(time.Second)
 		g.Expect(m.writeCount()).To(BeZero())
@@ -342,7 +189,7 @@
 		startWriter(t, m, state, 0)
 		merge, err := checkpoint.NewReader(m, prefix, state, logr.Discard()).Read(t.Context())
 		g.Expect(err).NotTo(HaveOccurred())
-		name(state, 3)
+		nameVersion(state, 3)
 		time.Sleep(writeTime)
 		merge(time.Now())
 		time.Sleep(writeTime)
@@ -359,10 +206,10 @@
 		m, state := newMemoryStore(), fleet.NewState(nil)
 		state.ObserveEra(1)
 		startWriter(t, m, state, 0)
-		name(state, 2)
+		nameVersion(state, 2)
 		time.Sleep(writeTime)
 		copied, _ := m.get(versionKey)
-		name(state, 3)
+		nameVersion(state, 3)
 		state.ApplyConfig(&catalog.Config{Version: 7}, 1)
 		time.Sleep(writeTime)
 		written, _ := m.get(versionKey)
@@ -382,24 +229,6 @@
 	})
 }
 
-// lateEra is a store client that learns the era of the store from its own calls only.
-type lateEra struct {
-	*memoryStore
-	known int64
-}
-
-func (s *lateEra) Era() int64 { return s.known }
-
-func (s *lateEra) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
-	defer func() { s.known = s.memoryStore.Era() }()
-	return s.memoryStore.Txn(ctx, txn)
-}
-
-func (s *lateEra) Get(ctx context.Context, key string) (store.KV, error) {
-	defer func() { s.known = s.memoryStore.Era() }()
-	return s.memoryStore.Get(ctx, key)
-}
-
 // Guards against a checkpoint that goes back because an entry that has heard of a restore from other nodes only compares with a revision of the
 // earlier era, at which another entry has stored a newer document since.
 func TestRevisionOfAnEarlierEraIsNotCompared(t *testing.T) {
@@ -407,19 +236,14 @@
 		g := NewWithT(t)
 		m, state := newMemoryStore(), fleet.NewState(nil)
 		state.ObserveEra(1)
-		w := checkpoint.NewWriter(checkpoint.WriterConfig{Store: &lateEra{memoryStore: m, known: 1}, Prefix: prefix, State: state,
-			Log: logr.Discard(), Position: func(string) (int, bool) { return 0, true }})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); w.Run(ctx) }()
-		t.Cleanup(func() { cancel(); <-done })
-		name(state, 2)
+		startWriter(t, &lateEra{memoryStore: m, known: 1}, state, 0)
+		nameVersion(state, 2)
 		time.Sleep(writeTime)
 		newer, _ := m.get(versionKey)
 		newer.Value = []byte(`{"model":"m","version":4}`)
 		m.restore(map[string]store.KV{versionKey: newer})
 		state.ObserveEra(2)
-		name(state, 3)
+		nameVersion(state, 3)
 		time.Sleep(2 * time.Second)
 		version, _ := stored(t, m)
 		g.Expect(version).To(Equal(int64(4)))
@@ -433,7 +257,7 @@
 		m, state := newMemoryStore(), fleet.NewState(nil)
 		startWriter(t, m, state, 0)
 		m.setFailing(true)
-		name(state, 2)
+		nameVersion(state, 2)
 		for version := int64(1); version <= 200; version++ { // Newer documents cause no further attempts.
 			time.Sleep(100 * time.Millisecond)
 			state.ApplyConfig(&catalog.Config{Version: version}, version)
