checkpoint, catalogsync: state of a key, era of revisions and reading of checkpoints stand alone

Hard to read: missingDocument described two times in one sentence, write also kept the revisions of the era, "stored" was a document in one place and a number in the next, and list chose whether checkpoints apply. The comment on applyVersion said that a known version changes nothing, which holds for the newest one only.

--- a/internal/controller/catalogsync/list.go
+++ b/internal/controller/catalogsync/list.go
@@ -13,7 +13,7 @@
 // hasPassed reports whether t is set and has passed.
 func hasPassed(t time.Time) bool { return !t.IsZero() && time.Now().After(t) }
 
-// list reads all documents under the prefix and applies them. It removes upstreams that are not listed, except in the
+// list reads all documents under the prefix, and their checkpoints, and applies them. It removes upstreams that are not listed, except in the
 // reannounce period.
 func (w *watcher) list(ctx context.Context) error {
 	listing, err := w.lister.List(ctx, w.prefix.Name)
@@ -23,11 +23,9 @@
 	if known := w.state.Era(); listing.Cursor.Era < known {
 		return errors.Wrapf(store.ErrUnavailable, "listing of era %d of the store, %d is known", listing.Cursor.Era, known)
 	}
-	mergeCheckpoints := func(time.Time) {}
-	if !w.prefix.HoldsUpstreams && w.readCheckpoints != nil {
-		if mergeCheckpoints, err = w.readCheckpoints(ctx); err != nil {
-			return err
-		}
+	mergeCheckpoints, err := w.checkpoints(ctx)
+	if err != nil {
+		return err
 	}
 	w.recordSuccess()
 	w.observeEra(listing.Cursor)
@@ -56,6 +54,15 @@
 	return nil
 }
 
+// checkpoints reads the checkpoints of the documents under the prefix and returns a function that merges them. It has no effect if the prefix has
+// no checkpoints.
+func (w *watcher) checkpoints(ctx context.Context) (merge func(namedAt time.Time), err error) {
+	if w.prefix.HoldsUpstreams || w.readCheckpoints == nil {
+		return func(time.Time) {}, nil
+	}
+	return w.readCheckpoints(ctx)
+}
+
 // observeEra records the era of a listing. If the store has been restored since the last answer, the reannounce period runs from the time at
 // which this node heard of it, also if that was from another node: the copy lacks the upstreams that have announced themselves after it was made.
 func (w *watcher) observeEra(cursor store.Cursor) {
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -133,8 +133,8 @@
 	return s
 }
 
-// CheckpointReader reads the checkpoints of the operator's documents from the store. It returns a function that merges them into the state; a
-// version is taken for named at the given time.
+// CheckpointReader reads the checkpoints of the operator's documents from the store. It returns a function that merges them into the state and
+// assumes that versions were named at namedAt.
 type CheckpointReader func(ctx context.Context) (merge func(namedAt time.Time), err error)
 
 // WithCheckpoints sets the function that reads the checkpoints, and returns the Syncer. It is called with each listing of a prefix that does
@@ -320,9 +320,9 @@
 	return fleet.UpstreamRecord{}, false
 }
 
-// applyVersion merges the named version that a document of the store holds. A version that is known already changes nothing: the recorded time
-// is at least as reliable. The operator's versions only rise, so that a document with an older one than the newest known is left from an
-// earlier time, see fleet.State.ApplyVersion. It is logged, because only nodes that run know better.
+// applyVersion merges the named version that a document of the store holds. The newest known version is not merged again: its recorded time is
+// at least as reliable. An older one is logged, because a node that starts without a checkpoint would use it: the operator's versions only rise,
+// so that the store has gone back to it.
 func (w *watcher) applyVersion(v catalog.NamedVersion, kv store.KV, named naming) {
 	newest, known := w.state.Snapshot().NewestVersion(v.Model)
 	switch {
--- a/internal/controller/checkpoint/document.go
+++ b/internal/controller/checkpoint/document.go
@@ -4,8 +4,8 @@
 // carried out after a newer one was acknowledged, and a store that is restored from an earlier copy loses the newest writes. Running nodes
 // reject older documents by the operator's numbers, which only rise. Checkpoints are read with the operator's keys, and the higher number counts.
 //
-// Invariant: a checkpoint never goes back within an era of the store, also if a write of a checkpoint is carried out late. Each is written on
-// condition that the key has not changed since it was found to hold a lower number.
+// Invariant: the number of a checkpoint never falls within an era of the store, even if a write of a checkpoint is carried out late. Each write
+// is conditional on the key not having changed since it was found to hold a lower number.
 package checkpoint
 
 import (
@@ -63,7 +63,7 @@
 	return value, errors.Wrap(err, "checkpoint: encode version")
 }
 
-// decode decodes a checkpoint. It returns ErrMalformed for a key or a value that is none.
+// decode decodes a checkpoint. It returns ErrMalformed if the key or the value is not that of a checkpoint.
 func decode(prefix string, kv store.KV) (document, error) {
 	d := document{key: kv.Key}
 	switch name := strings.TrimPrefix(kv.Key, prefix); {
@@ -110,8 +110,8 @@
 	state.ApplyCheckpoint(fleet.CheckpointRecord{Key: d.key, Number: d.number(), Era: era})
 }
 
-// merge merges the document of a stored checkpoint into a state. A version that is new there is taken for named at the given time, as an
-// assumption.
+// merge merges the document of a stored checkpoint into a state. A version that is newer than those in the state is assumed to have been named at
+// namedAt.
 func (d document) merge(state *fleet.State, log logr.Logger, kv store.KV, namedAt time.Time) {
 	switch {
 	case d.config != nil:
--- a/internal/controller/checkpoint/reader.go
+++ b/internal/controller/checkpoint/reader.go
@@ -25,9 +25,9 @@
 }
 
 // Read lists the checkpoints, records in the state that they are stored, and returns a function that merges them. It implements
-// catalogsync.CheckpointReader. The records come first because the operator's documents are merged before the checkpoints, and the Writer would
-// store again what is stored. Checkpoints that cannot be decoded are logged and skipped. Read returns ErrUnavailable if the store cannot be read,
-// or answers from an era that is over.
+// catalogsync.CheckpointReader. Read itself records them because the operator's documents are merged before the returned function is called: without
+// the records, the Writer would store those documents again. Checkpoints that cannot be decoded are logged and skipped. Read returns ErrUnavailable
+// if the listing is of an earlier era than the state knows, and the error of the store if it cannot be read.
 func (r *Reader) Read(ctx context.Context) (merge func(namedAt time.Time), err error) {
 	listing, err := r.lister.List(ctx, r.prefix)
 	if err != nil {
--- a/internal/controller/checkpoint/writer.go
+++ b/internal/controller/checkpoint/writer.go
@@ -38,12 +38,12 @@
 	Prefix string
 	// State holds the documents, and records which checkpoints are stored.
 	State *fleet.State
-	// Position returns how many linked entries rank higher for a key, and false if this entry leaves the key to others.
+	// Position returns how many linked hubs rank higher for a key, and false if this entry leaves the key to others, see mesh.Mesh.Position.
 	Position func(key string) (int, bool)
 	Log      logr.Logger
 	// StartWait is the time after the start in which nothing is written: entries that are not linked yet all rank first. Default 0.
 	StartWait time.Duration
-	// AssumedAge is the age that a version which was missed by this node is assumed to have when its checkpoint is read. Default 0.
+	// AssumedAge is the assumed age of a version that this node learns of from its checkpoint only. Default 0.
 	AssumedAge time.Duration
 }
 
@@ -51,21 +51,21 @@
 // key writes it. The others do so in the order of their ranks, takeoverDelay apart, until they hear that it is stored.
 type Writer struct {
 	WriterConfig
-	// missing holds the documents that are not known to be stored, by key.
+	// missing holds the state of the keys of which the newest document is not known to be stored.
 	missing map[string]missingDocument
-	// revisions holds the revision of the store at which a key was last found to be written, 0 if it did not exist. They are those of
-	// revisionsEra: a restored store gives out revisions again.
+	// revisions holds the revision of the store at which a key was last found to be written, 0 if it did not exist, all in revisionsEra.
 	revisions    map[string]int64
 	revisionsEra int64
 }
 
-// missingDocument is a document that is not known to be stored.
+// missingDocument is a key of which the newest document is not known to be stored.
 type missingDocument struct {
-	// since is when it was first found missing, or when an older document of the key was last found to be stored meanwhile. retryAt is the time
-	// before which no other attempt to store it is made.
-	since, retryAt time.Time
+	// since is when a document of the key was first found missing, or when the record of its checkpoint last changed.
+	since time.Time
 	// stored is the record of the checkpoint that was known at since.
 	stored fleet.CheckpointRecord
+	// retryAt is the time before which no other attempt to store the document is made.
+	retryAt time.Time
 	// pause is the pause before the last retry, 0 before the first one.
 	pause time.Duration
 }
@@ -132,7 +132,7 @@
 		return time.Time{}, false
 	}
 	m := w.missing[d.key]
-	// The times hold for newer documents too: they may follow each other so quickly that no other entry would ever take over.
+	// A newer document does not reset the times: with documents that follow each other quickly, no other entry would ever take over.
 	if stored := w.State.Checkpoint(d.key); m.since.IsZero() || m.stored != stored {
 		m.since, m.stored = time.Now(), stored
 		w.missing[d.key] = m
@@ -153,10 +153,7 @@
 	}
 	for range maxConflicts {
 		era, knownEra := w.Store.Era(), w.State.Era()
-		if newest := max(era, knownEra); newest != w.revisionsEra {
-			clear(w.revisions)
-			w.revisionsEra = newest
-		}
+		w.dropRevisionsBefore(max(era, knownEra))
 		result, err := w.Store.Txn(ctx, store.Txn{
 			If:   []store.Compare{{Key: d.key, Target: store.CompareMod, Revision: w.revisions[d.key]}},
 			Then: []store.Op{{Put: &store.Put{Key: d.key, Value: value}}}})
@@ -172,16 +169,24 @@
 			w.Log.Info("checkpoint stored", "key", d.key, "number", d.number(), "era", era, "revision", result.Revision)
 			return nil
 		}
-		stored, err := w.readBack(ctx, d.key)
-		if err != nil || stored >= d.number() {
+		storedNumber, err := w.readBack(ctx, d.key)
+		if err != nil || storedNumber >= d.number() {
 			return err
 		}
 	}
 	return errors.Newf("checkpoint: %s was changed %d times meanwhile", d.key, maxConflicts)
 }
 
-// readBack reads what another writer has stored under a key and merges it into the state. It returns its number, 0 if there is none or if it
-// cannot be decoded, and records the revision.
+// dropRevisionsBefore drops the revisions of an earlier era: a restored store gives them out again.
+func (w *Writer) dropRevisionsBefore(era int64) {
+	if era != w.revisionsEra {
+		clear(w.revisions)
+		w.revisionsEra = era
+	}
+}
+
+// readBack reads what another writer has stored under a key and merges it into the state. It returns the number of the stored document, 0 if there
+// is none or if it cannot be decoded, and records the revision.
 func (w *Writer) readBack(ctx context.Context, key string) (number int64, err error) {
 	kv, err := w.Store.Get(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
