--- a/internal/order/group.go
+++ b/internal/order/group.go
@@ -197,7 +197,7 @@
 		if c.state == stateRecording {
 			l.addEnded(c)
 		} else {
-			l.addReleased(c)
+			l.keepIfAmbiguous(c)
 		}
 		l.removeClaim(c)
 	default:
--- a/internal/order/late.go
+++ b/internal/order/late.go
@@ -5,25 +5,25 @@
 	"time"
 )
 
-// lateWritePeriod is the time after which the store no longer carries out a write that got no answer.
+// lateWritePeriod is the time after which the store is assumed not to carry out a write that got no answer.
 const lateWritePeriod = 10 * time.Second
 
-// releasedClaim is a claim that was released.
+// releasedClaim is a claim that was released although the store may still create it.
 type releasedClaim struct {
 	claim      *Claim
 	releasedAt time.Time
 }
 
-// addReleased keeps a released claim of which a write got no answer: the store may still create it, as its key is free again. The caller holds
-// mu.
-func (l *Ledger) addReleased(c *Claim) {
+// keepIfAmbiguous keeps a released claim of which the creation got no answer: the store may still create it, as its key is free again. The caller
+// holds mu.
+func (l *Ledger) keepIfAmbiguous(c *Claim) {
 	if c.ambiguous && len(l.released) < l.cfg.MaxActive {
 		l.released = append(l.released, releasedClaim{claim: c, releasedAt: time.Now()})
 	}
 }
 
 // releaseAgain queues another release of claims that were released lateWritePeriod ago, so that their keys do not stay claimed by orders that
-// were not started. A key with an active claim waits for the end of that, because a group may contain it once only.
+// were not started. A claim waits while another one of its key is active: a transaction may contain a key only once.
 func (l *Ledger) releaseAgain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/order/late_test.go
+++ b/internal/order/late_test.go
@@ -73,7 +73,7 @@
 }
 
 // Guards against a repeat that is not answered, runs twice or loses its record because the ledger releases the late claim of an earlier order
-// with the key beside it.
+// with the key meanwhile.
 func TestLateClaimIsReleasedBesideRepeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/order/ledger.go
+++ b/internal/order/ledger.go
@@ -85,7 +85,7 @@
 	state    claimState
 	// ambiguous is set when a write of the claim had an unknown outcome and may have taken effect.
 	ambiguous bool
-	// releaseSent is set when a release was sent and may have been, or may yet be, carried out.
+	// releaseSent is set when a release got no answer, so that the store may have carried it out or may still do so.
 	releaseSent bool
 	response    *Response
 	// resolved is closed when the claim was granted or will not be. granted and existing are written once, before that. existing
@@ -265,8 +265,8 @@
 	return c, claimNew, nil
 }
 
-// isReusable reports whether the next order with the key may take over the claim: it is in the store, and no release was sent. The caller holds
-// the ledger's mu.
+// isReusable reports whether the next order with the key may take over the claim: it is in the store, and no release of it
+// was sent. The caller holds the ledger's mu.
 func (c *Claim) isReusable(requestDigest [sha256.Size]byte) bool {
 	return c.state == stateReleasing && !c.committing && !c.releaseSent && c.revision != 0 && c.requestDigest == requestDigest
 }
