--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -88,8 +88,8 @@
 	// lastTarget is the target that was last staged, whether or not that has completed.
 	lastTarget Target
 
-	// keptFrom is the version of the last target that the upstream was kept from. Only reconcile uses it.
-	keptFrom int64
+	// loggedOlder is the version of the target that was last logged as older than the loaded one. Only reconcile uses it.
+	loggedOlder int64
 }
 
 // New returns a Loader for engine. target and publish are called from the goroutines of Run; see the fields of Loader.
@@ -145,15 +145,15 @@
 	}
 }
 
-// keepsNewer reports whether the upstream has loaded a newer version than the target, which it keeps: versions only rise, so the naming of
-// the newer one is not known any more, or not yet. It logs that once for each target.
+// keepsNewer reports whether the upstream keeps a version that is newer than the target. As versions only rise, it has been named too, but no
+// node that this one is linked to knows that any more, or yet. It is logged once for each target.
 func (l *Loader) keepsNewer(report Report, target Target) bool {
 	newest := report.NewestCompleteVersion(target.Model, target.Layers)
 	if newest <= target.Version {
 		return false
 	}
-	if l.keptFrom != target.Version {
-		l.keptFrom = target.Version
+	if l.loggedOlder != target.Version {
+		l.loggedOlder = target.Version
 		l.log.Info("upstream keeps a newer version than the one named", "model", target.Model, "version", target.Version, "loaded_version", newest)
 	}
 	return true
