--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -86,7 +86,8 @@
 	lastCrash map[string]time.Time
 	// stored maps the keys of verdicts that were read from durable storage to their ends.
 	stored map[string]storedVerdict
-	// disprovedAt maps the keys of verdicts from durable storage, which still has them, to the times at which answers disproved them.
+	// disprovedAt maps the keys of verdicts that answers have disproved, but that durable storage may still have, to the time at which that was
+	// noticed.
 	disprovedAt map[string]time.Time
 	observers   []func(*message.CrashEvidence)
 	onVerdict   []func([]Verdict)
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -96,9 +96,8 @@
 	return true
 }
 
-// dropDisproved drops stored verdicts that have ended or were disproved. It remembers the disproved ones until storage drops them too, or until
-// evidence leads to the same verdict again. The caller holds mu.
-func (l *Ledger) dropDisproved(verdicts []Verdict, now time.Time) {
+// dropStored drops the stored verdicts that have ended or were disproved, and remembers the disproved ones. The caller holds mu.
+func (l *Ledger) dropStored(now time.Time) {
 	for key, s := range l.stored {
 		isDisproved := l.disproved(s)
 		if isDisproved {
@@ -108,6 +107,11 @@
 			delete(l.stored, key)
 		}
 	}
+}
+
+// forgetDisproved forgets which verdicts were disproved once durable storage has dropped them too, or evidence has led to them again. The caller
+// holds mu.
+func (l *Ledger) forgetDisproved(verdicts []Verdict, now time.Time) {
 	maps.DeleteFunc(l.disprovedAt, func(key string, at time.Time) bool {
 		return now.Sub(at) >= Retention || slices.ContainsFunc(verdicts, func(v Verdict) bool { return v.Key() == key })
 	})
@@ -128,7 +132,8 @@
 			counts.explain(found)
 		}
 	}
-	l.dropDisproved(verdicts, now)
+	l.dropStored(now)
+	l.forgetDisproved(verdicts, now)
 	for key, s := range l.stored {
 		if !slices.ContainsFunc(verdicts, func(v Verdict) bool { return v.Key() == key }) {
 			verdicts = append(verdicts, s.verdict)
