soak: plain names for the bounds of versions and configurations

inTouch, longestCalm and newestConfigPath were figurative or misleading, one comment covered constants with different meanings, the pauses of probes were bare numbers, and three callers built the same client.

--- a/soak/availability.go
+++ b/soak/availability.go
@@ -174,3 +174,24 @@
 	}
 	return false
 }
+
+// longestUndisturbed returns the longest time between begin and end in which the process or link with a name was undisturbed. After a disturbance,
+// such a time begins only when recovery has passed.
+func (d *disturbances) longestUndisturbed(name string, begin, end time.Time, recovery time.Duration) (longest time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	from := begin
+	for _, p := range d.periods[name] {
+		if p.begin.After(end) {
+			break
+		}
+		longest = max(longest, p.begin.Sub(from))
+		if p.end.IsZero() {
+			return longest
+		}
+		if recovered := p.end.Add(recovery); recovered.After(from) {
+			from = recovered
+		}
+	}
+	return max(longest, end.Sub(from))
+}
--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -8,25 +8,26 @@
 	"github.com/pimentohead/pimentohead/platform/standin"
 )
 
-// Times from the acknowledgement of a version of the model or of the configuration after which no older one may be in use. They apply to
-// entries that have run, with the store undisturbed, for contactTime.
 const (
+	// versionApply and configApply are the times from the acknowledgement of a version of the model or of the configuration after which no
+	// older one may be in use.
 	versionApply = versionApplyMS * time.Millisecond
 	configApply  = configApplyMS * time.Millisecond
-	contactTime  = 3 * time.Second
+	// contactTime is the time for which an entry has to have run, with the store undisturbed, for these bounds to apply to it.
+	contactTime = 3 * time.Second
 )
 
-// inTouch reports whether bounds apply to an entry at a time.
-func (c *checker) inTouch(entry int, at time.Time) bool {
+// boundsApply reports whether bounds apply to an entry at a time.
+func (c *checker) boundsApply(entry int, at time.Time) bool {
 	since := at.Add(-contactTime)
 	return !c.fleet.disturbances.overlap(entryName(entry), since, at) && !c.fleet.disturbances.overlap(storeName, since, at)
 }
 
-// requiredVersion returns the newest version of the model of which a request must not begin on an older one at a time, and whether there is
-// one. The time for its rollout counts in one stretch in which the store was undisturbed.
+// requiredVersion returns the newest version of the model for which no request may begin on an older one at a time, and whether there is
+// one. The time for its rollout has to pass while the store is undisturbed without a break.
 func (c *checker) requiredVersion(at time.Time) (required publication, found bool) {
 	for _, p := range c.fleet.versions.all() {
-		if c.fleet.disturbances.longestCalm(storeName, p.acknowledgedAt, at, contactTime) > versionApply {
+		if c.fleet.disturbances.longestUndisturbed(storeName, p.acknowledgedAt, at, contactTime) > versionApply {
 			required, found = p, true
 		}
 	}
@@ -72,7 +73,7 @@
 func (c *checker) outdated(run standin.Run) (entry int, required int64, late time.Duration) {
 	entry = c.sent[run.ID].entry
 	p, found := c.requiredVersion(run.At)
-	if !found || !c.inTouch(entry, run.At) {
+	if !found || !c.boundsApply(entry, run.At) {
 		return entry, p.version, 0
 	}
 	c.bounded++
@@ -99,11 +100,11 @@
 	}
 }
 
-// checkProbe returns what is wrong with the answer to a probe, which a server has run so often, or an empty text.
+// checkProbe returns what is wrong with the answer to a probe, or an empty text. runs is how often servers have run its request.
 func (c *checker) checkProbe(probe configProbe, runs int) (finding string) {
 	sent := c.sent[probe.id]
 	required, found := c.requiredConfig(sent.at)
-	if !found || !c.inTouch(sent.entry, sent.at) {
+	if !found || !c.boundsApply(sent.entry, sent.at) {
 		return ""
 	}
 	c.bounded++
@@ -127,24 +128,3 @@
 	}
 	return false
 }
-
-// longestCalm returns the longest stretch between two times in which what has a name was undisturbed. A stretch begins after the given time
-// without disturbance.
-func (d *disturbances) longestCalm(name string, begin, end time.Time, after time.Duration) (longest time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	from := begin
-	for _, p := range d.periods[name] {
-		if p.begin.After(end) {
-			break
-		}
-		longest = max(longest, p.begin.Sub(from))
-		if p.end.IsZero() {
-			return longest
-		}
-		if calm := p.end.Add(after); calm.After(from) {
-			from = calm
-		}
-	}
-	return max(longest, end.Sub(from))
-}
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -193,9 +193,14 @@
 	return r
 }
 
+// newClient returns a client of a caller, which keeps its connections to the entries open.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: requestTimeout}
+}
+
 // sendRequests sends requests to random entries over persistent connections until stop is closed.
 func (c *checker) sendRequests(rng *rand.Rand, stop <-chan struct{}) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: requestTimeout}
+	client := newClient()
 	defer client.CloseIdleConnections()
 	paths := []string{"/stream/", "/stream/", "/order/", "/look/"}
 	for {
@@ -231,7 +236,7 @@
 func (c *checker) awaitEntryServing(entry int, when string) bool {
 	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	deadline := time.Now().Add(recoveryTimeout)
-	newestPath := newestConfigPath(c.fleet.configVersion.Load())
+	newestPath := configPath(c.fleet.configVersion.Load())
 	for _, path := range []string{"/stream/", "/order/", "/look/", newestPath} {
 		for {
 			r := c.send(client, entry, path)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -145,8 +145,8 @@
 	return nil
 }
 
-// newestConfigPath returns the path of the route that only one version of the configuration has.
-func newestConfigPath(version int64) string { return fmt.Sprintf("/v%d/", version) }
+// configPath returns the path of the route that only one version of the configuration has.
+func configPath(version int64) string { return fmt.Sprintf("/v%d/", version) }
 
 // writeConfig writes a version of the configuration to the store. The path of one of its routes contains the version, so that callers can see
 // which configuration an entry uses. Its idle limit differs from that of the one before. The caller holds operatorMu.
@@ -166,7 +166,7 @@
 			route("order", "/order/", "non_idempotent", "desk", map[string]any{"max_attempts": 1}),
 			route("slow", "/slow/", "non_idempotent", "desk", map[string]any{"max_attempts": 1}),
 			route("look", "/look/", "idempotent", "desk", nil),
-			route("newest", newestConfigPath(version), "idempotent", "desk", nil)},
+			route("newest", configPath(version), "idempotent", "desk", nil)},
 		"services": []any{
 			map[string]any{"name": "pool", "engine": map[string]any{"slots": 16, "stride": 5, "step_ms": 1, "read_per_s": 100000,
 				"chunk": 2048, "layers": standin.Layers, "chunks": standin.Chunks, "usual": map[string]any{"prompt": 100, "answer": 20},
--- a/soak/latewrites.go
+++ b/soak/latewrites.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -11,17 +10,20 @@
 const storeName = "store"
 
 const (
-	// Time in which writes to the store are late, the share of them and their delay.
+	// The time in which writes to the store are late, the share of the writes that are, and their delay.
 	minLateWindow, lateWindowSpread = 500 * time.Millisecond, time.Second
 	lateShare                       = 0.3
 	minWriteDelay, writeDelaySpread = 2500 * time.Millisecond, 2 * time.Second
-	// publicationSpread is the longest time until the operator's next write, which is shorter than the delay of late copies.
+	// publicationSpread is the longest time until the operator has published both. It is shorter than the delay of late copies, so that these
+	// replace newer values.
 	publicationSpread = 500 * time.Millisecond
-	// A restart of all nodes begins at a random time after the last publication or restart, and at least minUptime after it. A node
-	// can only keep what it has had the time to read and record.
+	// The time from the last publication or restart to the next restart of all nodes, the time for which they are down, and the number of
+	// restarts in a round. A node needs minUptime to read and record what has been published.
 	minUptime, uptimeSpread     = 2 * time.Second, 2 * time.Second
 	minDowntime, downtimeSpread = 200 * time.Millisecond, 800 * time.Millisecond
 	maxRestarts                 = 2
+	// The pause of a caller between two probes.
+	minProbePause, probePauseSpread = 100 * time.Millisecond, 200 * time.Millisecond
 	// observationTime is the time for which callers send requests after all bounds are over.
 	observationTime = 1500 * time.Millisecond
 )
@@ -60,17 +62,17 @@
 	fleet.setLateCopies(0)
 	time.Sleep(randomTime(rng, minLateWindow, lateWindowSpread))
 	endLateWrites()
-	settled := time.Now().Add(contactTime + versionApply)
+	boundsOver := time.Now().Add(contactTime + versionApply)
 	fleet.publishBoth(rng)
 	for range 1 + rng.IntN(maxRestarts) {
 		time.Sleep(randomTime(rng, minUptime, uptimeSpread))
 		fleet.restartAll(randomTime(rng, minDowntime, downtimeSpread))
 		faultNames = append(faultNames, "all nodes killed")
 	}
-	if inTouch := time.Now().Add(contactTime); inTouch.After(settled) {
-		settled = inTouch
+	if boundsApplyAt := time.Now().Add(contactTime); boundsApplyAt.After(boundsOver) {
+		boundsOver = boundsApplyAt
 	}
-	time.Sleep(time.Until(settled) + observationTime)
+	time.Sleep(time.Until(boundsOver) + observationTime)
 	return append([]string{"late writes"}, faultNames...)
 }
 
@@ -114,11 +116,11 @@
 
 // sendConfigProbes sends requests to random entries, on the routes of the newest configuration and the one before it, until stop is closed.
 func (c *checker) sendConfigProbes(rng *rand.Rand, stop <-chan struct{}) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: requestTimeout}
+	client := newClient()
 	defer client.CloseIdleConnections()
-	for sleep(randomTime(rng, 100*time.Millisecond, 200*time.Millisecond), stop) {
+	for sleep(randomTime(rng, minProbePause, probePauseSpread), stop) {
 		version := max(c.fleet.configVersion.Load()-rng.Int64N(2), 1)
-		probe := configProbe{c.send(client, rng.IntN(len(c.fleet.entries)), newestConfigPath(version)), version}
+		probe := configProbe{c.send(client, rng.IntN(len(c.fleet.entries)), configPath(version)), version}
 		c.mu.Lock()
 		c.probes = append(c.probes, probe)
 		c.mu.Unlock()
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -8,7 +9,7 @@
 // publication is a version that the operator has published.
 type publication struct {
 	version int64
-	// sentAt is when the operator sent the first write of it, acknowledgedAt when the store acknowledged one.
+	// sentAt is when the operator sent the first write of the version, acknowledgedAt when the store acknowledged one.
 	sentAt, acknowledgedAt time.Time
 }
 
@@ -31,7 +32,7 @@
 func (p *publications) all() []publication {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]publication(nil), p.list...)
+	return slices.Clone(p.list)
 }
 
 // operatorRetryInterval is the time after which the operator repeats a write that got no answer.
@@ -70,7 +71,7 @@
 	fleet.publish(&fleet.versions, fleet.newestVersion, "op/version/m", map[string]any{"model": "m", "version": fleet.newestVersion})
 }
 
-// setLateCopies sets the delay of the late copies of what the operator writes from now on, 0 for none.
+// setLateCopies sets the delay of the late copies of the operator's next writes, 0 for none.
 func (fleet *testFleet) setLateCopies(delay time.Duration) {
 	fleet.operatorMu.Lock()
 	defer fleet.operatorMu.Unlock()
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -64,7 +63,7 @@
 // sendDuringStops sends requests until stop is closed. Most follow each other closely, so that they use connections until the process is
 // gone; some come when the connection has been idle for about as long as the entries allow.
 func (c *checker) sendDuringStops(rng *rand.Rand, stop <-chan struct{}) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: requestTimeout}
+	client := newClient()
 	defer client.CloseIdleConnections()
 	for {
 		select {
