directpath, mesh: comments on announcements, leases and positions say one thing at a time

Hard to read: the three conditions of announcementWrites, two fields under one comment, "one that the store carries out late", and whether Position counts entries or hubs. Three tests repeated the write without an answer, and a test subtracted a bare 1 for its own read.

--- a/internal/directpath/announcement.go
+++ b/internal/directpath/announcement.go
@@ -20,8 +20,8 @@
 	announcementTTL = 5 * time.Minute
 	// announcementRenewal is the time between renewals of the lease.
 	announcementRenewal = 2 * time.Minute
-	// announcementWrites is the number of times that an announcement is written before a pause: on the condition that the key is as it was
-	// seen last, that it does not exist, and that it is as it was just read.
+	// announcementWrites is the number of times that an announcement is written before a pause. The conditions are in turn that the key has the
+	// revision last seen, that it does not exist, and that it has the revision just read.
 	announcementWrites = 3
 	// storeRetryPause is the pause before a retry after a failed call to the store. It is also the timeout of the call that removes
 	// the announcement on shutdown.
@@ -46,9 +46,9 @@
 	// revision is that of the store at which the key was last seen to change, 0 if it is not known to exist. A write is conditional on it,
 	// so that one which the store carries out late does not replace a newer one.
 	revision int64
-	// written is set once this process has announced itself. replaced is the incarnation of the last other process whose announcement it
-	// has replaced, 0 if there was none.
-	written  bool
+	// written is set once this process has announced itself.
+	written bool
+	// replaced is the incarnation of the last other process whose announcement this one has replaced, 0 if there was none.
 	replaced uint64
 	// unused is a lease under which no write of the key was acknowledged. The next attempt uses it again.
 	unused heldLease
@@ -123,7 +123,7 @@
 }
 
 // putAnnouncement stores the announcement under a new lease, or under that of an earlier call that failed. After a conflict it writes again. It
-// returns errSuperseded if the key is that of a later process.
+// returns errSuperseded if the key holds the announcement of a later process.
 func (r *registry) putAnnouncement(ctx context.Context) (leasedKey, error) {
 	value, err := json.Marshal(message.Member{NodeID: r.self.NodeID, Role: r.self.Role, DataCentre: r.self.DataCentre,
 		Region: r.self.Region, Address: r.self.Address, Incarnation: r.self.Incarnation})
@@ -181,8 +181,8 @@
 	return true, nil
 }
 
-// resolveConflict sets the revision for the next write after a conflict. A key that was known to exist has probably been lost in a restore of the
-// store, which needs no read. It reports whether the key already is as this process writes it.
+// resolveConflict sets the revision for the next write after a conflict. If the key was known to exist, a restore of the store has probably lost it,
+// so that the next write is tried without a read. It reports whether the key already is as this process writes it.
 func (r *registry) resolveConflict(ctx context.Context, value []byte, lease heldLease) (bool, error) {
 	if r.announced.revision != 0 {
 		r.announced.revision = 0
--- a/internal/directpath/announcement_test.go
+++ b/internal/directpath/announcement_test.go
@@ -69,6 +69,14 @@
 	return r, late
 }
 
+// putWithoutAnswer announces a process whose write gets no answer and is carried out with carryOut.
+func putWithoutAnswer(t *testing.T, g *WithT, r *registry, late *lateStore) {
+	t.Helper()
+	late.hold = 1
+	_, err := r.putAnnouncement(t.Context())
+	g.Expect(errors.Is(err, store.ErrAmbiguous)).To(BeTrue(), "%v", err)
+}
+
 // incarnation returns the incarnation that is announced in the store, 0 if none is.
 func (f *announcementFixture) incarnation(g *WithT, r *registry) uint64 {
 	kv, err := r.store.Get(context.Background(), entriesPrefix+announcedID)
@@ -92,9 +100,7 @@
 	g := NewWithT(t)
 	f := newAnnouncementFixture(t)
 	previous, late := f.process(0)
-	late.hold = 1
-	_, err := previous.putAnnouncement(t.Context())
-	g.Expect(errors.Is(err, store.ErrAmbiguous)).To(BeTrue(), "%v", err)
+	putWithoutAnswer(t, g, previous, late)
 	r, _ := f.process(time.Second)
 	current, err := r.putAnnouncement(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -117,9 +123,7 @@
 	g := NewWithT(t)
 	f := newAnnouncementFixture(t)
 	r, late := f.process(0)
-	late.hold = 1
-	_, err := r.putAnnouncement(t.Context())
-	g.Expect(errors.Is(err, store.ErrAmbiguous)).To(BeTrue(), "%v", err)
+	putWithoutAnswer(t, g, r, late)
 	current, err := r.putAnnouncement(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
 
@@ -130,15 +134,13 @@
 	g.Expect(f.Keys(entriesPrefix)).To(BeEmpty(), "the revision is that of the last write")
 }
 
-// Guards against an entry whose write was carried out without an answer and that writes again, or no longer knows the revision with which it
-// removes its announcement.
+// Guards against an entry that writes again although its write was carried out without an answer, or that does not know the revision of that
+// write and so cannot remove its announcement.
 func TestWriteWithoutAnswerThatWasCarriedOut(t *testing.T) {
 	g := NewWithT(t)
 	f := newAnnouncementFixture(t)
 	r, late := f.process(0)
-	late.hold = 1
-	_, err := r.putAnnouncement(t.Context())
-	g.Expect(errors.Is(err, store.ErrAmbiguous)).To(BeTrue(), "%v", err)
+	putWithoutAnswer(t, g, r, late)
 	late.carryOut(g)
 	before := f.Calls()
 	current, err := r.putAnnouncement(t.Context())
@@ -149,8 +151,8 @@
 	g.Expect(f.Keys(entriesPrefix)).To(BeEmpty())
 }
 
-// Guards against announcements that cost more calls, of which all entries together may make few, than a grant and a write, or after a conflict
-// a read and a write more.
+// Guards against announcements that take more calls than a grant and a write, and after a conflict a read and another write: all entries together
+// may then exceed the limits of the store.
 func TestCallsOfAnAnnouncement(t *testing.T) {
 	g := NewWithT(t)
 	f := newAnnouncementFixture(t)
@@ -159,8 +161,9 @@
 		current, err := r.putAnnouncement(t.Context())
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(f.lease()).To(Equal(current.id))
+		made := f.Calls() - before
 		g.Expect(f.incarnation(g, r)).To(Equal(r.self.Incarnation))
-		return f.Calls() - before - 1
+		return made
 	}
 	empty := f.Copy()
 	first, _ := f.process(0)
--- a/internal/directpath/lease.go
+++ b/internal/directpath/lease.go
@@ -20,7 +20,7 @@
 	renewedAt time.Time
 }
 
-// grantLease creates a lease.
+// grantLease creates a lease. Its era may be one that only the state knew before the call.
 func grantLease(ctx context.Context, s Store, state *fleet.State, ttl time.Duration) (heldLease, error) {
 	knownEra, sentAt := state.Era(), time.Now()
 	id, era, err := grantInEra(ctx, s, ttl)
@@ -39,10 +39,13 @@
 	return nil
 }
 
+// maxGrants bounds how many leases grantInEra creates while the store states new eras.
+const maxGrants = 2
+
 // grantInEra creates a lease and returns it with the era of the store in which it was granted. It creates another one if the store states a new
 // era meanwhile, since the era of the first one is not known then, and fails with ErrRestored if that happens again.
 func grantInEra(ctx context.Context, s Store, ttl time.Duration) (store.LeaseID, int64, error) {
-	for range 2 {
+	for range maxGrants {
 		era := s.Era()
 		lease, err := s.Grant(ctx, ttl)
 		if err != nil {
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -178,8 +178,8 @@
 	}
 }
 
-// assumedVersionAge returns the age that a version is assumed to have which the node finds in the store after its start, as the store does not
-// say when it was named. It is so old that requests begin on no older one from RecoveryGrace after the start.
+// assumedVersionAge returns the assumed age of a version that the node finds in the store after its start: the store does not say when the version
+// was named. With this age, requests begin on no older version from RecoveryGrace after the start.
 func (n Node) assumedVersionAge() time.Duration { return max(n.VersionApply-n.RecoveryGrace, 0) }
 
 // syncer returns the syncer that copies the configuration and the named versions from the store into the state of the node.
--- a/internal/directpath/verdicts.go
+++ b/internal/directpath/verdicts.go
@@ -60,7 +60,7 @@
 }
 
 // put writes a verdict under a lease of poison.Retention and records the era of the store in which it is stored. The write needs no condition:
-// the value follows from the key, so that one that the store carries out late changes nothing but the lease, to one granted shortly before.
+// the value follows from the key, so that a write that the store carries out late changes only the lease, to one that was granted shortly before.
 func (w *verdictWriter) put(ctx context.Context, v poison.Verdict) error {
 	value, err := json.Marshal(storedVerdict{Subjects: v.Subjects})
 	if err != nil {
--- a/internal/mesh/duties.go
+++ b/internal/mesh/duties.go
@@ -104,14 +104,14 @@
 	return func(p *peer) bool { return selected[p.hello.NodeID] }
 }
 
-// RanksFirst reports whether this entry ranks highest for a key, see Position.
+// RanksFirst reports whether this entry is a hub and no linked hub ranks higher for a key, see Position.
 func (m *Mesh) RanksFirst(key string) bool {
 	position, ok := m.Position(key)
 	return ok && position == 0
 }
 
-// Position returns the number of linked hubs that rank higher than this one for a key, and false on an entry that is no hub: it leaves duties
-// of the fleet to those that are. Entries without links to each other may have the same position.
+// Position returns the number of linked hubs that rank higher for a key than this entry. It returns false on an entry that is not a hub, which
+// leaves duties of the fleet to the hubs. Hubs without links to each other may have the same position.
 func (m *Mesh) Position(key string) (position int, ok bool) {
 	if !m.localRanking().isHub() {
 		return 0, false
@@ -125,7 +125,7 @@
 	return position, true
 }
 
-// linkedHubs returns the linked entries that are hubs of their data centre, as far as this entry knows the entries there.
+// linkedHubs returns the linked entries that are hubs of their data centre, judging by the entries that this one knows there.
 func (m *Mesh) linkedHubs() []string {
 	local := m.localRanking()
 	out := slices.DeleteFunc(slices.Clone(local.hubs), func(id string) bool { return id == local.selfID })
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -69,8 +69,8 @@
 }
 
 // sendMemberNews sends the members that have become known since the last call to the linked entries of the own data centre, and those of the
-// own data centre to entries of others. Each linked agent gets those of its data centre: one that has joined through an entry of another
-// data centre learns in no other way of an entry of its own that joins later.
+// own data centre to entries of others. Each linked agent gets those of its data centre: an agent that has joined through an entry of another
+// data centre learns in no other way that an entry has joined in its own.
 func (m *Mesh) sendMemberNews() {
 	m.mu.Lock()
 	news := m.memberNews
