--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -76,7 +76,7 @@
 	if !found || !c.boundsApply(entry, run.At) {
 		return entry, p.version, 0
 	}
-	c.bounded++
+	c.boundedRequests++
 	if run.Version >= p.version {
 		return entry, p.version, 0
 	}
@@ -107,7 +107,7 @@
 	if !found || !c.boundsApply(sent.entry, sent.at) {
 		return ""
 	}
-	c.bounded++
+	c.boundedRequests++
 	switch {
 	case probe.version < required.version && runs > 0:
 		return fmt.Sprintf("%s used configuration %d although %d is required", entryName(sent.entry), probe.version, required.version)
--- a/soak/bounds_test.go
+++ b/soak/bounds_test.go
@@ -68,25 +68,25 @@
 // what is allowed.
 func TestCheckOfConfigurations(t *testing.T) {
 	for name, tt := range map[string]struct {
-		version  int64
-		at       time.Duration
-		status   int
-		runs     int
-		restart  bool
-		newer    bool
-		isReport bool
+		version    int64
+		at         time.Duration
+		status     int
+		runs       int
+		restart    bool
+		newer      bool
+		isReported bool
 	}{
 		"older one used in time":             {version: 1, at: configApply, status: 200, runs: 1},
-		"older one used late":                {version: 1, at: configApply + time.Millisecond, status: 200, runs: 1, isReport: true},
-		"older one run without an answer":    {version: 1, at: 5 * time.Second, runs: 1, isReport: true},
+		"older one used late":                {version: 1, at: configApply + time.Millisecond, status: 200, runs: 1, isReported: true},
+		"older one run without an answer":    {version: 1, at: 5 * time.Second, runs: 1, isReported: true},
 		"older one unknown":                  {version: 1, at: 5 * time.Second, status: 404},
 		"newest one unknown in time":         {version: 2, at: configApply, status: 404},
-		"newest one unknown late":            {version: 2, at: 5 * time.Second, status: 404, isReport: true},
+		"newest one unknown late":            {version: 2, at: 5 * time.Second, status: 404, isReported: true},
 		"newest one refused":                 {version: 2, at: 5 * time.Second, status: 503},
 		"newest one used":                    {version: 2, at: 5 * time.Second, status: 200, runs: 1},
 		"entry restarted just before":        {version: 2, at: 5 * time.Second, status: 404, restart: true},
 		"replaced by one that is sent":       {version: 2, at: 5 * time.Second, status: 404, newer: true},
-		"one before the replaced one in use": {version: 1, at: 5 * time.Second, status: 200, runs: 1, newer: true, isReport: true},
+		"one before the replaced one in use": {version: 1, at: 5 * time.Second, status: 200, runs: 1, newer: true, isReported: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g, h := NewWithT(t), newHistory()
@@ -100,7 +100,7 @@
 			}
 			h.checker.sent["r"] = sentRequest{entry: 0, at: h.start.Add(tt.at)}
 			probe := configProbe{callResult{id: "r", status: tt.status}, tt.version}
-			g.Expect(h.checker.checkProbe(probe, tt.runs) != "").To(Equal(tt.isReport))
+			g.Expect(h.checker.checkProbe(probe, tt.runs) != "").To(Equal(tt.isReported))
 		})
 	}
 }
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -52,10 +52,10 @@
 	lastID int
 	// longestStall is the longest time for which this process, which also serves as store and upstreams, was not scheduled.
 	longestStall time.Duration
-	// judged counts the statements of servers that were checked, bounded the requests that had to use a version of the model or of the
-	// configuration.
-	judged  judgedStatements
-	bounded int
+	// judged counts the statements of servers that were checked.
+	judged judgedStatements
+	// boundedRequests counts the requests for which a version of the model or of the configuration was required.
+	boundedRequests int
 }
 
 // reportf records a finding.
@@ -158,7 +158,7 @@
 		counts[r.status]++
 	}
 	summary := fmt.Sprintf("%d requests %v, %d statements of servers (%s), %d requests required a version, longest stall of the checker: %s, "+
-		"faults: %s", len(c.results), counts, c.fleet.statements.Load(), c.judged, c.bounded, c.longestStall.Round(time.Millisecond),
+		"faults: %s", len(c.results), counts, c.fleet.statements.Load(), c.judged, c.boundedRequests, c.longestStall.Round(time.Millisecond),
 		strings.Join(faultNames, ", "))
 	var err error
 	if len(c.findings) > 0 && logDir != "" {
--- a/soak/latewrites.go
+++ b/soak/latewrites.go
@@ -47,7 +47,7 @@
 	callers.Wait()
 	c.checkVersions()
 	c.checkConfigs()
-	if c.bounded == 0 {
+	if c.boundedRequests == 0 {
 		c.reportf("no request was sent when a version was required")
 	}
 	return faultNames
