--- a/internal/directpath/announcement.go
+++ b/internal/directpath/announcement.go
@@ -84,11 +84,7 @@
 		}
 	}
 	if current.id != 0 {
-		ctx, cancel := context.WithTimeout(context.Background(), storeRetryPause)
-		defer cancel()
-		if err := r.removeAnnouncement(ctx, current); err != nil {
-			r.log.V(1).Info("announcement could not be removed", "cause", err.Error())
-		}
+		r.removeOnShutdown(current)
 	}
 }
 
@@ -218,6 +214,15 @@
 	return r.announced.written && stored.Incarnation > r.self.Incarnation && stored.Incarnation != r.announced.replaced
 }
 
+// removeOnShutdown tries once to remove an announcement after the context of announce has ended.
+func (r *registry) removeOnShutdown(current leasedKey) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeRetryPause)
+	defer cancel()
+	if err := r.removeAnnouncement(ctx, current); err != nil {
+		r.log.V(1).Info("announcement could not be removed", "cause", err.Error())
+	}
+}
+
 // removeAnnouncement removes an announcement unless it has been replaced. It does not revoke the lease, which may belong to another node after
 // a restore of the store that this node has not heard of.
 func (r *registry) removeAnnouncement(ctx context.Context, current leasedKey) error {
--- a/internal/directpath/announcement_test.go
+++ b/internal/directpath/announcement_test.go
@@ -178,6 +178,27 @@
 	g.Expect(calls(restarted)).To(BeNumerically("<=", 4), "the copy does not have the key, and the first grant may only tell the era")
 }
 
+// Guards against more than two grants, three writes and a read when the restored copy has the announcement of the previous process: the first grant
+// only tells the era, and both writes without a read conflict.
+func TestCallsAfterARestoreOfThePreviousAnnouncement(t *testing.T) {
+	g := NewWithT(t)
+	f := newAnnouncementFixture(t)
+	previous, _ := f.process(0)
+	_, err := previous.putAnnouncement(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	copied := f.Copy()
+	r, _ := f.process(time.Second)
+	_, err = r.putAnnouncement(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	f.Restore(copied)
+	r.state.ObserveEra(2)
+	before := f.Calls()
+	_, err = r.putAnnouncement(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.Calls() - before).To(BeNumerically("<=", 6))
+	g.Expect(f.incarnation(g, r)).To(Equal(r.self.Incarnation))
+}
+
 // Guards against an entry that is not found because a process that still drains replaces the announcement of its successor.
 func TestProcessThatDrainsDoesNotReplaceItsSuccessor(t *testing.T) {
 	g := NewWithT(t)
