--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -83,7 +83,7 @@
 	return entry, p.version, run.At.Sub(p.acknowledgedAt)
 }
 
-// checkConfigs reports requests that entries handled as only a configuration allows that is older than the one required.
+// checkConfigs reports the requests that entries handled by an older configuration than the one required.
 func (c *checker) checkConfigs() {
 	found := map[string]int{}
 	for _, probe := range c.probes {
