mesh: agents without an entry of their own hear of those that join elsewhere

An agent whose data centre has no entry stayed linked to the entries of another one that were there when it joined. When these ended, its load was unknown and its server got no weights until it had listed the store, which it does every second without a link.

TestAgentWithoutLocalEntryLearnsOfRemoteOnesThatJoinLater failed before (one link in place of two) and passes now, as does TestAgentLinksToAnEntryOfItsDataCentreThatJoinsLater.

--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -69,8 +69,8 @@
 }
 
 // sendMemberNews sends the members that have become known since the last call to the linked entries of the own data centre, and those of the
-// own data centre to entries of others. Each linked agent gets those of its data centre: an agent that has joined through an entry of another
-// data centre learns in no other way that an entry has joined in its own.
+// own data centre to all other linked nodes. Linked agents of other data centres also get those of theirs: an agent that has joined through an
+// entry of another data centre learns in no other way that an entry has joined in its own.
 func (m *Mesh) sendMemberNews() {
 	m.mu.Lock()
 	news := m.memberNews
@@ -81,11 +81,11 @@
 		byDataCentre[member.DataCentre] = append(byDataCentre[member.DataCentre], member)
 	}
 	m.broadcast(&message.Members{Members: news}, m.isLocalEntry)
-	if own := byDataCentre[m.cfg.Self.DataCentre]; len(own) > 0 {
-		m.broadcast(&message.Members{Members: own}, m.isRemoteEntry)
-	}
 	for dataCentre, members := range byDataCentre {
-		m.broadcast(&message.Members{Members: members}, func(p *peer) bool { return isAgent(p) && p.hello.DataCentre == dataCentre })
+		isOwn := dataCentre == m.cfg.Self.DataCentre
+		m.broadcast(&message.Members{Members: members}, func(p *peer) bool {
+			return isAgent(p) && (isOwn || p.hello.DataCentre == dataCentre) || isOwn && m.isRemoteEntry(p)
+		})
 	}
 }
 
--- a/internal/mesh/members_test.go
+++ b/internal/mesh/members_test.go
@@ -44,3 +44,24 @@
 		}
 	})
 }
+
+// Guards against an agent without an entry in its data centre that knows only those entries of another one which were there when it joined, and
+// has no links once they end.
+func TestAgentWithoutLocalEntryLearnsOfRemoteOnesThatJoinLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		t.Cleanup(func() { time.Sleep(settleTime) })
+		const joinInterval = 2 * time.Second
+		network := newNetwork(1)
+		start := func(id, dataCentre string, role message.Role) *node {
+			return startNode(t, options{id: id, dataCentre: dataCentre, role: role, seeds: []string{"first"}, network: network})
+		}
+		start("first", "z1", message.RoleEntry)
+		agent := start("agent", "z2", message.RoleAgent)
+		time.Sleep(joinInterval)
+		g.Expect(agent.LinkedEntryCount()).To(Equal(1))
+		start("second", "z1", message.RoleEntry)
+		time.Sleep(joinInterval)
+		g.Expect(agent.LinkedEntryCount()).To(Equal(2))
+	})
+}
