--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -96,11 +96,11 @@
 	return true
 }
 
-// dropStored drops the stored verdicts that have ended or were disproved, and remembers the disproved ones. The caller holds mu.
+// dropStored drops the stored verdicts that have ended or were disproved, and remembers up to maxCrashes disproved ones. The caller holds mu.
 func (l *Ledger) dropStored(now time.Time) {
 	for key, s := range l.stored {
 		isDisproved := l.disproved(s)
-		if isDisproved {
+		if isDisproved && len(l.disprovedAt) < maxCrashes {
 			l.disprovedAt[key] = now
 		}
 		if isDisproved || !now.Before(s.until) {
