relay: the trace of a stream says where each attempt went on and how the stream ended

The logs could not tell the hypotheses on ORDER apart: behind which event an attempt was asked to go on, with which event its upstream did, whether events were read and dropped because the attempt had not begun, and whether only the end of the connection marked the end of a stream.

Both lines of an attempt say so now, and pimentohead_relay_irregular_streams_total counts gaps, dropped events and streams without a length. No logic changed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -54,6 +54,7 @@
 	// rateLimit is the requests a second that the upstream named in its response, -1 if it named none.
 	rateLimit float64
 	weights   weightsTrace
+	stream    streamTrace
 	// successor is the result of another attempt that has taken over; nil if none has.
 	successor *attemptResult
 }
@@ -92,7 +93,7 @@
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, conn.Close)
 	a := &upstreamAttempt{x: x, ctx: ctx, upstream: u, conn: conn, tracked: tracked, started: started, rateLimit: -1}
-	a.subjects = x.subjects()
+	a.subjects, a.stream.after = x.subjects(), x.events.lastID
 	defer x.relay.inProgress.add(a, cancel)()
 	if x.engine != nil {
 		a.weights.assumed, a.weights.reportAge = x.lastKnownVersion(u)
@@ -113,6 +114,9 @@
 	tracked.End(a.outcome(res))
 	res.duration, res.weights, res.answerBegun = time.Since(started), a.weights, !a.answerBegan.IsZero()
 	res.upstream, res.rateLimit, res.successor = u, a.rateLimit, a.successor
+	a.stream.unframed = a.unframed
+	res.stream = a.stream
+	a.recordIrregularities(errors.Is(res.cause, errMissingEvent))
 	if errors.Is(res.cause, errVersionExpired) {
 		x.lastFailure = "version expired"
 	}
@@ -135,6 +139,7 @@
 	tracked  *placement.Attempt
 	started  time.Time
 	weights  weightsTrace
+	stream   streamTrace
 	// rateLimit is as in attemptResult.
 	rateLimit float64
 	// complete is set when the response has been read to its end.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/placement"
 )
 
@@ -28,6 +29,9 @@
 			"answer_begun", res.answerBegun)
 		values = append(values, res.weights.values()...)
 	}
+	if x.route.Kind == catalog.Stream {
+		values = append(values, res.stream.values()...)
+	}
 	if res.final {
 		log.Info("request answered", values...)
 		return
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -22,6 +22,8 @@
 	availabilityChanges metric.Int64Counter
 	// unanswered counts the requests whose caller got no complete answer.
 	unanswered metric.Int64Counter
+	// irregularStreams counts the attempts at streams with an irregularity.
+	irregularStreams metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -47,8 +49,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "relay: create the counter of requests without a complete answer")
 	}
+	irregularStreams, err := meter.Int64Counter("pimentohead_relay_irregular_streams")
+	if err != nil {
+		return nil, errors.Wrap(err, "relay: create the counter of irregular streams")
+	}
 	return &Metrics{outcomes: outcomes, latency: latency, outdatedStarts: outdatedStarts,
-		availabilityChanges: availabilityChanges, unanswered: unanswered}, nil
+		availabilityChanges: availabilityChanges, unanswered: unanswered, irregularStreams: irregularStreams}, nil
 }
 
 // RecordOutcome records a finished request. kind is the kind of its route, rank its scheduling rank, outcome its result, status the
@@ -87,3 +93,12 @@
 	}
 	m.unanswered.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason), attribute.Bool("begun", begun)))
 }
+
+// RecordIrregularStream counts an attempt at a stream with an irregularity: a gap in its events, events that were read and not forwarded, or
+// an end that only the end of the connection marked.
+func (m *Metrics) RecordIrregularStream(irregularity string) {
+	if m == nil || m.irregularStreams == nil {
+		return
+	}
+	m.irregularStreams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("irregularity", irregularity)))
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -13,14 +13,6 @@
 	"github.com/pimentohead/pimentohead/internal/h1"
 )
 
-// streamProgress is the part of a stream that the caller has received.
-type streamProgress struct {
-	// lastID is the ID of the last event that was forwarded completely.
-	lastID int64
-	// count is the number of forwarded events.
-	count int
-}
-
 const (
 	// streamReadSize is the size of one read of a stream, in bytes.
 	streamReadSize = 8 << 10
@@ -158,6 +150,7 @@
 	start := 0
 	var out []byte
 	var missing error
+	events := 0
 	for missing == nil {
 		size := eventSize(data[start:])
 		if size == 0 {
@@ -167,6 +160,9 @@
 		start += size
 		end = start
 		id, ok := eventID(event)
+		if ok && a.stream.first == 0 {
+			a.stream.first = id
+		}
 		switch {
 		case ok && id <= x.events.lastID:
 			continue // The caller already has this event.
@@ -177,6 +173,7 @@
 			x.events.lastID = id
 		}
 		x.events.count++
+		events++
 		if ok || x.events.lastID == 0 && !x.route.Resumable {
 			newEvents++
 		}
@@ -184,6 +181,7 @@
 	}
 	if len(out) > 0 {
 		if newEvents > 0 && !a.begun.begin() || !x.startStreamResponse(resp) {
+			a.stream.unsent += events
 			return nil, 0, a.endedBefore()
 		}
 		if _, err := x.w.Write(out); err != nil {
@@ -193,6 +191,7 @@
 			return nil, newEvents, errors.Mark(errors.Wrap(err, "relay: write to the caller"), errCallerGone)
 		}
 	}
+	a.stream.last = x.events.lastID
 	return append(data[:0], data[end:]...), newEvents, missing
 }
 
