--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -32,6 +32,8 @@
 type codec struct {
 	// prepared, if not nil, is called with the headers of each request that is about to be sent to an upstream.
 	prepared func(http.Header)
+	// answered, if not nil, is called when the head of a response from an upstream has been read.
+	answered func()
 }
 
 func (codec) ParseRequest(h http.Header) request.Metadata {
@@ -52,7 +54,10 @@
 	}
 }
 
-func (codec) ParseResponse(status int, h http.Header) request.Response {
+func (c codec) ParseResponse(status int, h http.Header) request.Response {
+	if c.answered != nil {
+		c.answered()
+	}
 	pause, _ := time.ParseDuration(h.Get("Pause"))
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	return request.Response{ID: h.Get("Id"), Leaving: h.Get("Leaving") != "", RetryAfter: pause, Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
--- /dev/null
+++ b/internal/relay/stream_order_test.go
@@ -0,0 +1,118 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a stream in which the first events are missing: they had arrived when the time of their version ended, were not forwarded, and
+// the next upstream was asked to go on behind them.
+func TestEventsReadAfterTheEndOfTheirVersionAreSentByTheNextUpstream(t *testing.T) {
+	g := NewWithT(t)
+	var e *entry
+	outdated := newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
+		events := event(1) + event(2)
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 x\r\nId: %s\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+			req.Header.Get("Id"), len(events), events)
+		waitUntilClosed(nc)
+	})
+	current := newUpstream(t, "u2", streamUpTo(4))
+	ended := false
+	e = engineEntryWithCodec(t, codec{answered: func() {
+		if ended {
+			return
+		}
+		ended = true
+		e.nameVersion(2, rolloutTime)
+		e.announce(current, 2, 2)
+		time.Sleep(400 * time.Millisecond) // Longer than the interval between checks of the version.
+	}})
+	e.announce(outdated, 1, 1)
+	a := generate(e)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3) + event(4)))
+}
+
+// Guards against a stream that begins with a later event than the one that the caller needs, and is complete for the caller.
+func TestStreamThatBeginsWithALaterEventIsNotForwarded(t *testing.T) {
+	for name, after := range map[string]int{"from the start": 0, "resumed by the caller": 2} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			script := inOrder(func(nc net.Conn, req *http.Request) {
+				streamHead(nc, req)
+				chunk(nc, event(after+2))
+				chunk(nc, event(after+3))
+				_, _ = io.WriteString(nc, "0\r\n\r\n")
+			}, streamUpTo(after+3))
+			e := newEntry(t, newUpstream(t, "u1", script), newUpstream(t, "u2", script))
+			a := e.send(context.Background(), "/stream/", func(r *http.Request) { r.Header.Set("After", fmt.Sprint(after)) })
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.body).To(Equal(event(after+1) + event(after+2) + event(after+3)))
+		})
+	}
+}
+
+// unframedStream returns a script that streams two events without a length, and then ends the connection.
+func unframedStream(end func(net.Conn)) func(net.Conn, *http.Request) {
+	return func(nc net.Conn, req *http.Request) {
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 x\r\nId: %s\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n%s", req.Header.Get("Id"), event(1)+event(2))
+		time.Sleep(20 * time.Millisecond)
+		end(nc)
+	}
+}
+
+// Guards against a stream without a length that ends as complete before its last event, because its upstream ended between two events.
+func TestUnframedStreamOfAnUpstreamThatEndedGoesOn(t *testing.T) {
+	g := NewWithT(t)
+	listeners := map[string]net.Listener{}
+	script := startOrResume(unframedStream(func(nc net.Conn) {
+		_ = listeners[nc.LocalAddr().String()].Close()
+		_ = nc.Close()
+	}), streamUpTo(4))
+	u1, l1 := listenUpstream(t, "u1", script)
+	u2, l2 := listenUpstream(t, "u2", script)
+	listeners[u1.addr], listeners[u2.addr] = l1, l2
+	a := newEntry(t, u1, u2).send(context.Background(), "/long/", nil)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3) + event(4)))
+}
+
+// Guards against a complete stream without a length that is taken for a broken one, and run once more.
+func TestUnframedStreamOfALiveUpstreamIsComplete(t *testing.T) {
+	g := NewWithT(t)
+	script := unframedStream(func(nc net.Conn) { _ = nc.Close() })
+	u1, u2 := newUpstream(t, "u1", script), newUpstream(t, "u2", script)
+	a := newEntry(t, u1, u2).send(context.Background(), "/long/", nil)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(Equal(event(1) + event(2)))
+	g.Expect(totalRequests(u1, u2)).To(Equal(1))
+	g.Expect(a.elapsed).To(BeNumerically("<", time.Second))
+}
+
+// Guards against a stream without a length that ends as complete before its last event, because the check for bytes of its silent upstream had
+// received the error of the connection, so that the next read returned the end of the stream.
+func TestResetOfASilentUnframedStreamIsNoEnd(t *testing.T) {
+	g := NewWithT(t)
+	reset := func(nc net.Conn) {
+		time.Sleep(600 * time.Millisecond)
+		_ = nc.(*net.TCPConn).SetLinger(0)
+		_ = nc.Close()
+	}
+	// The next upstream has not begun when the silent one is reset.
+	script := startOrResume(unframedStream(func(nc net.Conn) { time.Sleep(500 * time.Millisecond); reset(nc) }), func(nc net.Conn, req *http.Request) {
+		time.Sleep(700 * time.Millisecond)
+		decline(nc, req)
+	})
+	u1, u2 := newUpstream(t, "u1", script), newUpstream(t, "u2", script)
+	a := newEntry(t, u1, u2).send(context.Background(), "/long/", nil)
+	g.Expect(a.err).To(HaveOccurred(), "body %s", strings.TrimSpace(a.body))
+	g.Expect(totalRequests(u1, u2)).To(Equal(2))
+}
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -25,8 +25,11 @@
 const timeLeft = 1600 * time.Millisecond
 
 // engineEntry starts a relay whose upstreams are engines with one layer.
-func engineEntry(t *testing.T) *entry {
-	e := newEntry(t)
+func engineEntry(t *testing.T) *entry { return engineEntryWithCodec(t, codec{}) }
+
+// engineEntryWithCodec is engineEntry with a codec.
+func engineEntryWithCodec(t *testing.T, c codec) *entry {
+	e := newEntryWithCodec(t, c)
 	config := *e.state.Snapshot().Index.Config
 	config.Version, config.Services = 2, []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 16, Layers: 1,
 		StepTime: time.Millisecond, StepsPerPass: 1, PrefillTokensPerSecond: 1e6, MeanPromptTokens: 100, MeanAnswerTokens: 10,
