relay: a stream goes on behind the events that its caller has received

Cause: the ID of the last event moved when events were read. Where the time of a version, or a verdict, had ended the attempt before its first event was forwarded, nothing was written, but the next upstream was asked to go on behind these events.

Change: streamProgress.next works out what data holds for the caller and what the progress is once that has been written; the progress is recorded after the write.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -25,9 +25,6 @@
 	maxEventSize = 256 << 10
 )
 
-// errMissingEvent means that a resumed stream does not continue with the event that the caller needs next.
-var errMissingEvent = errors.New("relay: resumed stream skips an event")
-
 // endedBefore returns the cause for which the attempt or its request was ended before the first event was forwarded.
 func (a *upstreamAttempt) endedBefore() error {
 	<-a.ctx.Done() // It is cancelled after the decision.
@@ -141,58 +138,38 @@
 	return true
 }
 
-// forwardEvents sends the complete events at the start of data to the caller. It returns the remaining data and the number of new events.
-// Events that the caller already has are skipped; a gap in the event IDs is an error. Where the events of a stream have IDs, one without
-// an ID is forwarded but does not count as new: it could be a comment or not belong to the answer.
+// forwardEvents sends the complete events at the start of data to the caller, see streamProgress.next. It returns the remaining data and the
+// number of new events.
 func (a *upstreamAttempt) forwardEvents(resp *http.Response, data []byte) (rest []byte, newEvents int, err error) {
 	x := a.x
-	end := 0
-	start := 0
-	var out []byte
-	var missing error
-	events := 0
-	for missing == nil {
-		size := eventSize(data[start:])
-		if size == 0 {
-			break
-		}
-		event := data[start : start+size]
-		start += size
-		end = start
-		id, ok := eventID(event)
-		if ok && a.stream.first == 0 {
-			a.stream.first = id
-		}
-		switch {
-		case ok && id <= x.events.lastID:
-			continue // The caller already has this event.
-		case ok && x.events.lastID > 0 && id != x.events.lastID+1:
-			missing = errors.Wrapf(errMissingEvent, "event %d after %d", id, x.events.lastID)
-			continue // The events before the gap are forwarded.
-		case ok:
-			x.events.lastID = id
-		}
-		x.events.count++
-		events++
-		if ok || x.events.lastID == 0 && !x.route.Resumable {
-			newEvents++
-		}
-		out = append(out, event...)
+	batch := x.events.next(data, x.route.Resumable)
+	if a.stream.first == 0 {
+		a.stream.first = batch.firstID
 	}
-	if len(out) > 0 {
-		if newEvents > 0 && !a.begun.begin() || !x.startStreamResponse(resp) {
-			a.stream.unsent += events
+	if len(batch.text) > 0 {
+		if batch.newEvents > 0 && !a.begun.begin() || !x.startStreamResponse(resp) {
+			a.stream.unsent += batch.after.count - x.events.count
 			return nil, 0, a.endedBefore()
 		}
-		if _, err := x.w.Write(out); err != nil {
-			return nil, newEvents, errors.Mark(errors.Wrap(err, "relay: write to the caller"), errCallerGone)
-		}
-		if err := http.NewResponseController(x.w).Flush(); err != nil {
-			return nil, newEvents, errors.Mark(errors.Wrap(err, "relay: write to the caller"), errCallerGone)
+		if err := x.write(batch.text); err != nil {
+			return nil, batch.newEvents, err
 		}
+		x.events = batch.after
+		a.stream.last = x.events.lastID
+	}
+	return append(data[:0], data[batch.size:]...), batch.newEvents, batch.missing
+}
+
+// write sends a part of a stream to the caller at once. Its errors are marked errCallerGone.
+func (x *exchange) write(text []byte) error {
+	_, err := x.w.Write(text)
+	if err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "relay: write to the caller"), errCallerGone)
 	}
-	a.stream.last = x.events.lastID
-	return append(data[:0], data[end:]...), newEvents, missing
+	return nil
 }
 
 // eventSize returns the length of the event at the start of data including the blank line that ends it, 0 if it is incomplete.
