relay: a resumable stream that begins with a later event is not forwarded

Callers saw: a complete stream whose first event is missing (ORDER), if an upstream skips it.

Cause: an event was compared with the one before it, and with nothing sent yet there is none.

Change: events of a resumable stream are numbered from 1, so an attempt that begins with a later one fails like any gap, and another upstream is asked. Streams that cannot be resumed are forwarded as before: their numbers promise nothing. An ID of 0 no longer counts as one that the caller already has.

--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -31,7 +31,8 @@
 }
 
 // next returns the complete events at the start of data that follow the progress. Events that the caller already has are skipped. Where the
-// events of a stream have IDs, one without an ID is forwarded but is no new event: it could be a comment or not belong to the answer.
+// events of a stream have IDs, one without an ID is forwarded but is no new event: it could be a comment or not belong to the answer. The
+// events of a resumable stream are numbered from 1, so that the first one is known to be missing, too.
 func (p streamProgress) next(data []byte, resumable bool) eventBatch {
 	batch := eventBatch{after: p}
 	for batch.missing == nil {
@@ -56,7 +57,7 @@
 	switch {
 	case ok && id <= last:
 		return // The caller already has this event.
-	case ok && last > 0 && id != last+1:
+	case ok && (last > 0 || resumable) && id != last+1:
 		b.missing = errors.Wrapf(errMissingEvent, "event %d after %d", id, last)
 		return
 	case ok:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -186,7 +186,8 @@
 	}
 }
 
-// eventID returns the number in the first id line of an event, and false if there is no such line or it holds no number.
+// eventID returns the number in the first id line of an event, and false if there is no such line or it holds no number above 0: events are
+// numbered from 1.
 func eventID(event []byte) (int64, bool) {
 	for _, line := range bytes.Split(event, []byte("\n")) {
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
@@ -194,7 +195,7 @@
 			continue
 		}
 		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		return n, err == nil
+		return n, err == nil && n > 0
 	}
 	return 0, false
 }
