h1: a connection that was reset is no end of a response without a length

Needs an upstream that sends no length and falls silent while another one tries to take over, or the reset of a connection whose body is still written.

Cause: the kernel reports the error of a connection once. The check for bytes that a silent upstream has sent, a recv with MSG_PEEK, or the write of a long body may receive it, and the next read returns 0, the end of the data.

Change: at the end of the data, the state of the connection decides: one that the peer has closed waits for the close of this side, one that was reset or has timed out is closed.

--- a/internal/h1/conn_test.go
+++ b/internal/h1/conn_test.go
@@ -275,3 +275,34 @@
 	_, err = c.Do(context.Background(), request, 300*time.Millisecond, func(*http.Response) bool { return true })
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// Guards against a response without a length that was reset and passes as complete, because the check for waiting bytes had received the error of
+// the connection.
+func TestResetThatAPeekHasSeenIsNoEndOfABody(t *testing.T) {
+	for name, reset := range map[string]bool{"reset": true, "closed": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			addr := serve(t, func(nc net.Conn, br *bufio.Reader) {
+				id, _ := readRequest(br)
+				_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\npart", id)
+				time.Sleep(20 * time.Millisecond)
+				if reset {
+					_ = nc.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			c, err := h1.NewPool().Get(context.Background(), addr, false, time.Second)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer c.Close()
+			//nolint:bodyclose // The connection is closed instead.
+			resp, err := c.Do(context.Background(), &h1.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {"a"}}}, time.Second,
+				func(*http.Response) bool { return true })
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadFull(resp.Body, make([]byte, len("part")))
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(50 * time.Millisecond)
+			g.Expect(c.PeekBytes()).To(BeEmpty())
+			_, err = io.ReadAll(resp.Body)
+			g.Expect(err != nil).To(Equal(reset), "%v", err)
+		})
+	}
+}
--- a/internal/h1/input.go
+++ b/internal/h1/input.go
@@ -2,9 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // inputReader reads from a connection. It can limit the number of bytes that it reads.
@@ -50,6 +54,9 @@
 		if n > 0 {
 			r.lastInput = time.Now()
 		}
+		if errors.Is(err, io.EOF) && r.isLost() {
+			err = &net.OpError{Op: "read", Net: "tcp", Addr: r.nc.RemoteAddr(), Err: syscall.ECONNRESET}
+		}
 		if n > 0 || r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) || r.expired() {
 			return n, err
 		}
@@ -64,3 +71,27 @@
 		_ = r.nc.SetReadDeadline(earlierDeadline(r.until, time.Now().Add(wait)))
 	}
 }
+
+// tcpStateClosed is the state of a TCP connection in TCP_INFO after a reset or a timeout. One that the peer has closed waits for the close of
+// this side instead.
+const tcpStateClosed = 7
+
+// isLost reports whether the connection was reset or has timed out. The kernel reports that as an error once, to whichever call comes next: a
+// peek or a write may have received it, and a read then ends as if the peer had closed the connection. A reset that follows a regular close,
+// as of an upstream that has not read the whole request, counts too: some of its response may have been discarded.
+func (r *inputReader) isLost() bool {
+	sc, ok := r.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false // The connection is closed on this side, which is no end of the peer's data.
+	}
+	lost := false
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		lost = infoErr == nil && info.State == tcpStateClosed
+	})
+	return err == nil && lost
+}
