relay: a response without a length is not complete if its upstream ended

Callers saw: a stream that is complete after some of its events (ORDER), or part of an answer with a length that the entry added (MIXED), when an upstream that sends no length ended between two writes.

Cause: such a response ends with its connection, and the end of a process closes its connections like a complete response does.

Change: at the end of such a response, the relay looks for signs that the upstream has ended, as it does for broken connections: a refused connection, a restart, its agent's report. If so, the attempt has failed, and a resumable stream goes on elsewhere. An upstream that leaves is trusted to complete its responses.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -148,7 +148,7 @@
 	counted bool
 	// yielded is set when the attempt has ended because the silent one that it could take over from goes on.
 	yielded bool
-	// unframed is set when a stream ended with the connection, without a length or chunked encoding. Whether it was complete cannot be told.
+	// unframed is set when the response ends with the connection, without a length or chunked encoding, see isCut.
 	unframed bool
 	// bodyOverdue is set when the deadline of the request passed while its response was being read.
 	bodyOverdue bool
@@ -228,6 +228,7 @@
 		return a.handleDeclined(resp, parsed)
 	}
 	a.countRun()
+	a.unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 	resp.Body = http.MaxBytesReader(nil, resp.Body, maxResponseBytes)
 	isStream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 	switch {
@@ -353,6 +354,9 @@
 	a.recordStart()
 	a.conn.SetReadTimeout(a.headTimeout())
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	if err == nil && len(body) <= maxBufferedResponse && a.isCut() {
+		err = errCut
+	}
 	if err != nil {
 		x.lastFailure = "answer broke off"
 		a.bodyOverdue = errors.Is(context.Cause(x.ctx), errTimeout)
@@ -383,7 +387,10 @@
 	}
 	if len(body) > maxBufferedResponse {
 		a.conn.SetReadTimeout(0)
-		if _, err = io.Copy(x.w, resp.Body); err != nil {
+		if _, err = io.Copy(x.w, resp.Body); err == nil && a.isCut() {
+			err = errCut
+		}
+		if err != nil {
 			x.lastFailure = "answer broke off"
 			return attemptResult{kind: mayHaveRun, cause: err, status: resp.StatusCode}
 		}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
 )
@@ -171,6 +172,15 @@
 	return false
 }
 
+// errCut means that a response without a length ended because its upstream ended.
+var errCut = errors.Mark(errors.New("relay: the upstream of a response without a length has ended"), h1.ErrBroken)
+
+// isCut reports whether a response without a length, which ends with its connection, has ended because its upstream has, so that it may lack
+// its last part. An upstream that leaves completes its responses first.
+func (a *upstreamAttempt) isCut() bool {
+	return a.unframed && !a.isPlannedExit() && a.x.awaitEnd(a.upstream)
+}
+
 // showsRestart waits until a report of the upstream's agent or the list shows a process that started later, and returns false if a
 // report made after brokenAt shows the same process or endCheckTime has passed.
 func (r *Relay) showsRestart(u *catalog.Upstream, brokenAt time.Time) bool {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -100,11 +100,12 @@
 // finishStream handles the regular end of a response body. pending is the incomplete event at its end.
 func (a *upstreamAttempt) finishStream(resp *http.Response, pending []byte, timeToFirst time.Duration) attemptResult {
 	x := a.x
-	// A body without a length or chunked encoding ends with the connection, so that a truncated one cannot be detected otherwise.
-	a.unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if a.unframed && (len(pending) > 0 || timeToFirst == 0) {
 		return a.failStream(errors.Wrap(h1.ErrBroken, "relay: stream ended before or within an event"), timeToFirst)
 	}
+	if a.isCut() {
+		return a.failStream(errCut, timeToFirst)
+	}
 	if !x.startStreamResponse(resp) {
 		return a.failStream(a.endedBefore(), timeToFirst)
 	}
--- a/internal/relay/stream_order_test.go
+++ b/internal/relay/stream_order_test.go
@@ -116,3 +116,25 @@
 	g.Expect(a.err).To(HaveOccurred(), "body %s", strings.TrimSpace(a.body))
 	g.Expect(totalRequests(u1, u2)).To(Equal(2))
 }
+
+// Guards against a short answer without a length that passes as complete, with a length that the entry adds, because its upstream ended.
+func TestUnframedAnswerOfAnUpstreamThatEndedIsNotComplete(t *testing.T) {
+	for path, want := range map[string]int{"/order/": http.StatusBadGateway, "/look/": http.StatusOK} {
+		t.Run(path, func(t *testing.T) {
+			g := NewWithT(t)
+			listeners := map[string]net.Listener{}
+			script := inOrder(func(nc net.Conn, req *http.Request) {
+				_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 x\r\nId: %s\r\nStamp: s\r\n\r\nfi", req.Header.Get("Id"))
+				_ = listeners[nc.LocalAddr().String()].Close()
+				_ = nc.Close()
+			}, respondOK)
+			u1, l1 := listenUpstream(t, "u1", script)
+			u2, l2 := listenUpstream(t, "u2", script)
+			listeners[u1.addr], listeners[u2.addr] = l1, l2
+			a := newEntry(t, u1, u2).send(context.Background(), path, nil)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.status).To(Equal(want), a.body)
+			g.Expect(a.body).NotTo(Equal("fi"))
+		})
+	}
+}
