relay: the end of an upstream within an answer without a length is no malformed answer

Callers saw nothing: an idempotent request whose answer was cut by the end of its upstream was not run once more if its route's runs were used up, although runs at upstreams that ended do not count. Cause: the error passed through the classification of read errors, which marks errors that are not of the network as malformed responses. Found by reading; no test shows it alone.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -20,13 +20,16 @@
 	a.recordStart()
 	a.conn.SetReadTimeout(a.headTimeout())
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
-	if err == nil && len(body) <= maxBufferedResponse && a.isCut() {
+	switch {
+	case err != nil:
+		a.bodyOverdue = errors.Is(context.Cause(x.ctx), errTimeout)
+		err = a.conn.ClassifyReadError(a.ctx, err)
+	case len(body) <= maxBufferedResponse && a.isCut():
 		err = errCut
 	}
 	if err != nil {
 		x.lastFailure = "answer broke off"
-		a.bodyOverdue = errors.Is(context.Cause(x.ctx), errTimeout)
-		return attemptResult{kind: mayHaveRun, cause: a.conn.ClassifyReadError(a.ctx, err), status: resp.StatusCode}
+		return attemptResult{kind: mayHaveRun, cause: err, status: resp.StatusCode}
 	}
 	a.serverError = resp.StatusCode >= 500
 	if a.serverError && x.silent != nil {
