relay: a stream does not go back to an older version of the weights if it need not

Callers saw: a stream that began on the new version of the weights and went on, after its upstream had ended, on the old one.

Cause: while both versions may be used, nothing but load decided where a stream went on.

Change: the progress of a stream holds the newest version that it has run on, and upstreams that hold an older one are left out as long as another can continue it.

TestInterruptedStreamDoesNotGoBackToOlderWeights failed before (5 of 8 cases) and passes.

--- a/internal/relay/interruption.go
+++ b/internal/relay/interruption.go
@@ -41,6 +41,24 @@
 	return last
 }
 
+// avoidOlderWeights returns the candidates that hold the version on which a stream that has begun runs, or a newer one. It returns all if there
+// is none: the stream goes back to an older version only if it would be cut otherwise.
+func (x *exchange) avoidOlderWeights(list []placement.Candidate) []placement.Candidate {
+	if x.engine == nil || x.events.version == 0 {
+		return list
+	}
+	var current []placement.Candidate
+	for _, c := range list {
+		if version, _ := x.lastKnownVersion(c.Upstream); version >= x.events.version {
+			current = append(current, c)
+		}
+	}
+	if len(current) == 0 {
+		return list
+	}
+	return current
+}
+
 // expectedTokens returns how many tokens the rest of a stream may have.
 func (x *exchange) expectedTokens() float64 {
 	expected := answerMargin * float64(x.meta.AnswerHint)
--- a/internal/relay/interruption_test.go
+++ b/internal/relay/interruption_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -98,3 +99,23 @@
 	g.Expect(a.err).To(HaveOccurred())
 	g.Expect(next.requests()).To(BeEmpty())
 }
+
+// Guards against a stream that goes back to an older version of the weights although an upstream with its own version can continue it.
+func TestInterruptedStreamDoesNotGoBackToOlderWeights(t *testing.T) {
+	for i := range 8 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			g := NewWithT(t)
+			e := engineEntry(t)
+			older, same := newUpstream(t, "u2", streamUpTo(3)), newUpstream(t, "u3", streamUpTo(3))
+			e.announce(newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
+				e.announce(older, 1, 2)
+				e.announce(same, 2, 3)
+				breakOff(nc, req)
+			}), 2, 1)
+			a := generate(e)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
+			g.Expect(older.requests()).To(BeEmpty())
+		})
+	}
+}
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -12,6 +12,8 @@
 	lastID int64
 	// count is the number of forwarded events.
 	count int
+	// version is the newest version of the weights on which an upstream has run the stream, 0 if that is not known.
+	version int64
 }
 
 // eventBatch is what data from an upstream holds for the caller.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -242,7 +242,7 @@
 	now := time.Now()
 	x.snapshot = x.relay.cfg.State.Snapshot()
 	list, out := x.candidates(now)
-	list = x.avoidInterruptions(list, now)
+	list = x.avoidInterruptions(x.avoidOlderWeights(list), now)
 	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
 		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.hasBegun() || x.possibleRuns > 0,
 		Returning: x.returning,
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -153,6 +153,7 @@
 		if err := x.write(batch.text); err != nil {
 			return nil, batch.newEvents, err
 		}
+		batch.after.version = max(batch.after.version, a.weights.ranOn())
 		x.events = batch.after
 		a.stream.last = x.events.lastID
 	}
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -32,6 +32,14 @@
 	return []any{"assumed_version", t.assumed, "version_report_age_ms", age, "version", t.served, "required_version", t.required}
 }
 
+// ranOn returns the version on which the attempt runs, as far as that is known.
+func (t weightsTrace) ranOn() int64 {
+	if t.served > 0 {
+		return t.served
+	}
+	return t.assumed
+}
+
 // recordStart records that the attempt has begun: its first event or the head of its response has arrived. It logs and counts an
 // attempt that began on a version whose time was over.
 func (a *upstreamAttempt) recordStart() {
