telemetry: instruments of a package are created in one place

The relay, the entry and the weights each repeated the handling of an error for each instrument, in three ways. telemetry.Instruments creates counters and latency histograms and keeps the first error. Names and units of the metrics are unchanged; the tests of the packages pass.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -32,20 +32,18 @@
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
-	m := &metrics{}
-	bounds := metric.WithExplicitBucketBoundaries(telemetry.LatencyBucketsSeconds...)
-	var errs [7]error
-	m.latencyByCaller, errs[0] = meter.Float64Histogram("pimentohead_request_seconds_by_caller", metric.WithUnit("s"), bounds)
-	m.latencyByPriority, errs[1] = meter.Float64Histogram("pimentohead_request_seconds_by_priority", metric.WithUnit("s"), bounds)
-	m.outcomes, errs[2] = meter.Int64Counter("pimentohead_requests")
-	m.retries, errs[3] = meter.Int64Counter("pimentohead_retries")
-	m.ejections, errs[4] = meter.Int64Counter("pimentohead_ejections")
-	m.lateMessages, errs[5] = meter.Int64Counter("pimentohead_late_messages")
-	m.unanswered, errs[6] = meter.Int64Counter("pimentohead_unanswered")
-	for _, err := range errs {
-		if err != nil {
-			return nil, errors.Wrap(err, "entry: cannot create the metric instruments")
-		}
+	i := telemetry.NewInstruments(meter)
+	m := &metrics{
+		latencyByCaller:   i.Latency("pimentohead_request_seconds_by_caller"),
+		latencyByPriority: i.Latency("pimentohead_request_seconds_by_priority"),
+		outcomes:          i.Counter("pimentohead_requests"),
+		retries:           i.Counter("pimentohead_retries"),
+		ejections:         i.Counter("pimentohead_ejections"),
+		lateMessages:      i.Counter("pimentohead_late_messages"),
+		unanswered:        i.Counter("pimentohead_unanswered"),
+	}
+	if err := i.Err(); err != nil {
+		return nil, errors.Wrap(err, "entry")
 	}
 	return m, nil
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -28,33 +28,19 @@
 
 // NewMetrics registers the instruments of a relay.
 func NewMetrics(meter metric.Meter) (*Metrics, error) {
-	outcomes, err := meter.Int64Counter("pimentohead_relay_requests")
-	if err != nil {
-		return nil, errors.Wrap(err, "relay: create the request counter")
+	i := telemetry.NewInstruments(meter)
+	m := &Metrics{
+		outcomes:            i.Counter("pimentohead_relay_requests"),
+		latency:             i.Latency("pimentohead_relay_latency"),
+		outdatedStarts:      i.Counter("pimentohead_relay_outdated_starts"),
+		availabilityChanges: i.Counter("pimentohead_relay_availability_changes"),
+		unanswered:          i.Counter("pimentohead_relay_unanswered"),
+		irregularStreams:    i.Counter("pimentohead_relay_irregular_streams"),
 	}
-	latency, err := meter.Float64Histogram("pimentohead_relay_latency", metric.WithUnit("s"),
-		metric.WithExplicitBucketBoundaries(telemetry.LatencyBucketsSeconds...))
-	if err != nil {
-		return nil, errors.Wrap(err, "relay: create the latency histogram")
+	if err := i.Err(); err != nil {
+		return nil, errors.Wrap(err, "relay")
 	}
-	outdatedStarts, err := meter.Int64Counter("pimentohead_relay_outdated_starts")
-	if err != nil {
-		return nil, errors.Wrap(err, "relay: create the counter of outdated starts")
-	}
-	availabilityChanges, err := meter.Int64Counter("pimentohead_relay_availability_changes")
-	if err != nil {
-		return nil, errors.Wrap(err, "relay: create the counter of changes of availability")
-	}
-	unanswered, err := meter.Int64Counter("pimentohead_relay_unanswered")
-	if err != nil {
-		return nil, errors.Wrap(err, "relay: create the counter of requests without a complete answer")
-	}
-	irregularStreams, err := meter.Int64Counter("pimentohead_relay_irregular_streams")
-	if err != nil {
-		return nil, errors.Wrap(err, "relay: create the counter of irregular streams")
-	}
-	return &Metrics{outcomes: outcomes, latency: latency, outdatedStarts: outdatedStarts,
-		availabilityChanges: availabilityChanges, unanswered: unanswered, irregularStreams: irregularStreams}, nil
+	return m, nil
 }
 
 // RecordOutcome records a finished request. kind is the kind of its route, rank its scheduling rank, outcome its result, status the
--- a/internal/weights/metrics.go
+++ b/internal/weights/metrics.go
@@ -7,6 +7,8 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 
+	"github.com/pimentohead/pimentohead/internal/telemetry"
+
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
@@ -32,16 +34,13 @@
 	if meter == nil {
 		meter = noop.NewMeterProvider().Meter("weights")
 	}
-	var m transferMetrics
-	var err error
-	if m.receivedBytes, err = meter.Int64Counter("pimentohead_weights_received_bytes", metric.WithUnit("By")); err != nil {
-		return nil, err
-	}
-	if m.sentBytes, err = meter.Int64Counter("pimentohead_weights_sent_bytes", metric.WithUnit("By")); err != nil {
-		return nil, err
+	i := telemetry.NewInstruments(meter)
+	m := &transferMetrics{
+		receivedBytes: i.Counter("pimentohead_weights_received_bytes", metric.WithUnit("By")),
+		sentBytes:     i.Counter("pimentohead_weights_sent_bytes", metric.WithUnit("By")),
+		corruptChunks: i.Counter("pimentohead_weights_corrupt_chunks"),
 	}
-	m.corruptChunks, err = meter.Int64Counter("pimentohead_weights_corrupt_chunks")
-	return &m, err
+	return m, i.Err()
 }
 
 func (t *transferMetrics) received(ctx context.Context, source string, n int) {
