dispatch: an event that was cut is not completed by the error event

Cause: all bytes of a stream were sent as they arrived. The error event then began with two line ends, and the first blank line ended the cut event.

Change: of an event stream, only complete events are sent; the rest is held back until the blank line arrives, and dropped if the stream is aborted. Of an event of more than 64 KiB, the parts are sent as before, and no error event follows a part. A body that is no event stream gets no error event. A response of which only a part of an event has arrived has not begun, so an idempotent request may still go to another upstream.

TestOnlyCompleteEventsPrecedeTheErrorEvent failed before in its three cases of cut events ("data: 1, data: 2, event: error" for a cut "data: 2") and passes.

--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"net/textproto"
@@ -15,7 +16,7 @@
 )
 
 const (
-	// maxBufferedBytes is the size up to which a response that is not streamed is buffered until it is complete.
+	// maxBufferedBytes is the size up to which a response that is not streamed, or an event of a stream, is buffered until it is complete.
 	maxBufferedBytes = 64 << 10
 	// HeaderVersion is the header with the model version that served the request.
 	HeaderVersion = "Pimentohead-Version"
@@ -49,6 +50,12 @@
 	head       *message.ResponseHead
 	buffered   []byte
 	streaming  bool
+	// events is set for event streams. Only complete events of these are sent, because an error event that follows a part of an event
+	// would complete it.
+	events bool
+	// partial is the start of the next event. inEvent is set when the part of a long event has been sent.
+	partial []byte
+	inEvent bool
 }
 
 func newResponseWriter(x *filter.Exchange) *responseWriter {
@@ -60,18 +67,65 @@
 
 // start begins the response of an attempt and discards what is buffered from an earlier one.
 func (w *responseWriter) start(head *message.ResponseHead) {
-	w.head, w.buffered = head, nil
-	w.streaming = w.x.Stream
+	w.head, w.buffered, w.partial, w.events = head, nil, nil, false
 	for _, field := range head.Header {
 		if textproto.CanonicalMIMEHeaderKey(field.Name) == "Content-Type" && strings.HasPrefix(field.Value, eventStreamType) {
-			w.streaming = true
+			w.events = true
 		}
 	}
+	w.streaming = w.x.Stream || w.events
 }
 
 // write adds bytes to the body. An error means that the caller has disconnected, or has not read the response by the write
 // deadline.
 func (w *responseWriter) write(p []byte) error {
+	if w.events {
+		p = w.takeEvents(p)
+	}
+	if len(p) == 0 {
+		return nil
+	}
+	return w.send(p)
+}
+
+// takeEvents returns the complete events of what is held back and p, and holds back the rest. Of an event longer than maxBufferedBytes, it
+// returns the part that has arrived.
+func (w *responseWriter) takeEvents(p []byte) []byte {
+	searchFrom := max(len(w.partial)-maxBlankLineBytes+1, 0)
+	w.partial = append(w.partial, p...)
+	data := w.partial
+	size := eventsSize(data[searchFrom:])
+	if size > 0 {
+		size += searchFrom
+		w.inEvent = false
+	}
+	if len(data)-size > maxBufferedBytes {
+		size = len(data)
+		w.inEvent = true
+	}
+	w.partial = data[size:]
+	return data[:size]
+}
+
+// blankLines lists the line ends that form the blank line after an event.
+var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+// maxBlankLineBytes is the length of the longest element of blankLines.
+const maxBlankLineBytes = 3
+
+// eventsSize returns the length of data up to the end of its last complete event, 0 if there is none.
+func eventsSize(data []byte) int {
+	size := 0
+	for _, blankLine := range blankLines {
+		if i := bytes.LastIndex(data, blankLine); i >= 0 {
+			size = max(size, i+len(blankLine))
+		}
+	}
+	return size
+}
+
+// send sends bytes of the body, or buffers those of a short response that is not streamed.
+func (w *responseWriter) send(p []byte) error {
 	if !w.x.Begun && !w.streaming && len(w.buffered)+len(p) <= maxBufferedBytes {
 		w.buffered = append(w.buffered, p...)
 		return nil
@@ -133,8 +187,12 @@
 // finish completes a successful response. An error has the same meaning as one of write.
 func (w *responseWriter) finish() error {
 	if w.x.Begun {
+		if _, err := w.x.Writer.Write(w.partial); err != nil {
+			return err
+		}
 		return w.controller.Flush()
 	}
+	w.buffered = append(w.buffered, w.partial...)
 	if bodyAllowed(w.head.Status) {
 		w.x.Writer.Header().Set("Content-Length", strconv.Itoa(len(w.buffered)))
 	} else {
@@ -148,10 +206,10 @@
 }
 
 // abort ends a response that has been started and cannot be completed, and returns filter.ErrAborted. A stream gets an error event
-// first.
+// first, unless a part of an event was sent.
 func (w *responseWriter) abort(f *filter.Failure) error {
-	if w.streaming {
-		_, _ = fmt.Fprintf(w.x.Writer, "\n\nevent: error\ndata: %s\n\n", f.Body(w.x.ID))
+	if w.events && !w.inEvent {
+		_, _ = fmt.Fprintf(w.x.Writer, "event: error\ndata: %s\n\n", f.Body(w.x.ID))
 		_ = w.controller.Flush()
 	}
 	w.x.AbortReason = f.Code
--- a/internal/dispatch/response_test.go
+++ b/internal/dispatch/response_test.go
@@ -11,10 +11,37 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/pimentohead/pimentohead/internal/filter"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
+// Guards against an event that was cut and is passed on as a complete one, because an error event follows it.
+func TestOnlyCompleteEventsPrecedeTheErrorEvent(t *testing.T) {
+	long := "data: " + strings.Repeat("x", maxBufferedBytes)
+	for name, c := range map[string]struct {
+		first, rest string
+		complete    bool
+		want        string
+	}{
+		"cut event":               {"data: 1\n\nda", "ta: 2", false, "data: 1\n\nevent: error\n"},
+		"cut after CR LF":         {"data: 1\r\n\r", "\ndata: 2\r\n", false, "data: 1\r\n\r\nevent: error\n"},
+		"cut long event":          {"data: 1\n\n", long, false, "data: 1\n\n" + long},
+		"last event without line": {"data: 1\n\n", "data: [DONE]", true, "data: 1\n\ndata: [DONE]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			head := message.ResponseHead{Status: 200, Header: []message.HeaderField{{Name: "Content-Type", Value: eventStreamType}}}
+			response := &fuzzedResponse{head: head, first: []byte(c.first), rest: []byte(c.rest), fail: !c.complete}
+			recorder := httptest.NewRecorder()
+			err := response.write(recorder, nil)
+			NewWithT(t).Expect(err == nil).To(Equal(c.complete))
+			body, _, _ := strings.Cut(recorder.Body.String(), `data: {"error"`)
+			NewWithT(t).Expect(body).To(Equal(c.want))
+		})
+	}
+}
+
 // fuzzedResponse is an upstream's response as an agent reports it.
 type fuzzedResponse struct {
 	head         message.ResponseHead
