entry: a response to HTTP/1.0 that breaks off ends with a reset

Cause: responses to HTTP/1.0 have no chunks and end with their connection. A response that cannot be completed was ended by a regular close.

Change: such a connection is reset. callerconn.Reset closes the connection below TLS, so that no regular end of TLS is sent either.

--- a/internal/callerconn/use.go
+++ b/internal/callerconn/use.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Use describes how a connection has been used, for logs.
@@ -19,7 +21,7 @@
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
-// ConnContext is the ConnContext hook of the server. It is needed for UseOf and LogValues only.
+// ConnContext is the ConnContext hook of the server. It is needed for UseOf, LogValues and Reset only.
 func (t *Tracker) ConnContext(ctx context.Context, nc net.Conn) context.Context {
 	if address, ok := nc.RemoteAddr().(trackedAddr); ok {
 		return context.WithValue(ctx, connKey{}, address.conn)
@@ -46,3 +48,16 @@
 	defer c.mu.Unlock()
 	return Use{Requests: c.requests, IdleBefore: c.idleBefore, ClosedHere: c.closedHere}, true
 }
+
+// Reset closes the connection to whose requests ctx belongs so that the caller receives a reset instead of a regular end. It does nothing if
+// the connection is not tracked or has no file descriptor.
+func Reset(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok || c.raw == nil {
+		return
+	}
+	_ = c.raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+	_ = c.Close()
+}
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/pimentohead/pimentohead/internal/config"
@@ -139,7 +142,7 @@
 	return done
 }
 
-// Guards against a stream that breaks off but looks complete to the caller.
+// Guards against a stream that breaks off but looks complete to the caller. Responses to HTTP/1.0 end with the connection.
 func TestBrokenStreamEndsInErrorEvent(t *testing.T) {
 	g := NewWithT(t)
 	e, _ := startEntry(t, "entry-1", "a")
@@ -156,6 +159,13 @@
 	g.Expect(r.err).To(HaveOccurred())
 	g.Expect(r.body).To(ContainSubstring("event: error\ndata: {\"error\":{\"code\":\"upstream-crash\""))
 	g.Expect(agent.submitCount.Load()).To(Equal(int32(1)))
+	nc, err := net.Dial("tcp", e.CallerAddress())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = nc.Close() }()
+	_, err = fmt.Fprintf(nc, "POST %s HTTP/1.0\r\nAuthorization: Bearer %s\r\nContent-Length: 15\r\n\r\n{\"stream\":true}", chatPath, apiKey)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadAll(nc)
+	g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v", err)
 }
 
 // Guards against an upstream that continues to work on the request of a caller that has disconnected.
--- a/internal/entry/unanswered.go
+++ b/internal/entry/unanswered.go
@@ -31,6 +31,10 @@
 		values = append(values, "config", x.Active.Envelope.Revision, "config_in_force", e.holder.Revision())
 	}
 	e.log.Info("request ended without a complete answer", append(values, callerconn.LogValues(x.Request.Context())...)...)
+	if x.Begun && !x.Request.ProtoAtLeast(1, 1) {
+		// Without chunked encoding, the end of the connection is the end of the response.
+		callerconn.Reset(x.Request.Context())
+	}
 	panic(http.ErrAbortHandler)
 }
 
