agent: an attempt whose cancellation arrives first is not run

Callers saw: nothing; upstreams ran requests whose callers had left, or had been answered with a timeout, later than the cancellation had reached the agent.

Cause: a Cancel waits in the queue for control messages and is written before a Submit that still waits in the queue for data, behind the bodies of other requests. The agent dropped a Cancel of an attempt that it did not know. The entry that serves forwarded attempts already revokes them.

Change: the agent records such an attempt as revoked, as it does for a Query, so its Submit is rejected.

TestQueryAndCancelRevokeUnseenAttempts, formerly without the Cancel, failed before (the attempt ran) and passes.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -217,14 +217,17 @@
 	f.g.Expect(f.runs.Load()).To(Equal(int32(2)))
 }
 
-// Guards against running an attempt whose Submit arrives after the reply to a query has reported it as revoked.
-func TestQueryRevokesUnseenAttempt(t *testing.T) {
+// Guards against running an attempt whose Submit arrives after its Cancel, or after the reply to a query has reported it as revoked.
+func TestQueryAndCancelRevokeUnseenAttempts(t *testing.T) {
 	f := start(t, 1)
-	late := submit("late", "/orders", "")
+	late, cancelled := submit("late", "/orders", ""), submit("cancelled", "/orders", "")
+	f.send(0, &message.Cancel{Attempt: cancelled.Attempt})
 	f.send(0, &message.Query{Attempt: late.Attempt, AgentIncarnation: f.conns[0].Peer().Incarnation})
 	f.g.Expect(f.awaitEnd(0, "late")).To(HaveField("State", message.AttemptRevoked))
-	f.send(0, late)
-	f.g.Expect(f.awaitEnd(0, "late")).To(HaveField("Reason", message.ReasonRevoked))
+	for _, m := range []*message.Submit{late, cancelled} {
+		f.send(0, m)
+		f.g.Expect(f.awaitEnd(0, m.Attempt.RequestID)).To(HaveField("Reason", message.ReasonRevoked))
+	}
 	f.send(0, &message.Query{Attempt: late.Attempt, AgentIncarnation: 1})
 	f.g.Expect(f.awaitEnd(0, "late")).To(HaveField("State", message.AttemptUnknown))
 	f.g.Expect(f.runs.Load()).To(BeZero())
--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -235,10 +235,12 @@
 	return true
 }
 
-// handleCancel abandons an attempt that its entry cancelled.
+// handleCancel abandons an attempt that its entry cancelled. An attempt that has not arrived is revoked: a Cancel may overtake its Submit,
+// which uses another queue of the link.
 func (a *Agent) handleCancel(m *message.Cancel) {
-	if att := a.attempts.get(m.Attempt); att != nil && att.submit != nil {
-		a.abandonAttempt(att)
+	existing, _ := a.attempts.add(&attempt{id: m.Attempt, state: attemptRevoked})
+	if existing != nil && existing.submit != nil {
+		a.abandonAttempt(existing)
 	}
 }
 
