agent: a replayed response names the model version that generated it

Callers saw: a replayed response without Pimentohead-Version, which the first one had.

Cause: the record of an order held the status, header and body of its response, but not the version, which a ResponseHead carries separately.

Change: the version is recorded. Records of earlier releases are replayed without it, as before.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -129,6 +129,7 @@
 		return
 	default:
 		f.runs.Add(1)
+		w.Header().Set("X-Model-Version", "v1")
 	}
 	_, _ = io.WriteString(w, "answer")
 }
@@ -204,12 +205,13 @@
 	}
 }
 
-// Guards against an order that runs twice, or whose response is lost, when its key is repeated.
+// Guards against an order that runs twice, or whose response or version is lost, when its key is repeated.
 func TestOrderRunsOnce(t *testing.T) {
 	f := start(t, 2)
 	f.send(0, submit("r1", "/orders", "key"))
 	f.g.Expect(f.awaitEnd(0, "r1")).To(And(HaveField("Outcome", message.OutcomeOK), HaveField("Length", int64(6))))
 	f.send(1, submit("r2", "/orders", "key"))
+	f.g.Eventually(f.received[1], "5s").Should(Receive(And(HaveField("Replayed", true), HaveField("Version", "v1"))))
 	f.g.Expect(f.awaitEnd(1, "r2")).To(And(HaveField("Outcome", message.OutcomeOK), HaveField("Length", int64(6))))
 	f.send(1, submit("r1", "/orders", "key"))
 	f.send(1, submit("r3", "/orders", ""))
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -228,7 +228,7 @@
 	if att.claim == nil {
 		return &recorder{}
 	}
-	return &recorder{response: &order.Response{Status: resp.Status, Header: resp.Header}, digest: sha256.New()}
+	return &recorder{response: &order.Response{Status: resp.Status, Header: resp.Header, Version: resp.Version}, digest: sha256.New()}
 }
 
 // write appends data to the recorded body, or drops the body when it exceeds order.MaxResponseBytes.
--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -145,7 +145,9 @@
 // sendResponse sends a response that did not come from the upstream. Its body has at most order.MaxResponseBytes, which the initial
 // flow-control window covers.
 func (a *Agent) sendResponse(att *attempt, response order.Response, replayed bool) {
-	a.send(att, &message.ResponseHead{Attempt: att.id, Status: response.Status, Header: response.Header, Replayed: replayed})
+	a.send(att, &message.ResponseHead{
+		Attempt: att.id, Status: response.Status, Header: response.Header, Version: response.Version, Replayed: replayed,
+	})
 	if len(response.Body) > 0 {
 		a.send(att, &message.ResponseBody{Attempt: att.id, Data: response.Body})
 	}
--- a/internal/order/record.go
+++ b/internal/order/record.go
@@ -18,6 +18,8 @@
 	Status int                   `msgpack:"s"`
 	Header []message.HeaderField `msgpack:"h"`
 	Body   []byte                `msgpack:"b"`
+	// Version is the model version that generated the response, empty for services.
+	Version string `msgpack:"v,omitempty"`
 	// TooLarge is set when the body exceeded MaxResponseBytes and was not recorded. Digest is then its SHA-256.
 	TooLarge bool   `msgpack:"tl,omitempty"`
 	Digest   []byte `msgpack:"dg,omitempty"`
