agent: a reused key of another order is rejected

Callers saw: 422 without the header Pimentohead-Outcome, which a failing response always has; the entry counted the request as served.

Cause: the agent sent the refusal as a complete response of its own, with outcome ok. An entry does not pass on reserved headers of a response, and takes a complete one for a success.

Change: the agent sends a Reject with ReasonKeyConflict, from which the entry builds the response, as TestOutcomesOfOrders already requires of it.

TestOrderRunsOnce, which now also repeats the key for another order, failed before (a ResponseEnd with outcome ok) and passes.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -205,7 +205,7 @@
 	}
 }
 
-// Guards against an order that runs twice, or whose response or version is lost, when its key is repeated.
+// Guards against an order that runs twice, or whose response or version is lost, when its key is repeated, and against a conflict reported as ok.
 func TestOrderRunsOnce(t *testing.T) {
 	f := start(t, 2)
 	f.send(0, submit("r1", "/orders", "key"))
@@ -213,6 +213,8 @@
 	f.send(1, submit("r2", "/orders", "key"))
 	f.g.Eventually(f.received[1], "5s").Should(Receive(And(HaveField("Replayed", true), HaveField("Version", "v1"))))
 	f.g.Expect(f.awaitEnd(1, "r2")).To(And(HaveField("Outcome", message.OutcomeOK), HaveField("Length", int64(6))))
+	f.send(1, submit("conflict", "/other", "key"))
+	f.g.Expect(f.awaitEnd(1, "conflict")).To(HaveField("Reason", message.ReasonKeyConflict))
 	f.send(1, submit("r1", "/orders", "key"))
 	f.send(1, submit("r3", "/orders", ""))
 	f.g.Expect(f.awaitEnd(1, "r3")).To(HaveField("Outcome", message.OutcomeOK))
--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -114,9 +113,9 @@
 		att.mu.Unlock()
 		a.enqueue(att)
 	case result.Verdict == order.Replay:
-		a.sendResponse(att, *result.Response, true)
+		a.replayResponse(att, *result.Response)
 	case result.Verdict == order.Mismatch:
-		a.sendResponse(att, conflictResponse(att), false)
+		a.rejectAttempt(att, message.ReasonKeyConflict, 0)
 	default:
 		retry := defaultRetryAfter
 		if result.Final {
@@ -128,25 +127,10 @@
 	}
 }
 
-// conflictResponse is the response to an order whose key was used for a different request.
-func conflictResponse(att *attempt) order.Response {
-	body := `{"error":{"code":"key-conflict","message":"the Idempotency-Key was used for a different request",` +
-		`"outcome":"not-run","request_id":` + strconv.Quote(att.id.RequestID) + `}}`
-	return order.Response{
-		Status: http.StatusUnprocessableEntity,
-		Header: []message.HeaderField{
-			{Name: "Content-Type", Value: "application/json"},
-			{Name: "Pimentohead-Outcome", Value: string(message.OutcomeNotRun)},
-		},
-		Body: []byte(body),
-	}
-}
-
-// sendResponse sends a response that did not come from the upstream. Its body has at most order.MaxResponseBytes, which the initial
-// flow-control window covers.
-func (a *Agent) sendResponse(att *attempt, response order.Response, replayed bool) {
+// replayResponse sends a recorded response. Its body has at most order.MaxResponseBytes, which the initial flow-control window covers.
+func (a *Agent) replayResponse(att *attempt, response order.Response) {
 	a.send(att, &message.ResponseHead{
-		Attempt: att.id, Status: response.Status, Header: response.Header, Version: response.Version, Replayed: replayed,
+		Attempt: att.id, Status: response.Status, Header: response.Header, Version: response.Version, Replayed: true,
 	})
 	if len(response.Body) > 0 {
 		a.send(att, &message.ResponseBody{Attempt: att.id, Data: response.Body})
