engine: an additional response of an upstream answers no request

Callers saw: the response to another request, as a complete one (MIXED), from an upstream that sends an additional response after a complete one.

Cause: net/http closes an idle connection on which bytes arrive, but if the next request takes the connection before its read loop has looked, the buffered bytes become the response to that request.

Change: connections count the reads that returned bytes. A response of which the first byte was there before its request took the connection is refused, the connection is closed, and the request may have run (ErrForeignResponse). A response that arrives while the next request waits cannot be told from that of the request, because upstreams of this path echo no ID.

--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -8,6 +8,8 @@
 	ErrNotSent = errors.New("engine: request not sent")
 	// ErrMayHaveRun means that a connection was available, so that the request may have been sent, and that no response arrived.
 	ErrMayHaveRun = errors.New("engine: request may have run")
+	// ErrForeignResponse marks errors of requests in whose place a response was received that began before the request was sent.
+	ErrForeignResponse = errors.New("engine: response to no request")
 	// ErrIncompleteResponse means that a response started but did not complete.
 	ErrIncompleteResponse = errors.New("engine: incomplete response")
 	// ErrIdleTimeout marks errors of requests for which nothing arrived from the upstream within Config.IdleTimeout.
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -9,7 +9,6 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -90,7 +89,7 @@
 func newTransport(connections int) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialCounting(dialer.DialContext),
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
 		IdleConnTimeout:        keepAliveTimeout,
@@ -119,20 +118,23 @@
 func (u *Upstream) Do(ctx context.Context, s *message.Submit) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	idle := newIdleTimer(u.cfg.IdleTimeout, func() { cancel(ErrIdleTimeout) })
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	req, err := u.newRequest(httptrace.WithClientTrace(ctx, trace), s)
+	trace := &requestTrace{}
+	req, err := u.newRequest(httptrace.WithClientTrace(ctx, trace.hooks()), s)
 	if err != nil {
 		idle.stop()
 		cancel(nil)
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	resp, err := u.requests.RoundTrip(req) //nolint:bodyclose // Response.Close closes the body
+	resp, err := u.requests.RoundTrip(req)
+	if err == nil && trace.closeForeign() {
+		_ = resp.Body.Close()
+		err = errors.WithStack(ErrForeignResponse)
+	}
 	if err != nil {
 		idle.stop()
 		err = classify(ctx, err)
 		cancel(nil)
-		if sent.Load() {
+		if trace.wasSent() {
 			return nil, errors.Mark(err, ErrMayHaveRun)
 		}
 		return nil, errors.Mark(err, ErrNotSent)
--- a/internal/engine/upstream_test.go
+++ b/internal/engine/upstream_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -115,6 +117,37 @@
 	}
 }
 
+// Guards against an additional response, sent behind that to an earlier request on the connection, that is taken for the response to the next
+// request.
+func TestAdditionalResponseAnswersNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstream(t, 0, func(w http.ResponseWriter, r *http.Request) {
+		nc, buffered, _ := w.(http.Hijacker).Hijack()
+		defer func() { _ = nc.Close() }()
+		for err := error(nil); err == nil; r, err = http.ReadRequest(buffered.Reader) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			id := r.Header.Get(engine.HeaderRequestID)
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+			_, _ = io.WriteString(nc, response+response)
+		}
+	})
+	var foreign atomic.Int32
+	var callers sync.WaitGroup
+	for caller := range 8 {
+		callers.Go(func() {
+			for n := range 200 {
+				request := newOrder()
+				request.Attempt.RequestID = fmt.Sprint(caller, "-", n)
+				if body, err := doAndRead(u, request); err == nil && body != request.Attempt.RequestID {
+					foreign.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	g.Expect(foreign.Load()).To(BeZero())
+}
+
 // Guards against net/http resending an order with an Idempotency-Key when a reused connection breaks.
 func TestOrderIsSentOnceWhenReusedConnectionBreaks(t *testing.T) {
 	g := NewWithT(t)
