agent: log why an upstream gave no complete response

The logs told that a request ended and with which reason, but an upstream-error could be a reset, a stream without its final event, a response without a length or an additional response. The agent logs the request, the attempt, the number of bytes and the cause, except for attempts that were cancelled.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -69,6 +69,7 @@
 	}
 	end := a.classifyError(att, err)
 	end.Outcome, end.Length = message.OutcomeFailed, length
+	a.logIncomplete(att, end, err)
 	a.finishAttempt(att, nil, end)
 }
 
@@ -101,6 +102,7 @@
 // handleRunFailure ends an attempt that got no response.
 func (a *Agent) handleRunFailure(att *attempt, err error) {
 	end := a.classifyError(att, err)
+	a.logIncomplete(att, end, err)
 	if errors.Is(err, engine.ErrNotSent) {
 		a.rejectAttempt(att, end.Reason, defaultRetryAfter)
 		if att.submit.Suspect {
@@ -118,6 +120,15 @@
 	a.finishAttempt(att, nil, end)
 }
 
+// logIncomplete logs why an attempt got no response or a part of one from the upstream, unless it was cancelled.
+func (a *Agent) logIncomplete(att *attempt, end message.ResponseEnd, err error) {
+	if end.Reason == message.ReasonCancelled {
+		return
+	}
+	a.log.Info("upstream gave no complete response", "request", att.id.RequestID, "attempt", att.id.Number, "reason", end.Reason,
+		"bytes", end.Length, "detached", att.isDetached(), "cause", err.Error())
+}
+
 // classifyError returns a ResponseEnd with the reason for an error from the upstream, without outcome and length. A lost connection
 // counts as a crash only when the upstream process has gone or restarted.
 func (a *Agent) classifyError(att *attempt, err error) message.ResponseEnd {
