relay: a stream to HTTP/1.0 that breaks off ends with a reset

Cause: as on the path with agents: such a response ends with its connection, which was closed regularly.

Change: callerconn.Abort ends responses without completing them, for both paths, and resets the connection where a regular end would complete the response.

TestBrokenStreamOfHTTP10EndsWithAReset failed before (the read ended without an error after event 1) and passes in 4 of 4 runs.

--- a/internal/callerconn/use.go
+++ b/internal/callerconn/use.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -21,7 +22,7 @@
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
-// ConnContext is the ConnContext hook of the server. It is needed for UseOf, LogValues and Reset only.
+// ConnContext is the ConnContext hook of the server. It is needed for UseOf, LogValues and Abort only.
 func (t *Tracker) ConnContext(ctx context.Context, nc net.Conn) context.Context {
 	if address, ok := nc.RemoteAddr().(trackedAddr); ok {
 		return context.WithValue(ctx, connKey{}, address.conn)
@@ -49,11 +50,19 @@
 	return Use{Requests: c.requests, IdleBefore: c.idleBefore, ClosedHere: c.closedHere}, true
 }
 
-// Reset closes the connection to whose requests ctx belongs so that the caller receives a reset instead of a regular end. It does nothing if
-// the connection is not tracked or has no file descriptor.
-func Reset(ctx context.Context) {
-	c, ok := ctx.Value(connKey{}).(*conn)
-	if !ok || c.raw == nil {
+// Abort ends the response to a request without completing it. It panics with http.ErrAbortHandler, by which net/http closes the connection.
+// If the response has begun and ends with its connection, as those to HTTP/1.0 do, a regular end would complete it: the caller then receives
+// a reset instead.
+func Abort(r *http.Request, begun bool) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && begun && !r.ProtoAtLeast(1, 1) {
+		c.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes the connection with a reset. It closes it below TLS, which would announce a regular end.
+func (c *conn) reset() {
+	if c.raw == nil {
 		return
 	}
 	_ = c.raw.Control(func(fd uintptr) {
--- a/internal/entry/unanswered.go
+++ b/internal/entry/unanswered.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,8 +16,8 @@
 	reasonUnread = "unread"
 )
 
-// leaveUnanswered ends a request without a complete answer, err being the error of the filter chain. It panics with http.ErrAbortHandler,
-// by which net/http closes the caller's connection.
+// leaveUnanswered ends a request without a complete answer, err being the error of the filter chain. It does not return,
+// see callerconn.Abort.
 func (e *Entry) leaveUnanswered(x *filter.Exchange, err error) {
 	reason := unansweredReason(x, err)
 	e.metrics.recordUnanswered(reason, x.Begun)
@@ -31,11 +30,7 @@
 		values = append(values, "config", x.Active.Envelope.Revision, "config_in_force", e.holder.Revision())
 	}
 	e.log.Info("request ended without a complete answer", append(values, callerconn.LogValues(x.Request.Context())...)...)
-	if x.Begun && !x.Request.ProtoAtLeast(1, 1) {
-		// Without chunked encoding, the end of the connection is the end of the response.
-		callerconn.Reset(x.Request.Context())
-	}
-	panic(http.ErrAbortHandler)
+	callerconn.Abort(x.Request, x.Begun)
 }
 
 func unansweredReason(x *filter.Exchange, err error) string {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/callerconn"
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/h1"
@@ -226,7 +227,11 @@
 			}
 			return time.Time{}
 		}})
-	server := httptest.NewServer(r)
+	conns := callerconn.NewTracker(func() time.Duration { return 0 })
+	server := httptest.NewUnstartedServer(r)
+	server.Listener = conns.Listener(server.Listener)
+	server.Config.ConnState, server.Config.ConnContext = conns.ConnState, conns.ConnContext
+	server.Start()
 	t.Cleanup(server.Close)
 	return &entry{url: server.URL, state: state, loads: loads, poison: ledger, refusals: refusals, limiter: limiter,
 		host: "h", relay: r, servedUntil: servedUntil}
--- a/internal/relay/stream_order_test.go
+++ b/internal/relay/stream_order_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 )
 
@@ -138,3 +140,19 @@
 		})
 	}
 }
+
+// Guards against a stream that breaks off and looks complete to a caller of HTTP/1.0, whose responses end with the connection.
+func TestBrokenStreamOfHTTP10EndsWithAReset(t *testing.T) {
+	g := NewWithT(t)
+	e := newEntry(t, newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
+		streamHead(nc, req)
+		chunk(nc, event(1))
+	}))
+	nc, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = nc.Close() }()
+	_, err = io.WriteString(nc, "POST /stream/ HTTP/1.0\r\nHost: h\r\nId: r1\r\nKey: k\r\nWait: 500\r\nContent-Length: 0\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	received, err := io.ReadAll(nc)
+	g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%s %v", received, err)
+}
--- a/internal/relay/unanswered.go
+++ b/internal/relay/unanswered.go
@@ -15,8 +15,7 @@
 	reasonPanic      = "panic"
 )
 
-// leaveUnanswered ends the request without a complete answer. It panics with http.ErrAbortHandler, by which net/http closes the caller's
-// connection.
+// leaveUnanswered ends the request without a complete answer. It does not return, see callerconn.Abort.
 func (x *exchange) leaveUnanswered(reason string) {
 	begun := x.responseStarted.hasBegun()
 	x.relay.cfg.Metrics.RecordUnanswered(reason, begun)
@@ -30,7 +29,7 @@
 	}
 	values = append(values, callerconn.LogValues(x.req.Context())...)
 	x.relay.cfg.Log.Info("request ended without a complete answer", values...)
-	panic(http.ErrAbortHandler)
+	callerconn.Abort(x.req, begun)
 }
 
 // answerPanic answers a request whose handler has panicked for another reason than to abort the response. net/http would close the
