relay: an attempt that another one has replaced forwards no more events

Cause: the reader of chunks that has read an event and the size of the next chunk waits for its data, and returns the event together with the error of that wait. While the read of a silent attempt waits, another one may take over: if it broke off after its first event, the events that the silent one held were forwarded behind it. In the same way, an attempt that ends because the silent one goes on forwarded its event, which closed the silent one.

Change: an attempt that has been taken over, or that has ended for the silent one, forwards nothing more.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,6 +42,9 @@
 	defer a.conn.OnReadTimeout(nil)
 	for {
 		n, err := resp.Body.Read(buf)
+		if a.replaced() {
+			return a.failStream(a.conn.ClassifyReadError(a.ctx, err), timeToFirst)
+		}
 		pending = append(pending, buf[:n]...)
 		if n > 0 {
 			a.recordRead(time.Now())
--- a/internal/relay/stream_order_test.go
+++ b/internal/relay/stream_order_test.go
@@ -156,3 +156,72 @@
 	received, err := io.ReadAll(nc)
 	g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%s %v", received, err)
 }
+
+// eventOf is event from a run of the request that its data names.
+func eventOf(run string, id int) string {
+	return fmt.Sprintf("id: %d\ndata: event %d of run %s\n\n", id, id, run)
+}
+
+// holdEvents sends events and the size of a chunk that does not follow, so that the entry's read of the events waits for that chunk.
+func holdEvents(nc net.Conn, events ...string) {
+	text := ""
+	for _, e := range events {
+		text += fmt.Sprintf("%x\r\n%s\r\n", len(e), e)
+	}
+	_, _ = io.WriteString(nc, text+"20\r\n")
+}
+
+// Guards against events of an attempt from which another one has taken over, or that has ended for the silent one: they were read before and
+// forwarded then, so that the stream went back to an earlier run, or ended although the silent upstream went on.
+func TestEventsOfAnEndedAttemptAreNotForwarded(t *testing.T) {
+	held := make(chan struct{})
+	for name, c := range map[string]struct {
+		scripts []func(net.Conn, *http.Request)
+		want    string
+	}{
+		"taken over": {[]func(net.Conn, *http.Request){
+			func(nc net.Conn, req *http.Request) {
+				streamHead(nc, req)
+				chunk(nc, eventOf("a", 1))
+				time.Sleep(100 * time.Millisecond)
+				holdEvents(nc, eventOf("a", 2), eventOf("a", 3))
+				waitUntilClosed(nc)
+			},
+			func(nc net.Conn, req *http.Request) {
+				streamHead(nc, req)
+				chunk(nc, eventOf("b", 2))
+				time.Sleep(50 * time.Millisecond)
+				_ = nc.Close()
+			},
+			streamUpTo(4),
+		}, eventOf("a", 1) + eventOf("b", 2) + event(3) + event(4)},
+		"silent one goes on": {[]func(net.Conn, *http.Request){
+			func(nc net.Conn, req *http.Request) {
+				streamHead(nc, req)
+				chunk(nc, eventOf("a", 1))
+				<-held
+				time.Sleep(100 * time.Millisecond)
+				chunk(nc, eventOf("a", 2))
+				_, _ = io.WriteString(nc, "0\r\n\r\n")
+			},
+			func(nc net.Conn, req *http.Request) {
+				streamHead(nc, req)
+				holdEvents(nc, eventOf("b", 2))
+				close(held)
+				waitUntilClosed(nc)
+			},
+			streamUpTo(4),
+		}, eventOf("a", 1) + eventOf("a", 2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			script := inOrder(c.scripts...)
+			e := newEntry(t, newUpstream(t, "u1", script), newUpstream(t, "u2", script), newUpstream(t, "u3", script))
+			e.setMaxAttempts(3)
+			a := e.send(context.Background(), "/long/", withLongTimeout)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.body).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -101,6 +101,11 @@
 	return a.yielded
 }
 
+// replaced reports whether another attempt answers the request in place of a: one that has taken over from a, or the silent one for which a
+// has ended. A read that ends therefore may still return events that it held. They are not forwarded: the stream has gone on without them, or
+// is about to.
+func (a *upstreamAttempt) replaced() bool { return a.yielded || a.successor != nil }
+
 // goesOn reports whether the silent attempt a, or one from which a itself could take over, goes on.
 func (a *upstreamAttempt) goesOn() bool {
 	return a.hasNews(a.conn.PeekBytes()) || a.previous != nil && a.previous.goesOn()
