relay: a response without a length is complete only if its upstream goes on

Cause: the search returned false both for an upstream that goes on and for one of which nothing was known, and the response then counted as complete. The wait of 0.32 s also raced with the check that a refused connection decides after 0.3 s.

Change: the search takes its time limit and the context of the request. At the limit the connection that it has tried decides, and without any sign the response may be cut. A repeat after a broken connection uses the same search.

--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -78,7 +78,7 @@
 // an entry that has just started, may accept connections because it has restarted. The search then goes on for its attempts, while
 // attempts that fail later start a new one.
 func (t *endingTable) search(r *Relay, u *catalog.Upstream, key endedProcess, s *endSearch) {
-	ended, sign := r.hasEnded(u, s.brokenAt)
+	ended, sign := r.hasEnded(context.Background(), u, s.brokenAt, endCheckTime)
 	attempts := t.decide(s, ended)
 	r.recordEnd(u, s.brokenAt, attempts, ended, sign)
 	if sign == acceptsConnections && r.showsRestart(u, s.brokenAt) {
@@ -125,14 +125,17 @@
 const (
 	restarted          = "restarted"
 	acceptsConnections = "accepts connections"
+	refusesConnections = "refuses connections"
+	noSign             = "no sign"
 )
 
 // hasEnded decides whether the process of an upstream ended when a connection to it broke at brokenAt, and names the sign that decided.
 // A process that has ended refuses connections, unlike one behind a reset or a cut, and its agent reports it as down or restarted. A
-// report made later that still shows the process contradicts a refused connection.
-func (r *Relay) hasEnded(u *catalog.Upstream, brokenAt time.Time) (ended bool, sign string) {
-	connected, refused := probe(u.Address)
-	for time.Since(brokenAt) < endCheckTime {
+// report made later that still shows the process contradicts a refused connection. After limit, what the connection shows decides alone. The
+// sign is noSign if nothing shows whether the process has ended, or if ctx has ended.
+func (r *Relay) hasEnded(ctx context.Context, u *catalog.Upstream, brokenAt time.Time, limit time.Duration) (ended bool, sign string) {
+	connected, refused := probe(ctx, u.Address)
+	for time.Since(brokenAt) < limit && ctx.Err() == nil {
 		load, age, known := r.cfg.Loads.Get(u.Address)
 		switch reportedAt := time.Now().Add(-age); {
 		case known && u.StartedAtMillis != 0 && load.StartedAtMillis > u.StartedAtMillis:
@@ -142,43 +145,43 @@
 		case known && !load.Down && reportedAt.After(brokenAt.Add(reportTransferTime)):
 			return false, "reported alive"
 		case refused && time.Since(brokenAt) >= refusalTime, refused && (!known || age > unresponsiveAfter):
-			return true, "refuses connections"
+			return true, refusesConnections
 		case connected && (!known || age > unresponsiveAfter):
 			return false, acceptsConnections
 		}
 		if r.listsRestart(u) {
 			return true, restarted
 		}
-		pause.For(context.Background(), endCheckInterval)
+		pause.For(ctx, endCheckInterval)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return false, noSign
+	case refused:
+		return true, refusesConnections
+	case connected:
+		return false, acceptsConnections
+	default:
+		return false, noSign
 	}
-	return false, "no sign"
 }
 
-// awaitEnd reports whether an upstream to which a connection has just broken has ended. It waits for a sign of that for verdictWait at most.
-func (x *exchange) awaitEnd(u *catalog.Upstream) bool {
-	brokenAt, decided := time.Now(), make(chan bool, 1)
-	go func() {
-		ended, _ := x.relay.hasEnded(u, brokenAt)
-		decided <- ended
-	}()
-	timer := time.NewTimer(verdictWait)
-	defer timer.Stop()
-	select {
-	case ended := <-decided:
-		return ended
-	case <-timer.C:
-	case <-x.ctx.Done():
-	}
-	return false
+// awaitEnd is hasEnded for an upstream to which a connection has just broken. It decides after verdictWait, and when the request ends.
+func (x *exchange) awaitEnd(u *catalog.Upstream) (ended bool, sign string) {
+	return x.relay.hasEnded(x.ctx, u, time.Now(), verdictWait)
 }
 
-// errCut means that a response without a length ended because its upstream ended.
-var errCut = errors.Mark(errors.New("relay: the upstream of a response without a length has ended"), h1.ErrBroken)
+// errCut means that a response without a length may have ended because its upstream ended.
+var errCut = errors.Mark(errors.New("relay: the upstream of a response without a length may have ended"), h1.ErrBroken)
 
-// isCut reports whether a response without a length, which ends with its connection, has ended because its upstream has, so that it may lack
-// its last part. An upstream that leaves completes its responses first.
+// isCut reports whether a response without a length, which ends with its connection, may have ended because its upstream has, so that it may
+// lack its last part: unless something shows that the upstream has not. An upstream that leaves completes its responses first.
 func (a *upstreamAttempt) isCut() bool {
-	return a.unframed && !a.isPlannedExit() && a.x.awaitEnd(a.upstream)
+	if !a.unframed || a.isPlannedExit() {
+		return false
+	}
+	ended, sign := a.x.awaitEnd(a.upstream)
+	return ended || sign == noSign
 }
 
 // showsRestart waits until a report of the upstream's agent or the list shows a process that started later, and returns false if a
@@ -205,8 +208,9 @@
 
 // probe opens a connection to an address and closes it. It reports whether the connection was accepted or refused; both are false
 // if there was no answer.
-func probe(address string) (connected, refused bool) {
-	nc, err := net.DialTimeout("tcp", address, dialTimeout)
+func probe(ctx context.Context, address string) (connected, refused bool) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return false, errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -321,7 +321,10 @@
 		return x.possibleRuns < allowed
 	case errors.Is(res.cause, errVersionExpired):
 		return true
+	case !errors.Is(res.cause, h1.ErrBroken) || errors.Is(res.cause, h1.ErrMalformed):
+		return false
 	default:
-		return errors.Is(res.cause, h1.ErrBroken) && !errors.Is(res.cause, h1.ErrMalformed) && x.awaitEnd(res.upstream)
+		ended, _ := x.awaitEnd(res.upstream)
+		return ended
 	}
 }
--- a/internal/relay/stream_order_test.go
+++ b/internal/relay/stream_order_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
+
+	"github.com/pimentohead/pimentohead/internal/message"
 )
 
 // Guards against a stream in which the first events are missing: they had arrived when the time of their version ended, were not forwarded, and
@@ -225,3 +227,20 @@
 		})
 	}
 }
+
+// Guards against a stream without a length that ends as complete because its request was ended, here by a shutdown, before it was known whether
+// the upstream had.
+func TestUnframedStreamOfAnEndedRequestIsNotComplete(t *testing.T) {
+	g := NewWithT(t)
+	var e *entry
+	var l net.Listener
+	u, listener := listenUpstream(t, "u1", unframedStream(func(nc net.Conn) {
+		_ = l.Close()
+		_ = nc.Close()
+		time.AfterFunc(100*time.Millisecond, e.relay.EndRequests)
+	}))
+	l, e = listener, newEntry(t, u)
+	e.loads.Apply([]message.UpstreamLoad{{Address: u.addr, StartedAtMillis: 1}}) // The upstream may yet be reported alive.
+	a := e.send(context.Background(), "/long/", nil)
+	g.Expect(a.err).To(HaveOccurred(), "body %s", strings.TrimSpace(a.body))
+}
