relay: a stream without a length that an upstream leaves unfinished goes on elsewhere

Callers saw: a stream without a length that is complete after some of its events (ORDER), if its upstream was leaving when it ended or crashed.

Cause: an upstream that leaves was trusted to complete its responses. It serves for some seconds more, and a stream may last longer than that.

Change: the end of such an upstream counts as that of any other where the request may be repeated. A repeat of a complete stream sends no event. Where the request cannot be repeated, the response still counts as complete: the upstream may have ended right after it.

--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -175,9 +175,10 @@
 var errCut = errors.Mark(errors.New("relay: the upstream of a response without a length may have ended"), h1.ErrBroken)
 
 // isCut reports whether a response without a length, which ends with its connection, may have ended because its upstream has, so that it may
-// lack its last part: unless something shows that the upstream has not. An upstream that leaves completes its responses first.
+// lack its last part: unless something shows that the upstream has not. An upstream that leaves may end while it serves a long response, or
+// right after a complete one; where the request cannot be repeated, the response counts as complete.
 func (a *upstreamAttempt) isCut() bool {
-	if !a.unframed || a.isPlannedExit() {
+	if !a.unframed || !a.x.route.MayRepeat() && a.isPlannedExit() {
 		return false
 	}
 	ended, sign := a.x.awaitEnd(a.upstream)
--- a/internal/relay/stream_order_test.go
+++ b/internal/relay/stream_order_test.go
@@ -14,6 +14,8 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
@@ -73,20 +75,35 @@
 	}
 }
 
-// Guards against a stream without a length that ends as complete before its last event, because its upstream ended between two events.
+// Guards against a stream without a length that ends as complete before its last event, because its upstream ended between two events. One that
+// leaves may end while it still serves a long stream.
 func TestUnframedStreamOfAnUpstreamThatEndedGoesOn(t *testing.T) {
-	g := NewWithT(t)
-	listeners := map[string]net.Listener{}
-	script := startOrResume(unframedStream(func(nc net.Conn) {
-		_ = listeners[nc.LocalAddr().String()].Close()
-		_ = nc.Close()
-	}), streamUpTo(4))
-	u1, l1 := listenUpstream(t, "u1", script)
-	u2, l2 := listenUpstream(t, "u2", script)
-	listeners[u1.addr], listeners[u2.addr] = l1, l2
-	a := newEntry(t, u1, u2).send(context.Background(), "/long/", nil)
-	g.Expect(a.err).NotTo(HaveOccurred())
-	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3) + event(4)))
+	for name, state := range map[string]catalog.State{"crashed": catalog.Ready, "left": catalog.Draining} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var e *entry
+			listeners := map[string]net.Listener{}
+			script := startOrResume(unframedStream(func(nc net.Conn) {
+				address := nc.LocalAddr().String()
+				for _, u := range e.state.Snapshot().Upstreams("s") {
+					if u.Address == address {
+						ended := *u
+						ended.State = state
+						e.state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Revision: 100, Announcement: &ended})
+					}
+				}
+				_ = listeners[address].Close()
+				_ = nc.Close()
+			}), streamUpTo(4))
+			u1, l1 := listenUpstream(t, "u1", script)
+			u2, l2 := listenUpstream(t, "u2", script)
+			listeners[u1.addr], listeners[u2.addr] = l1, l2
+			e = newEntry(t, u1, u2)
+			a := e.send(context.Background(), "/long/", nil)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.body).To(Equal(event(1) + event(2) + event(3) + event(4)))
+		})
+	}
 }
 
 // Guards against a complete stream without a length that is taken for a broken one, and run once more.
