relay: the last event of a caller counts only where streams can be resumed

Callers saw: a stream without its first events (ORDER), if the caller names a last event on a route whose streams cannot be resumed.

Cause: the relay dropped all events up to the one that the caller names on every route, while an upstream that does not resume begins with event 1. On such routes the header is now forwarded like any other, and all events are.

TestLastEventOfAStreamThatCannotResumeDropsNoEvents failed before (event 3 of 3 only) and passes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -189,7 +189,9 @@
 func (x *exchange) run() {
 	x.relay.cfg.RetryBudget.RecordRequest(x.service)
 	x.relay.cfg.RateLimits.RecordDemand(x.service)
-	x.events.lastID = x.meta.LastEventID
+	if x.route.Resumable {
+		x.events.lastID = x.meta.LastEventID
+	}
 	for {
 		if x.poisoned() {
 			x.relay.cfg.PriorityLimiter.Protect(x.trafficClass())
--- a/internal/relay/stream_order_test.go
+++ b/internal/relay/stream_order_test.go
@@ -261,3 +261,18 @@
 	a := e.send(context.Background(), "/long/", nil)
 	g.Expect(a.err).To(HaveOccurred(), "body %s", strings.TrimSpace(a.body))
 }
+
+// Guards against events that are dropped because the caller names a last event on a route whose streams cannot be resumed: the upstream begins
+// anew.
+func TestLastEventOfAStreamThatCannotResumeDropsNoEvents(t *testing.T) {
+	for _, path := range []string{"/once/", "/search/"} {
+		g := NewWithT(t)
+		u := newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
+			req.Header.Del("After")
+			streamUpTo(3)(nc, req)
+		})
+		a := newEntry(t, u).send(context.Background(), path, func(r *http.Request) { r.Header.Set("After", "2") })
+		g.Expect(a.err).NotTo(HaveOccurred())
+		g.Expect(a.body).To(Equal(event(1)+event(2)+event(3)), path)
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -24,7 +24,8 @@
 	PromptParts []string
 	// AnswerHint is the caller's estimate of the answer length in tokens, 0 if not given. It is often far off.
 	AnswerHint int
-	// LastEventID is the ID of the last stream event that the caller has received, 0 to start from the beginning.
+	// LastEventID is the ID of the last stream event that the caller has received, 0 to start from the beginning. It applies to routes whose
+	// streams can be resumed.
 	LastEventID int64
 }
 
@@ -48,7 +49,7 @@
 	Rank int
 	// Version is the required version of the weights: an upstream with another version refuses the request. 0 accepts any version.
 	Version int64
-	// LastEventID resumes a stream after this event, 0 starts from the beginning.
+	// LastEventID resumes a stream after this event, 0 leaves the caller's header as it is.
 	LastEventID int64
 }
 
