relay: a stream without a length that is interrupted for a version goes on elsewhere

Callers saw: a stream without a length that is complete after some of its events (ORDER), if its upstream interrupted it to load a version.

Cause: an upstream that loads a version closes the connections of its requests and goes on, so that the search for its end finds it alive.

Change: the end of a response without a length does not count while the agent of the upstream reports that it loads a version, before or after that search.

--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -171,18 +171,28 @@
 	return x.relay.hasEnded(x.ctx, u, time.Now(), verdictWait)
 }
 
-// errCut means that a response without a length may have ended because its upstream ended.
-var errCut = errors.Mark(errors.New("relay: the upstream of a response without a length may have ended"), h1.ErrBroken)
+// errCut means that a response without a length may be incomplete, see isCut.
+var errCut = errors.Mark(errors.New("relay: a response without a length may be incomplete"), h1.ErrBroken)
 
-// isCut reports whether a response without a length, which ends with its connection, may have ended because its upstream has, so that it may
-// lack its last part: unless something shows that the upstream has not. An upstream that leaves may end while it serves a long response, or
-// right after a complete one; where the request cannot be repeated, the response counts as complete.
+// isCut reports whether a response without a length, which ends with its connection, may have ended because its upstream has, or has interrupted
+// its requests, so that it may lack its last part: unless something shows that neither is so. An upstream that leaves may end while it serves a
+// long response, or right after a complete one; where the request cannot be repeated, the response counts as complete.
 func (a *upstreamAttempt) isCut() bool {
-	if !a.unframed || !a.x.route.MayRepeat() && a.isPlannedExit() {
+	r := a.x.relay
+	switch {
+	case !a.unframed, !a.x.route.MayRepeat() && a.isPlannedExit():
 		return false
+	case r.interrupts(a.upstream):
+		return true
 	}
 	ended, sign := a.x.awaitEnd(a.upstream)
-	return ended || sign == noSign
+	return ended || sign == noSign || r.interrupts(a.upstream) // A report may have arrived meanwhile.
+}
+
+// interrupts reports whether an upstream interrupts its requests to load a version.
+func (r *Relay) interrupts(u *catalog.Upstream) bool {
+	load, age, known := r.cfg.Loads.Get(u.Address)
+	return known && load.Swapping && age < maxSwapAge
 }
 
 // showsRestart waits until a report of the upstream's agent or the list shows a process that started later, and returns false if a
--- a/internal/relay/stream_order_test.go
+++ b/internal/relay/stream_order_test.go
@@ -75,10 +75,20 @@
 	}
 }
 
-// Guards against a stream without a length that ends as complete before its last event, because its upstream ended between two events. One that
-// leaves may end while it still serves a long stream.
+// Guards against a stream without a length that ends as complete before its last event, because its upstream ended between two events, or
+// interrupted its requests to load a version. One that leaves may end while it still serves a long stream.
 func TestUnframedStreamOfAnUpstreamThatEndedGoesOn(t *testing.T) {
-	for name, state := range map[string]catalog.State{"crashed": catalog.Ready, "left": catalog.Draining} {
+	for name, end := range map[string]func(*entry, catalog.Upstream, net.Listener){
+		"crashed": func(_ *entry, _ catalog.Upstream, l net.Listener) { _ = l.Close() },
+		"left": func(e *entry, u catalog.Upstream, l net.Listener) {
+			u.State = catalog.Draining
+			e.state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Revision: 100, Announcement: &u})
+			_ = l.Close()
+		},
+		"interrupted": func(e *entry, u catalog.Upstream, _ net.Listener) {
+			e.loads.Apply([]message.UpstreamLoad{{Address: u.Address, Swapping: true}})
+		},
+	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			var e *entry
@@ -87,12 +97,9 @@
 				address := nc.LocalAddr().String()
 				for _, u := range e.state.Snapshot().Upstreams("s") {
 					if u.Address == address {
-						ended := *u
-						ended.State = state
-						e.state.ApplyUpstream(fleet.UpstreamRecord{ID: u.ID, Revision: 100, Announcement: &ended})
+						end(e, *u, listeners[address])
 					}
 				}
-				_ = listeners[address].Close()
 				_ = nc.Close()
 			}), streamUpTo(4))
 			u1, l1 := listenUpstream(t, "u1", script)
