relay: a complete response without a length is no evidence of a crash

Callers saw: requests that may be refused for crashing upstreams although they were answered, if their answer had no length and its upstream restarted within 1.5 s.

Cause: each response without a length began a search for the end of its upstream, as for a broken connection.

Change: only broken connections, and responses that may be cut, begin a search.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -70,13 +70,13 @@
 	a.x.relay.cfg.Poison.Clear(proven)
 }
 
-// checkCrash examines an attempt that has ended with a broken connection, or with the end of a connection that may have broken. If the
-// process of the upstream has ended, the attempt becomes evidence against the subjects of the request. The channel is closed once that
-// is decided; it is nil if there is nothing to decide.
+// checkCrash examines an attempt that has ended with a broken connection, or with a response that isCut. If the process of the upstream has
+// ended, the attempt becomes evidence against the subjects of the request. The channel is closed once that is decided; it is nil if there is
+// nothing to decide.
 func (a *upstreamAttempt) checkCrash(res attemptResult) <-chan struct{} {
 	x := a.x
 	broken := res.kind == mayHaveRun && errors.Is(res.cause, h1.ErrBroken) && !errors.Is(res.cause, h1.ErrMalformed)
-	if !broken && !a.unframed || context.Cause(a.ctx) != nil {
+	if !broken || context.Cause(a.ctx) != nil {
 		return nil
 	}
 	if a.isPlannedExit() || a.proven {
--- a/internal/relay/stream_order_test.go
+++ b/internal/relay/stream_order_test.go
@@ -283,3 +283,14 @@
 		g.Expect(a.body).To(Equal(event(1)+event(2)+event(3)), path)
 	}
 }
+
+// Guards against evidence against a request whose answer without a length was complete, because its upstream restarts shortly afterwards.
+func TestRestartAfterACompleteUnframedAnswerIsNoCrashOfItsRequest(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstream(t, "u", unframedStream(func(nc net.Conn) { _ = nc.Close() }))
+	e := newEntry(t, u)
+	e.announceProcess(u, 1, 1)
+	g.Expect(sendParts(e, "first,other,own").body).To(Equal(event(1) + event(2)))
+	e.announceProcess(u, 2, 2)
+	g.Consistently(e.poison.Export, 300*time.Millisecond).Should(BeNil())
+}
