relay: events are forwarded without waiting for the rest of the next chunk

Callers saw: an event that arrived late, with the next one or, at an upstream that fell silent within a chunk, only once another one had taken over and made it again.

Cause: the reader of chunks in net/http that has data waits for the rest of a chunk of which a part has arrived. The events before it, which were complete, waited with it, and their upstream counted as silent.

Change: streams are read by lines that have arrived. A read still waits if the end of the body has arrived in part; what it holds then is not forwarded if another attempt has replaced it.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,7 +33,7 @@
 func (a *upstreamAttempt) forwardStream(resp *http.Response) attemptResult {
 	x := a.x
 	var pending []byte
-	buf := make([]byte, streamReadSize)
+	body, buf := a.conn.LineReader(resp.Body), make([]byte, streamReadSize)
 	awaitingFirst := true
 	a.lastRead, a.stalledSince = time.Now(), time.Now()
 	timeToFirst := time.Duration(0)
@@ -41,7 +41,7 @@
 	a.conn.OnReadTimeout(a.awaitStalled)
 	defer a.conn.OnReadTimeout(nil)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := body.Read(buf)
 		if a.replaced() {
 			return a.failStream(a.conn.ClassifyReadError(a.ctx, err), timeToFirst)
 		}
