relay: a shutdown does not end a long answer with the text of a refusal

Callers saw: the first 512 KiB of a longer answer, then the body of a refusal, as a complete answer (MIXED), if a shutdown ended the request after its first part had been read and before the head of the response was sent.

Cause: the relay did not ask whether the response may begin. The connection was closed, the rest could not be read, and the refusal was sent as if no response had begun.

Change: the beginning is decided before the headers are copied. An answer of which a part is still to be read does not begin any more then, one that has been read whole is sent.

TestShutdownDoesNotCutALongAnswerThatBegins failed before (200 with 524,361 bytes of 1,048,576) and passes 3 of 3 times; the tests of the package pass.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -44,17 +44,19 @@
 			cause: errors.Newf("relay: upstream answered %d", resp.StatusCode)}
 	}
 	x.leaveSilent()
+	a.complete = len(body) <= maxBufferedResponse
+	if !x.responseStarted.begin() && !a.complete {
+		return attemptResult{kind: mayHaveRun, cause: a.endedBefore(), status: resp.StatusCode} // The rest cannot be read any more.
+	}
 	x.copyHeaders(resp)
-	if len(body) <= maxBufferedResponse {
+	if a.complete {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		a.complete = true
 	}
-	x.responseStarted.begin()
 	x.w.WriteHeader(resp.StatusCode)
 	if _, err = x.w.Write(body); err != nil {
 		return attemptResult{kind: mayHaveRun, cause: errors.Mark(err, errCallerGone), status: resp.StatusCode}
 	}
-	if len(body) > maxBufferedResponse {
+	if !a.complete {
 		a.conn.SetReadTimeout(0)
 		if _, err = io.Copy(x.w, resp.Body); err == nil && a.isCut() {
 			err = errCut
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -35,6 +35,8 @@
 	prepared func(http.Header)
 	// answered, if not nil, is called when the head of a response from an upstream has been read.
 	answered func()
+	// checked, if not nil, is called when the relay asks how long the entry serves.
+	checked func()
 }
 
 func (codec) ParseRequest(h http.Header) request.Metadata {
@@ -222,6 +224,9 @@
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget: relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
 		ServedUntil: func() time.Time {
+			if c.checked != nil {
+				c.checked()
+			}
 			if until := servedUntil.Load(); until != nil {
 				return *until
 			}
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -218,3 +219,30 @@
 	e.shutDown(5 * time.Second)
 	g.Expect(send().status).To(Equal(200))
 }
+
+// Guards against a long answer that ends with the text of a refusal and looks complete, because a shutdown ended its request between its first
+// part and the head of the response.
+func TestShutdownDoesNotCutALongAnswerThatBegins(t *testing.T) {
+	g := NewWithT(t)
+	const size = 1 << 20
+	var e *entry
+	responded := make(chan struct{})
+	u := newUpstream(t, "u1", func(nc net.Conn, req *http.Request) {
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 x\r\nId: %s\r\nStamp: s\r\nContent-Length: %d\r\n\r\n", req.Header.Get("Id"), size)
+		_, _ = io.WriteString(nc, strings.Repeat("x", size*3/4))
+		close(responded)
+		time.Sleep(300 * time.Millisecond)
+		_, _ = io.WriteString(nc, strings.Repeat("x", size/4))
+	})
+	e = newEntryWithCodec(t, codec{checked: func() {
+		select {
+		case <-responded:
+			e.relay.AnswerRequests()
+			time.Sleep(100 * time.Millisecond) // It takes effect in another goroutine.
+		default:
+		}
+	}}, u)
+	a := e.send(context.Background(), "/search/", nil)
+	g.Expect(a.err).NotTo(HaveOccurred())
+	g.Expect(a.body).To(HaveLen(size))
+}
