sched: a stuck request does not keep an outdated estimate in force

Callers saw: while a request was stuck on a connection that had gone silent, all requests of its priority were refused as not run (code "deadline") until it ended, up to the request timeout, although the upstream served at once.

Cause: when the estimated time to the first byte is above the target, the queue lets one request through while none of the priority is in progress, because only answers correct the estimate. A stuck request counted as one that would.

Now estimates apply only while the newest request in progress of the priority is within its own estimate. Else one more is let through, whose answer corrects the estimate.

--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -33,6 +33,7 @@
 		q.runningSuspects++
 	}
 	it.chargedClass = q.classOf(it)
+	it.chargedClass.running.pushBack(it)
 	it.chargedClass.runningCost += float64(it.Cost)
 }
 
@@ -86,11 +87,11 @@
 }
 
 // cannotMeetDeadlines reports whether an item can no longer meet its deadline or its first-byte target. Latency estimates apply
-// only while other requests of the priority are in progress. Otherwise one request is let through, because only running requests
+// only while the answer of another request of the priority is expected. Otherwise one request is let through, because only answers
 // correct an estimate that is too high.
 func (q *Queue) cannotMeetDeadlines(it *Item, now time.Time) bool {
 	var firstByteTime, responseTime time.Duration
-	if c := q.classOf(it); c.runningCost > 0 {
+	if c := q.classOf(it); c.awaitsAnswer(now) {
 		firstByteEstimate, responseEstimate := c.estimates(it)
 		firstByteTime, responseTime = firstByteEstimate.upperBound(), responseEstimate.upperBound()
 	}
--- a/internal/sched/flow.go
+++ b/internal/sched/flow.go
@@ -1,5 +1,7 @@
 package sched
 
+import "time"
+
 // list is an intrusive first-in first-out list of items.
 type list struct {
 	head, tail *Item
@@ -80,7 +82,8 @@
 	// virtualTime is the virtual start time of the item started last.
 	virtualTime float64
 	servedCost  window
-	// runningCost is the total cost of the items in progress.
+	// running holds the items in progress in the order of their start, runningCost is their total cost.
+	running     list
 	runningCost float64
 	// responseTime and firstByteTime estimate the time to the last and the first byte of a response that is not streamed. Streams
 	// have estimates of their own, because their first byte comes much earlier.
@@ -92,6 +95,20 @@
 	return &class{index: index, params: params, flows: make(map[string]*flow)}
 }
 
+// awaitsAnswer reports whether the newest item in progress is still within its estimates. If it is not, it may be stuck.
+func (c *class) awaitsAnswer(now time.Time) bool {
+	it := c.running.tail
+	if it == nil {
+		return false
+	}
+	firstByteEstimate, responseEstimate := c.estimates(it)
+	due := firstByteEstimate.upperBound()
+	if it.firstByteSeen {
+		due = max(due, responseEstimate.upperBound())
+	}
+	return now.Sub(it.started) <= due
+}
+
 // estimates returns the latency estimates for streams if the item's response is streamed, or else those for other responses.
 func (c *class) estimates(it *Item) (firstByteTime, responseTime *estimate) {
 	if it.Stream {
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -283,6 +283,7 @@
 		q.runningSuspects--
 	}
 	c := it.chargedClass
+	c.running.remove(it)
 	c.runningCost -= float64(it.Cost)
 	c.servedCost.add(now, float64(it.Cost))
 	if complete {
--- a/internal/sched/queue_test.go
+++ b/internal/sched/queue_test.go
@@ -289,3 +289,18 @@
 	}
 	g.Expect(h.started["slow"]).To(BeNumerically("<", 60))
 }
+
+// Guards against an estimate that is never corrected, because a request that is stuck counts as one that will correct it.
+func TestStuckRequestDoesNotKeepAnOutdatedEstimate(t *testing.T) {
+	g := NewWithT(t)
+	h := newQueueHarness(sched.Config{}, sched.Priority{Share: 1})
+	for range 20 {
+		h.runUrgent(1, "slow", time.Second)
+	}
+	h.push(1, 0, "stuck")
+	h.running = nil
+	for range 1000 {
+		h.runUrgent(1, "fast", 20*time.Millisecond)
+	}
+	g.Expect(h.started["fast"]).To(BeNumerically(">", 900))
+}
