sched: a pause of the upstream does not lower the concurrency limit

Callers saw: after a pause of the upstream, requests waited in the queue of its agent and were refused when their target had passed (code "deadline"), although most places of the upstream were free.

Cause: all requests that the pause had held up entered the average that tells congestion. It stayed above the threshold for about 40 more answers, which lowered the limit from 8 to 4 (in the test to 3.8). Traced in a trial of the spec "are served on new connections to an upstream while open ones are silent": requests stuck on silent connections then filled the limit of 4 until their timeout of 5 s.

The average now uses the rule for outliers that the estimates use, which has a type of its own. The latency of a sample follows from the start of its item, so the parameter for it is gone.

TestPauseIsNotCongestion failed before and passes.

--- a/internal/sched/limiter.go
+++ b/internal/sched/limiter.go
@@ -33,7 +33,7 @@
 	costBuckets = 32
 	// upperDeviations is the number of mean deviations above the mean at which estimate.upperBound lies.
 	upperDeviations = 3
-	// outlierRatio is the ratio of a sample to estimate.upperBound above which the sample is an outlier.
+	// outlierRatio is the ratio of a sample to the highest undisturbed one above which the sample is an outlier.
 	outlierRatio = 4
 	// warmupSamples is the number of samples at the start of a bucket whose average becomes its first baseline.
 	warmupSamples = 5
@@ -48,6 +48,7 @@
 	baseline float64
 	samples  int
 	updated  time.Time
+	outliers outlierFilter
 }
 
 // limiter adapts the limit on requests in progress to the observed time to first byte.
@@ -91,13 +92,13 @@
 
 // sample records the time to first byte of an item and adjusts the limit. The limit grows only if inFlight, the number of
 // requests in progress, is close to it.
-func (l *limiter) sample(now time.Time, it *Item, latency time.Duration, inFlight int) {
+func (l *limiter) sample(now time.Time, it *Item, inFlight int) {
 	buckets := &l.wholeResponses
 	if it.Stream {
 		buckets = &l.streamResponses
 	}
 	b := &buckets[min(bits.Len(uint(it.Cost)), costBuckets-1)]
-	congested := b.update(now, latency.Seconds())
+	congested := b.update(it.started, now)
 	if l.decreaseCooldown > 0 {
 		l.decreaseCooldown--
 	}
@@ -121,44 +122,65 @@
 	l.limit = min(l.maxLimit, l.limit+step)
 }
 
-// update adds a latency sample and reports whether the average indicates congestion.
-func (b *latencyBucket) update(now time.Time, seconds float64) bool {
+// update adds the time from started to now as a sample and reports whether the average indicates congestion.
+func (b *latencyBucket) update(started, now time.Time) bool {
 	elapsed := now.Sub(b.updated).Seconds()
 	b.updated = now
 	b.samples++
 	if b.samples <= warmupSamples {
-		b.average += (seconds - b.average) / float64(b.samples)
+		b.average += (now.Sub(started).Seconds() - b.average) / float64(b.samples)
 		b.baseline = b.average
 		return false
 	}
-	b.average += smoothing * (seconds - b.average)
+	if seconds, ok := b.outliers.filter(started, now, b.congestionBound()); ok {
+		b.average += smoothing * (seconds - b.average)
+	}
 	b.baseline = min(b.baseline*(1+baselineDriftPerSecond*elapsed), b.average)
-	return b.average > congestedRatio*b.baseline+latencySlack.Seconds()
+	return b.average > b.congestionBound().Seconds()
+}
+
+// congestionBound returns the average above which the engine is considered congested.
+func (b *latencyBucket) congestionBound() time.Duration {
+	return time.Duration(congestedRatio*b.baseline*float64(time.Second)) + latencySlack
 }
 
-// estimate is a moving average of durations, in seconds, with its mean deviation. A pause of the upstream holds up all requests in
-// progress, but says little about those that start after it. It therefore counts as one outlier, which is limited. If the upstream
-// stays slow, requests that start later give further outliers, each of which raises the upper bound.
+// outlierFilter limits the effect of a pause of the upstream on a moving average. A pause holds up all requests in progress, but says
+// little about those that start after it. It therefore counts as one outlier, which is limited. If the upstream stays slow, requests
+// that start later give further outliers.
+type outlierFilter struct {
+	// last is when the last outlier was added.
+	last time.Time
+}
+
+// filter returns the time from started to now as a sample, in seconds, for an average that samples up to bound do not disturb. It returns
+// false if the sample must not be added.
+func (f *outlierFilter) filter(started, now time.Time, bound time.Duration) (seconds float64, ok bool) {
+	sample := now.Sub(started)
+	if sample > bound && started.Before(f.last) {
+		return 0, false // The cause of the last outlier held up this request too.
+	}
+	if limit := outlierRatio * (bound + latencySlack); sample > limit {
+		sample, f.last = limit, now
+	}
+	return sample.Seconds(), true
+}
+
+// estimate is a moving average of durations, in seconds, with its mean deviation.
 type estimate struct {
 	mean, deviation float64
 	hasSamples      bool
-	// lastOutlier is when the last outlier was added.
-	lastOutlier time.Time
+	outliers        outlierFilter
 }
 
 // add adds the time from started to now.
 func (e *estimate) add(started, now time.Time) {
-	seconds := now.Sub(started).Seconds()
 	if !e.hasSamples {
-		e.mean, e.hasSamples = seconds, true
+		e.mean, e.hasSamples = now.Sub(started).Seconds(), true
 		return
 	}
-	bound := e.upperBound()
-	if seconds > bound.Seconds() && started.Before(e.lastOutlier) {
-		return // The cause of the last outlier held up this request too.
-	}
-	if limit := (outlierRatio * (bound + latencySlack)).Seconds(); seconds > limit {
-		seconds, e.lastOutlier = limit, now
+	seconds, ok := e.outliers.filter(started, now, e.upperBound())
+	if !ok {
+		return
 	}
 	diff := seconds - e.mean
 	e.mean += smoothing * diff
--- a/internal/sched/limiter_test.go
+++ b/internal/sched/limiter_test.go
@@ -20,11 +20,26 @@
 		if i/100%2 == 0 {
 			stream, latency = false, 140*time.Millisecond
 		}
-		l.sample(now, &Item{Cost: 20, Stream: stream}, latency, int(l.limit))
+		l.sample(now, &Item{Cost: 20, Stream: stream, started: now.Add(-latency)}, int(l.limit))
 	}
 	g.Expect(l.limit).To(BeNumerically("==", 64))
 }
 
+// Guards against a pause of the upstream being taken for congestion: stuck requests would soon fill the lowered limit.
+func TestPauseIsNotCongestion(t *testing.T) {
+	l, now, lowest := newLimiter(8), time.Unix(1000, 0), 8.0
+	for i := range 200 {
+		now = now.Add(10 * time.Millisecond)
+		latency := 5 * time.Millisecond
+		if i >= 100 && i < 104 {
+			latency = 1200 * time.Millisecond
+		}
+		l.sample(now, &Item{Cost: 20, started: now.Add(-latency)}, 8)
+		lowest = min(lowest, l.limit)
+	}
+	NewWithT(t).Expect(lowest).To(BeNumerically("==", 8))
+}
+
 // Guards against a limit far above the engine's batch size: requests would wait in the engine, where priorities do not apply.
 func TestLimitIsBoundedByBatchSize(t *testing.T) {
 	g := NewWithT(t)
@@ -32,7 +47,7 @@
 	l.setBatchSize(8)
 	for range 2000 {
 		now = now.Add(10 * time.Millisecond)
-		l.sample(now, &Item{Cost: 20}, 140*time.Millisecond, int(l.limit))
+		l.sample(now, &Item{Cost: 20, started: now.Add(-140 * time.Millisecond)}, int(l.limit))
 	}
 	g.Expect(l.maxInFlight(false)).To(Equal(10))
 	g.Expect(l.maxInFlight(true)).To(Equal(10))
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -257,8 +257,7 @@
 	}
 	it.firstByteSeen = true
 	now := q.cfg.Now()
-	latency := now.Sub(it.started)
-	q.limiter.sample(now, it, latency, q.inFlight)
+	q.limiter.sample(now, it, q.inFlight)
 	firstByteEstimate, _ := it.chargedClass.estimates(it)
 	firstByteEstimate.add(it.started, now)
 }
