agent: metric of the expected time to the first byte; test/requests: reasons of failures

An agent refuses requests with the code "deadline" by an estimate that neither its logs nor its metrics showed. pimentohead_agent_first_byte_bound_seconds exports the estimate by priority and kind of response.

Specs that expect every request to succeed print the body of the response of the first one that did not, which names the reason. They check the same as before.

--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -32,7 +32,7 @@
 
 func newMetrics(meter metric.Meter, a *Agent) (*metrics, error) {
 	m := &metrics{agent: a, options: make(map[labelKey]metric.MeasurementOption)}
-	var errs [3]error
+	var errs [4]error
 	bounds := metric.WithExplicitBucketBoundaries(telemetry.LatencyBucketsSeconds...)
 	m.wait, errs[0] = meter.Float64Histogram("pimentohead_agent_wait_seconds", bounds,
 		metric.WithDescription("Time from receipt to the start on the upstream."))
@@ -40,7 +40,21 @@
 		metric.WithDescription("Time from the start on the upstream to the end of the answer."))
 	m.requestsEnded, errs[2] = meter.Int64Counter("pimentohead_agent_requests",
 		metric.WithDescription("Requests that ended, by outcome and reason."))
-	return m, errors.Join(errs[0], errs[1], errs[2])
+	_, errs[3] = meter.Float64ObservableGauge("pimentohead_agent_first_byte_bound_seconds", metric.WithFloat64Callback(m.observeBounds),
+		metric.WithDescription("Time to the first byte that is assumed when a request is refused for its deadline."))
+	return m, errors.Join(errs[:]...)
+}
+
+// observeBounds reports the bounds with which the queue decides whether a request can meet its deadline and its first-byte target.
+func (m *metrics) observeBounds(_ context.Context, o metric.Float64Observer) error {
+	stats := m.agent.queue.Stats()
+	for stream, bounds := range map[bool][]time.Duration{false: stats.FirstByteBounds, true: stats.StreamFirstByteBounds} {
+		for priority, bound := range bounds {
+			o.Observe(bound.Seconds(), metric.WithAttributes(
+				attribute.String("priority", m.priorityName(priority)), attribute.Bool("stream", stream)))
+		}
+	}
+	return nil
 }
 
 // labelKey holds the label values of a measurement.
--- a/internal/sched/config.go
+++ b/internal/sched/config.go
@@ -101,4 +101,7 @@
 	InFlight         int
 	// QueuedByPriority holds the number of waiting requests of each priority.
 	QueuedByPriority []int
+	// FirstByteBounds and StreamFirstByteBounds hold the time in which the first byte of almost every response of a priority is
+	// expected. Requests with less time left are dropped with ReasonDeadline while others of the priority are in progress.
+	FirstByteBounds, StreamFirstByteBounds []time.Duration
 }
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -298,6 +298,8 @@
 	s := Stats{ConcurrencyLimit: int(q.limiter.limit), Queued: q.waiting, InFlight: q.inFlight}
 	for _, c := range q.classes {
 		s.QueuedByPriority = append(s.QueuedByPriority, c.count)
+		s.FirstByteBounds = append(s.FirstByteBounds, c.firstByteTime.upperBound())
+		s.StreamFirstByteBounds = append(s.StreamFirstByteBounds, c.streamFirstByteTime.upperBound())
 	}
 	return s
 }
--- a/test/requests/drain_test.go
+++ b/test/requests/drain_test.go
@@ -49,6 +49,9 @@
 	// expectAllSucceeded stops the load and checks that every request succeeded.
 	expectAllSucceeded := func(load *testbed.Load) {
 		audit := verify(cluster, load)
+		for _, result := range load.All() {
+			expectSucceeded(result)
+		}
 		Expect(audit.Outcomes).To(HaveLen(1), "%v\n%s", audit.Outcomes, cluster.LogTails())
 		Expect(audit.Outcomes).To(HaveKey(testbed.OutcomeOK))
 	}
--- a/test/requests/path_test.go
+++ b/test/requests/path_test.go
@@ -38,6 +38,12 @@
 	return audit
 }
 
+// expectSucceeded checks the outcome of a request. The message contains the body of the response, which names the reason of a failure.
+func expectSucceeded(result testbed.Result) {
+	r := result.Request
+	Expect(result.Outcome).To(Equal(testbed.OutcomeOK), "%s %s through %s: %s", r.Method, r.Path, r.Entry, result.Reply.Body)
+}
+
 // Guards against responses that are incomplete without an error or belong to another request, and against not-run outcomes of requests
 // that ran, while connections fail (promises P2 and P3 in docs/promises.md).
 var _ = Describe("Idempotent requests", Ordered, func() {
@@ -111,7 +117,7 @@
 			})).To(Succeed())
 			for _, result := range load.All() {
 				if result.Begin.After(start) {
-					Expect(result.Outcome).To(Equal(testbed.OutcomeOK), "%+v", result.Request)
+					expectSucceeded(result)
 				}
 			}
 		})
