--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -257,10 +257,9 @@
 	}
 	it.firstByteSeen = true
 	now := q.cfg.Now()
-	latency := now.Sub(it.started)
-	q.limiter.sample(now, it, latency, q.inFlight)
+	q.limiter.sample(now, it, q.inFlight)
 	firstByteEstimate, _ := it.chargedClass.estimates(it)
-	firstByteEstimate.add(latency.Seconds())
+	firstByteEstimate.add(it.started, now)
 }
 
 // Done ends a started item. complete reports whether its response was complete; only then does its duration enter the estimates.
@@ -283,11 +282,12 @@
 		q.runningSuspects--
 	}
 	c := it.chargedClass
+	c.running.remove(it)
 	c.runningCost -= float64(it.Cost)
 	c.servedCost.add(now, float64(it.Cost))
 	if complete {
 		_, responseEstimate := c.estimates(it)
-		responseEstimate.add(now.Sub(it.started).Seconds())
+		responseEstimate.add(it.started, now)
 	}
 }
 
@@ -298,6 +298,8 @@
 	s := Stats{ConcurrencyLimit: int(q.limiter.limit), Queued: q.waiting, InFlight: q.inFlight}
 	for _, c := range q.classes {
 		s.QueuedByPriority = append(s.QueuedByPriority, c.count)
+		s.FirstByteBounds = append(s.FirstByteBounds, c.firstByteTime.upperBound())
+		s.StreamFirstByteBounds = append(s.StreamFirstByteBounds, c.streamFirstByteTime.upperBound())
 	}
 	return s
 }
