loader: a load order reaches only the process whose report it follows

Cause: an order names the number of orders that the process has accepted before. A restarted server counts anew, so to a process that had accepted none, and to its successor, the same number is right. Report and order went over whichever connection was free, so the successor could get the order without the chunks that had been staged beside its predecessor.

Change: the last report before an order and the order are the calls of a session, a client that opens one connection only. That connection ends with the process, and the order is then not sent; a new session asks again, and finds another start time if the server has restarted. The line "load ordered" names the start time and the number of orders before.

--- a/internal/loader/engine.go
+++ b/internal/loader/engine.go
@@ -14,6 +14,8 @@
 	ErrRefused = errors.New("loader: load order refused")
 	// ErrUnknownOutcome means that a load order may or may not have been accepted, for example because its answer was lost.
 	ErrUnknownOutcome = errors.New("loader: outcome of load order unknown")
+	// ErrSessionEnded means that the connection of a Session ended before a call was sent. The process may have ended with it.
+	ErrSessionEnded = errors.New("loader: session with the upstream ended")
 )
 
 // Report is the state that an upstream reports.
@@ -80,10 +82,21 @@
 type Engine interface {
 	// Report requests the current state of the upstream.
 	Report(ctx context.Context) (Report, error)
-	// Load sends a load order and returns nil once the upstream has accepted it. Errors match ErrRefused or ErrUnknownOutcome.
-	Load(ctx context.Context, order Order) error
+	// NewSession returns a session with the process of the upstream that answers its first call. It has to be closed.
+	NewSession() Session
 	// Stage stores a chunk beside the upstream for a later load. It replaces the chunk that is staged under the same number.
 	Stage(ctx context.Context, model string, chunk int, data []byte) error
 	// ReadStaged returns the staged bytes of a chunk, or nil if the chunk is not staged.
 	ReadStaged(ctx context.Context, model string, chunk int) ([]byte, error)
 }
+
+// Session makes calls to one process of the upstream over one connection. Calls after the end of that connection return ErrSessionEnded:
+// another process, which counts orders anew and may lack the staged chunks, must not get an order that was meant for its predecessor.
+type Session interface {
+	// Report requests the current state of the upstream.
+	Report(ctx context.Context) (Report, error)
+	// Load sends a load order and returns nil once the upstream has accepted it. Errors match ErrRefused, ErrUnknownOutcome or
+	// ErrSessionEnded.
+	Load(ctx context.Context, order Order) error
+	Close()
+}
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -9,8 +9,15 @@
 	"github.com/pimentohead/pimentohead/internal/pause"
 )
 
-// orderTimeout is how long a load order may run before it is repeated.
-const orderTimeout = 8 * time.Second
+const (
+	// orderTimeout is how long a load order may run before it is repeated.
+	orderTimeout = 8 * time.Second
+	// maxSessions is how often an order is tried whose session ends before it: upstreams close some connections after an answer.
+	maxSessions = 3
+)
+
+// errLoadedMeanwhile means that an earlier order, whose outcome was unknown, was carried out.
+var errLoadedMeanwhile = errors.New("loader: load not ordered because the version is loaded")
 
 // errTooLate means that a version was not loaded because it may not be used any more once it is loaded.
 var errTooLate = errors.New("loader: load not ordered because the version may not be used any more when it completes")
@@ -38,39 +45,53 @@
 
 // load sends the load order and waits until the load has completed. An order with an unknown outcome is treated as accepted. The call goes
 // on when ctx ends, so that the order is not carried out while a newer version is staged. Without an order, it returns nil if the upstream
-// has loaded the version meanwhile, errAbandoned if the upstream is not the process that started at startedAtMillis, whose staged data was
-// verified (its count of orders need not tell, as it starts anew), errNewerLoaded if it has loaded a newer version, and errTooLate if the
-// version could not be used any more.
+// has loaded the version meanwhile, or an error of order.
 func (l *Loader) load(ctx context.Context, target Target, startedAtMillis int64) error {
-	report, err := l.engine.Report(ctx)
-	if err != nil {
-		return err
-	}
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	if report.StartedAtMillis != startedAtMillis {
-		return errAbandoned
-	}
-	if report.NewestCompleteVersion(target.Model, target.Layers) > target.Version {
-		return errNewerLoaded
-	}
-	if report.HasVersion(target.Model, target.Version, target.Layers) {
-		return nil // An earlier order, whose outcome was unknown, was carried out.
-	}
-	if target.isTooLate(time.Now()) {
-		return errTooLate
-	}
-	order := Order{Model: target.Model, Version: target.Version, Interrupt: true, OrdersAccepted: report.OrdersAccepted}
-	l.log.Info("load ordered", "model", target.Model, "version", target.Version, "active", report.Active, "queued", report.Queued)
-	if err := l.engine.Load(context.WithoutCancel(ctx), order); err != nil {
-		if !errors.Is(err, ErrUnknownOutcome) {
-			return err
+	var ordersBefore int64
+	var err error
+	for range maxSessions {
+		if ordersBefore, err = l.order(ctx, target, startedAtMillis); !errors.Is(err, ErrSessionEnded) {
+			break
 		}
+		l.log.Info("load not ordered, connection ended", "model", target.Model, "version", target.Version, "born", startedAtMillis)
+	}
+	switch {
+	case errors.Is(err, errLoadedMeanwhile):
+		return nil
+	case errors.Is(err, ErrUnknownOutcome):
 		l.recordUnanswered()
 		l.log.Info("load order outcome unknown", "cause", err.Error())
+	case err != nil:
+		return err
 	}
-	return l.awaitLoad(ctx, target, report.OrdersAccepted)
+	return l.awaitLoad(ctx, target, ordersBefore)
+}
+
+// order sends the load order to the process of the upstream that started at startedAtMillis, whose staged data was verified, and returns
+// that process's count of orders before. It sends none, and returns errAbandoned, if another process answers, errLoadedMeanwhile or
+// errNewerLoaded if the version or a newer one is loaded, and errTooLate if the version could not be used any more.
+func (l *Loader) order(ctx context.Context, target Target, startedAtMillis int64) (ordersBefore int64, err error) {
+	session := l.engine.NewSession()
+	defer session.Close()
+	report, err := session.Report(ctx)
+	switch {
+	case err != nil:
+		return 0, err
+	case ctx.Err() != nil:
+		return 0, ctx.Err()
+	case report.StartedAtMillis != startedAtMillis:
+		return 0, errAbandoned
+	case report.NewestCompleteVersion(target.Model, target.Layers) > target.Version:
+		return 0, errNewerLoaded
+	case report.HasVersion(target.Model, target.Version, target.Layers):
+		return 0, errLoadedMeanwhile
+	case target.isTooLate(time.Now()):
+		return 0, errTooLate
+	}
+	order := Order{Model: target.Model, Version: target.Version, Interrupt: true, OrdersAccepted: report.OrdersAccepted}
+	l.log.Info("load ordered", "model", target.Model, "version", target.Version, "born", startedAtMillis,
+		"orders_before", report.OrdersAccepted, "active", report.Active, "queued", report.Queued)
+	return report.OrdersAccepted, session.Load(context.WithoutCancel(ctx), order)
 }
 
 // awaitLoad waits until the version is loaded. It returns an error if the order ended without loading the version, the upstream
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -79,6 +79,10 @@
 	return r, nil
 }
 
+func (e *fakeEngine) NewSession() loader.Session { return e }
+
+func (e *fakeEngine) Close() {}
+
 func (e *fakeEngine) Load(_ context.Context, order loader.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
