chunkcache: a dropped version is not returned as an empty one

Callers and operators saw: an upstream without weights that loads what happened to be staged, and then makes tokens with it. Needs corrupt chunks of one version in a row from the origin or from peers.

Cause: Manifest and Chunk waited until the content was held, gave up the lock, and read it again. After three corrupt chunks in a row the cache drops the manifest and all chunks of a version, and if that came between the two steps, they returned an empty list, or no bytes, without an error. An empty list means that all chunks are staged; the load was then ordered with none.

Change: the content is returned as it was found under the lock. A chunk that was dropped right after it was fetched counts as not available. The drop of a version is logged.

--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -174,31 +174,21 @@
 
 // Manifest returns the hex SHA-256 digests of all chunks of a version. It retries until ctx ends and returns an error only then.
 func (c *Cache) Manifest(ctx context.Context, model string, number int64) ([]string, error) {
-	v := c.getOrAddVersion(model, number)
-	if err := c.ensure(ctx, v, message.WholeManifest); err != nil {
-		return nil, err
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.digests, nil
+	held, err := c.ensure(ctx, c.getOrAddVersion(model, number), message.WholeManifest)
+	return held.digests, err
 }
 
 // Chunk returns a verified chunk. It retries until ctx ends and returns an error only then.
 func (c *Cache) Chunk(ctx context.Context, model string, number int64, chunk int) ([]byte, error) {
-	v := c.getOrAddVersion(model, number)
-	if err := c.ensure(ctx, v, chunk); err != nil {
-		return nil, err
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.chunks[chunk], nil
+	held, err := c.ensure(ctx, c.getOrAddVersion(model, number), chunk)
+	return held.data, err
 }
 
 // TryChunk returns a verified chunk if this node or one of its first tryChunkPeers sources holds it, otherwise ErrNotAvailable. It
 // never reads a chunk from the origin, but waits for the manifest until ctx ends.
 func (c *Cache) TryChunk(ctx context.Context, model string, number int64, chunk int) ([]byte, error) {
 	v := c.getOrAddVersion(model, number)
-	if err := c.ensure(ctx, v, message.WholeManifest); err != nil {
+	if _, err := c.ensure(ctx, v, message.WholeManifest); err != nil {
 		return nil, err
 	}
 	origin := c.currentOrigin()
@@ -211,19 +201,42 @@
 			return nil, err
 		}
 	}
+	held, ok := v.get(chunk)
+	if !ok {
+		return nil, errors.Wrapf(ErrNotAvailable, "chunk %d of version %d was dropped", chunk, number)
+	}
+	return held.data, nil
+}
+
+// content is what is held of a version under one chunk number: digests of the manifest, data of a chunk.
+type content struct {
+	digests []string
+	data    []byte
+}
+
+// get returns a chunk or the manifest, and reports whether it is cached.
+func (v *cachedVersion) get(chunk int) (content, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.chunks[chunk], nil
+	return v.getLocked(chunk)
 }
 
-// ensure waits until a chunk or the manifest is held. It retries failed fetches until ctx ends and returns an error only then.
+// getLocked implements get. The caller must hold v.mu.
+func (v *cachedVersion) getLocked(chunk int) (content, bool) {
+	if chunk == message.WholeManifest {
+		return content{digests: v.digests}, v.digests != nil
+	}
+	return content{data: v.chunks[chunk]}, v.chunks[chunk] != nil
+}
+
+// ensure waits until a chunk or the manifest is held, and returns it: it may be dropped again at any time. It retries failed fetches until ctx ends and returns an error only then.
 // Concurrent callers share one fetch.
-func (c *Cache) ensure(ctx context.Context, v *cachedVersion, chunk int) error {
+func (c *Cache) ensure(ctx context.Context, v *cachedVersion, chunk int) (content, error) {
 	for {
 		v.mu.Lock()
-		if v.holds(chunk) {
+		if held, ok := v.getLocked(chunk); ok {
 			v.mu.Unlock()
-			return nil
+			return held, nil
 		}
 		shared := v.fetches[chunk]
 		if shared == nil {
@@ -235,7 +248,7 @@
 		select {
 		case <-shared.done:
 		case <-ctx.Done():
-			return ctx.Err()
+			return content{}, ctx.Err()
 		}
 		if shared.err != nil {
 			timer := time.NewTimer(retryPause)
@@ -243,20 +256,12 @@
 			case <-timer.C:
 			case <-ctx.Done():
 				timer.Stop()
-				return errors.CombineErrors(shared.err, ctx.Err())
+				return content{}, errors.CombineErrors(shared.err, ctx.Err())
 			}
 		}
 	}
 }
 
-// holds reports whether a chunk or the manifest is cached. The caller must hold v.mu.
-func (v *cachedVersion) holds(chunk int) bool {
-	if chunk == message.WholeManifest {
-		return v.digests != nil
-	}
-	return v.chunks[chunk] != nil
-}
-
 // verifyAndStore stores digests if chunk is message.WholeManifest, else data. It returns ErrCorrupt if they fail verification.
 // After maxMismatches consecutive mismatches it also drops the manifest and all chunks of the version.
 func (c *Cache) verifyAndStore(v *cachedVersion, chunk int, digests []string, data []byte) error {
@@ -277,6 +282,7 @@
 		if v.mismatches >= maxMismatches {
 			v.digests, v.mismatches = nil, 0
 			v.chunks = map[int][]byte{}
+			c.log.Info("weights dropped, chunks do not match the manifest", "model", v.model, "version", v.number, "chunk", chunk)
 		}
 		return errors.Wrapf(ErrCorrupt, "chunk %d of version %d", chunk, v.number)
 	}
@@ -317,10 +323,8 @@
 
 // has reports whether a chunk or the manifest is cached. It adds the version if it is not cached, as Progress does.
 func (c *Cache) has(model string, number int64, chunk int) bool {
-	v := c.getOrAddVersion(model, number)
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.holds(chunk)
+	_, held := c.getOrAddVersion(model, number).get(chunk)
+	return held
 }
 
 // Serve answers a request for weights from another node within 2*peerTimeout. It fetches what it does not hold, unless the request
--- a/internal/chunkcache/fetch.go
+++ b/internal/chunkcache/fetch.go
@@ -28,7 +28,7 @@
 	if chunk != message.WholeManifest {
 		waitCtx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
 		defer cancel()
-		if err := c.ensure(waitCtx, v, message.WholeManifest); err != nil {
+		if _, err := c.ensure(waitCtx, v, message.WholeManifest); err != nil {
 			return err
 		}
 	}
