mesh: records that were dropped from the queue are sent at once

Operators saw: entries and agents without some of the upstreams that another entry knows, until its next change. Needs more than 1,024 changes at once, as in a first listing of a large fleet or after a restore of the store.

Cause: changes that do not fit the queue set a flag, and the full state replaces them. The flag was read before the queue was emptied into a batch. Changes that were dropped while the batch was built came after that, and the sender waited for the next change with an empty queue.

Change: the flag is read after the queue was emptied. A drop after that needs a full queue, which wakes the sender again. The sending of the full state is logged.

--- a/internal/mesh/changes.go
+++ b/internal/mesh/changes.go
@@ -22,14 +22,12 @@
 			return
 		case first = <-m.changes:
 		}
+		local, remote, agents := m.batchChanges(first)
+		// Checked once the queue is empty: what was dropped while it was read is in no later batch.
 		if m.resyncNeeded.Swap(false) {
-			m.drainChanges()
-			for _, p := range m.peers(func(*peer) bool { return true }) {
-				m.broadcast(m.fullState(p.hello), only(p))
-			}
+			m.sendFullState()
 			continue
 		}
-		local, remote, agents := m.batchChanges(first)
 		if !isEmptyState(local) {
 			m.broadcast(local, m.recordReceivers())
 		}
@@ -89,13 +87,11 @@
 	return msg.Config == nil && len(msg.Upstreams) == 0 && len(msg.Versions) == 0 && len(msg.Checkpoints) == 0
 }
 
-// drainChanges discards the queued changes.
-func (m *Mesh) drainChanges() {
-	for {
-		select {
-		case <-m.changes:
-		default:
-			return
-		}
+// sendFullState sends the full state on all links, because changes were dropped.
+func (m *Mesh) sendFullState() {
+	peers := m.peers(func(*peer) bool { return true })
+	m.cfg.Log.Info("changes dropped, sending the full state", "peers", len(peers))
+	for _, p := range peers {
+		m.broadcast(m.fullState(p.hello), only(p))
 	}
 }
