confsync: a reply does not put back what its peer has reported since

Operators saw: a configuration that a node puts in force one report of its peers later than needed.

Cause: a reply without a document records the revision of its peer when the reply is handled, from a queue; heartbeats are recorded as they arrive. A heartbeat that came after the reply and reported a newer revision was overwritten with the older one.

Change: the revision of such a reply is recorded when it arrives, in the order of the link.

TestReplyDoesNotReplaceALaterReport failed before (no second request) and passes. Found by reading.

--- a/internal/controller/confsync/confsync_test.go
+++ b/internal/controller/confsync/confsync_test.go
@@ -356,3 +356,18 @@
 		g.Expect(holder.Current()).To(BeNil())
 	})
 }
+
+// Guards against a revision that a peer reports and that is not fetched, because a reply that the peer had sent before puts it back: the
+// configuration came a report later.
+func TestReplyDoesNotReplaceALaterReport(t *testing.T) {
+	withVirtualTime(t, func(t *testing.T, g *WithT) {
+		agent, _ := newSyncer("agent", nil)
+		link := newFakeLink(nil)
+		agent.HandleHeartbeat(link, 1)
+		agent.HandleReply(link, &message.ConfigReply{})
+		agent.HandleHeartbeat(link, 2)
+		runSyncers(t, agent)
+		advance(time.Second)
+		g.Expect(link.count()).To(BeNumerically(">", 1), "requests, the first of them before the reply was handled")
+	})
+}
--- a/internal/controller/confsync/fetch.go
+++ b/internal/controller/confsync/fetch.go
@@ -70,14 +70,32 @@
 }
 
 // HandleReply queues a peer's reply, which Run applies. When the queue is full, the reply is dropped and the revision is
-// requested again after the timeout.
+// requested again after the timeout. The revision of a peer that has nothing newer is recorded at once: a heartbeat that follows may report a
+// newer one before Run gets to the reply.
 func (s *Syncer) HandleReply(link Link, body *message.ConfigReply) {
+	if hasNoDocument(body) {
+		s.fetcher.recordRevision(link, body.Revision)
+	}
 	select {
 	case s.fetcher.replies <- receivedReply{link: link, body: body}:
 	default:
 	}
 }
 
+// hasNoDocument reports whether a reply says that the peer has nothing newer.
+func hasNoDocument(body *message.ConfigReply) bool {
+	return len(body.Envelope) == 0 && len(body.Delta) == 0
+}
+
+// recordRevision records the revision of a peer that has reported one before.
+func (f *fetcher) recordRevision(link Link, revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, tracked := f.peerRevisions[link]; tracked {
+		f.peerRevisions[link] = revision
+	}
+}
+
 // notify wakes run without blocking.
 func (f *fetcher) notify() {
 	select {
@@ -186,12 +204,7 @@
 
 // handleReply applies a reply. A reply without a document ends the request: the peer has nothing newer.
 func (f *fetcher) handleReply(received receivedReply) {
-	if len(received.body.Envelope) == 0 && len(received.body.Delta) == 0 {
-		f.mu.Lock()
-		if _, tracked := f.peerRevisions[received.link]; tracked {
-			f.peerRevisions[received.link] = received.body.Revision
-		}
-		f.mu.Unlock()
+	if hasNoDocument(received.body) {
 		if f.requestedFrom == received.link {
 			f.requestedFrom = nil
 		}
