loadview: reports of an agent are ordered by their numbers

Callers saw: requests sent to an upstream that an entry had already known to be down, to load, or to have replaced the version, for as long as the paths of two reports differ. The load went back.

Cause: reports reach an entry over several nodes and are ordered by their ages. An age counts the time at nodes, not the time on links, so a report that waited on a slow link counts as newer than one that was made later. Among reports of one upstream that a relay queues, the last to arrive won.

Change: an agent numbers its reports, from a random number on, so that numbers of two processes of an agent are not compared. Reports of one process are ordered by number, at relays too; others by age and by the start of the upstream, as before.

TestReportsOfAnAgentAreOrderedByTheirNumbers failed before the numbers were compared in 3 of 6 cases (older report that arrives later, newer one that was held for longer, upstream with its clock set back) and passes. Found by reading.

--- a/internal/loadview/table.go
+++ b/internal/loadview/table.go
@@ -42,6 +42,15 @@
 	return &Table{now: now, loads: map[string]Load{}, dataCentreWork: map[string]dataCentreWork{}}
 }
 
+// isAfter reports whether a load is newer than one that is known. The numbers of its agent tell; loads of different processes of the agent are
+// ordered by time, which lacks the time on the links, and by the start of the upstream.
+func (l Load) isAfter(known Load) bool {
+	if order, ok := l.CompareSeq(known.UpstreamLoad); ok {
+		return order > 0
+	}
+	return l.QueriedAt.After(known.QueriedAt) && (l.StartedAtMillis == 0 || l.StartedAtMillis >= known.StartedAtMillis)
+}
+
 // Apply merges loads from a message that has just arrived. It ignores a load that is older than the stored one or
 // precedes a restart of the upstream, and drops expired loads. Data centre work in the message always replaces the stored work.
 func (t *Table) Apply(loads []message.UpstreamLoad) {
@@ -53,11 +62,11 @@
 		if l.HasDataCentreWork {
 			t.dataCentreWork[l.Address] = dataCentreWork{work: l.DataCentreWork, receivedAt: now}
 		}
-		if known, ok := t.loads[l.Address]; ok && (!queriedAt.After(known.QueriedAt) ||
-			l.StartedAtMillis != 0 && l.StartedAtMillis < known.StartedAtMillis) {
+		load := Load{UpstreamLoad: l, QueriedAt: queriedAt}
+		if known, ok := t.loads[l.Address]; ok && !load.isAfter(known) {
 			continue
 		}
-		t.loads[l.Address] = Load{UpstreamLoad: l, QueriedAt: queriedAt}
+		t.loads[l.Address] = load
 	}
 	for address, l := range t.loads {
 		if now.Sub(l.QueriedAt) > retention {
--- a/internal/loadview/table_test.go
+++ b/internal/loadview/table_test.go
@@ -35,6 +35,36 @@
 	g.Expect(ok).To(BeFalse(), "a load that is not refreshed expires")
 }
 
+// Guards against a report that takes a slower path and replaces a newer one: entries sent requests to an upstream that was known to be down,
+// or to have replaced its version. Ages lack the time on the links.
+func TestReportsOfAnAgentAreOrderedByTheirNumbers(t *testing.T) {
+	const first = 1 << 60
+	for name, c := range map[string]struct {
+		reports    []message.UpstreamLoad
+		wantActive int
+	}{
+		"older report arrives later":           {[]message.UpstreamLoad{{Seq: first + 1, Active: 2}, {Seq: first, Active: 1}}, 2},
+		"newer report was held for longer":     {[]message.UpstreamLoad{{Seq: first, Active: 1}, {Seq: first + 1, Active: 2, AgeMillis: 90}}, 2},
+		"upstream's clock was set back":        {[]message.UpstreamLoad{{Seq: first, StartedAtMillis: 9}, {Seq: first + 1, StartedAtMillis: 5, Active: 2}}, 2},
+		"agent restarted, with a lower number": {[]message.UpstreamLoad{{Seq: first, Active: 1}, {Seq: 7, Active: 2}}, 2},
+		"older report of a restarted upstream": {[]message.UpstreamLoad{{Seq: first, StartedAtMillis: 9, Active: 2}, {Seq: 7, StartedAtMillis: 5}}, 2},
+		"agent of an earlier release":          {[]message.UpstreamLoad{{Seq: first, Active: 1}, {Active: 2}}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(1000, 0)
+			table := loadview.NewTable(func() time.Time { return now })
+			for _, report := range c.reports {
+				report.Address = "a"
+				table.Apply([]message.UpstreamLoad{report})
+				now = now.Add(50 * time.Millisecond)
+			}
+			load, _, _ := table.Get("a")
+			g.Expect(load.Active).To(Equal(c.wantActive))
+		})
+	}
+}
+
 // Guards against a report of an agent that discards the work of the entries in its data centre: seen from another data centre, the
 // upstream then looks idle. The prediction was 119 ms, and the first event came after 630 ms.
 func TestReportDoesNotDiscardWorkOfEntries(t *testing.T) {
--- a/internal/mesh/loads.go
+++ b/internal/mesh/loads.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/message"
@@ -48,9 +50,27 @@
 	return out
 }
 
+// loadSequence numbers the loads that an agent reports. It starts at a random number, see message.UpstreamLoad. The zero value is ready for use.
+type loadSequence struct {
+	mu   sync.Mutex
+	last uint64
+}
+
+// next returns the next number.
+func (s *loadSequence) next() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last == 0 {
+		s.last = rand.Uint64() >> 1
+	}
+	s.last++
+	return s.last
+}
+
 // ReportLoad sends the load of an agent's upstream to the entries that pass it on, or to all linked ones if it has no links to entries of its
 // own data centre.
 func (m *Mesh) ReportLoad(l message.UpstreamLoad) {
+	l.Seq = m.loadSeq.next()
 	match := m.reportReceivers()
 	if len(m.peers(match)) == 0 {
 		match = isEntry
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -74,6 +74,8 @@
 	configRequestPending atomic.Bool
 	// pending matches weights replies with their requests.
 	pending pendingReplies
+	// loadSeq numbers the loads that an agent reports.
+	loadSeq loadSequence
 	// encoder caches the encoded configuration.
 	encoder configEncoder
 	// versionFromLocalEntry is the version of the last configuration that arrived from an entry of the own data centre.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -239,6 +239,8 @@
 			load, _, _ := n.loads.Get("10.0.0.1:1")
 			return load.Active
 		}, "4s", "100ms").Should(Equal(7), n.id)
+		load, _, _ := n.loads.Get("10.0.0.1:1")
+		g.Expect(load.Seq).NotTo(BeZero(), "reports are numbered")
 	}
 }
 
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -29,7 +29,7 @@
 	receivedAt time.Time
 }
 
-// addLoads queues loads. A load replaces the queued one of the same upstream.
+// addLoads queues loads. A load replaces the queued one of the same upstream unless it is older.
 func (q *relayQueue) addLoads(loads []message.UpstreamLoad) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -38,13 +38,20 @@
 	}
 	now := time.Now()
 	for _, l := range loads {
-		if queued, ok := q.loads[l.Address]; ok && l.StartedAtMillis < queued.StartedAtMillis {
-			continue
+		if queued, ok := q.loads[l.Address]; !ok || !precedes(l, queued.UpstreamLoad) {
+			q.loads[l.Address] = queuedLoad{UpstreamLoad: l, receivedAt: now}
 		}
-		q.loads[l.Address] = queuedLoad{UpstreamLoad: l, receivedAt: now}
 	}
 }
 
+// precedes reports whether a load is older than another one of the same upstream, as far as that is known.
+func precedes(l, other message.UpstreamLoad) bool {
+	if order, ok := l.CompareSeq(other); ok {
+		return order < 0
+	}
+	return l.StartedAtMillis < other.StartedAtMillis
+}
+
 // addRateShares queues a report. It replaces the queued one of the same entry.
 func (q *relayQueue) addRateShares(report message.RateShares) {
 	q.mu.Lock()
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -1,6 +1,10 @@
 package message
 
-import "github.com/pimentohead/pimentohead/internal/catalog"
+import (
+	"cmp"
+
+	"github.com/pimentohead/pimentohead/internal/catalog"
+)
 
 // FleetState carries the sender's configuration and its records of upstreams and of named model versions. An entry sends all its
 // records on a new link and after its queue of changes has overflowed, and otherwise only those that changed. An agent sends only its
@@ -77,6 +81,8 @@
 // UpstreamLoad is the load of one upstream.
 type UpstreamLoad struct {
 	Address string `msgpack:"a"`
+	// Seq numbers the reports of one process of the agent, see CompareSeq; 0 from agents of earlier releases.
+	Seq uint64 `msgpack:"sq,omitempty"`
 	// StartedAtMillis is the time at which the upstream started, in milliseconds since the Unix epoch, or 0 if unknown.
 	StartedAtMillis int64 `msgpack:"b,omitempty"`
 	// AgeMillis is the time since the agent queried the upstream. Each node that forwards the load adds the time it held it.
@@ -103,6 +109,20 @@
 	HasDataCentreWork bool         `msgpack:"he,omitempty"`
 }
 
+// maxSeqDistance is the largest difference between the numbers of reports of one process. The first number of a process is random, so that
+// numbers of different processes are further apart.
+const maxSeqDistance = 1 << 32
+
+// CompareSeq compares the order in which an agent has made two reports of the same upstream: it is positive if l is the later one. ok is
+// false if they are not known to be of one process of the agent.
+func (l UpstreamLoad) CompareSeq(other UpstreamLoad) (order int, ok bool) {
+	if l.Seq == 0 || other.Seq == 0 {
+		return 0, false
+	}
+	distance := int64(l.Seq - other.Seq) // Right also for numbers that have wrapped around.
+	return cmp.Compare(distance, 0), -maxSeqDistance < distance && distance < maxSeqDistance
+}
+
 // EntryWork lists the work that one entry has in progress at each upstream, or the entries of one data centre at those of another. Each
 // message replaces the previous one with the same NodeID.
 type EntryWork struct {
