ratelimit: a report that takes a slower path does not replace a newer one

Callers saw: refusals of an upstream whose limit the entries together exceed, while paths between them differ in speed. What other entries had sent went back to an older count.

Cause: the report of an entry reaches another one over two relays, and across data centres in goroutines of their own; whichever arrived last replaced the one before, at relays too.

Change: an entry numbers its reports as an agent numbers loads, and an older report, or the same one again, is dropped.

TestOlderReportDoesNotReplaceANewerOne failed before (requests are available beyond the limit after the older report) and passes. Found by reading.

--- a/internal/loadview/table.go
+++ b/internal/loadview/table.go
@@ -45,7 +45,7 @@
 // isAfter reports whether a load is newer than one that is known. The numbers of its agent tell; loads of different processes of the agent are
 // ordered by time, which lacks the time on the links, and by the start of the upstream.
 func (l Load) isAfter(known Load) bool {
-	if order, ok := l.CompareSeq(known.UpstreamLoad); ok {
+	if order, ok := message.CompareSeq(l.Seq, known.Seq); ok {
 		return order > 0
 	}
 	return l.QueriedAt.After(known.QueriedAt) && (l.StartedAtMillis == 0 || l.StartedAtMillis >= known.StartedAtMillis)
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -46,20 +46,22 @@
 
 // precedes reports whether a load is older than another one of the same upstream, as far as that is known.
 func precedes(l, other message.UpstreamLoad) bool {
-	if order, ok := l.CompareSeq(other); ok {
+	if order, ok := message.CompareSeq(l.Seq, other.Seq); ok {
 		return order < 0
 	}
 	return l.StartedAtMillis < other.StartedAtMillis
 }
 
-// addRateShares queues a report. It replaces the queued one of the same entry.
+// addRateShares queues a report. It replaces the queued one of the same entry unless it is older.
 func (q *relayQueue) addRateShares(report message.RateShares) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.rateShares == nil {
 		q.rateShares = map[string]message.RateShares{}
 	}
-	q.rateShares[report.NodeID] = report
+	if order, ok := message.CompareSeq(report.Seq, q.rateShares[report.NodeID].Seq); !ok || order > 0 {
+		q.rateShares[report.NodeID] = report
+	}
 }
 
 // addRefusals queues a message.
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -113,13 +113,13 @@
 // numbers of different processes are further apart.
 const maxSeqDistance = 1 << 32
 
-// CompareSeq compares the order in which an agent has made two reports of the same upstream: it is positive if l is the later one. ok is
-// false if they are not known to be of one process of the agent.
-func (l UpstreamLoad) CompareSeq(other UpstreamLoad) (order int, ok bool) {
-	if l.Seq == 0 || other.Seq == 0 {
+// CompareSeq compares the numbers of two reports of one node: the order is positive if a was made later than b. ok is false if they are not
+// known to be of one process of the node.
+func CompareSeq(a, b uint64) (order int, ok bool) {
+	if a == 0 || b == 0 {
 		return 0, false
 	}
-	distance := int64(l.Seq - other.Seq) // Right also for numbers that have wrapped around.
+	distance := int64(a - b) // Right also for numbers that have wrapped around.
 	return cmp.Compare(distance, 0), -maxSeqDistance < distance && distance < maxSeqDistance
 }
 
--- a/internal/message/ratelimit.go
+++ b/internal/message/ratelimit.go
@@ -4,6 +4,8 @@
 // of each limit. It is sent only while a limit is in force. See package ratelimit.
 type RateShares struct {
 	NodeID string `msgpack:"id"`
+	// Seq numbers the reports of one process of the entry, see CompareSeq; 0 from entries of earlier releases.
+	Seq uint64 `msgpack:"sq,omitempty"`
 	// Limits are the limits of upstreams, including those lifted a short time ago.
 	Limits []RateLimit `msgpack:"l,omitempty"`
 	// Demand is the demand of the entry at each service with a limited upstream, Sent the requests that it sent to each limited upstream.
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -76,10 +76,12 @@
 	cfg Config
 
 	// mu guards the fields below.
-	mu        sync.Mutex
-	limits    map[string]*limit
-	demand    map[string]*rateMeter
-	peers     map[string]peerReport
+	mu     sync.Mutex
+	limits map[string]*limit
+	demand map[string]*rateMeter
+	peers  map[string]peerReport
+	// exported is the number of the last report to other entries, 0 before the first one.
+	exported  uint64
 	observers []func(message.RateLimit)
 }
 
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -64,6 +64,26 @@
 	}
 }
 
+// Guards against a report of another entry that takes a slower path and replaces a newer one: requests that the other had sent were no longer
+// counted, and the entries sent more than the limit.
+func TestOlderReportDoesNotReplaceANewerOne(t *testing.T) {
+	g := NewWithT(t)
+	l, now := newLimiter()
+	u := ratelimit.Upstream{ID: "u", StartedAtMillis: 5, Service: "s"}
+	l.RecordResponse(u, 2, true)
+	*now = now.Add(3 * time.Second)
+	available := func(seq uint64, sent int) bool {
+		l.Merge(&message.RateShares{NodeID: "other", Seq: seq, Sent: []message.SentRequests{{Upstream: "u", Count: sent}}})
+		ok, _ := l.Available(u)
+		return ok
+	}
+	const first = 1 << 60
+	g.Expect(available(first, 0)).To(BeTrue())
+	g.Expect(available(first+2, 100)).To(BeFalse())
+	g.Expect(available(first+1, 0)).To(BeFalse(), "older report")
+	g.Expect(available(7, 0)).To(BeTrue(), "report of another process")
+}
+
 // Guards against malformed reports that free an upstream or stop it.
 func TestMalformedReportsAreIgnored(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/ratelimit/shares.go
+++ b/internal/ratelimit/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -11,6 +12,8 @@
 
 // peerReport is the newest report of another entry.
 type peerReport struct {
+	// seq is its number, 0 if it has none.
+	seq        uint64
 	receivedAt time.Time
 	// demand is indexed by service, sent by the ID of the upstream.
 	demand map[string]float64
@@ -26,7 +29,11 @@
 		return nil
 	}
 	now := l.cfg.Now()
-	out := &message.RateShares{NodeID: l.cfg.Self, Limits: limits}
+	if l.exported == 0 {
+		l.exported = rand.Uint64() >> 1 // Other entries may still know reports of an earlier process of this entry.
+	}
+	l.exported++
+	out := &message.RateShares{NodeID: l.cfg.Self, Seq: l.exported, Limits: limits}
 	services := map[string]bool{}
 	for _, r := range limits {
 		current := l.limits[r.Upstream]
@@ -54,7 +61,10 @@
 	if m.NodeID == "" || m.NodeID == l.cfg.Self {
 		return
 	}
-	report := peerReport{receivedAt: now, demand: map[string]float64{}, sent: map[string]int{}}
+	if order, ok := message.CompareSeq(m.Seq, l.peers[m.NodeID].seq); ok && order <= 0 {
+		return // It came over a slower path.
+	}
+	report := peerReport{seq: m.Seq, receivedAt: now, demand: map[string]float64{}, sent: map[string]int{}}
 	for _, d := range m.Demand {
 		if d.PerSecond >= 0 && !math.IsInf(d.PerSecond, 0) {
 			report.demand[d.Service] = d.PerSecond
