soak: crashes, cut streams and late rollouts move streams between servers

Beside the other faults, and with a generator of their own so that the sequence of those stays the same for a seed, model servers crash (close or reset) and refuse connections until they are back, cut streams between two events, and a version is published that half of them do not load in time. Versions have to be in force after 4.2 s instead of 8 s in the mix of faults, so that their time ends within a run; the bounds on versions are judged in the runs with late writes only, which keep 8 s. Outages of a server are counted, so that the end of one does not end another.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -68,11 +68,11 @@
 
 // runSeed runs one seed. It returns the findings and a summary of the run.
 func runSeed(seed uint64, options runOptions) (findings []string, summary string, err error) {
-	injectFaults, contactMS := (*checker).runMixedFaults, int64(0)
+	injectFaults, bounds := (*checker).runMixedFaults, fleetBounds{versionMS: shortVersionMS}
 	if options.lateWrites {
-		injectFaults, contactMS = (*checker).runLateWrites, contactTime.Milliseconds()
+		injectFaults, bounds = (*checker).runLateWrites, fleetBounds{versionMS: versionApplyMS, contactMS: contactTime.Milliseconds()}
 	}
-	fleet, err := newTestFleet(options.scale, contactMS)
+	fleet, err := newTestFleet(options.scale, bounds)
 	if err != nil {
 		return nil, "", err
 	}
@@ -107,10 +107,13 @@
 	restored := fleet.restoreStore(random(callers+2), options.length)
 	faultsEnded := make(chan struct{})
 	wg.Go(func() { fleet.injectSilences(random(callers+5), false, faultsEnded) })
+	var streamFaults sync.WaitGroup
+	streamFaults.Go(func() { c.injectStreamFaults(random(callers+6), faultsEnded) })
 	wg.Go(func() { fleet.injectModelStatements(random(callers+3), faultsEnded) })
 	wg.Go(func() { fleet.injectDeskStatements(random(callers+4), faultsEnded) })
 	faultNames = append(fleet.injectFaults(rng, options.length), fmt.Sprintf("%d times store restored", <-restored))
 	close(faultsEnded)
+	streamFaults.Wait()
 	c.awaitServing("after the last fault")
 	c.awaitNewestVersion()
 	close(stop)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -82,8 +82,9 @@
 	{"server unreachable", func(fleet *testFleet, rng *rand.Rand) func() {
 		name := fleet.randomServerName(rng)
 		return fleet.disturbances.during(name, func() func() {
-			fleet.proxies[name].Cut()
-			return func() { _ = fleet.proxies[name].Listen() }
+			end := fleet.outages.begin(fleet.proxies[name])
+			fleet.proxies[name].Break(faultproxy.Any)
+			return end
 		})
 	}},
 	{"server delayed", func(fleet *testFleet, rng *rand.Rand) func() {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -30,13 +30,17 @@
 	announceInterval     = 400 * time.Millisecond
 	// versionApplyMS is the time in milliseconds after the publication of a version after which no request may start on an older one.
 	versionApplyMS = 8000
+	// shortVersionMS is the same for runs with a mix of faults, in which the times of several versions end.
+	shortVersionMS = 4200
 	// configApplyMS is the same for the publication of a configuration.
 	configApplyMS = 2000
 	// graceS is the time in seconds from SIGTERM to the end of a process.
 	graceS = 3
-	// Streams are long enough for faults to meet them.
+	// Streams are long enough for faults to meet them. Servers load for different times, so that they hold different versions.
 	eventCount    = 8
 	eventInterval = 15 * time.Millisecond
+	minLoadTime   = 100 * time.Millisecond
+	slowLoads     = 4
 	linkSecret    = "a secret of sixteen bytes or more"
 )
 
@@ -73,9 +77,18 @@
 	lateCopyAfter time.Duration
 	// versions and configs are the versions of the model and of the configuration that the operator has published.
 	versions, configs publications
-	// contactMS is the time in milliseconds for which a node must have been undisturbed for bounds to apply to it.
+	bounds            fleetBounds
+	// outages counts the faults that make a server unreachable.
+	outages outages
+	stop    chan struct{}
+}
+
+// fleetBounds are bounds in milliseconds that nodes read from their settings.
+type fleetBounds struct {
+	// versionMS is the time after the publication of a version after which no request may start on an older one.
+	versionMS int64
+	// contactMS is the time for which a node must have been undisturbed for bounds to apply to it.
 	contactMS int64
-	stop      chan struct{}
 }
 
 // node is an entry or agent process. The addresses are set for entries only.
@@ -91,8 +104,8 @@
 func entryName(i int) string { return fmt.Sprintf("edge-%d", i) }
 
 // newTestFleet starts the stand-ins and the processes of a fleet.
-func newTestFleet(scale int, contactMS int64) (fleet *testFleet, err error) {
-	fleet = &testFleet{contactMS: contactMS, newestVersion: 1, store: standin.NewStore(), origin: &standin.Origin{},
+func newTestFleet(scale int, bounds fleetBounds) (fleet *testFleet, err error) {
+	fleet = &testFleet{bounds: bounds, newestVersion: 1, store: standin.NewStore(), origin: &standin.Origin{},
 		proxies: map[string]*faultproxy.Proxy{}, stop: make(chan struct{})}
 	defer func() {
 		if err != nil {
@@ -125,7 +138,7 @@
 	for i := range models {
 		// The last one starts without weights (version 0), the others with version 1.
 		m := standin.NewModelServer(fmt.Sprintf("model-%d", i), int64(1-i/(models-1)))
-		m.EventCount, m.EventInterval = eventCount, eventInterval
+		m.EventCount, m.EventInterval, m.LoadTime = eventCount, eventInterval, time.Duration(1+i%slowLoads)*minLoadTime
 		fleet.models = append(fleet.models, m)
 		if err := fleet.startStandIn(m.ID, m); err != nil {
 			return err
@@ -232,7 +245,7 @@
 	text := fmt.Sprintf("node_name = %q\nip = %q\nzone = %q\nregion = %q\ninternal_ports = [%s, %s]\nseeds = [%q]\n%s",
 		name, ip, dataCentre, dataCentre, port, lastPort, seedAddress, app)
 	text += listen + fmt.Sprintf("[bounds]\ngrace_s = %d\ncontact_ms = %d\nversion_ms = %d\nretry_budget_ratio = 0.2\nretry_slack = 200\n"+
-		"budget_window_s = 10\n[platform]\naddress = %q\n", graceS, fleet.contactMS, versionApplyMS, fleet.proxies["store"].Address())
+		"budget_window_s = 10\n[platform]\naddress = %q\n", graceS, fleet.bounds.contactMS, fleet.bounds.versionMS, fleet.proxies["store"].Address())
 	path := filepath.Join(fleet.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "soak: write settings")
