relay: two tests of version ends wait until the upstream has seen the close

The test read that report without waiting, although it is sent by another goroutine than the one that the answer comes from.

Both wait up to 1 s for the report now; when the close was seen is compared as before.

--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -93,7 +93,7 @@
 	g.Expect(a.err).NotTo(HaveOccurred())
 	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
 	var at time.Time
-	g.Expect(closed).To(Receive(&at), "the entry lets the attempt begin on version 1")
+	g.Eventually(closed, "1s").Should(Receive(&at), "the entry lets the attempt begin on version 1")
 	g.Expect(at).To(BeTemporally("<", mustEndBy.Add(-relay.VersionMargin-200*time.Millisecond)),
 		"the close needs as long to reach the upstream as the attempt has waited")
 	g.Expect(current.requests()).To(HaveLen(1))
@@ -159,7 +159,7 @@
 	a := generate(e)
 	g.Expect(a.err).NotTo(HaveOccurred())
 	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
-	g.Expect(closed).To(Receive(), "the entry lets the attempt begin on version 1")
+	g.Eventually(closed, "1s").Should(Receive(), "the entry lets the attempt begin on version 1")
 }
 
 // Guards against a request that is sent to an upstream with the previous version although it will not begin there in time: the reports
