chunkcache, loader: log what a fleet without weights waits for

After a loss of power, the logs did not show which reads reached the origin of weights, how soon and beside how many others they failed, where a manifest came from, and what an agent without weights was waiting for. Lines for these four.

--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,6 +75,8 @@
 	log           logr.Logger
 	// useOrigin is set on nodes that may read the origin.
 	useOrigin bool
+	// originReads counts the reads of the origin in progress.
+	originReads atomic.Int64
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -87,6 +90,8 @@
 type cachedVersion struct {
 	model  string
 	number int64
+	// addedAt is when the version was first needed.
+	addedAt time.Time
 	// mu guards the fields below. digests is the manifest, nil until it has been fetched. fetches holds the fetches in progress by
 	// chunk; message.WholeManifest is the key of the manifest.
 	mu      sync.Mutex
@@ -150,7 +155,7 @@
 			return v
 		}
 	}
-	v := &cachedVersion{model: model, number: number, chunks: map[int][]byte{}, fetches: map[int]*sharedFetch{}}
+	v := &cachedVersion{model: model, number: number, addedAt: time.Now(), chunks: map[int][]byte{}, fetches: map[int]*sharedFetch{}}
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 	for _, other := range versions {
 		if other.number < number {
--- a/internal/chunkcache/fetch.go
+++ b/internal/chunkcache/fetch.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/message"
@@ -39,6 +41,7 @@
 	var lastErr error
 	for _, source := range c.peers.WeightPeers(origin.DataCentre, v.model, v.number, chunk) {
 		if lastErr = c.fetchFromPeer(ctx, v, chunk, source); lastErr == nil || ctx.Err() != nil {
+			v.logManifest(c.log, chunk, source.NodeID, lastErr)
 			return lastErr
 		}
 	}
@@ -48,7 +51,16 @@
 		}
 		return lastErr
 	}
-	return c.fetchFromOrigin(ctx, v, chunk, *origin)
+	err := c.fetchFromOrigin(ctx, v, chunk, *origin)
+	v.logManifest(c.log, chunk, "origin", err)
+	return err
+}
+
+// logManifest logs that the manifest was read, if chunk is message.WholeManifest and err is nil.
+func (v *cachedVersion) logManifest(log logr.Logger, chunk int, source string, err error) {
+	if chunk == message.WholeManifest && err == nil {
+		log.Info("manifest read", "model", v.model, "version", v.number, "source", source, "waited_ms", time.Since(v.addedAt).Milliseconds())
+	}
 }
 
 // fetchFromPeer requests a chunk or the manifest from one node and stores it if it passes verification.
@@ -66,21 +78,29 @@
 func (c *Cache) fetchFromOrigin(ctx context.Context, v *cachedVersion, chunk int, origin catalog.Origin) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
 	defer cancel()
-	if chunk == message.WholeManifest {
-		digests, err := c.origin.Manifest(ctx, origin, v.model, v.number)
-		if err != nil {
-			return err
-		}
-		return c.verifyAndStore(v, chunk, digests, nil)
-	}
-	data, err := c.origin.Chunk(ctx, origin, v.model, v.number, chunk)
+	concurrent := c.originReads.Add(1)
+	defer c.originReads.Add(-1)
+	started := time.Now()
+	digests, data, err := c.readOrigin(ctx, v, chunk, origin)
 	if err != nil {
+		c.log.Info("origin could not be read", "model", v.model, "version", v.number, "chunk", chunk, "concurrent", concurrent,
+			"took_ms", time.Since(started).Milliseconds(), "cause", err.Error())
 		return err
 	}
+	return c.verifyAndStore(v, chunk, digests, data)
+}
+
+// readOrigin reads the digests of the manifest, or the data of a chunk, from the origin.
+func (c *Cache) readOrigin(ctx context.Context, v *cachedVersion, chunk int, origin catalog.Origin) (digests []string, data []byte, err error) {
+	if chunk == message.WholeManifest {
+		digests, err = c.origin.Manifest(ctx, origin, v.model, v.number)
+		return digests, nil, err
+	}
+	data, err = c.origin.Chunk(ctx, origin, v.model, v.number, chunk)
 	c.mu.Lock()
 	c.originBytes += uint64(len(data))
 	c.mu.Unlock()
-	return c.verifyAndStore(v, chunk, nil, data)
+	return nil, data, err
 }
 
 // fetchFromHolders requests a chunk with HeldOnly from each source in order. It returns ErrNotAvailable if none delivers it.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/chunkcache"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/turns"
@@ -103,6 +104,8 @@
 
 	// loggedOlder is the version of the target that was last logged as older than the loaded one. Only reconcile uses it.
 	loggedOlder int64
+	// loggedWait is what logWait found last. Only reconcile uses it.
+	loggedWait string
 }
 
 // New returns a Loader for engine. target and publish are called from the goroutines of Run; see the fields of Loader.
@@ -158,6 +161,7 @@
 	for ctx.Err() == nil {
 		report, answering := l.current()
 		target, ok := l.target()
+		l.logWait(answering, ok, report.Models)
 		if !answering && ok && l.lastReportFailed() {
 			l.prefetchWhileDown(ctx, target)
 		}
@@ -172,6 +176,22 @@
 	}
 }
 
+// logWait logs what the loader waits for before it can stage weights, whenever that changes, while the upstream has no weights.
+func (l *Loader) logWait(answering, hasTarget bool, loaded []catalog.LoadedLayers) {
+	waitsFor := ""
+	switch {
+	case len(loaded) > 0:
+	case !hasTarget:
+		waitsFor = "configuration"
+	case !answering:
+		waitsFor = "upstream"
+	}
+	if waitsFor != l.loggedWait && waitsFor != "" {
+		l.log.Info("upstream without weights waits", "for", waitsFor)
+	}
+	l.loggedWait = waitsFor
+}
+
 // keepsNewer reports whether the upstream keeps a version that is newer than the target. As versions only rise, it has been named too, but no
 // node that this one is linked to knows that any more, or yet. It is logged once for each target.
 func (l *Loader) keepsNewer(report Report, target Target) bool {
@@ -239,6 +259,7 @@
 	}
 	l.awaitSettled(ctx)
 	started := time.Now()
+	l.log.Info("staging weights", "model", target.Model, "version", target.Version, "after_naming_ms", target.sinceNaming().Milliseconds())
 	err := l.stage(ctx, target)
 	if err == nil {
 		l.log.Info("weights staged", "model", target.Model, "version", target.Version, "took_ms", time.Since(started).Milliseconds())
