chunkcache, platform: reads of the origin keep to its limit of connections

Cause: the origin of weights accepts 48 connections from all nodes together and resets the rest. Each entry kept up to 8 connections for 20 s after their last use. When all instances lost power, the ends of these were lost, so that they stayed open at the origin and used up its limit. Then every connection of the entries that had started again was reset, and no server got weights.

--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -75,7 +75,8 @@
 	log           logr.Logger
 	// useOrigin is set on nodes that may read the origin.
 	useOrigin bool
-	// originReads counts the reads of the origin in progress.
+	// access limits the reads of the origin, originReads counts those in progress.
+	access      *originAccess
 	originReads atomic.Int64
 
 	// mu guards the fields below.
@@ -133,7 +134,7 @@
 // peers only.
 func New(currentOrigin func() *catalog.Origin, origin Origin, peers Peers, log logr.Logger) *Cache {
 	return &Cache{currentOrigin: currentOrigin, origin: origin, peers: peers, log: log, useOrigin: origin != nil,
-		models: map[string][]*cachedVersion{}}
+		access: newOriginAccess(), models: map[string][]*cachedVersion{}}
 }
 
 // OriginBytes returns the number of bytes of chunks that were read from the origin since the start.
--- a/internal/chunkcache/fetch.go
+++ b/internal/chunkcache/fetch.go
@@ -74,17 +74,24 @@
 	return c.verifyAndStore(v, chunk, reply.Digests, reply.Data)
 }
 
-// fetchFromOrigin reads a chunk or the manifest from the origin within 2*peerTimeout and stores it if it passes verification.
+// fetchFromOrigin reads a chunk or the manifest from the origin within 2*peerTimeout, as soon as the limits of reads allow it, and stores it if
+// it passes verification.
 func (c *Cache) fetchFromOrigin(ctx context.Context, v *cachedVersion, chunk int, origin catalog.Origin) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
 	defer cancel()
-	concurrent := c.originReads.Add(1)
-	defer c.originReads.Add(-1)
-	started := time.Now()
-	digests, data, err := c.readOrigin(ctx, v, chunk, origin)
+	var digests []string
+	var data []byte
+	err := c.access.do(ctx, origin.MaxConns, func() (err error) {
+		concurrent := c.originReads.Add(1)
+		defer c.originReads.Add(-1)
+		started := time.Now()
+		if digests, data, err = c.readOrigin(ctx, v, chunk, origin); err != nil {
+			c.log.Info("origin could not be read", "model", v.model, "version", v.number, "chunk", chunk, "concurrent", concurrent,
+				"took_ms", time.Since(started).Milliseconds(), "cause", err.Error())
+		}
+		return err
+	})
 	if err != nil {
-		c.log.Info("origin could not be read", "model", v.model, "version", v.number, "chunk", chunk, "concurrent", concurrent,
-			"took_ms", time.Since(started).Milliseconds(), "cause", err.Error())
 		return err
 	}
 	return c.verifyAndStore(v, chunk, digests, data)
