mesh, chunkcache: few entries read the origin at a time

Callers saw the same as with the connections kept at the origin: resets of the origin beyond its limit, and no weights. In the first seconds after all instances had lost power, no entry had links, so that each of 98 took itself for the one that reads and connected to the origin.

Change: an entry reads a chunk only if it ranks first for it among the hubs of the origin's data centre, or in its turn of 1.5 s if those have not delivered; entries of other data centres do so in turns as well, while they are linked to that one. An entry that does not know the others yet waits for up to 1.5 s. How long a chunk has been needed is counted in the cache.

--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -55,6 +55,8 @@
 type Peers interface {
 	// WeightPeers returns the nodes to ask for a chunk, in order of preference, before the origin is read. It may return none.
 	WeightPeers(originDataCentre, model string, version int64, chunk int) []Source
+	// MayReadOrigin reports whether this node may read a chunk from the origin now, if it has needed it for the given time.
+	MayReadOrigin(originDataCentre, model string, version int64, chunk int, waited time.Duration) bool
 	// FetchWeights requests a chunk, or the manifest if chunk is message.WholeManifest, from one node.
 	FetchWeights(ctx context.Context, from Source, model string, version int64, chunk int) (*message.WeightsReply, error)
 }
@@ -99,6 +101,8 @@
 	digests []string
 	chunks  map[int][]byte
 	fetches map[int]*sharedFetch
+	// wanted holds, by chunk, since when it has been needed.
+	wanted map[int]interest
 	// mismatches counts consecutive chunks that did not match their digests.
 	mismatches int
 	// lastChunkAt is when a chunk was last stored.
@@ -124,6 +128,31 @@
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 }
 
+// interest is the time in which a chunk has been needed without a break of interestGap.
+type interest struct{ since, last time.Time }
+
+// interestGap is the time without a fetch of a chunk after which the next one counts as a new need. It is longer than a fetch takes that asks
+// two peers.
+const interestGap = 4 * time.Second
+
+// needed records that a fetch of a chunk begins. The caller must hold v.mu.
+func (v *cachedVersion) needed(chunk int) {
+	now := time.Now()
+	w, ok := v.wanted[chunk]
+	if !ok || now.Sub(w.last) > interestGap {
+		w.since = now
+	}
+	w.last = now
+	v.wanted[chunk] = w
+}
+
+// waited returns for how long a chunk has been needed.
+func (v *cachedVersion) waited(chunk int) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.wanted[chunk].since)
+}
+
 // sharedFetch is a fetch in progress whose result several callers may wait for. err is valid once done is closed.
 type sharedFetch struct {
 	done chan struct{}
@@ -156,7 +185,8 @@
 			return v
 		}
 	}
-	v := &cachedVersion{model: model, number: number, addedAt: time.Now(), chunks: map[int][]byte{}, fetches: map[int]*sharedFetch{}}
+	v := &cachedVersion{model: model, number: number, addedAt: time.Now(), chunks: map[int][]byte{}, fetches: map[int]*sharedFetch{},
+		wanted: map[int]interest{}}
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 	for _, other := range versions {
 		if other.number < number {
@@ -248,6 +278,7 @@
 		if shared == nil {
 			shared = &sharedFetch{done: make(chan struct{})}
 			v.fetches[chunk] = shared
+			v.needed(chunk)
 			go c.fetch(v.ctx, v, chunk, shared)
 		}
 		v.mu.Unlock()
@@ -278,6 +309,7 @@
 			return errors.Wrapf(ErrCorrupt, "digests of version %d", v.number)
 		}
 		v.digests = digests
+		delete(v.wanted, chunk)
 		return nil
 	}
 	if chunk < 0 || chunk >= len(v.digests) {
@@ -294,6 +326,7 @@
 	}
 	v.mismatches = 0
 	v.chunks[chunk] = data
+	delete(v.wanted, chunk)
 	v.lastChunkAt = time.Now()
 	return nil
 }
--- a/internal/chunkcache/cache_test.go
+++ b/internal/chunkcache/cache_test.go
@@ -95,7 +95,9 @@
 	requestedFrom []string
 	// heldOnly counts the requests that had HeldOnly set.
 	heldOnly int
-	mu       sync.Mutex
+	// readsFrom is how long a chunk has to be needed until the node may read the origin.
+	readsFrom time.Duration
+	mu        sync.Mutex
 }
 
 func (p *fakePeers) WeightPeers(string, string, int64, int) []chunkcache.Source {
@@ -106,6 +108,10 @@
 	return out
 }
 
+func (p *fakePeers) MayReadOrigin(_, _ string, _ int64, _ int, waited time.Duration) bool {
+	return waited >= p.readsFrom
+}
+
 func (p *fakePeers) FetchWeights(_ context.Context, from chunkcache.Source, _ string, _ int64, chunk int) (*message.WeightsReply, error) {
 	p.mu.Lock()
 	p.requestedFrom = append(p.requestedFrom, from.NodeID)
--- a/internal/chunkcache/fetch.go
+++ b/internal/chunkcache/fetch.go
@@ -51,6 +51,9 @@
 		}
 		return lastErr
 	}
+	if !c.peers.MayReadOrigin(origin.DataCentre, v.model, v.number, chunk, v.waited(chunk)) {
+		return errors.CombineErrors(errors.WithStack(ErrNotReader), lastErr)
+	}
 	err := c.fetchFromOrigin(ctx, v, chunk, *origin)
 	v.logManifest(c.log, chunk, "origin", err)
 	return err
--- a/internal/chunkcache/originaccess.go
+++ b/internal/chunkcache/originaccess.go
@@ -17,6 +17,8 @@
 	// ErrOriginUnreachable means that the origin sent no complete response: it is down, cannot be reached, or has refused the connection because
 	// of its limit.
 	ErrOriginUnreachable = errors.New("chunkcache: origin unreachable")
+	// ErrNotReader means that this node leaves the origin to other nodes at present, see Peers.MayReadOrigin.
+	ErrNotReader = errors.New("chunkcache: the origin is read by other nodes")
 )
 
 const (
--- a/internal/chunkcache/originaccess_test.go
+++ b/internal/chunkcache/originaccess_test.go
@@ -96,3 +96,25 @@
 		g.Expect(time.Since(back)).To(BeNumerically("<", 1500*time.Millisecond))
 	})
 }
+
+// Guards against a node that reads the origin although it leaves that to others, and against one that forgets how long it has waited for them.
+func TestOriginIsReadOnceTheNodeMay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		o := &busyOrigin{}
+		cache := chunkcache.New(testOrigin, o, &fakePeers{readsFrom: 2 * time.Second}, logr.Discard())
+		started := time.Now()
+		_, err := cache.Chunk(testContext(t), "m", 2, 1)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(time.Since(started)).To(BeNumerically("~", 2100*time.Millisecond, 300*time.Millisecond))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = cache.Chunk(ctx, "m", 2, 2)
+		g.Expect(errors.Is(err, chunkcache.ErrNotReader)).To(BeTrue(), "%v", err)
+		time.Sleep(10 * time.Second) // Nobody needs the chunk meanwhile, so that the time does not count.
+		again, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = cache.Chunk(again, "m", 2, 2)
+		g.Expect(errors.Is(err, chunkcache.ErrNotReader)).To(BeTrue(), "%v", err)
+	})
+}
--- a/internal/mesh/members.go
+++ b/internal/mesh/members.go
@@ -51,6 +51,9 @@
 			member.Incarnation == received.Incarnation && member.Address == received.Address) {
 			continue
 		}
+		if member == nil {
+			m.memberAddedAt = now
+		}
 		m.members[received.NodeID] = &memberState{Member: received, lastSeen: now}
 		m.ranking = nil
 		changed = true
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -92,6 +92,8 @@
 	mu sync.Mutex
 	// members and links are keyed by node ID, dials by link address.
 	members map[string]*memberState
+	// memberAddedAt is when the last member became known.
+	memberAddedAt time.Time
 	// replacedLinks holds the open links that a later one to the same node has replaced, by node ID, oldest first.
 	replacedLinks map[string][]*peer
 	// ranking caches localRanking; nil after members or links have changed.
