mesh: nodes without links try again soon to connect

After a loss of power, agents and entries were linked only a second after their start: those that start first dial instances that have no power yet, where the attempt hangs until its timeout of 0.8 s. Until then agents know no configuration, and entries no other entry.

Change: the first attempt of a node without links may take 0.15 s, each further one twice as long, up to 0.8 s as before.

--- a/internal/mesh/dial.go
+++ b/internal/mesh/dial.go
@@ -16,6 +16,9 @@
 	dialInterval = 200 * time.Millisecond
 	// maxDialBackoff bounds the backoff between attempts to dial one node.
 	maxDialBackoff = 2 * time.Second
+	// firstConnectTimeout bounds the first attempt of a node without links to connect to an address. It doubles with each attempt, up to
+	// handshakeTimeout. After a loss of power nodes start before the instances that they dial, whose packets are lost without an error.
+	firstConnectTimeout = 150 * time.Millisecond
 )
 
 // dialState holds the progress and the backoff of the attempts to dial one address.
@@ -23,6 +26,8 @@
 	dialling    bool
 	nextAttempt time.Time
 	backoff     time.Duration
+	// connectTimeout bounds the next attempt, see Mesh.connectTimeout; 0 before the first failure.
+	connectTimeout time.Duration
 }
 
 // triggerDial makes dialLoop check for missing links at once.
@@ -118,7 +123,9 @@
 
 // dial makes one attempt to open a link to an address, and serves the link until it fails.
 func (m *Mesh) dial(ctx context.Context, address string, state *dialState) {
-	conn, err := link.Dial(ctx, address, m.cfg.Self, m.linkCfg, m.status)
+	connectCtx, cancel := context.WithTimeout(ctx, m.connectTimeout(state))
+	defer cancel()
+	conn, err := link.Dial(connectCtx, address, m.cfg.Self, m.linkCfg, m.status)
 	if err != nil {
 		m.noteDialFailure(address, state)
 		return
@@ -130,11 +137,22 @@
 	m.serveLink(ctx, conn, true)
 }
 
+// connectTimeout returns how long the next attempt to connect to an address may take.
+func (m *Mesh) connectTimeout(state *dialState) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.links) > 0 {
+		return handshakeTimeout
+	}
+	return max(state.connectTimeout, firstConnectTimeout)
+}
+
 // noteDialFailure ends a failed attempt and doubles the backoff, up to maxBackoff.
 func (m *Mesh) noteDialFailure(address string, state *dialState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	state.dialling = false
+	state.connectTimeout = min(2*max(state.connectTimeout, firstConnectTimeout), handshakeTimeout)
 	state.backoff = min(max(2*state.backoff, dialInterval), m.maxBackoff())
 	state.nextAttempt = time.Now().Add(state.backoff/2 + nodeJitter(address+m.cfg.Self.NodeID)/2)
 }
@@ -144,7 +162,7 @@
 func (m *Mesh) noteDialSuccess(state *dialState, nodeID string) (needed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	state.dialling, state.backoff = false, 0
+	state.dialling, state.backoff, state.connectTimeout = false, 0, 0
 	state.nextAttempt = time.Now().Add(dialInterval)
 	return nodeID != m.cfg.Self.NodeID && m.links[nodeID] == nil
 }
