--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -105,6 +105,9 @@
 	wanted map[int]interest
 	// mismatches counts consecutive chunks that did not match their digests.
 	mismatches int
+	// unloggedFailures counts the failed fetches since failureLoggedAt, when one was last logged.
+	unloggedFailures int
+	failureLoggedAt  time.Time
 	// lastChunkAt is when a chunk was last stored.
 	lastChunkAt time.Time
 	// ctx is the parent context of the fetches of this version; cancel cancels them.
--- a/internal/chunkcache/fetch.go
+++ b/internal/chunkcache/fetch.go
@@ -20,8 +20,26 @@
 	v.mu.Unlock()
 	close(shared.done)
 	if err != nil && ctx.Err() == nil {
-		c.log.Info("weights could not be read", "model", v.model, "version", v.number, "chunk", chunk, "cause", err.Error())
+		if failures := v.failuresToLog(); failures > 0 {
+			c.log.Info("weights could not be read", "model", v.model, "version", v.number, "chunk", chunk, "failures", failures, "cause", err.Error())
+		}
+	}
+}
+
+// failureLogInterval is the shortest time between log lines about failed fetches of one version.
+const failureLogInterval = time.Second
+
+// failuresToLog counts a failed fetch. It returns the number of failures since the last log line, or 0 if none is due.
+func (v *cachedVersion) failuresToLog() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.unloggedFailures++
+	if time.Since(v.failureLoggedAt) < failureLogInterval {
+		return 0
 	}
+	failures := v.unloggedFailures
+	v.unloggedFailures, v.failureLoggedAt = 0, time.Now()
+	return failures
 }
 
 // fetchFromSources fetches a chunk or the manifest from the first source that delivers it: the peers in order, then the origin if
