origin: connections to sources of weights are closed soon after their last use

After a loss of power they stay open there; a source that limits connections refuses the agents that start again. They are kept for 0.5 s now. That this path was affected on a deployment was not seen.

--- a/internal/platform/origin/client.go
+++ b/internal/platform/origin/client.go
@@ -18,6 +18,9 @@
 const (
 	// headerTimeout is longer than bodyread.IdleTimeout, because an origin under load queues requests before it responds.
 	headerTimeout = 5 * time.Second
+	// idleTimeout is how long a connection is kept without a call: chunks that are read one after the other share it. Sources limit the
+	// connections of all agents together, and those of an instance that loses power stay open there.
+	idleTimeout = 500 * time.Millisecond
 	// maxManifestBytes bounds a manifest. It is enough for about 400,000 chunks.
 	maxManifestBytes = 32 << 20
 	// burstSeconds is the burst of the rate limiter, in seconds at the full rate.
@@ -61,7 +64,7 @@
 
 // NewClient returns a client that reads at most bytesPerSecond in all its calls together; 0 means unlimited.
 func NewClient(baseURL string, bytesPerSecond int64) *Client {
-	transport := &http.Transport{ResponseHeaderTimeout: headerTimeout, IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: 16,
+	transport := &http.Transport{ResponseHeaderTimeout: headerTimeout, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 16,
 		MaxResponseHeaderBytes: bodyread.MaxHeadBytes}
 	client := &Client{baseURL: strings.TrimRight(baseURL, "/"), http: &http.Client{Transport: transport}}
 	if bytesPerSecond > 0 {
