relay: an attempt that ends with its version counts as a run

Traced then: two attempts each were ended with the time of their version, began on the upstream while the close was on its way (122 and 176 ms), and did not count as runs.

Change: such an attempt counts as one that may have run, as every other that was sent and has no answer. A request whose allowed runs are used up that way gets 502 instead of one more attempt.

The new test failed before (200 from a second upstream though the route allows one).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -314,15 +314,13 @@
 	}
 }
 
-// mayRunAgain reports whether the route allows another run after an attempt that may have run. A run counts unless its attempt was ended
-// before it began or its upstream has ended: a connection may also be reset while the upstream works on.
+// mayRunAgain reports whether the route allows another run after an attempt that may have run. A run counts unless its upstream has
+// ended: a connection may also be reset while the upstream works on, and an attempt that is ended may begin while the close is on its way.
 func (x *exchange) mayRunAgain(res attemptResult) bool {
 	allowed := max(x.route.MaxAttempts, 1)
 	switch {
 	case x.possibleRuns != allowed:
 		return x.possibleRuns < allowed
-	case errors.Is(res.cause, errVersionExpired):
-		return true
 	case !errors.Is(res.cause, h1.ErrBroken) || errors.Is(res.cause, h1.ErrMalformed):
 		return false
 	default:
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -229,3 +229,24 @@
 	g.Expect(a.status).NotTo(Equal(http.StatusOK))
 	g.Expect(u.requests()).To(BeEmpty())
 }
+
+// Guards against more runs than the route allows: an attempt that is ended with the time of its version may have begun on the upstream while
+// the close is on its way.
+func TestAttemptThatEndsWithItsVersionCountsAsARun(t *testing.T) {
+	g := NewWithT(t)
+	received, closed := make(chan struct{}, 1), make(chan time.Time, 1)
+	outdated := newUpstream(t, "u1", waitsFor(1800*time.Millisecond, received, closed))
+	current := newUpstream(t, "u2", streamUpTo(3))
+	e := engineEntry(t)
+	e.setMaxAttempts(1)
+	e.announce(outdated, 1, 1)
+	e.nameVersion(2, rolloutTime-timeLeft)
+	go func() {
+		<-received
+		e.announce(current, 2, 2)
+	}()
+	a := generate(e)
+	g.Expect(a.status).To(Equal(http.StatusBadGateway))
+	g.Expect(closed).To(Receive())
+	g.Expect(current.requests()).To(BeEmpty())
+}
