chunkcache: a peer that lacks the manifest is left sooner

Change: the first requests for a manifest end after 0.3 s; the timeout grows with the time for which the manifest is needed, up to 1.5 s as before.

--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -23,6 +23,9 @@
 	// peerTimeout bounds a request to one peer; after it the next source is tried. It leaves room for chunks that are in transfer
 	// at the same time: a chunk of 49,152 bytes takes 26 ms on the link of the origin if the link is otherwise idle.
 	peerTimeout = 1500 * time.Millisecond
+	// minManifestTimeout bounds the first requests for a manifest, see requestTimeout. A manifest takes 3 ms on the link of the origin, but
+	// behind chunks it takes longer.
+	minManifestTimeout = 300 * time.Millisecond
 	// retryPause is the pause before a retry after all sources have failed.
 	retryPause = 150 * time.Millisecond
 	// maxMismatches is the number of consecutive chunks that do not match their digests after which the manifest itself is
--- a/internal/chunkcache/fetch.go
+++ b/internal/chunkcache/fetch.go
@@ -86,7 +86,7 @@
 
 // fetchFromPeer requests a chunk or the manifest from one node and stores it if it passes verification.
 func (c *Cache) fetchFromPeer(ctx context.Context, v *cachedVersion, chunk int, source Source) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, v.requestTimeout(chunk))
 	defer cancel()
 	reply, err := c.peers.FetchWeights(ctx, source, v.model, v.number, chunk)
 	if err != nil {
@@ -95,6 +95,15 @@
 	return c.verifyAndStore(v, chunk, reply.Digests, reply.Data)
 }
 
+// requestTimeout bounds a request to a peer. A manifest is small, so that a peer that does not send it soon lacks it; the next one may have it.
+// When the fleet starts, most peers lack it. The timeout grows while the manifest is needed, as links may be slow.
+func (v *cachedVersion) requestTimeout(chunk int) time.Duration {
+	if chunk != message.WholeManifest {
+		return peerTimeout
+	}
+	return min(max(v.waited(chunk)/2, minManifestTimeout), peerTimeout)
+}
+
 // fetchFromOrigin reads a chunk or the manifest from the origin within 2*peerTimeout, as soon as the limits of reads allow it, and stores it if
 // it passes verification.
 func (c *Cache) fetchFromOrigin(ctx context.Context, v *cachedVersion, chunk int, origin catalog.Origin) error {
