mesh, chunkcache: turns to read the origin that pass during a fetch count

Found on reading the change: an entry asks whether it may read the origin at the end of each fetch. Fetches that ask several peers take some seconds, so that an entry whose fetches take as long as all turns together (4.5 s with three data centres) would always ask in the turn of another one; and as the gap between two beginnings of fetches was over 4 s, its time was counted anew each time.

Change: turns since the entry last asked count, and the gap is that between the end of a fetch and the beginning of the next one. The new test does not compile before.

--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -58,12 +58,15 @@
 type Peers interface {
 	// WeightPeers returns the nodes to ask for a chunk, in order of preference, before the origin is read. It may return none.
 	WeightPeers(originDataCentre, model string, version int64, chunk int) []Source
-	// MayReadOrigin reports whether this node may read a chunk from the origin now, if it has needed it for the given time.
-	MayReadOrigin(originDataCentre, model string, version int64, chunk int, waited time.Duration) bool
+	// MayReadOrigin reports whether this node may read a chunk from the origin now.
+	MayReadOrigin(originDataCentre, model string, version int64, chunk int, need Need) bool
 	// FetchWeights requests a chunk, or the manifest if chunk is message.WholeManifest, from one node.
 	FetchWeights(ctx context.Context, from Source, model string, version int64, chunk int) (*message.WeightsReply, error)
 }
 
+// Need is the time for which a node has needed a chunk: now, and when it last asked whether it may read the origin (0 before that).
+type Need struct{ LastAsked, Now time.Duration }
+
 // Source is a node that weights can be requested from.
 type Source struct {
 	NodeID string
@@ -135,28 +138,49 @@
 }
 
 // interest is the time in which a chunk has been needed without a break of interestGap.
-type interest struct{ since, last time.Time }
+type interest struct {
+	since time.Time
+	// until is when a fetch last began or ended, askedAt when Need was last computed.
+	until, askedAt time.Time
+}
 
-// interestGap is the time without a fetch of a chunk after which the next one counts as a new need. It is longer than a fetch takes that asks
-// two peers.
+// interestGap is the time without a fetch of a chunk after which the next one counts as a new need.
 const interestGap = 4 * time.Second
 
-// needed records that a fetch of a chunk begins. The caller must hold v.mu.
+// needed records that a fetch of a chunk begins or ends. The caller must hold v.mu.
 func (v *cachedVersion) needed(chunk int) {
 	now := time.Now()
 	w, ok := v.wanted[chunk]
-	if !ok || now.Sub(w.last) > interestGap {
-		w.since = now
+	if !ok || now.Sub(w.until) > interestGap {
+		w = interest{since: now, askedAt: now}
 	}
-	w.last = now
+	w.until = now
 	v.wanted[chunk] = w
 }
 
-// waited returns for how long a chunk has been needed.
+// waited returns for how long a chunk has been needed, 0 if it is not.
 func (v *cachedVersion) waited(chunk int) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return time.Since(v.wanted[chunk].since)
+	w, ok := v.wanted[chunk]
+	if !ok {
+		return 0
+	}
+	return time.Since(w.since)
+}
+
+// need returns how long a chunk has been needed, and records the time of the call.
+func (v *cachedVersion) need(chunk int) Need {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	w, ok := v.wanted[chunk]
+	if !ok {
+		return Need{}
+	}
+	n := Need{LastAsked: w.askedAt.Sub(w.since), Now: time.Since(w.since)}
+	w.askedAt = time.Now()
+	v.wanted[chunk] = w
+	return n
 }
 
 // sharedFetch is a fetch in progress whose result several callers may wait for. err is valid once done is closed.
--- a/internal/chunkcache/cache_test.go
+++ b/internal/chunkcache/cache_test.go
@@ -108,8 +108,8 @@
 	return out
 }
 
-func (p *fakePeers) MayReadOrigin(_, _ string, _ int64, _ int, waited time.Duration) bool {
-	return waited >= p.readsFrom
+func (p *fakePeers) MayReadOrigin(_, _ string, _ int64, _ int, need chunkcache.Need) bool {
+	return need.Now >= p.readsFrom
 }
 
 func (p *fakePeers) FetchWeights(_ context.Context, from chunkcache.Source, _ string, _ int64, chunk int) (*message.WeightsReply, error) {
--- a/internal/chunkcache/fetch.go
+++ b/internal/chunkcache/fetch.go
@@ -17,6 +17,9 @@
 	v.mu.Lock()
 	shared.err = err
 	delete(v.fetches, chunk)
+	if err != nil {
+		v.needed(chunk)
+	}
 	v.mu.Unlock()
 	close(shared.done)
 	if err != nil && ctx.Err() == nil {
@@ -69,7 +72,7 @@
 		}
 		return lastErr
 	}
-	if !c.peers.MayReadOrigin(origin.DataCentre, v.model, v.number, chunk, v.waited(chunk)) {
+	if !c.peers.MayReadOrigin(origin.DataCentre, v.model, v.number, chunk, v.need(chunk)) {
 		return errors.CombineErrors(errors.WithStack(ErrNotReader), lastErr)
 	}
 	err := c.fetchFromOrigin(ctx, v, chunk, *origin)
--- a/internal/mesh/originreaders.go
+++ b/internal/mesh/originreaders.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pimentohead/pimentohead/internal/chunkcache"
 	"github.com/pimentohead/pimentohead/internal/overlay"
 )
 
@@ -17,12 +18,11 @@
 	memberSettleTime = 300 * time.Millisecond
 )
 
-// MayReadOrigin reports whether this entry may read a chunk from the origin now, if it has needed it for the given time and no other node has
-// delivered it. The origin accepts few connections from all entries together, so that only a few may read it at any time, also when all
+// MayReadOrigin reports whether this entry may read a chunk from the origin now, if no other node has delivered it. The origin accepts few connections from all entries together, so that only a few may read it at any time, also when all
 // entries lack a chunk: the hub of the origin's data centre that ranks highest for the chunk and, in turns of originTurn, one of its other hubs.
 // The highest ranking hubs of the other data centres read in turns too, after that, as long as they are linked to the origin's data centre. The
 // turns are those of each entry on its own; they need no agreement.
-func (m *Mesh) MayReadOrigin(originDataCentre, model string, version int64, chunk int, waited time.Duration) bool {
+func (m *Mesh) MayReadOrigin(originDataCentre, model string, version int64, chunk int, need chunkcache.Need) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	knowsOthers := len(m.links) > 0 && time.Since(m.memberAddedAt) >= memberSettleTime
@@ -34,12 +34,23 @@
 	if position < 0 {
 		return false
 	}
-	turn := int(waited / originTurn)
 	if m.cfg.Self.DataCentre == originDataCentre || !m.isLinkedTo(originDataCentre) {
-		return position == 0 || turn%len(candidates) == position
+		return position == 0 || hasTurn(need, len(candidates), position)
 	}
 	others := m.dataCentresExcept(originDataCentre)
-	return position == 0 && turn%(len(others)+1) == 1+slices.Index(others, m.cfg.Self.DataCentre)
+	return position == 0 && hasTurn(need, len(others)+1, 1+slices.Index(others, m.cfg.Self.DataCentre))
+}
+
+// hasTurn reports whether it is the turn of the reader at a position among count ones, or has been since it last asked: fetches that take long
+// would miss their turns otherwise.
+func hasTurn(need chunkcache.Need, count, position int) bool {
+	last := int(need.Now / originTurn)
+	for turn := min(int(need.LastAsked/originTurn)+1, last); turn <= last; turn++ {
+		if turn%count == position {
+			return true
+		}
+	}
+	return false
 }
 
 // originCandidates returns the entries of the own data centre that may read the origin for a chunk, the first reader first: its hubs, judging by
--- a/internal/mesh/originreaders_test.go
+++ b/internal/mesh/originreaders_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/pimentohead/pimentohead/internal/chunkcache"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
@@ -46,10 +47,11 @@
 // entries that may read the same one.
 func (f *originFleet) readers() (ids map[string]bool, fewest int) {
 	ids, fewest = map[string]bool{}, len(f.nodes)
+	now := time.Since(f.started)
 	for chunk := message.WholeManifest; chunk < chunksOfOriginTests; chunk++ {
 		count := 0
 		for _, n := range f.nodes {
-			if n.MayReadOrigin("z0", "m", 2, chunk, time.Since(f.started)) {
+			if n.MayReadOrigin("z0", "m", 2, chunk, chunkcache.Need{LastAsked: now, Now: now}) {
 				ids[n.id] = true
 				count++
 			}
@@ -102,8 +104,31 @@
 		_, fewest := f.readers()
 		g.Expect(fewest).To(BeNumerically(">=", 1))
 		lonely := startNode(t, options{id: "l", dataCentre: "z0", role: message.RoleEntry, seeds: []string{"nobody"}, network: f.network})
-		g.Expect(lonely.MayReadOrigin("z0", "m", 2, 0, 0)).To(BeFalse())
+		g.Expect(lonely.MayReadOrigin("z0", "m", 2, 0, chunkcache.Need{})).To(BeFalse())
 		time.Sleep(1600 * time.Millisecond)
-		g.Expect(lonely.MayReadOrigin("z0", "m", 2, 0, 0)).To(BeTrue())
+		g.Expect(lonely.MayReadOrigin("z0", "m", 2, 0, chunkcache.Need{})).To(BeTrue())
+	})
+}
+
+// Guards against an entry that never reads the origin because its fetches take as long as all turns together, so that it always asks in the turn of
+// another one.
+func TestTurnsThatPassDuringAFetchCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		t.Cleanup(func() { time.Sleep(settleTime) })
+		f := startOriginFleet(t, 3, 3, 0)
+		time.Sleep(settleTime)
+		const cycle = 4500 * time.Millisecond // of three data centres or three hubs, 1.5 s each
+		for chunk := range chunksOfOriginTests {
+			readers := map[string]bool{}
+			for _, n := range f.nodes {
+				for asked := time.Duration(0); asked < 4*cycle; asked += cycle {
+					if n.MayReadOrigin("z0", "m", 2, chunk, chunkcache.Need{LastAsked: asked, Now: asked + cycle}) {
+						readers[n.id] = true
+					}
+				}
+			}
+			g.Expect(readers).To(HaveLen(3+2), "all hubs of the origin's data centre, and the first of each other one")
+		}
 	})
 }
