--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -74,21 +74,28 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// Guards against a request that begins on an outdated version: it was sent in time, waited in the queue of its upstream, and would
-// begin there after the time of the version.
-func TestAttemptThatHasNotBegunEndsWithTheTimeOfItsVersion(t *testing.T) {
-	g := NewWithT(t)
+// entryWithOutdatedUpstream returns an entry with an upstream on which attempts wait until the time of its version ends, timeLeft from now. The
+// upstream sends to closed when its attempt is ended. Another upstream with the newer version, current, is announced once the attempt waits.
+func entryWithOutdatedUpstream(t *testing.T) (e *entry, current *upstream, closed chan time.Time) {
 	received, closed := make(chan struct{}, 1), make(chan time.Time, 1)
 	outdated := newUpstream(t, "u1", waitsFor(1800*time.Millisecond, received, closed))
-	current := newUpstream(t, "u2", streamUpTo(3))
-	e := engineEntry(t)
+	current = newUpstream(t, "u2", streamUpTo(3))
+	e = engineEntry(t)
 	e.announce(outdated, 1, 1)
 	e.nameVersion(2, rolloutTime-timeLeft)
-	mustEndBy := time.Now().Add(timeLeft)
 	go func() {
 		<-received
 		e.announce(current, 2, 2)
 	}()
+	return e, current, closed
+}
+
+// Guards against a request that begins on an outdated version: it was sent in time, waited in the queue of its upstream, and would
+// begin there after the time of the version.
+func TestAttemptThatHasNotBegunEndsWithTheTimeOfItsVersion(t *testing.T) {
+	g := NewWithT(t)
+	e, current, closed := entryWithOutdatedUpstream(t)
+	mustEndBy := time.Now().Add(timeLeft)
 	a := generate(e)
 	g.Expect(a.err).NotTo(HaveOccurred())
 	g.Expect(a.body).To(Equal(event(1) + event(2) + event(3)))
@@ -234,17 +241,8 @@
 // the close is on its way.
 func TestAttemptThatEndsWithItsVersionCountsAsARun(t *testing.T) {
 	g := NewWithT(t)
-	received, closed := make(chan struct{}, 1), make(chan time.Time, 1)
-	outdated := newUpstream(t, "u1", waitsFor(1800*time.Millisecond, received, closed))
-	current := newUpstream(t, "u2", streamUpTo(3))
-	e := engineEntry(t)
+	e, current, closed := entryWithOutdatedUpstream(t)
 	e.setMaxAttempts(1)
-	e.announce(outdated, 1, 1)
-	e.nameVersion(2, rolloutTime-timeLeft)
-	go func() {
-		<-received
-		e.announce(current, 2, 2)
-	}()
 	a := generate(e)
 	g.Expect(a.status).To(Equal(http.StatusBadGateway))
 	g.Expect(closed).To(Receive())
