review: case 3, a server whose clock was set back drains unnoticed

Cause: announcements of one server are ordered by its time of day, so that those of a process that was born earlier by the clock are dropped for good.

--- a/review/harness/desk.go
+++ b/review/harness/desk.go
@@ -18,6 +18,9 @@
 	work         time.Duration
 	record       *record
 
+	// beats counts the entries that the desk has written.
+	beats int64
+
 	mu       sync.Mutex
 	inside   int
 	running  chan struct{}
@@ -87,8 +90,9 @@
 
 // announceDesk writes the entry of a desk, as the desk does itself, and returns when the store has acknowledged it.
 func (f *fleet) announceDesk(d *desk, state string) time.Time {
+	d.beats++
 	f.store.Put("servers/"+d.id, map[string]any{"service": "desk", "address": d.address, "zone": originZone, "version": "v1", "slots": d.slots,
-		"state": state, "cold_left_ms": 0, "seq": time.Now().Unix() % 1000, "born": f.record.start.UnixMilli()})
+		"state": state, "cold_left_ms": 0, "seq": d.beats, "born": f.record.start.UnixMilli()})
 	f.record.printf("the store acknowledges that %s is %s", d.id, state)
 	return time.Now()
 }
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -47,8 +47,10 @@
 	models     []*standin.ModelServer
 	modelAddrs []string
 	desks      []*desk
-	entries    []*process
-	agents     []*process
+	// seeds are the addresses in the settings of all processes.
+	seeds   []string
+	entries []*process
+	agents  []*process
 	// beats counts the announcements of the model servers, announced holds the last one of each without seq.
 	beats     int64
 	announced map[string]string
@@ -160,40 +162,52 @@
 		}
 	}()
 	f.store.Put("op/config", f.config(3, "key-1", "key-2"))
-	var seeds []string
 	for i := range shape.entries {
 		p := &process{name: fmt.Sprintf("edge-%s-%d", shape.entryZone(i), i), role: "entry", frontend: f.address(), readiness: f.address()}
 		control := f.address()
-		if len(seeds) < 3 {
-			seeds = append(seeds, control)
+		if len(f.seeds) < 3 {
+			f.seeds = append(f.seeds, control)
 		}
 		p.settings = fmt.Sprintf("serves = [\"edge\",\"control\"]\nzone = %q\n[listen]\nfrontend = %q\nreadiness = %q\ncontrol_plane = %q\n", shape.entryZone(i), p.frontend, p.readiness, control)
 		f.entries = append(f.entries, p)
 	}
 	for i := range shape.models {
-		p := &process{name: fmt.Sprintf("side-%s-%d", shape.modelZone(i), i), role: "agent"}
-		p.settings = fmt.Sprintf("serves = [\"side\"]\napp = %q\nservice = \"pool\"\nzone = %q\n[listen]\n", f.modelAddrs[i], shape.modelZone(i))
-		f.agents = append(f.agents, p)
+		f.agents = append(f.agents, agentOf(fmt.Sprintf("side-%s-%d", shape.modelZone(i), i), f.modelAddrs[i], shape.modelZone(i)))
 	}
 	for _, p := range f.processes() {
-		f.complete(p, seeds)
+		f.complete(p)
 		f.writeSettings(p, true)
 		f.start(p)
 	}
 	return f
 }
 
+// agentOf returns the process beside a model server, without the settings that all processes have.
+func agentOf(name, modelAddress, zone string) *process {
+	return &process{name: name, role: "agent",
+		settings: fmt.Sprintf("serves = [\"side\"]\napp = %q\nservice = \"pool\"\nzone = %q\n[listen]\n", modelAddress, zone)}
+}
+
+// addAgent adds the process beside a model server that is added later. It is not started yet.
+func (f *fleet) addAgent(name, modelAddress string) *process {
+	p := agentOf(name, modelAddress, originZone)
+	f.complete(p)
+	f.writeSettings(p, false)
+	f.agents = append(f.agents, p)
+	return p
+}
+
 func (f *fleet) processes() []*process {
 	return append(append([]*process(nil), f.entries...), f.agents...)
 }
 
 // complete adds the settings that all processes have.
-func (f *fleet) complete(p *process, seeds []string) {
+func (f *fleet) complete(p *process) {
 	ports := f.portPair()
 	p.store = newStoreProxy(f.storeAddr, f.record)
 	memory := map[string]int{"entry": 284, "agent": 152}[p.role]
 	p.settings = fmt.Sprintf("node_name = %q\nrole = %q\nip = \"127.0.0.1\"\nregion = \"saskatoon\"\ninternal_ports = [%d,%d]\nseeds = [\"%s\"]\nbootstrap = BOOTSTRAP\n"+
-		"fault_counted = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = 1200\n", p.name, p.role, ports[0], ports[1], strings.Join(seeds, `","`)) +
+		"fault_counted = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = 1200\n", p.name, p.role, ports[0], ports[1], strings.Join(f.seeds, `","`)) +
 		p.settings + fmt.Sprintf(`[zones]
 zone-a = "saskatoon"
 zone-b = "saskatoon"
