loader: verify all staged chunks right before a load, and after a doubtful one

Cause: a chunk was verified when it was stored. Only a server that serves a version had its chunks read back before its turn; one without a version (added, or restarted) was ordered to load as soon as the last chunk was stored. With the origin away for 6 s the oldest verification was 8 s old. An order that the server carried out late had no bound at all. Change: the loader records when each staged chunk was last known to match, and reads all back until the oldest verification is at most 0.7 s old, for every server; if the report before the order takes longer, again. If the order was accepted later than 2.5 s after that, or has no answer, the load is doubtful: the server counts as swapping until the staged chunks, read once more, match; if they do not, the version is ordered again. Staged chunks do not mend by themselves, so chunks that match after the load and were not staged again matched at the load. Logged: the age of the oldest verification with each order, chunks that had turned bad, doubtful loads and their check. Failed before: TestChunkThatTurnsBadDuringStagingIsNotLoaded (both cases), TestSilenceBeforeTheOrderMakesTheVerificationRepeat, TestOrderCarriedOutLateWithBadChunksIsRepeated. The fake upstream of the tests now checks the chunks of late orders too.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -11,7 +11,6 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
-	"github.com/pimentohead/pimentohead/internal/chunkcache"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/turns"
 )
@@ -67,6 +66,9 @@
 	loadingInterval = 25 * time.Millisecond
 	// retryPause is the pause before a retry after a failed staging or load.
 	retryPause = 100 * time.Millisecond
+	// repeatPause is the pause before a version is loaded once more that an upstream has refused to load again. Some upstreams always refuse that, so
+	// that only another version or a restart brings them back into service.
+	repeatPause = 10 * time.Second
 )
 
 // Loader polls one upstream and loads the target version into it.
@@ -102,6 +104,11 @@
 	// lastTarget is the target that was last staged, whether or not that has completed.
 	lastTarget Target
 
+	// doubt is the newest load that is doubtful, nil if there is none.
+	doubt *doubtfulLoad
+
+	// nextRepeat is when a version that is loaded already may be ordered again. Only reconcile uses it.
+	nextRepeat time.Time
 	// loggedOlder is the version of the target that was last logged as older than the loaded one. Only reconcile uses it.
 	loggedOlder int64
 	// loggedWait is what logWait found last. Only reconcile uses it.
@@ -165,12 +172,17 @@
 		if !answering && ok && l.lastReportFailed() {
 			l.prefetchWhileDown(ctx, target)
 		}
-		if !answering || !ok || report.HasVersion(target.Model, target.Version, target.Layers) || l.keepsNewer(report, target) {
+		loaded := ok && report.HasVersion(target.Model, target.Version, target.Layers) &&
+			(!l.isDoubtful(report) || time.Now().Before(l.nextRepeat))
+		if !answering || !ok || loaded || l.keepsNewer(report, target) {
 			pause.For(ctx, loadingInterval)
 			continue
 		}
 		if err := l.stageAndLoad(ctx, target, report); err != nil && ctx.Err() == nil {
 			l.log.Info("load failed, will retry", "model", target.Model, "version", target.Version, "cause", err.Error())
+			if current, _ := l.current(); report.HasVersion(target.Model, target.Version, target.Layers) && l.isBad(current) {
+				l.nextRepeat = time.Now().Add(repeatPause)
+			}
 			pause.For(ctx, retryPause)
 		}
 	}
@@ -258,16 +270,23 @@
 		go l.prefetch(ctx, next)
 	}
 	l.awaitSettled(ctx)
-	started := time.Now()
+	if report.HasVersion(target.Model, target.Version, target.Layers) {
+		if err := l.confirmLoad(ctx, target); !errors.Is(err, errBadLoad) {
+			return err
+		}
+	}
+	started, verified := time.Now(), &verification{}
 	l.log.Info("staging weights", "model", target.Model, "version", target.Version, "after_naming_ms", target.sinceNaming().Milliseconds())
-	err := l.stage(ctx, target)
+	err := l.stage(ctx, target, verified)
 	if err == nil {
-		l.log.Info("weights staged", "model", target.Model, "version", target.Version, "took_ms", time.Since(started).Milliseconds())
-		err = l.waitTurn(ctx, target)
+		l.log.Info("weights staged", "model", target.Model, "version", target.Version, "took_ms", time.Since(started).Milliseconds(),
+			"oldest_verification_ms", verified.age(time.Now()).Milliseconds())
+		err = l.waitTurn(ctx, target, verified)
 	}
 	if err == nil {
 		l.setSwapping(true)
-		err = l.load(ctx, target, report.StartedAtMillis)
+		current, _ := l.current()
+		err = l.load(ctx, plannedLoad{Target: target, startedAtMillis: report.StartedAtMillis, verified: verified, repeat: l.isBad(current)})
 	}
 	l.setSwapping(false)
 	if cause := context.Cause(ctx); cause != nil && parent.Err() == nil {
@@ -290,25 +309,3 @@
 		pause.For(ctx, loadingInterval)
 	}
 }
-
-// stage makes sure that all chunks are staged at the upstream. Chunks that are staged already are read back, and staged again only
-// if they do not match their digests.
-func (l *Loader) stage(ctx context.Context, target Target) error {
-	digests, err := l.weights.Manifest(ctx, target.Model, target.Version)
-	if err != nil {
-		return err
-	}
-	c := &collector{weights: l.weights, target: target, link: &l.link,
-		isStored: func(ctx context.Context, chunk int) bool { return l.isStaged(ctx, target, chunk, digests[chunk]) },
-		store: func(ctx context.Context, chunk int, data []byte) error {
-			return l.storeChunk(ctx, target.Model, chunk, data)
-		},
-	}
-	return c.run(ctx, len(digests))
-}
-
-// isStaged reads a staged chunk back and reports whether it matches its digest.
-func (l *Loader) isStaged(ctx context.Context, target Target, chunk int, digest string) bool {
-	data, err := l.engine.ReadStaged(ctx, target.Model, chunk)
-	return err == nil && data != nil && chunkcache.MatchesDigest(data, digest)
-}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -40,9 +40,9 @@
 	staged map[int][]byte
 	// loaded is the version that is loaded, or 0.
 	loaded int64
-	// mixed is set once a load found a staged chunk that is not of the ordered version.
-	mixed           bool
-	startedAtMillis int64
+	// mixed is set once a load found a staged chunk that is not of the ordered version, lastMixed if the last one did.
+	mixed, lastMixed bool
+	startedAtMillis  int64
 	// orders counts the accepted orders.
 	orders int64
 	// refuseNext is the number of orders still to be refused.
@@ -61,6 +61,8 @@
 	loading int64
 	// holdNextReport, unless nil, is received from, once, before the report that follows is returned.
 	holdNextReport chan struct{}
+	// onSession, unless nil, is called, once, before a session begins.
+	onSession func(e *fakeEngine)
 	// losePowerWhenStaged makes the engine lose its staged chunks and start anew, once, as soon as all chunks are staged.
 	losePowerWhenStaged bool
 }
@@ -87,7 +89,32 @@
 	return r, nil
 }
 
-func (e *fakeEngine) NewSession() loader.Session { return e }
+func (e *fakeEngine) NewSession() loader.Session {
+	e.mu.Lock()
+	onSession := e.onSession
+	e.onSession = nil
+	e.mu.Unlock()
+	if onSession != nil {
+		onSession(e)
+	}
+	return e
+}
+
+// corrupt makes a staged chunk turn bad.
+func (e *fakeEngine) corrupt(chunk int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[chunk] = []byte("corrupt")
+}
+
+// take loads the staged chunks. The caller must hold e.mu.
+func (e *fakeEngine) take(version int64) {
+	e.orders, e.loaded, e.lastMixed = e.orders+1, version, false
+	for i := range chunks {
+		e.lastMixed = e.lastMixed || string(e.staged[i]) != string(chunkData(version, i))
+	}
+	e.mixed = e.mixed || e.lastMixed
+}
 
 func (e *fakeEngine) Close() {}
 
@@ -103,17 +130,13 @@
 	}
 	if e.delayNextOrder {
 		e.delayNextOrder = false
-		e.delayed = func() { e.orders, e.loaded = e.orders+1, order.Version }
+		e.delayed = func() { e.take(order.Version) }
 		return errors.WithStack(loader.ErrUnknownOutcome)
 	}
 	if e.onOrder != nil {
 		e.onOrder(e)
 	}
-	e.orders++
-	for i := range chunks {
-		e.mixed = e.mixed || string(e.staged[i]) != string(chunkData(order.Version, i))
-	}
-	e.loaded = order.Version
+	e.take(order.Version)
 	if e.loseNextAnswer {
 		e.loseNextAnswer = false
 		return errors.WithStack(loader.ErrUnknownOutcome)
@@ -215,7 +238,12 @@
 
 // start runs a loader until the test ends.
 func start(t *testing.T, e *fakeEngine, w loader.Weights, target *targetVersion) *loader.Loader {
-	l := loader.New(e, w, logr.Discard(), target.get, func(loader.Report, bool, bool) {})
+	return startPublishing(t, e, w, target, func(loader.Report, bool, bool) {})
+}
+
+// startPublishing runs a loader that publishes its reports until the test ends.
+func startPublishing(t *testing.T, e *fakeEngine, w loader.Weights, target *targetVersion, publish func(loader.Report, bool, bool)) *loader.Loader {
+	l := loader.New(e, w, logr.Discard(), target.get, publish)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); l.Run(ctx) }()
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -56,6 +56,7 @@
 		l.failures, l.failedAt = l.failures+1, time.Now()
 	}
 	down, swapping, last := l.failures >= maxFailedReports, l.swapping, l.report
+	doubtful := l.doubt.concerns(last)
 	l.mu.Unlock()
 	switch {
 	case down && !wasDown:
@@ -68,7 +69,7 @@
 	if err != nil && !down {
 		return // The last report is not news: published again, it would show an upstream that has just ended as running.
 	}
-	l.publish(last, swapping || last.OrderRunning, down)
+	l.publish(last, swapping || doubtful || last.OrderRunning, down)
 }
 
 // requestReport requests a report and waits for it until the upstream has been silent for MaxSilence, but at least for confirmTimeout.
--- a/internal/loader/settle.go
+++ b/internal/loader/settle.go
@@ -61,6 +61,7 @@
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
+	l.recordBadChunk() // The chunk did not match. It is overwritten, so that it cannot be checked later.
 	err := l.engine.Stage(context.WithoutCancel(ctx), model, chunk, data)
 	if err != nil {
 		l.recordUnanswered()
