chunkcache: a chunk that matches the digest of its source corrects a wrong manifest

Cause: a chunk that does not match may be wrong, or the manifest may be; after three mismatches a node dropped its manifest and took the same one from a peer. Only the node that reads a chunk from the origin has its bytes, so that no other node ever saw a mismatch. Change: bytes and a digest from separate answers that match each other are both right. A node that reads a chunk that does not match reads the manifest from the origin again and keeps what matches; a reply with a chunk carries the digest of its sender, which corrects each node that needs the chunk. Manifests must have as many digests as the configuration has chunks. Nothing is dropped any more.

--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,9 +26,6 @@
 	minManifestTimeout = 300 * time.Millisecond
 	// retryPause is the pause before a retry after all sources have failed.
 	retryPause = 150 * time.Millisecond
-	// maxMismatches is the number of consecutive chunks that do not match their digests after which the manifest itself is
-	// assumed to be wrong and is fetched again.
-	maxMismatches = 3
 	// tryChunkPeers is the number of peers that TryChunk asks before it reports that a chunk is not available.
 	tryChunkPeers = 2
 )
@@ -81,6 +76,8 @@
 	origin        Origin
 	peers         Peers
 	log           logr.Logger
+	// chunkCount returns the number of chunks that each version of a model has, 0 if it is not known.
+	chunkCount func(model string) int
 	// useOrigin is set on nodes that may read the origin.
 	useOrigin bool
 	// access limits the reads of the origin, originReads counts those in progress.
@@ -101,7 +98,7 @@
 	number int64
 	// addedAt is when the version was first needed.
 	addedAt time.Time
-	// mu guards the fields below. digests is the manifest, nil until it has been fetched. fetches holds the fetches in progress by
+	// mu guards the fields below. digests is the manifest, nil until it has been fetched; it is replaced, never changed. fetches holds the fetches in progress by
 	// chunk; message.WholeManifest is the key of the manifest.
 	mu      sync.Mutex
 	digests []string
@@ -109,8 +106,6 @@
 	fetches map[int]*sharedFetch
 	// wanted holds, by chunk, since when it has been needed.
 	wanted map[int]interest
-	// mismatches counts consecutive chunks that did not match their digests.
-	mismatches int
 	// unloggedFailures counts the failed fetches since failureLoggedAt, when one was last logged.
 	unloggedFailures int
 	failureLoggedAt  time.Time
@@ -193,7 +188,14 @@
 // peers only.
 func New(currentOrigin func() *catalog.Origin, origin Origin, peers Peers, log logr.Logger) *Cache {
 	return &Cache{currentOrigin: currentOrigin, origin: origin, peers: peers, log: log, useOrigin: origin != nil,
-		access: newOriginAccess(), models: map[string][]*cachedVersion{}}
+		chunkCount: func(string) int { return 0 }, access: newOriginAccess(), models: map[string][]*cachedVersion{}}
+}
+
+// WithChunkCount sets the function that returns the number of chunks that each version of a model has, 0 if it is not known. Manifests of
+// another length are rejected. It must be called before the cache is used.
+func (c *Cache) WithChunkCount(chunkCount func(model string) int) *Cache {
+	c.chunkCount = chunkCount
+	return c
 }
 
 // OriginBytes returns the number of bytes of chunks that were read from the origin since the start.
@@ -274,10 +276,12 @@
 	return held.data, nil
 }
 
-// content is what is held of a version under one chunk number: digests of the manifest, data of a chunk.
+// content is what is held of a version under one chunk number: digests of the manifest, or data of a chunk.
 type content struct {
 	digests []string
 	data    []byte
+	// digest is that of data.
+	digest string
 }
 
 // get returns a chunk or the manifest, and reports whether it is cached.
@@ -292,7 +296,11 @@
 	if chunk == message.WholeManifest {
 		return content{digests: v.digests}, v.digests != nil
 	}
-	return content{data: v.chunks[chunk]}, v.chunks[chunk] != nil
+	data := v.chunks[chunk]
+	if data == nil {
+		return content{}, false
+	}
+	return content{data: data, digest: v.digests[chunk]}, true
 }
 
 // ensure waits until a chunk or the manifest is held, and returns it: it may be dropped again at any time. It retries failed fetches until ctx ends and returns an error only then.
@@ -329,38 +337,6 @@
 	}
 }
 
-// verifyAndStore stores digests if chunk is message.WholeManifest, else data. It returns ErrCorrupt if they fail verification.
-// After maxMismatches consecutive mismatches it also drops the manifest and all chunks of the version.
-func (c *Cache) verifyAndStore(v *cachedVersion, chunk int, digests []string, data []byte) error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if chunk == message.WholeManifest {
-		if !validDigests(digests) {
-			return errors.Wrapf(ErrCorrupt, "digests of version %d", v.number)
-		}
-		v.digests = digests
-		delete(v.wanted, chunk)
-		return nil
-	}
-	if chunk < 0 || chunk >= len(v.digests) {
-		return errors.Wrapf(ErrCorrupt, "version %d has no chunk %d", v.number, chunk)
-	}
-	if !MatchesDigest(data, v.digests[chunk]) {
-		v.mismatches++
-		if v.mismatches >= maxMismatches {
-			v.digests, v.mismatches = nil, 0
-			v.chunks = map[int][]byte{}
-			c.log.Info("weights dropped, chunks do not match the manifest", "model", v.model, "version", v.number, "chunk", chunk)
-		}
-		return errors.Wrapf(ErrCorrupt, "chunk %d of version %d", chunk, v.number)
-	}
-	v.mismatches = 0
-	v.chunks[chunk] = data
-	delete(v.wanted, chunk)
-	v.lastChunkAt = time.Now()
-	return nil
-}
-
 // Progress returns the fraction of a version's chunks that are held, from 0 to 1, and when a chunk was last stored. The fraction is
 // 0 while the manifest is missing, the time is zero before the first chunk. A version that is not cached is added, which can evict
 // another one.
@@ -374,22 +350,6 @@
 	return float64(len(v.chunks)) / float64(len(v.digests)), v.lastChunkAt
 }
 
-// MatchesDigest reports whether data has the given hex SHA-256 digest.
-func MatchesDigest(data []byte, digest string) bool {
-	sum := sha256.Sum256(data)
-	return hex.EncodeToString(sum[:]) == digest
-}
-
-// validDigests reports whether digests is a non-empty list of hex SHA-256 digests.
-func validDigests(digests []string) bool {
-	for _, digest := range digests {
-		if raw, err := hex.DecodeString(digest); err != nil || len(raw) != sha256.Size {
-			return false
-		}
-	}
-	return len(digests) > 0
-}
-
 // has reports whether a chunk or the manifest is cached. It adds the version if it is not cached, as Progress does.
 func (c *Cache) has(model string, number int64, chunk int) bool {
 	_, held := c.getOrAddVersion(model, number).get(chunk)
@@ -410,7 +370,9 @@
 	if request.Chunk == message.WholeManifest {
 		reply.Digests, err = c.Manifest(ctx, request.Model, request.Version)
 	} else {
-		reply.Data, err = c.Chunk(ctx, request.Model, request.Version, request.Chunk)
+		var held content
+		held, err = c.ensure(ctx, c.getOrAddVersion(request.Model, request.Version), request.Chunk)
+		reply.Data, reply.Digest = held.data, held.digest
 	}
 	if err != nil {
 		reply.Error = err.Error()
--- a/internal/chunkcache/cache_test.go
+++ b/internal/chunkcache/cache_test.go
@@ -42,6 +42,8 @@
 	// reads still to be answered with the digests of another version.
 	corruptNext        int
 	wrongManifestsNext int
+	// spoilManifest, unless nil, changes the digests of the n-th read of a manifest, from 1.
+	spoilManifest func(n int, digests []string) []string
 	// down makes all reads fail.
 	down bool
 	// stall lists the versions whose chunk reads block until their context ends; stalled counts the reads that are blocked.
@@ -60,6 +62,9 @@
 		o.wrongManifestsNext--
 		return digests(version+100, 4), nil
 	}
+	if o.spoilManifest != nil {
+		return o.spoilManifest(o.manifests, digests(version, 4)), nil
+	}
 	return digests(version, 4), nil
 }
 
--- a/internal/chunkcache/fetch.go
+++ b/internal/chunkcache/fetch.go
@@ -76,7 +76,7 @@
 		return errors.CombineErrors(errors.WithStack(ErrNotReader), lastErr)
 	}
 	err := c.fetchFromOrigin(ctx, v, chunk, *origin)
-	v.logManifest(c.log, chunk, "origin", err)
+	v.logManifest(c.log, chunk, originSource, err)
 	return err
 }
 
@@ -95,7 +95,10 @@
 	if err != nil {
 		return err
 	}
-	return c.verifyAndStore(v, chunk, reply.Digests, reply.Data)
+	if chunk == message.WholeManifest {
+		return c.storeManifest(v, reply.Digests)
+	}
+	return c.storeChunk(v, chunk, reply.Data, reply.Digest, source.NodeID)
 }
 
 // requestTimeout bounds a request to a peer. A manifest is small, so that a peer that does not send it soon lacks it; the next one may have it.
@@ -107,40 +110,56 @@
 	return min(max(v.waited(chunk)/2, minManifestTimeout), peerTimeout)
 }
 
+// originSource names the origin in logs.
+const originSource = "origin"
+
 // fetchFromOrigin reads a chunk or the manifest from the origin within 2*peerTimeout, as soon as the limits of reads allow it, and stores it if
-// it passes verification.
+// it passes verification. If a chunk does not match, the manifest may be wrong, and is read again: other nodes may hold the same one.
 func (c *Cache) fetchFromOrigin(ctx context.Context, v *cachedVersion, chunk int, origin catalog.Origin) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
 	defer cancel()
-	var digests []string
-	var data []byte
-	err := c.access.do(ctx, origin.MaxConns, func() (err error) {
+	digests, data, err := c.readOrigin(ctx, v, chunk, origin)
+	if err != nil {
+		return err
+	}
+	if chunk == message.WholeManifest {
+		return c.storeManifest(v, digests)
+	}
+	mismatch := c.storeChunk(v, chunk, data, "", originSource)
+	if !errors.Is(mismatch, ErrCorrupt) {
+		return mismatch
+	}
+	if digests, _, err = c.readOrigin(ctx, v, message.WholeManifest, origin); err != nil {
+		return errors.CombineErrors(mismatch, err)
+	}
+	if err := checkDigests(digests, c.chunkCount(v.model)); err != nil || chunk >= len(digests) || !MatchesDigest(data, digests[chunk]) {
+		return errors.CombineErrors(mismatch, err)
+	}
+	c.replaceManifest(v, digests)
+	return c.storeChunk(v, chunk, data, digests[chunk], originSource)
+}
+
+// readOrigin reads the digests of the manifest, or the data of a chunk, from the origin, as soon as the limits of reads allow it.
+func (c *Cache) readOrigin(ctx context.Context, v *cachedVersion, chunk int, origin catalog.Origin) (digests []string, data []byte, err error) {
+	err = c.access.do(ctx, origin.MaxConns, func() (err error) {
 		concurrent := c.originReads.Add(1)
 		defer c.originReads.Add(-1)
 		started := time.Now()
-		if digests, data, err = c.readOrigin(ctx, v, chunk, origin); err != nil {
+		if chunk == message.WholeManifest {
+			digests, err = c.origin.Manifest(ctx, origin, v.model, v.number)
+		} else {
+			data, err = c.origin.Chunk(ctx, origin, v.model, v.number, chunk)
+		}
+		if err != nil {
 			c.log.Info("origin could not be read", "model", v.model, "version", v.number, "chunk", chunk, "concurrent", concurrent,
 				"took_ms", time.Since(started).Milliseconds(), "cause", err.Error())
 		}
 		return err
 	})
-	if err != nil {
-		return err
-	}
-	return c.verifyAndStore(v, chunk, digests, data)
-}
-
-// readOrigin reads the digests of the manifest, or the data of a chunk, from the origin.
-func (c *Cache) readOrigin(ctx context.Context, v *cachedVersion, chunk int, origin catalog.Origin) (digests []string, data []byte, err error) {
-	if chunk == message.WholeManifest {
-		digests, err = c.origin.Manifest(ctx, origin, v.model, v.number)
-		return digests, nil, err
-	}
-	data, err = c.origin.Chunk(ctx, origin, v.model, v.number, chunk)
 	c.mu.Lock()
 	c.originBytes += uint64(len(data))
 	c.mu.Unlock()
-	return nil, data, err
+	return digests, data, err
 }
 
 // fetchFromHolders requests a chunk with HeldOnly from each source in order. It returns ErrNotAvailable if none delivers it.
--- a/internal/directpath/agent.go
+++ b/internal/directpath/agent.go
@@ -145,7 +145,7 @@
 	if !chunkcache.MatchesDigest(data, digests[request.Chunk]) {
 		return &message.WeightsReply{Error: "staged chunk is missing, corrupt or of another version"}
 	}
-	return &message.WeightsReply{Data: data}
+	return &message.WeightsReply{Data: data, Digest: digests[request.Chunk]}
 }
 
 // serveStagedTimeout bounds the time in which an agent answers a request for a staged chunk.
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -133,7 +134,7 @@
 		}
 	}
 	c.mesh = mesh.New(cfg)
-	c.cache = chunkcache.New(c.origin, origin, c.mesh, n.Log)
+	c.cache = chunkcache.New(c.origin, origin, c.mesh, n.Log).WithChunkCount(c.chunkCount)
 	return c, nil
 }
 
@@ -146,6 +147,20 @@
 	return index.Config.WeightsOrigin()
 }
 
+// chunkCount returns the number of chunks in the weights of each version of a model, 0 if the configuration does not have the model.
+func (c *components) chunkCount(model string) int {
+	index := c.state.Snapshot().Index
+	if index == nil {
+		return 0
+	}
+	for _, service := range index.Config.Services {
+		if service.Engine != nil && slices.Contains(service.Engine.Models, model) {
+			return service.Engine.Chunks
+		}
+	}
+	return 0
+}
+
 // listen opens a TCP listener. It retries for 2 s, as the previous process may still use the address.
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	const attempts, interval = 20, 100 * time.Millisecond
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -171,10 +171,12 @@
 	HeldOnly bool `msgpack:"h,omitempty"`
 }
 
-// WeightsReply answers a WeightsRequest. Data is the chunk, Digests are those of all chunks. Error is empty on success.
+// WeightsReply answers a WeightsRequest. Data is the chunk, Digest its hex SHA-256 digest in the manifest of the sender, Digests are those of all
+// chunks. Error is empty on success.
 type WeightsReply struct {
 	Seq     uint64   `msgpack:"s"`
 	Data    []byte   `msgpack:"d,omitempty"`
+	Digest  string   `msgpack:"h,omitempty"`
 	Digests []string `msgpack:"g,omitempty"`
 	Error   string   `msgpack:"e,omitempty"`
 }
