relay: a process that replaces another one uses a fifth of the retry budget at first

Cause: the budget is in the memory of the process, and each process began with a whole one, whatever the one before it had just spent. Change: a process that is not the first one uses 0.2 of the budget until it is as old as the window, the fixed number growing with its age, and 0.8 after that, as before. A window then has at most 0.8 spent by older processes and 0.2 by younger ones, however often they are replaced. First starts of a fleet are exempt, as they have no predecessor.

--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -85,10 +85,14 @@
 		cfg.Log.Info("rate limit of upstream changed", "upstream", r.Upstream, "started", r.StartedAtMillis, "per_second", r.PerSecond,
 			"lifted", r.Lifted, "age_ms", r.AgeMillis)
 	})
+	budget := relay.NewRetryBudget(cfg.RetryBudgetRatio, cfg.RetryBudgetFixed, cfg.RetryBudgetWindow, c.mesh.EntryCount, nil)
+	if !cfg.FirstStart {
+		budget.AfterPredecessor()
+	}
 	e.relay = relay.New(relay.Config{
 		Codec: cfg.Codec, State: c.state, Loads: c.loads, PeerWork: c.peerWork, Tracker: c.tracker, Pool: e.pool,
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
-		RetryBudget:     relay.NewRetryBudget(cfg.RetryBudgetRatio, cfg.RetryBudgetFixed, cfg.RetryBudgetWindow, c.mesh.EntryCount, nil),
+		RetryBudget:     budget,
 		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
 		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
 		ServedUntil: e.endOfService,
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -8,12 +8,18 @@
 // RetryBudget bounds retries per service. Within any window, the retries of all entries together are at most ratio times their
 // requests, plus a fixed number. Each entry applies the ratio to its own requests and has an equal share of the fixed number.
 // It is safe for concurrent use.
+//
+// A process does not know what the one before it has spent in the last window. So a process that is not the first one uses startShare of the
+// budget while it is younger than the window, of which the fixed number grows with its age, and usableShare after that. However often
+// processes are replaced, a window has at most usableShare spent by processes older than the window, and startShare by younger ones.
 type RetryBudget struct {
 	ratio, fixed float64
 	window       time.Duration
 	// entryCount returns the number of entries that share the fixed number.
 	entryCount func() int
 	now        func() time.Time
+	// replacedAt is when this process replaced another one, zero if it is the first.
+	replacedAt time.Time
 
 	mu sync.Mutex
 	// services is guarded by mu.
@@ -25,8 +31,13 @@
 	requests, retries []time.Time
 }
 
-// usableShare is the part of the budget that is used. It leaves a margin, because entries may briefly disagree on their number.
-const usableShare = 0.8
+const (
+	// usableShare is the part of the budget that is used. It leaves a margin, because entries may briefly disagree on their number, and for
+	// startShare.
+	usableShare = 0.8
+	// startShare is the part that is used by a process that is younger than the window.
+	startShare = 1 - usableShare
+)
 
 // NewRetryBudget returns a budget without recorded requests. fixed is the number of retries that all entries together may send in a
 // window in addition to ratio times the requests; entryCount returns the number of entries that share it. now is the clock; nil
@@ -38,6 +49,12 @@
 	return &RetryBudget{ratio: ratio, fixed: fixed, window: window, entryCount: entryCount, now: now, services: map[string]*serviceWindow{}}
 }
 
+// AfterPredecessor makes the budget that of a process that replaces another one, which may have spent the budget just before it ended.
+func (b *RetryBudget) AfterPredecessor() *RetryBudget {
+	b.replacedAt = b.now()
+	return b
+}
+
 // RecordRequest records a new request to a service.
 func (b *RetryBudget) RecordRequest(service string) {
 	b.mu.Lock()
@@ -67,8 +84,11 @@
 
 // hasRoom reports whether a window has room for a retry. The caller holds mu.
 func (b *RetryBudget) hasRoom(w *serviceWindow) bool {
-	allowed := usableShare * (b.ratio*float64(len(w.requests)) + b.fixed/float64(max(b.entryCount(), 1)))
-	return float64(len(w.retries)+1) <= allowed
+	share, fixed := usableShare, b.fixed/float64(max(b.entryCount(), 1))
+	if age := b.now().Sub(b.replacedAt); age < b.window {
+		share, fixed = startShare, fixed*age.Seconds()/b.window.Seconds()
+	}
+	return float64(len(w.retries)+1) <= share*(b.ratio*float64(len(w.requests))+fixed)
 }
 
 // activeWindow returns the window of a service without its expired times. The caller holds mu.
