fleet: an announcement that stays in the store replaces one with a later start time

Cause: announcements of one upstream are ordered by start time, so that each one of the second process counted as a late write of an earlier one. Change: a process that lives announces itself again if the store holds another announcement under its id, and the store removes an announcement without heartbeats.

--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -58,6 +58,7 @@
 	eraKnown    bool
 	restoredAt  time.Time
 	hasDeferred bool // An upstream has a deferred record.
+	hasRivals   bool // An upstream has a rival.
 	// acceptedUpstreams holds the changes of upstreams that are not published yet. It is empty while mu is not held.
 	acceptedUpstreams []Change
 	observers         []func(Change)
@@ -157,6 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyDeferred()
+	s.applyRivals()
 	if at.After(s.upToDateAt) {
 		s.upToDateAt = at
 	}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -41,6 +41,10 @@
 	// lastAnnouncement is the newest accepted announcement. It is kept after the upstream was removed.
 	lastAnnouncement *catalog.Upstream
 	removedAt        time.Time
+	// rival is the process with an earlier start time whose announcement the store lists after the accepted one.
+	rival rival
+	// replacedStart is the start time of the process that was replaced by its rival, 0 if none was.
+	replacedStart int64
 	// deferred is a record that was not accepted because only the copy of a restored store may list the upstream.
 	deferred UpstreamRecord
 }
@@ -65,6 +69,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	for _, current := range s.upstreams {
+		current.rival.since = now // The accepted process could not announce itself.
+	}
 	if !s.restoredAt.IsZero() && now.Add(-duration).Sub(s.restoredAt) < copyRetention {
 		s.restoredAt = now
 	}
@@ -86,7 +93,7 @@
 }
 
 // ApplyUpstream merges an upstream record and reports whether it was accepted. It is rejected if it was not written after the recorded one,
-// or if its announcement was made before the newest accepted one. An announcement is also accepted if it was made later, but stored in an
+// or if its announcement was made before the newest accepted one, see also rival. An announcement is also accepted if it was made later, but stored in an
 // era that is over, or before an older one that was stored late.
 func (s *State) ApplyUpstream(u UpstreamRecord) bool {
 	s.mu.Lock()
@@ -127,8 +134,9 @@
 		return false
 	}
 	if u.Announcement != nil && current.lastAnnouncement != nil {
-		order := compareAnnouncements(u.Announcement, current.lastAnnouncement)
+		order := current.compare(u.Announcement)
 		switch {
+		case order < 0 && isAfter && s.replacesByRival(u, current): // Accepted below.
 		case order < 0 && isAfter:
 			// The announcement is outdated: it was stored late, or the store was restored from a copy that holds it. The store holds it until
 			// the next one. Its place in the history is recorded, but the newer announcement stays. A removal keeps its own place, so that it is
@@ -147,14 +155,19 @@
 	if !isAfter {
 		return false
 	}
-	current.UpstreamRecord = u
+	s.accept(u, current)
+	return true
+}
+
+// accept makes a record the current one of its upstream and adds it to acceptedUpstreams. The caller holds mu.
+func (s *State) accept(u UpstreamRecord, current *upstreamState) {
+	current.UpstreamRecord, current.rival = u, rival{}
 	if u.Announcement != nil {
 		current.lastAnnouncement = u.Announcement
 	} else {
 		current.removedAt = s.now()
 	}
 	s.acceptedUpstreams = append(s.acceptedUpstreams, Change{Upstream: &u})
-	return true
 }
 
 // isRevivedByCopy reports whether a record repeats an announcement of an upstream that was removed in an earlier era, while the store
