catalogsync: a long poll is given up when other answers show that it may be silent

Cause: such a poll waits for 3 s, as calls are billed, and its connection counts as dead 1.2 s later; nothing else looked after it. Change: answers to the other polls, at most 0.6 s apart, state the revision of the store. A poll of the list that lacks a later revision for 0.3 s, or during which another call fails, is given up, and the next one asks for an answer at once on another connection.

--- a/internal/controller/catalogsync/fakes_test.go
+++ b/internal/controller/catalogsync/fakes_test.go
@@ -60,6 +60,8 @@
 	failureDelay time.Duration
 	// silentPrefixes are the prefixes for which calls get no answer: they fail 1.2 s after the end of their wait.
 	silentPrefixes []string
+	// silenced counts by prefix how often the polls under way were made silent: they fail as those of silentPrefixes do. New ones are answered.
+	silenced map[string]int
 	// listDelay is the time that List takes.
 	listDelay time.Duration
 	// calls counts the calls of List and Poll.
@@ -128,10 +130,11 @@
 func (m *memoryStore) Poll(ctx context.Context, prefix string, after store.Cursor, wait time.Duration) (
 	[]store.Event, store.Cursor, error) {
 	deadline := time.Now().Add(wait)
-	m.withLock(func() { m.calls++ })
+	var silenced int
+	m.withLock(func() { m.calls++; silenced = m.silenced[prefix] })
 	for {
 		m.mu.Lock()
-		if slices.Contains(m.silentPrefixes, prefix) {
+		if slices.Contains(m.silentPrefixes, prefix) || m.silenced[prefix] > silenced {
 			m.mu.Unlock()
 			return nil, after, m.awaitTimeout(ctx, deadline)
 		}
--- a/internal/controller/catalogsync/freshness.go
+++ b/internal/controller/catalogsync/freshness.go
@@ -31,6 +31,13 @@
 	s.state.MarkUpToDate(oldest)
 }
 
+// recordFailedCall records that a call to the store has failed.
+func (s *Syncer) recordFailedCall(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedAt = at
+}
+
 // endExtension records that no poll of the prefix is under way, so that it is only as fresh as the store's last answer.
 func (s *Syncer) endExtension(prefix Prefix) {
 	s.mu.Lock()
--- a/internal/controller/catalogsync/list.go
+++ b/internal/controller/catalogsync/list.go
@@ -28,6 +28,7 @@
 		return err
 	}
 	w.recordSuccess()
+	w.observeRevision(listing.Cursor)
 	w.observeEra(listing.Cursor)
 	awaitingReannounce := time.Now().Before(w.reannounceUntil)
 	settled := !awaitingReannounce && (hasPassed(w.reannounceUntil) || hasPassed(w.unsettledUntil))
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -21,8 +21,8 @@
 	// The age at which another node takes over the watch has to be larger.
 	pollTimeout = 600 * time.Millisecond
 	// upstreamPollTimeout replaces pollTimeout for the list of upstreams. It is longer because calls are billed, and because the
-	// polls of the other prefixes detect that the store is unreachable. It bounds how long a connection that has gone silent for
-	// this prefix only remains undetected.
+	// polls of the other prefixes detect that the store is unreachable, or that it has changed while a poll of this prefix has no answer
+	// because its connection has gone silent.
 	upstreamPollTimeout = 3 * time.Second
 	// changeBatchDelay is the delay before the next poll after changes in the list of upstreams, so that one call returns
 	// several changes: calls are billed, and the list changes often while upstreams are replaced.
@@ -98,9 +98,12 @@
 	// readCheckpoints reads the checkpoints of the operator's documents; see WithCheckpoints. It may be nil.
 	readCheckpoints CheckpointReader
 
-	// mu guards freshness, the freshness of each prefix.
+	// mu guards the fields below: the freshness of each prefix, the latest point of the store's history that an answer has stated, and when a
+	// call last failed.
 	mu        sync.Mutex
 	freshness map[string]freshness
+	latest    store.Cursor
+	failedAt  time.Time
 }
 
 // New returns a Syncer. isActive reports whether this node has to watch the store; it must be safe for concurrent use.
--- a/internal/controller/catalogsync/watcher.go
+++ b/internal/controller/catalogsync/watcher.go
@@ -33,6 +33,8 @@
 	// unsettledUntil is the time at which the upstreams are listed again because the last listing left some of them undecided, zero if it
 	// left none.
 	unsettledUntil time.Time
+	// isBehindStore is set if the last poll was given up with errBehind.
+	isBehindStore bool
 }
 
 func (w *watcher) run(ctx context.Context) {
@@ -72,7 +74,14 @@
 			wait = min(wait, max(time.Until(due), 0)+time.Millisecond)
 		}
 	}
-	events, next, err := w.lister.Poll(ctx, w.prefix.Name, w.cursor, wait)
+	if w.isBehindStore {
+		wait = time.Millisecond
+	}
+	events, next, err := w.poll(ctx, wait)
+	if w.isBehindStore = errors.Is(err, errBehind); w.isBehindStore {
+		w.log.Info("poll given up, its connection may be silent", "prefix", w.prefix.Name, "revision", w.cursor.Revision)
+		return nil
+	}
 	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
 		w.log.Info("history of the store is gone, listing again", "prefix", w.prefix.Name, "era", w.cursor.Era,
 			"revision", w.cursor.Revision, "restored", errors.Is(err, store.ErrRestored))
@@ -167,6 +176,7 @@
 	w.endExtension(w.prefix)
 	w.removals = nil
 	now := time.Now()
+	w.recordFailedCall(now)
 	if w.failingSince.IsZero() {
 		w.failingSince = now
 		w.backoff = minBackoff
