loader: an upstream that reads its staged chunks back slowly is ordered after one pass

What callers would have seen: a server whose chunks take longer than 0.7 s to read back stayed without weights for 13 passes. Cause: repeated a pass until the oldest verification was young enough, which a slow server never reaches. Change: a pass that finds nothing bad is not repeated, and the bound before the order counts from the end of the verification. If more than 2.5 s lie between the oldest verification and the acceptance, the load is checked afterwards, as before. Failed before: TestUpstreamWithSlowReadsIsLoaded.

--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -50,6 +50,8 @@
 	// startedAtMillis is the start time of the upstream's process, beside which the chunks are staged.
 	startedAtMillis int64
 	verified        *verification
+	// verifiedAt is when the verification ended.
+	verifiedAt time.Time
 	// repeat is set if the version is loaded already, but has to be loaded again, see doubtfulLoad.
 	repeat bool
 }
@@ -64,6 +66,7 @@
 		if err := l.verifyAgain(ctx, p.Target, p.verified); err != nil {
 			return err
 		}
+		p.verifiedAt = time.Now()
 		ordersBefore, err = l.order(ctx, p, attempt == maxOrderAttempts)
 		if !errors.IsAny(err, ErrSessionEnded, errNotVerified) {
 			break
@@ -96,7 +99,7 @@
 // order sends the load order to the process of the upstream whose staged data was verified, and returns that process's count of orders
 // before. It sends none, and returns errAbandoned, if another process answers, errLoadedMeanwhile or
 // errNewerLoaded if the version or a newer one is loaded, errTooLate if the version could not be used any more, and errNotVerified if the
-// verification is too old, unless lastAttempt is set.
+// upstream has been silent since the verification, unless lastAttempt is set.
 func (l *Loader) order(ctx context.Context, p plannedLoad, lastAttempt bool) (ordersBefore int64, err error) {
 	session := l.engine.NewSession()
 	defer session.Close()
@@ -114,7 +117,7 @@
 		return 0, errLoadedMeanwhile
 	case p.isTooLate(time.Now()):
 		return 0, errTooLate
-	case p.verified.age(time.Now()) > maxVerificationAge && !lastAttempt:
+	case time.Since(p.verifiedAt) > maxVerificationAge && !lastAttempt:
 		return 0, errNotVerified
 	}
 	order := Order{Model: p.Model, Version: p.Version, Interrupt: true, OrdersAccepted: report.OrdersAccepted}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -61,6 +61,8 @@
 	loading int64
 	// holdNextReport, unless nil, is received from, once, before the report that follows is returned.
 	holdNextReport chan struct{}
+	// readDelay is how long it takes to read a staged chunk back.
+	readDelay time.Duration
 	// onSession, unless nil, is called, once, before a session begins.
 	onSession func(e *fakeEngine)
 	// losePowerWhenStaged makes the engine lose its staged chunks and start anew, once, as soon as all chunks are staged.
@@ -159,6 +161,7 @@
 }
 
 func (e *fakeEngine) ReadStaged(_ context.Context, _ string, chunk int) ([]byte, error) {
+	time.Sleep(e.readDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.delayed != nil {
--- a/internal/loader/staged.go
+++ b/internal/loader/staged.go
@@ -16,10 +16,10 @@
 // load, and were not staged again meanwhile, matched at the load too.
 
 const (
-	// maxVerificationAge bounds the age of the oldest verification of a chunk when a load is ordered. Reading all chunks back takes about 40 ms.
+	// maxVerificationAge bounds the age of the oldest verification of a chunk when a load is ordered, unless the upstream takes longer to read all
+	// chunks back, which usually takes about 40 ms.
 	maxVerificationAge = 700 * time.Millisecond
-	// maxVerificationPasses is the number of passes after which a load is ordered although one pass takes longer than maxVerificationAge. The load
-	// is then checked afterwards.
+	// maxVerificationPasses bounds the passes in a row that find chunks that have turned bad.
 	maxVerificationPasses = 4
 	// maxAgeAtLoad is the age of the oldest verification up to which a load needs no check afterwards.
 	maxAgeAtLoad = 2500 * time.Millisecond
@@ -110,8 +110,8 @@
 	return c.run(ctx, len(digests))
 }
 
-// verifyAgain reads the staged chunks back until all of them were verified within maxVerificationAge, and stages those again that do not match.
-// A chunk that is staged again makes the verifications of the others older. After maxVerificationPasses it returns nil.
+// verifyAgain reads the staged chunks back unless all of them were verified within maxVerificationAge, and stages those again that do not match. As
+// that makes the verifications of the others older, it then reads them back once more.
 func (l *Loader) verifyAgain(ctx context.Context, target Target, verified *verification) error {
 	for range maxVerificationPasses {
 		if verified.age(time.Now()) <= maxVerificationAge {
@@ -121,10 +121,12 @@
 		if err := l.stage(ctx, target, verified); err != nil {
 			return err
 		}
-		if restaged := verified.restagedChunks() - restagedBefore; restaged > 0 {
-			l.log.Info("staged chunks had turned bad", "model", target.Model, "version", target.Version, "restaged", restaged,
-				"took_ms", time.Since(started).Milliseconds())
+		restaged := verified.restagedChunks() - restagedBefore
+		if restaged == 0 {
+			return nil // Another pass would take as long.
 		}
+		l.log.Info("staged chunks had turned bad", "model", target.Model, "version", target.Version, "restaged", restaged,
+			"took_ms", time.Since(started).Milliseconds())
 	}
 	return nil
 }
--- a/internal/loader/staged_test.go
+++ b/internal/loader/staged_test.go
@@ -52,6 +52,17 @@
 	g.Expect(mixed).To(BeFalse())
 }
 
+// Guards against an upstream without weights for good, or for long, because it takes longer to read all chunks back than a verification may be old.
+func TestUpstreamWithSlowReadsIsLoaded(t *testing.T) {
+	g := NewWithT(t)
+	e, target := &fakeEngine{startedAtMillis: 1, readDelay: 600 * time.Millisecond}, &targetVersion{}
+	target.set(2)
+	start(t, e, &fakeWeights{}, target)
+	g.Eventually(loadedVersion(e), "9s").Should(Equal(int64(2)))
+	_, mixed := e.state()
+	g.Expect(mixed).To(BeFalse())
+}
+
 // Guards against an upstream that serves from chunks that turned bad between the verification and an order that it carried out late, after its
 // answer was given up: it counts as swapping until it has loaded matching chunks.
 func TestOrderCarriedOutLateWithBadChunksIsRepeated(t *testing.T) {
