directpath: an entry without a predecessor uses the whole retry budget at once

Cause: took each process for one that replaces another, unless the settings say that the fleet starts for the first time. Change: an entry that announces itself and finds no announcement of an earlier process in the store, where those of processes that crashed stay for five minutes, has no predecessor and uses the whole budget.

--- a/internal/directpath/announcement.go
+++ b/internal/directpath/announcement.go
@@ -142,6 +142,9 @@
 			return leasedKey{}, err
 		}
 		if written {
+			if !r.announced.written && r.announced.replaced == 0 && r.onFirst != nil {
+				r.onFirst()
+			}
 			r.announced.unused, r.announced.written = heldLease{}, true
 			return leasedKey{heldLease: lease, revision: r.announced.revision}, nil
 		}
--- a/internal/directpath/announcement_test.go
+++ b/internal/directpath/announcement_test.go
@@ -256,3 +256,20 @@
 	g.Expect(err).NotTo(HaveOccurred(), "the copy has the announcement of the previous process")
 	g.Expect(f.incarnation(g, r)).To(Equal(r.self.Incarnation))
 }
+
+// Guards against an entry that takes itself for the first process and uses the whole retry budget, which the one before it may have spent, and
+// against a first process that uses a part only: it repeated no request that a server declined in its first seconds.
+func TestProcessKnowsWhetherItHasAPredecessor(t *testing.T) {
+	g := NewWithT(t)
+	f := newAnnouncementFixture(t)
+	for i, want := range []int{1, 0} {
+		r, _ := f.process(time.Duration(i) * time.Second)
+		first := 0
+		r.onFirst = func() { first++ }
+		for range 2 { // The second time, the key holds the announcement of this process.
+			_, err := r.putAnnouncement(t.Context())
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		g.Expect(first).To(Equal(want))
+	}
+}
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -62,6 +62,7 @@
 	*components
 	pool    *h1.Pool
 	relay   *relay.Relay
+	budget  *relay.RetryBudget
 	leaving atomic.Bool
 	// servedUntil is when a leaving entry ends the requests in progress; nil before.
 	servedUntil atomic.Pointer[time.Time]
@@ -85,14 +86,14 @@
 		cfg.Log.Info("rate limit of upstream changed", "upstream", r.Upstream, "started", r.StartedAtMillis, "per_second", r.PerSecond,
 			"lifted", r.Lifted, "age_ms", r.AgeMillis)
 	})
-	budget := relay.NewRetryBudget(cfg.RetryBudgetRatio, cfg.RetryBudgetFixed, cfg.RetryBudgetWindow, c.mesh.EntryCount, nil)
+	e.budget = relay.NewRetryBudget(cfg.RetryBudgetRatio, cfg.RetryBudgetFixed, cfg.RetryBudgetWindow, c.mesh.EntryCount, nil)
 	if !cfg.FirstStart {
-		budget.AfterPredecessor()
+		e.budget.AfterPredecessor()
 	}
 	e.relay = relay.New(relay.Config{
 		Codec: cfg.Codec, State: c.state, Loads: c.loads, PeerWork: c.peerWork, Tracker: c.tracker, Pool: e.pool,
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
-		RetryBudget:     budget,
+		RetryBudget:     e.budget,
 		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
 		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
 		ServedUntil: e.endOfService,
@@ -118,7 +119,7 @@
 	var wg sync.WaitGroup
 	prefetcher := &prefetcher{state: e.state, cache: e.cache, linkWait: linkWaitTime}
 	registry := &registry{store: e.Store, lister: e.Store, state: e.state, mesh: e.mesh, self: e.self, ledger: e.poison, log: e.Log,
-		startWait: e.startWait()}
+		onFirst: e.budget.WithoutPredecessor, startWait: e.startWait()}
 	verdicts := &verdictWriter{store: e.Store, state: e.state, mesh: e.mesh, ledger: e.poison, log: e.Log}
 	checkpoints := checkpoint.NewWriter(checkpoint.WriterConfig{Store: e.Store, Prefix: checkpointsPrefix, State: e.state,
 		Position: e.mesh.Position, Log: e.Log, StartWait: e.startWait(), AssumedAge: e.assumedVersionAge()})
--- a/internal/directpath/registry.go
+++ b/internal/directpath/registry.go
@@ -49,6 +49,10 @@
 	ledger *poison.Ledger
 	log    logr.Logger
 
+	// onFirst, unless nil, is called once the entry has announced itself and the store held no announcement of an earlier process. Those of
+	// processes that crashed stay for announcementTTL.
+	onFirst func()
+
 	// announced is what announce knows about its key in the store. No other goroutine uses it.
 	announced announcedKey
 }
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -9,7 +9,7 @@
 // requests, plus a fixed number. Each entry applies the ratio to its own requests and has an equal share of the fixed number.
 // It is safe for concurrent use.
 //
-// A process does not know what the one before it has spent in the last window. So a process that is not the first one uses startShare of the
+// A process does not know what the one before it has spent in the last window. So a process that may have replaced another one uses startShare of the
 // budget while it is younger than the window, of which the fixed number grows with its age, and usableShare after that. However often
 // processes are replaced, a window has at most usableShare spent by processes older than the window, and startShare by younger ones.
 type RetryBudget struct {
@@ -18,12 +18,12 @@
 	// entryCount returns the number of entries that share the fixed number.
 	entryCount func() int
 	now        func() time.Time
-	// replacedAt is when this process replaced another one, zero if it is the first.
-	replacedAt time.Time
 
+	// mu guards the fields below.
 	mu sync.Mutex
-	// services is guarded by mu.
-	services map[string]*serviceWindow
+	// replacedAt is when this process replaced another one, zero if it is the first.
+	replacedAt time.Time
+	services   map[string]*serviceWindow
 }
 
 // serviceWindow holds the times of the requests to a service and of their retries within the window, in order.
@@ -49,12 +49,22 @@
 	return &RetryBudget{ratio: ratio, fixed: fixed, window: window, entryCount: entryCount, now: now, services: map[string]*serviceWindow{}}
 }
 
-// AfterPredecessor makes the budget that of a process that replaces another one, which may have spent the budget just before it ended.
+// AfterPredecessor makes the budget that of a process that starts now and may replace another one, which may have spent the budget just before it
+// ended.
 func (b *RetryBudget) AfterPredecessor() *RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.replacedAt = b.now()
 	return b
 }
 
+// WithoutPredecessor makes the budget that of a process that has replaced no other one.
+func (b *RetryBudget) WithoutPredecessor() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.replacedAt = time.Time{}
+}
+
 // RecordRequest records a new request to a service.
 func (b *RetryBudget) RecordRequest(service string) {
 	b.mu.Lock()
