--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -98,8 +98,8 @@
 	number int64
 	// addedAt is when the version was first needed.
 	addedAt time.Time
-	// mu guards the fields below. digests is the manifest, nil until it has been fetched; it is replaced, never changed. fetches holds the fetches in progress by
-	// chunk; message.WholeManifest is the key of the manifest.
+	// mu guards the fields below. digests is the manifest, nil until it has been fetched; it is replaced, never changed. fetches holds the
+	// fetches in progress by chunk; message.WholeManifest is the key of the manifest.
 	mu      sync.Mutex
 	digests []string
 	chunks  map[int][]byte
@@ -271,7 +271,7 @@
 	}
 	held, ok := v.get(chunk)
 	if !ok {
-		return nil, errors.Wrapf(ErrNotAvailable, "chunk %d of version %d was dropped", chunk, number)
+		return nil, errors.Wrapf(ErrNotAvailable, "chunk %d of version %d is not held any more", chunk, number)
 	}
 	return held.data, nil
 }
@@ -303,7 +303,8 @@
 	return content{data: data, digest: v.digests[chunk]}, true
 }
 
-// ensure waits until a chunk or the manifest is held, and returns it: it may be dropped again at any time. It retries failed fetches until ctx ends and returns an error only then.
+// ensure waits until a chunk or the manifest is held, and returns it: the manifest may be corrected at any time. It retries failed fetches until
+// ctx ends and returns an error only then.
 // Concurrent callers share one fetch.
 func (c *Cache) ensure(ctx context.Context, v *cachedVersion, chunk int) (content, error) {
 	for {
