--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,8 +40,9 @@
 	// longer, is assumed to be the longest delay until a request starts. Near the end of a rollout, an upstream is a candidate only if
 	// its version is still allowed after that delay.
 	startDelayFactor = 3
-	// MinVersionLead is the shortest delay that is assumed, for delays that no attempt has shown yet.
-	MinVersionLead = time.Second
+	// MinVersionLead is the shortest delay that is assumed, for delays that no attempt has shown yet. An attempt that takes longer is
+	// cancelled at the end of its upstream's version, see endWithVersion; until then, many fleets have no other version to use.
+	MinVersionLead = 500 * time.Millisecond
 )
 
 // errCallerGone and errTimeout are the causes with which the context of a request is cancelled.
