residency, relay: requests stay in the regions that their route and customer allow

Entries did not read the lists and sent such requests to any data centre.

Change: platform decodes allowed_regions of routes and tenants; what cannot be read is named in a log line, and a list in which nothing can be read allows no region. Package residency decides for one request and one data centre, from the lists at admission and those in force. Package relay asks it in candidates, from which all paths take their upstreams, and again right before sending. A request without an upstream in an allowed region is refused at once with no-allowed-region. A metric counts refusals and attempts that were not sent. The map of data centres to regions is zones of the settings. DecodeConfig also returns the unreadable parts; its tests only take the new result.

Without the check at selection, TestRequestStaysInItsRegions, TestStreamResumesInTheRegionsInForce and TestRegionIsCheckedRightBeforeSending fail; without the one before sending, the last of them.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -70,8 +70,14 @@
 	MaxAttempts int
 	// Targets are the services that run the requests. It has one element unless requests are split by weight.
 	Targets []Target
+	// AllowedRegions are the regions in which the requests may run; an empty list sets no restriction. See UnreadableRegion.
+	AllowedRegions []string `msgpack:",omitempty"`
 }
 
+// UnreadableRegion is the only element of a list of allowed regions in which no element can be read. It is the name of no region, so that
+// the list allows none. An empty list would lift the restriction.
+const UnreadableRegion = ""
+
 // MayRepeat reports whether a request that may have run already can be sent again.
 func (r *Route) MayRepeat() bool { return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable) }
 
@@ -151,6 +157,8 @@
 	// Priority replaces the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions are as in Route. Where both the route and the customer have a list, both apply.
+	AllowedRegions []string `msgpack:",omitempty"`
 }
 
 // State is the state that an upstream announces.
--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -11,6 +11,9 @@
 	byHost    map[string][]*Route
 	byKey     map[string]*Customer
 	byService map[string]*Service
+	// routesByName and customersByName hold all that have a name, in the order of the configuration. Names need not be unique.
+	routesByName    map[string][]*Route
+	customersByName map[string][]*Customer
 	// latencyTargets holds the shortest latency target of the routes to each service.
 	latencyTargets map[string]time.Duration
 }
@@ -18,10 +21,11 @@
 // NewIndex returns an index of a configuration, which must not change afterwards.
 func NewIndex(c *Config) *Index {
 	x := &Index{Config: c, byHost: map[string][]*Route{}, byKey: map[string]*Customer{}, byService: map[string]*Service{},
-		latencyTargets: map[string]time.Duration{}}
+		routesByName: map[string][]*Route{}, customersByName: map[string][]*Customer{}, latencyTargets: map[string]time.Duration{}}
 	for i := range c.Routes {
 		host := canonicalHost(c.Routes[i].Host)
 		x.byHost[host] = append(x.byHost[host], &c.Routes[i])
+		x.routesByName[c.Routes[i].Name] = append(x.routesByName[c.Routes[i].Name], &c.Routes[i])
 		for _, t := range c.Routes[i].Targets {
 			if shortest := x.latencyTargets[t.Service]; c.Routes[i].LatencyTarget > 0 &&
 				(shortest == 0 || c.Routes[i].LatencyTarget < shortest) {
@@ -30,6 +34,7 @@
 		}
 	}
 	for i := range c.Customers {
+		x.customersByName[c.Customers[i].Name] = append(x.customersByName[c.Customers[i].Name], &c.Customers[i])
 		for _, key := range c.Customers[i].Keys {
 			x.byKey[key] = &c.Customers[i]
 		}
@@ -54,6 +59,12 @@
 // Customer returns the owner of an API key, or nil.
 func (x *Index) Customer(key string) *Customer { return x.byKey[key] }
 
+// RoutesNamed and CustomersNamed return all routes and customers with a name. The slices must not be changed.
+func (x *Index) RoutesNamed(name string) []*Route { return x.routesByName[name] }
+
+// CustomersNamed is described at RoutesNamed.
+func (x *Index) CustomersNamed(name string) []*Customer { return x.customersByName[name] }
+
 // HasCustomers reports whether any customer is configured. If so, requests to routes that are not public need a key.
 func (x *Index) HasCustomers() bool { return len(x.Config.Customers) > 0 }
 
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -38,6 +38,8 @@
 	// the fixed number RetryBudgetFixed, as retries.
 	RetryBudgetRatio, RetryBudgetFixed float64
 	RetryBudgetWindow                  time.Duration
+	// Regions maps each data centre to its region. If it is empty, routes and customers are not restricted to regions.
+	Regions map[string]string
 }
 
 const (
@@ -95,7 +97,7 @@
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
 		RetryBudget:     e.budget,
 		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
-		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
+		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, Regions: cfg.Regions, VersionApplyWindow: cfg.VersionApply,
 		ServedUntil: e.endOfService,
 	})
 	return e, nil
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/residency"
 )
 
 // admit resolves the route, customer, rank, service and deadline of the request and reads its body. It refuses a request that cannot be
@@ -31,6 +32,7 @@
 		x.refuse(http.StatusUnauthorized, "unknown-key", 0)
 		return false
 	}
+	x.regions = residency.NewRule(x.relay.cfg.Regions, index, x.route, index.Customer(x.meta.Key))
 	x.rank = x.effectiveRank(index)
 	x.service = x.route.PickService(rand.Float64())
 	if s := index.Service(x.service); s != nil {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -171,6 +171,7 @@
 func (a *upstreamAttempt) outcome(res attemptResult) placement.Outcome {
 	switch {
 	case context.Cause(a.ctx) != nil && !res.final && !a.bodyOverdue, errors.Is(res.cause, errUnavailable),
+		errors.Is(res.cause, errRegionNotAllowed),
 		errors.Is(res.cause, errVersionExpired), a.yielded:
 		return placement.Abandoned
 	case res.final && !a.serverError:
@@ -256,6 +257,10 @@
 		delete(x.tried, a.upstream.ID) // It counts as an upstream that pauses or leaves.
 		x.lastFailure = "upstream takes no requests"
 		return errUnavailable
+	case !a.mayBeSentTo():
+		delete(x.tried, a.upstream.ID) // It counts as an upstream in a region that is not allowed.
+		x.lastFailure = "region not allowed"
+		return errRegionNotAllowed
 	case x.engine != nil && a.untilVersionEnds() <= 0:
 		return errVersionExpired
 	default:
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -6,12 +6,18 @@
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/placement"
+	"github.com/pimentohead/pimentohead/internal/residency"
 )
 
 // candidates returns the upstreams that can take the request, and what is known of the others.
 func (x *exchange) candidates(now time.Time) (list []placement.Candidate, out leftOut) {
 	for _, u := range x.snapshot.Upstreams(x.service) {
 		status := x.relay.availability.Status(processOf(u))
+		if reason := x.checkRegion(u, x.snapshot); reason != residency.Allowed {
+			out.excluded, out.exclusion = out.excluded+1, reason
+			continue
+		}
+		out.allowed++
 		switch {
 		case u.State != catalog.Ready || status.Leaving:
 			continue
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -75,8 +76,10 @@
 // upstream is a scripted server that records the requests it receives.
 type upstream struct {
 	id, addr string
-	mu       sync.Mutex
-	received []*http.Request
+	// dataCentre is the data centre of the upstream; empty selects that of the entry.
+	dataCentre string
+	mu         sync.Mutex
+	received   []*http.Request
 }
 
 func (u *upstream) requests() []*http.Request {
@@ -189,6 +192,11 @@
 
 // newEntryWithCodec is newEntry with a codec.
 func newEntryWithCodec(t testing.TB, c codec, upstreams ...*upstream) *entry {
+	return newEntryWithConfig(t, c, func(*relay.Config) {}, upstreams...)
+}
+
+// newEntryWithConfig is newEntryWithCodec with changes to the configuration of the relay.
+func newEntryWithConfig(t testing.TB, c codec, edit func(*relay.Config), upstreams ...*upstream) *entry {
 	state := fleet.NewState(nil)
 	targets := []catalog.Target{{Service: "s", Weight: 1}}
 	routes := []catalog.Route{
@@ -213,13 +221,13 @@
 	var list []fleet.UpstreamRecord
 	for i, u := range upstreams {
 		list = append(list, fleet.UpstreamRecord{ID: u.id, Revision: int64(2 + i), Announcement: &catalog.Upstream{ID: u.id, Service: "s",
-			Address: u.addr, DataCentre: "z", State: catalog.Ready, Slots: 6}})
+			Address: u.addr, DataCentre: cmp.Or(u.dataCentre, "z"), State: catalog.Ready, Slots: 6}})
 	}
 	state.ApplyListing(fleet.Listing{Upstreams: list, Revision: 9})
 	loads, ledger, refusals := loadview.NewTable(nil), poison.New(nil), refusal.New(nil)
 	limiter := placement.NewPriorityLimiter(nil)
 	servedUntil := &atomic.Pointer[time.Time]{}
-	r := relay.New(relay.Config{Codec: c, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
+	cfg := relay.Config{Codec: c, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
 		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: h1.NewPool(), Log: logr.Discard(),
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget: relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
@@ -231,7 +239,9 @@
 				return *until
 			}
 			return time.Time{}
-		}})
+		}}
+	edit(&cfg)
+	r := relay.New(cfg)
 	conns := callerconn.NewTracker(func() time.Duration { return 0 })
 	server := httptest.NewUnstartedServer(r)
 	server.Listener = conns.Listener(server.Listener)
--- a/internal/relay/left_out.go
+++ b/internal/relay/left_out.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/placement"
+	"github.com/pimentohead/pimentohead/internal/residency"
 )
 
 // Reasons for which a request is refused while all upstreams that could take it have reached their rate limits or have asked for a pause.
@@ -27,8 +28,12 @@
 	pauseWaitDoublings = 8
 )
 
-// leftOut describes the ready upstreams that cannot take a request.
+// leftOut describes the upstreams that cannot take a request.
 type leftOut struct {
+	// allowed counts the upstreams of the service, ready or not, in regions that the request may use. excluded counts those in other regions,
+	// exclusion is the reason for the last of them.
+	allowed, excluded int
+	exclusion         residency.Reason
 	// tried counts those that have been tried and do not pause, unqualified those that are no candidates, for example because of their
 	// version.
 	tried, unqualified int
@@ -51,6 +56,8 @@
 func (o *leftOut) refusal(d placement.Decision) placement.Decision {
 	switch {
 	case d.Reason != placement.NoUpstream:
+	case o.allowed == 0 && o.excluded > 0:
+		d.Reason = noAllowedRegion
 	case o.waiting > 0 && o.reason == upstreamsPause:
 		wait := o.wait + spreadAfterPause(rand.Float64())
 		if o.tried+o.unqualified > 0 {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -21,6 +21,7 @@
 		"took_ms", res.duration.Milliseconds(), "status", res.status, "config", x.snapshot.Index.Config.Version, "local", d.Local,
 		"waited_before_ms", x.priorWait.Milliseconds()}
 	values = append(values, workValues(d.Work)...)
+	values = append(values, x.regionValues(upstream)...)
 	if res.rateLimit >= 0 {
 		values = append(values, "rate_limit", res.rateLimit)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,8 @@
 	unanswered metric.Int64Counter
 	// irregularStreams counts the attempts at streams with an irregularity.
 	irregularStreams metric.Int64Counter
+	// regionExclusions counts the requests that were kept from upstreams because of their regions.
+	regionExclusions metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -36,6 +38,7 @@
 		availabilityChanges: i.Counter("pimentohead_relay_availability_changes"),
 		unanswered:          i.Counter("pimentohead_relay_unanswered"),
 		irregularStreams:    i.Counter("pimentohead_relay_irregular_streams"),
+		regionExclusions:    i.Counter("pimentohead_relay_region_exclusions"),
 	}
 	if err := i.Err(); err != nil {
 		return nil, errors.Wrap(err, "relay")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/pimentohead/pimentohead/internal/ratelimit"
 	"github.com/pimentohead/pimentohead/internal/refusal"
 	"github.com/pimentohead/pimentohead/internal/request"
+	"github.com/pimentohead/pimentohead/internal/residency"
 )
 
 const (
@@ -72,6 +73,8 @@
 	Metrics  *Metrics
 	// DataCentre is the data centre of this entry.
 	DataCentre string
+	// Regions maps each data centre to its region. If it is empty, routes and customers are not restricted to regions.
+	Regions map[string]string
 	// VersionApplyWindow is the time after the naming of a version from which no request may start on older weights.
 	VersionApplyWindow time.Duration
 	// ServedUntil returns the time at which a process that is shutting down ends the requests in progress, and the zero time otherwise.
@@ -108,6 +111,11 @@
 	r.shutdown, r.endRequests = context.WithCancel(context.Background())
 	r.answering, r.answerRequests = context.WithCancel(r.shutdown)
 	r.availability = availability.New(availability.Config{Observe: r.observeAvailability})
+	cfg.State.Observe(func(change fleet.Change) {
+		if change.Config != nil {
+			r.logRestrictions(change.Config)
+		}
+	})
 	cfg.Poison.ObserveVerdicts(func(verdicts []poison.Verdict) {
 		r.logVerdicts(verdicts)
 		r.inProgress.endPoisoned(verdicts)
@@ -127,6 +135,8 @@
 	service  string
 	engine   *catalog.Engine
 	customer string
+	// regions is the rule on the regions in which the request may run.
+	regions  residency.Rule
 	rank     int
 	snapshot *fleet.Snapshot
 	received time.Time
@@ -149,6 +159,8 @@
 	// lastFailure describes the most recent failure, for logs, lastSilence is the time without a byte from the upstream at its end.
 	lastFailure string
 	lastSilence time.Duration
+	// exclusion is why the request may not run on an upstream that the last placement found in a region that is not allowed.
+	exclusion residency.Reason
 	// decision is the placement decision that refused the request, if there is one.
 	decision placement.Decision
 	// responseStarted is decided when the head of the response is sent to the caller, or when a shutdown ends the request before that.
@@ -244,6 +256,7 @@
 	now := time.Now()
 	x.snapshot = x.relay.cfg.State.Snapshot()
 	list, out := x.candidates(now)
+	x.exclusion = out.exclusion
 	list = x.avoidInterruptions(x.avoidOlderWeights(list), now)
 	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
 		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.hasBegun() || x.possibleRuns > 0,
