placement, loadview: upstreams on shared instances are compared by the load that they state

Cause: upstreams that share instances with other work are slow in turns (part 5 of docs/design/hard-load.md). Their responses state the requests running and waiting, the slots and the pace. Nothing read that, and services without an engine, which have no agent, were compared by this entry's own requests only.

Change: platform reads three or four figures; a load that cannot be read is named in a log line, once a minute for each upstream, and ignored. relay records it with each response head in loadview.ObservedTable. For services without an engine, placement (plain.go) predicts from the observation, whose weight falls with a time constant of 0.6 s, and from the work of all entries as far as it is known. At engines the newer of report and response determines the slowdown. Lines of attempts name the slowdown, its origin and its age. Observations refuse no request. An upstream without an observation is predicted as before. TestHeaders is unchanged; the codec of the tests of relay also reads a load.

No run on a fleet.

--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -17,6 +17,7 @@
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
 	"github.com/pimentohead/pimentohead/internal/controller/checkpoint"
 	"github.com/pimentohead/pimentohead/internal/h1"
+	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/placement"
@@ -96,7 +97,7 @@
 		Codec: cfg.Codec, State: c.state, Loads: c.loads, PeerWork: c.peerWork, Tracker: c.tracker, Pool: e.pool,
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
 		RetryBudget:     e.budget,
-		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
+		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals, Observed: loadview.NewObservedTable(nil),
 		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, Regions: cfg.Regions, VersionApplyWindow: cfg.VersionApply,
 		ServedUntil: e.endOfService,
 	})
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -108,7 +108,7 @@
 	if best.Upstream == nil || wait > time.Duration(float64(q.Target)*localTargetShare) {
 		best, wait = shortestWait(q, candidates)
 	}
-	if limit := waitLimit(q); !q.MustPlace && waitForMeanPrompt(q, wait) > limit && !underHalfFull(q, best) {
+	if limit := waitLimit(q); !q.MustPlace && admissionWait(q, best, wait) > limit && !underHalfFull(q, best) {
 		return Decision{PredictedWait: wait, Work: best.Work, Local: best.Local, Reason: NoCapacity,
 			RetryAfter: withJitter(min(max(wait-limit, minRetryAfter), maxRetryAfter))}
 	}
@@ -197,12 +197,10 @@
 // targetWait returns the longest predicted wait with which a request meets its target if no time has passed yet.
 func targetWait(q Query) time.Duration { return time.Duration(float64(q.Target) * maxTargetShare) }
 
-// predict returns the predicted time to the first event at a candidate. For a service without an engine it grows linearly from
-// plainServiceTime at an idle upstream to twice that when all slots are in use, and beyond.
+// predict returns the predicted time to the first event at a candidate, or to the answer of a service without an engine.
 func predict(q Query, c Candidate) time.Duration {
 	if q.Engine == nil {
-		return time.Duration(float64(plainServiceTime) *
-			(1 + float64(max(c.Work.OwnRunning, c.Work.Running))/float64(max(c.Upstream.Slots, 1))))
+		return predictPlain(c)
 	}
 	return PredictFirstEvent(q.Engine, c.Work, q.PromptTokens)
 }
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -37,6 +37,11 @@
 	AheadShare float64
 	// Slowdown is the factor by which the upstream is slower than normal; values below 1 count as 1.
 	Slowdown float64
+	// SlowdownAge is the age of what Slowdown is based on, SlowdownSource names its origin in logs. Both are unset if nothing is known.
+	SlowdownAge    time.Duration
+	SlowdownSource string
+	// Observed is the newest observation of an upstream of a service without an engine.
+	Observed Observation
 }
 
 // PredictFirstEvent predicts the time until the first event of a request with the given number of prompt tokens at an engine.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -219,6 +219,7 @@
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
 	a.answerBegan = time.Now()
 	a.recordRateLimit(parsed)
+	a.recordLoad(parsed)
 	a.recordAvailability(parsed, resp.StatusCode, sentAt)
 	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -62,6 +62,7 @@
 	if !known {
 		reported = time.Time{}
 	}
+	reported = x.addObservation(&c.Work, u, now, reported)
 	x.relay.cfg.Tracker.AddOwnWork(&c.Work, u.ID, x.rank, reported)
 	peers := x.relay.cfg.PeerWork.Total(u.ID)
 	if !c.Local {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -64,9 +64,15 @@
 	}
 	pause, _ := time.ParseDuration(h.Get("Pause"))
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
-	return request.Response{ID: h.Get("Id"), Leaving: h.Get("Leaving") != "", RetryAfter: pause, Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
-		Misdirected: status == http.StatusMisdirectedRequest, Instance: h.Get("Instance"), RateLimit: limit, HasRateLimit: err == nil,
-		RateLimitUnreadable: err != nil && h.Get("Limit") != ""}
+	load := request.Response{}
+	if _, err := fmt.Sscanf(h.Get("Load"), "%d,%d,%d,%g", &load.Running, &load.Waiting, &load.Slots, &load.Slowdown); err != nil {
+		load = request.Response{UnreadableLoad: h.Get("Load")}
+	}
+	load.HasLoad = load.UnreadableLoad == "" && h.Get("Load") != ""
+	return request.Response{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown, HasLoad: load.HasLoad,
+		UnreadableLoad: load.UnreadableLoad, ID: h.Get("Id"), Leaving: h.Get("Leaving") != "", RetryAfter: pause, Signed: h.Get("Stamp") != "",
+		NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Instance: h.Get("Instance"), RateLimit: limit,
+		HasRateLimit: err == nil, RateLimitUnreadable: err != nil && h.Get("Limit") != ""}
 }
 
 func (codec) SetRefusalHeaders(h http.Header, _ string, retryAfter time.Duration) {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -45,10 +45,14 @@
 		"silent_ms", res.silence.Milliseconds(), "left_ms", time.Until(x.deadline).Milliseconds())...)
 }
 
+// round returns a figure for a log line, with two decimals.
+func round(figure float64) float64 { return math.Round(figure*100) / 100 }
+
 // workValues returns the load of the selected upstream as log keys and values.
 func workValues(w placement.Work) []any {
 	return []any{"load_known", w.HasReport, "load_age_ms", w.ReportAge.Milliseconds(), "running", w.Running, "waiting", w.Waiting,
 		"sent_since", w.SentSinceReport, "own_waiting", w.OwnWaiting, "own_tokens", int(w.OwnTokens),
 		"others_running", w.OthersRunning, "others_waiting", w.OthersWaiting, "others_tokens", int(w.OthersTokens),
-		"ahead", math.Round(w.AheadShare*100) / 100}
+		"ahead", round(w.AheadShare), "slowdown", round(max(w.Slowdown, 1)), "slowdown_from", w.SlowdownSource,
+		"slowdown_age_ms", w.SlowdownAge.Milliseconds()}
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,6 +26,8 @@
 	irregularStreams metric.Int64Counter
 	// regionExclusions counts the requests that were kept from upstreams because of their regions.
 	regionExclusions metric.Int64Counter
+	// unreadableLoads counts the responses whose load cannot be read.
+	unreadableLoads metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -39,6 +41,7 @@
 		unanswered:          i.Counter("pimentohead_relay_unanswered"),
 		irregularStreams:    i.Counter("pimentohead_relay_irregular_streams"),
 		regionExclusions:    i.Counter("pimentohead_relay_region_exclusions"),
+		unreadableLoads:     i.Counter("pimentohead_relay_unreadable_loads"),
 	}
 	if err := i.Err(); err != nil {
 		return nil, errors.Wrap(err, "relay")
@@ -91,3 +94,11 @@
 	}
 	m.irregularStreams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("irregularity", irregularity)))
 }
+
+// RecordUnreadableLoad counts a response of a service whose load cannot be read.
+func (m *Metrics) RecordUnreadableLoad(service string) {
+	if m == nil || m.unreadableLoads == nil {
+		return
+	}
+	m.unreadableLoads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -67,6 +67,8 @@
 	Poison *poison.Ledger
 	// RateLimits keeps the requests of all entries within the rates that upstreams name; nil selects a limiter of this entry alone.
 	RateLimits *ratelimit.Limiter
+	// Observed holds the loads that upstreams state in their responses; nil ignores them.
+	Observed *loadview.ObservedTable
 	// Refusals recognises callers that come back after a refusal; nil selects a table of this entry alone.
 	Refusals *refusal.Table
 	Log      logr.Logger
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -68,6 +68,10 @@
 	// Running, Waiting and Slots are the upstream's load at the start of the response. They are valid if HasLoad is set.
 	Running, Waiting, Slots int
 	HasLoad                 bool
+	// Slowdown is the factor by which work takes longer than normal on the instance of the upstream, 0 if not given.
+	Slowdown float64
+	// UnreadableLoad names the load and its text if the response states a load that cannot be read. It says nothing about the load then.
+	UnreadableLoad string
 	// RateLimit is the number of requests a second that the upstream takes from all entries together. It is valid if HasRateLimit is set;
 	// otherwise the upstream named no limit, or an unreadable one.
 	RateLimit    float64
