--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -259,8 +259,7 @@
 		x.lastFailure = "upstream takes no requests"
 		return errUnavailable
 	case !a.mayBeSentTo():
-		delete(x.tried, a.upstream.ID) // It counts as an upstream in a region that is not allowed.
-		x.lastFailure = "region not allowed"
+		x.lastFailure = "region not allowed" // It stays among those tried, so that attempts end if the configuration changes again and again.
 		return errRegionNotAllowed
 	case x.engine != nil && a.untilVersionEnds() <= 0:
 		return errVersionExpired
