platform: decode the figures on cold upstreams

A figure that is negative or too large is ignored and named in a log line (Document.Unreadable, Response.Unreadable); it loses neither the record nor the configuration. In the configuration this also holds for figures of another type.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -90,6 +90,10 @@
 	Engine *Engine
 	// Origin is set only for a service that serves weights.
 	Origin *Origin
+	// ColdStart is how long an upstream is cold after its start. While it is cold it takes ColdPerSecond requests a second from all
+	// entries together; 0 sets no limit. See package warmup.
+	ColdStart     time.Duration `msgpack:",omitempty"`
+	ColdPerSecond float64       `msgpack:",omitempty"`
 }
 
 // Engine holds the published performance figures of a model engine. An engine works in passes, in which it prefills prompts and
@@ -179,8 +183,15 @@
 	// Sequence counts the announcements since the start. It identifies an outdated announcement that arrives late.
 	Sequence int64 `msgpack:"Beat"`
 	Models   []LoadedLayers
+	// ColdLeft is how long the upstream stays cold from when the announcement was made, 0 if it is warm or says nothing about it, and
+	// UnreadableColdLeft if that cannot be read.
+	ColdLeft time.Duration `msgpack:",omitempty"`
 }
 
+// UnreadableColdLeft is the ColdLeft of an announcement that names a time which cannot be right. It says neither that the upstream is cold
+// nor that it is warm.
+const UnreadableColdLeft time.Duration = -1
+
 // LoadedLayers is the range of layers of a model version that an upstream has loaded.
 type LoadedLayers struct {
 	Model   string
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -56,6 +56,8 @@
 	// decoded.
 	UpstreamID string
 	Upstream   *catalog.Upstream
+	// Unreadable names the parts of the document that were ignored because they cannot be read.
+	Unreadable []string
 }
 
 // Prefix is a key prefix of the store that is synchronised as a unit.
--- a/internal/controller/catalogsync/watcher.go
+++ b/internal/controller/catalogsync/watcher.go
@@ -135,6 +135,9 @@
 	if err != nil {
 		w.log.Info("document in the store cannot be read", "key", kv.Key, "revision", kv.ModRevision, "cause", err.Error())
 	}
+	if len(document.Unreadable) > 0 {
+		w.log.Info("parts of a document in the store cannot be read", "key", kv.Key, "revision", kv.ModRevision, "parts", document.Unreadable)
+	}
 	switch {
 	case document.Config != nil:
 		if w.state.ApplyConfig(document.Config, kv.ModRevision) {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -79,6 +79,8 @@
 	Leaving bool
 	// RetryAfter is the time for which an upstream that refuses a request with 503 wants no more requests from this entry, 0 if not given.
 	RetryAfter time.Duration
+	// ColdLeft is how long the upstream stays cold, 0 if it is warm or says nothing about it.
+	ColdLeft time.Duration
 	// Unreadable holds the headers on the upstream's availability whose values cannot be read, as "name: value". They say nothing.
 	Unreadable []string
 	// Version is the version of the weights, 0 if not given.
