relay: send cold upstreams no more than they take

Cause: a data centre that comes back cold holds no requests, so that all entries place theirs there, and its upstreams crash.

Change: relay leaves out a cold upstream for which the entry has no permit, takes the permit when it selects the upstream, checks it again right before the request is sent and returns it if nothing was sent. While all upstreams are cold and out of permits, the request is refused with the reason `cold` and the wait until the next permit, 0.3 to 1.9 s. Unreachable, unresponsive and ended upstreams are presumed cold. directpath feeds the list of upstreams and the number of entries to package warmup, logs changes and counts cold upstreams (pimentohead_cold_upstreams) and attempts placed elsewhere (pimentohead_relay_cold_avoided). Without cold_per_s nothing changes.

--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -22,6 +22,7 @@
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/relay"
 	"github.com/pimentohead/pimentohead/internal/request"
+	"github.com/pimentohead/pimentohead/internal/warmup"
 )
 
 // EntryConfig holds the settings of an entry.
@@ -38,6 +39,9 @@
 	// the fixed number RetryBudgetFixed, as retries.
 	RetryBudgetRatio, RetryBudgetFixed float64
 	RetryBudgetWindow                  time.Duration
+	// In any one second, all entries together may send ColdOverrun times the rate that the configuration gives for a cold upstream, plus
+	// ColdSlack requests.
+	ColdOverrun, ColdSlack float64
 }
 
 const (
@@ -63,7 +67,10 @@
 	pool    *h1.Pool
 	relay   *relay.Relay
 	budget  *relay.RetryBudget
+	warmup  *warmup.Limiter
 	leaving atomic.Bool
+	// entriesListed is set once the entries in the store have been listed.
+	entriesListed atomic.Bool
 	// servedUntil is when a leaving entry ends the requests in progress; nil before.
 	servedUntil atomic.Pointer[time.Time]
 	conns       *callerconn.Tracker
@@ -90,11 +97,15 @@
 	if !cfg.FirstStart {
 		e.budget.AfterPredecessor()
 	}
+	e.warmup = e.newWarmup()
+	if err := observeCold(c.metrics.Meter, e.warmup.Cold); err != nil {
+		return nil, err
+	}
 	e.relay = relay.New(relay.Config{
 		Codec: cfg.Codec, State: c.state, Loads: c.loads, PeerWork: c.peerWork, Tracker: c.tracker, Pool: e.pool,
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
 		RetryBudget:     e.budget,
-		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
+		Poison:          c.poison, RateLimits: c.rateLimits, Warmup: e.warmup, Refusals: c.refusals,
 		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
 		ServedUntil: e.endOfService,
 	})
@@ -119,7 +130,7 @@
 	var wg sync.WaitGroup
 	prefetcher := &prefetcher{state: e.state, cache: e.cache, linkWait: linkWaitTime}
 	registry := &registry{store: e.Store, lister: e.Store, state: e.state, mesh: e.mesh, self: e.self, ledger: e.poison, log: e.Log,
-		onFirst: e.budget.WithoutPredecessor, startWait: e.startWait()}
+		onFirst: e.budget.WithoutPredecessor, onListed: func() { e.entriesListed.Store(true) }, startWait: e.startWait()}
 	verdicts := &verdictWriter{store: e.Store, state: e.state, mesh: e.mesh, ledger: e.poison, log: e.Log}
 	checkpoints := checkpoint.NewWriter(checkpoint.WriterConfig{Store: e.Store, Prefix: checkpointsPrefix, State: e.state,
 		Position: e.mesh.Position, Log: e.Log, StartWait: e.startWait(), AssumedAge: e.assumedVersionAge()})
@@ -211,11 +222,12 @@
 	return mux
 }
 
-// sweep closes idle connections to upstreams and from callers until ctx ends.
+// sweep closes idle connections to upstreams and from callers, and updates what is known of cold upstreams, until ctx ends.
 func (e *Entry) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, sweepInterval)
 		e.pool.CloseExpired()
+		e.warmup.Sweep()
 		before := e.conns.ClosedIdle()
 		e.conns.CloseExpired()
 		if closed := e.conns.ClosedIdle() - before; closed > 0 {
--- a/internal/directpath/metrics.go
+++ b/internal/directpath/metrics.go
@@ -32,3 +32,15 @@
 	}, frames, sizes)
 	return errors.Wrap(err, "directpath: register the counters of links")
 }
+
+// observeCold registers a gauge of the cold upstreams of each service that limits their rate.
+func observeCold(meter metric.Meter, cold func() map[string]int) error {
+	_, err := meter.Int64ObservableGauge("pimentohead_cold_upstreams", metric.WithInt64Callback(
+		func(_ context.Context, o metric.Int64Observer) error {
+			for service, n := range cold() {
+				o.Observe(int64(n), metric.WithAttributes(attribute.String("service", service)))
+			}
+			return nil
+		}))
+	return errors.Wrap(err, "directpath: create the gauge of cold upstreams")
+}
--- a/internal/directpath/registry.go
+++ b/internal/directpath/registry.go
@@ -53,6 +53,9 @@
 	// processes that crashed stay for announcementTTL.
 	onFirst func()
 
+	// onListed, unless nil, is called after each listing of the entries.
+	onListed func()
+
 	// announced is what announce knows about its key in the store. No other goroutine uses it.
 	announced announcedKey
 }
@@ -98,6 +101,9 @@
 		members = append(members, m)
 	}
 	r.mesh.AddMembers(members)
+	if r.onListed != nil {
+		r.onListed()
+	}
 	return nil
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -218,6 +218,7 @@
 	parsed := x.relay.cfg.Codec.ParseResponse(resp.StatusCode, resp.Header)
 	a.answerBegan = time.Now()
 	a.recordRateLimit(parsed)
+	a.recordColdness(parsed)
 	a.recordAvailability(parsed, resp.StatusCode, sentAt)
 	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
@@ -258,6 +259,9 @@
 		return errUnavailable
 	case x.engine != nil && a.untilVersionEnds() <= 0:
 		return errVersionExpired
+	case !x.renewPermit(a.upstream):
+		x.lastFailure = "upstream is cold"
+		return errors.WithStack(errNoPermit)
 	default:
 		return nil
 	}
--- a/internal/relay/availability.go
+++ b/internal/relay/availability.go
@@ -39,8 +39,8 @@
 	x.relay.availability.RecordResult(process, sentAt, served)
 }
 
-// take takes a request to an upstream from its rate limit and from what it takes after a pause. It reports false and
-// the reason if there is none left.
+// take takes a request to an upstream from its rate limit, from what it takes after a pause and from what it takes while it is cold. It
+// reports false and the reason if there is none left.
 func (x *exchange) take(u *catalog.Upstream) (reason placement.Reason, ok bool) {
 	if !x.relay.availability.Take(processOf(u)) {
 		return upstreamsPause, false
@@ -49,6 +49,11 @@
 		x.relay.availability.Return(processOf(u))
 		return rateLimitReached, false
 	}
+	if !x.takePermit(u) {
+		x.relay.availability.Return(processOf(u))
+		x.relay.cfg.RateLimits.Return(limitedUpstream(u))
+		return coldUpstream, false
+	}
 	return "", true
 }
 
@@ -56,6 +61,7 @@
 func (x *exchange) giveBack(u *catalog.Upstream) {
 	x.relay.availability.Return(processOf(u))
 	x.relay.cfg.RateLimits.Return(limitedUpstream(u))
+	x.returnPermit(u)
 }
 
 // observeAvailability logs and counts a change of what an upstream takes.
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -31,6 +31,11 @@
 			out.addWait(rateLimitReached, wait)
 			continue
 		}
+		if ok, wait := x.mayUseCold(u); !ok {
+			out.addWait(coldUpstream, wait)
+			out.cold++
+			continue
+		}
 		list = append(list, c)
 	}
 	return list, out
@@ -50,7 +55,7 @@
 	known = known && isCurrentLoad(load, age, u)
 	if known {
 		c.Work = placement.Work{HasReport: true, Running: load.Active, Waiting: load.Queued, ReportAge: age, Slowdown: load.Slowdown}
-		c.Suspect = c.Suspect || load.Down || x.unresponsive(u, c.Local, age)
+		c.Suspect = x.seemsDown(u, load, c.Local, age) || c.Suspect
 	}
 	reported := now.Add(-age)
 	if !known {
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -12,6 +12,7 @@
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/placement"
+	"github.com/pimentohead/pimentohead/internal/warmup"
 )
 
 const (
@@ -217,6 +218,7 @@
 	}
 	d.tracked.End(placement.Failed)
 	c.x.relay.cfg.Tracker.MarkSuspect(d.upstream.ID, unreachableSuspectTime)
+	c.x.relay.presumeCold(d.upstream, warmup.CauseUnreachable)
 }
 
 // take removes a dial whose connection has opened. Attempts are tracked from the time at which they can be sent.
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -13,6 +13,7 @@
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
+	"github.com/pimentohead/pimentohead/internal/warmup"
 )
 
 const (
@@ -113,6 +114,7 @@
 	if !ended {
 		return
 	}
+	r.presumeCold(u, warmup.CauseDown)
 	evidence := &message.CrashEvidence{}
 	for _, attempt := range attempts {
 		attempt.AgeMillis = age
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -189,6 +189,11 @@
 
 // newEntryWithCodec is newEntry with a codec.
 func newEntryWithCodec(t testing.TB, c codec, upstreams ...*upstream) *entry {
+	return newEntryWithConfig(t, c, func(*relay.Config) {}, upstreams...)
+}
+
+// newEntryWithConfig is newEntryWithCodec with changes to the configuration of the relay.
+func newEntryWithConfig(t testing.TB, c codec, edit func(*relay.Config), upstreams ...*upstream) *entry {
 	state := fleet.NewState(nil)
 	targets := []catalog.Target{{Service: "s", Weight: 1}}
 	routes := []catalog.Route{
@@ -219,7 +224,7 @@
 	loads, ledger, refusals := loadview.NewTable(nil), poison.New(nil), refusal.New(nil)
 	limiter := placement.NewPriorityLimiter(nil)
 	servedUntil := &atomic.Pointer[time.Time]{}
-	r := relay.New(relay.Config{Codec: c, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
+	cfg := relay.Config{Codec: c, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
 		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: h1.NewPool(), Log: logr.Discard(),
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget: relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
@@ -231,7 +236,9 @@
 				return *until
 			}
 			return time.Time{}
-		}})
+		}}
+	edit(&cfg)
+	r := relay.New(cfg)
 	conns := callerconn.NewTracker(func() time.Duration { return 0 })
 	server := httptest.NewUnstartedServer(r)
 	server.Listener = conns.Listener(server.Listener)
--- a/internal/relay/left_out.go
+++ b/internal/relay/left_out.go
@@ -8,7 +8,8 @@
 	"github.com/pimentohead/pimentohead/internal/placement"
 )
 
-// Reasons for which a request is refused while all upstreams that could take it have reached their rate limits or have asked for a pause.
+// Reasons for which a request is refused while all upstreams that could take it have reached their rate limits or have asked for a pause. See
+// also coldUpstream.
 const (
 	rateLimitReached placement.Reason = "rate-limit"
 	upstreamsPause   placement.Reason = "upstreams-pause"
@@ -17,7 +18,8 @@
 const (
 	// minRefusalWait is the shortest Retry-After sent with these reasons.
 	minRefusalWait = 300 * time.Millisecond
-	// maxRateLimitWait bounds the Retry-After sent with rateLimitReached. Shares change with demand, so that a long wait means little.
+	// maxRateLimitWait bounds the Retry-After sent with rateLimitReached and coldUpstream. Shares change with demand and upstreams turn warm, so
+	// that a long wait means little.
 	maxRateLimitWait = 1900 * time.Millisecond
 	// maxPauseWait bounds the Retry-After sent with upstreamsPause to the longest that callers observe.
 	maxPauseWait = 10 * time.Second
@@ -35,8 +37,10 @@
 	// waiting counts those that take a request later. wait is the shortest time until one of them does, reason why that one does not
 	// take it now.
 	waiting int
-	wait    time.Duration
-	reason  placement.Reason
+	// cold counts those of them that are cold.
+	cold   int
+	wait   time.Duration
+	reason placement.Reason
 }
 
 // addWait counts an upstream that may get a request after wait.
@@ -58,7 +62,7 @@
 		}
 		d.Reason, d.RetryAfter = upstreamsPause, min(max(wait, minRefusalWait), maxPauseWait)
 	case o.waiting > 0:
-		d.Reason, d.RetryAfter = rateLimitReached, min(max(o.wait, minRefusalWait), maxRateLimitWait)
+		d.Reason, d.RetryAfter = o.reason, min(max(o.wait, minRefusalWait), maxRateLimitWait)
 	case o.unqualified > 0:
 		d.Reason = placement.NoVersion
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,8 @@
 	unanswered metric.Int64Counter
 	// irregularStreams counts the attempts at streams with an irregularity.
 	irregularStreams metric.Int64Counter
+	// coldAvoided counts the attempts that were placed while cold upstreams took no more requests.
+	coldAvoided metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -36,6 +38,7 @@
 		availabilityChanges: i.Counter("pimentohead_relay_availability_changes"),
 		unanswered:          i.Counter("pimentohead_relay_unanswered"),
 		irregularStreams:    i.Counter("pimentohead_relay_irregular_streams"),
+		coldAvoided:         i.Counter("pimentohead_relay_cold_avoided"),
 	}
 	if err := i.Err(); err != nil {
 		return nil, errors.Wrap(err, "relay")
@@ -88,3 +91,11 @@
 	}
 	m.irregularStreams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("irregularity", irregularity)))
 }
+
+// RecordColdAvoided counts an attempt that was placed on another upstream while the given number of cold ones, if any, took no more requests.
+func (m *Metrics) RecordColdAvoided(service string, cold int) {
+	if m == nil || m.coldAvoided == nil || cold == 0 {
+		return
+	}
+	m.coldAvoided.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"github.com/pimentohead/pimentohead/internal/ratelimit"
 	"github.com/pimentohead/pimentohead/internal/refusal"
 	"github.com/pimentohead/pimentohead/internal/request"
+	"github.com/pimentohead/pimentohead/internal/warmup"
 )
 
 const (
@@ -66,6 +67,8 @@
 	Poison *poison.Ledger
 	// RateLimits keeps the requests of all entries within the rates that upstreams name; nil selects a limiter of this entry alone.
 	RateLimits *ratelimit.Limiter
+	// Warmup keeps the requests of all entries within the rate of upstreams that are cold; nil sets no limit.
+	Warmup *warmup.Limiter
 	// Refusals recognises callers that come back after a refusal; nil selects a table of this entry alone.
 	Refusals *refusal.Table
 	Log      logr.Logger
@@ -139,6 +142,8 @@
 	// sends counts the attempts that reached an upstream, possibleRuns those that may have run.
 	sends, possibleRuns int
 	tried               map[string]bool
+	// permits holds the permits that were taken for cold upstreams, by the ID of the upstream.
+	permits map[string]warmup.Permit
 	// fingerprintValue caches fingerprint.
 	fingerprintValue uint64
 	// subjectList caches subjects. suspected is set when the upstream of an attempt may have ended because of the request.
@@ -256,6 +261,7 @@
 		}
 		reason, ok := x.take(d.Upstream)
 		if ok {
+			x.relay.cfg.Metrics.RecordColdAvoided(x.service, out.cold)
 			return d
 		}
 		// Another request has taken the last one meanwhile.
--- a/internal/warmup/load_test.go
+++ b/internal/warmup/load_test.go
@@ -218,21 +218,22 @@
 func TestLimitHoldsForAnyNumberOfEntries(t *testing.T) {
 	for _, entries := range []int{1, 3, 13, 41, 64, 100, 300} {
 		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
-			g := NewWithT(t)
-			m := newLoadModel(uint64(entries), entries, 0)
-			cold := m.now
-			m.announce(time.Minute)
-			for range 6 {
-				m.offer(60*coldUpstreams, 0)
-				m.run(1500*time.Millisecond, nil)
-				m.offer(0, 0)
-				m.run(500*time.Millisecond, nil)
-			}
-			m.offer(max(200*coldUpstreams, 20*float64(entries)), 0)
-			steady := m.now
-			m.run(8*time.Second, nil)
-			g.Expect(m.mostInSecond(cold)).To(BeNumerically("<=", maxInSecond))
-			g.Expect(m.usedShare(steady)).To(BeNumerically(">=", 2.0/3))
+			forSeeds(t, func(g *WithT, seed uint64) {
+				m := newLoadModel(seed, entries, 0)
+				cold := m.now
+				m.announce(time.Minute)
+				for range 6 {
+					m.offer(60*coldUpstreams, 0)
+					m.run(1500*time.Millisecond, nil)
+					m.offer(0, 0)
+					m.run(500*time.Millisecond, nil)
+				}
+				m.offer(max(200*coldUpstreams, 20*float64(entries)), 0)
+				steady := m.now
+				m.run(8*time.Second, nil)
+				g.Expect(m.mostInSecond(cold)).To(BeNumerically("<=", maxInSecond))
+				g.Expect(m.usedShare(steady)).To(BeNumerically(">=", 2.0/3))
+			})
 		})
 	}
 }
