fleet, relay: evacuation of a data centre

Change: platform decodes the key and its removal; catalogsync merges changes and listings; fleet.State orders records by era and revision, across restores of the store and late records; mesh sends them at once and with the full state.

Log lines at the start and the end, gauge pimentohead_evacuated. A listing states whether items without a readable key or revision are missing from it; it then ends no evacuation.

--- a/cmd/pimentoheadd/platform.go
+++ b/cmd/pimentoheadd/platform.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -71,7 +73,7 @@
 		MetricsAddress: address(s.MetricsPort), Secret: []byte(secret), Seeds: s.Seeds, Store: platform.NewStore(s.StoreAddress).LogTo(log),
 		Log:          log,
 		VersionApply: s.Bounds.VersionApply, RecoveryGrace: s.Bounds.RecoveryGrace, GracePeriod: s.Bounds.GracePeriod,
-		FirstStart: s.FirstStart,
+		FirstStart: s.FirstStart, DataCentres: slices.Collect(maps.Keys(s.RegionByDataCentre)),
 	}
 	if role == message.RoleAgent {
 		agent, err := directpath.NewAgent(directpath.AgentConfig{Node: node, UpstreamAddress: s.UpstreamAddress, Service: s.Service,
--- a/internal/controller/catalogsync/fakes_test.go
+++ b/internal/controller/catalogsync/fakes_test.go
@@ -21,8 +21,8 @@
 )
 
 // testDecoder decodes the key "conf", whose value is the version of the configuration, the key "conf/weights", whose value is the
-// named version of model m, and the keys "up/ID", whose value is the sequence number of the upstream's announcement. A value that is
-// not a number cannot be decoded.
+// named version of model m, the keys "conf/evacuate/DATACENTRE", and the keys "up/ID", whose value is the sequence number of the upstream's
+// announcement. A value that is not a number cannot be decoded, except that of an evacuation, which does not matter.
 type testDecoder struct{}
 
 func (testDecoder) Prefixes() []catalogsync.Prefix {
@@ -30,6 +30,9 @@
 }
 
 func (testDecoder) Decode(key string, value []byte, deleted bool) (catalogsync.Document, error) {
+	if dataCentre, ok := strings.CutPrefix(key, "conf/evacuate/"); ok {
+		return catalogsync.Document{Evacuation: &catalogsync.Evacuation{DataCentre: dataCentre, Active: !deleted}}, nil
+	}
 	n, err := strconv.ParseInt(string(value), 10, 64)
 	if key == "conf" {
 		return catalogsync.Document{Config: &catalog.Config{Version: n}}, err
@@ -64,6 +67,8 @@
 	silenced map[string]int
 	// listDelay is the time that List takes.
 	listDelay time.Duration
+	// hidesUnreadable makes List skip keys and state so, as if their items could not be read.
+	hidesUnreadable bool
 	// calls counts the calls of List and Poll.
 	calls int
 }
@@ -120,6 +125,10 @@
 	}
 	out := store.Listing{Cursor: store.Cursor{Era: m.era, Revision: m.revision}}
 	for _, kv := range m.keys {
+		if m.hidesUnreadable && strings.HasPrefix(kv.Key, evacuationKey) {
+			out.HasUnreadable = true
+			continue
+		}
 		if strings.HasPrefix(kv.Key, prefix) {
 			out.KVs = append(out.KVs, kv)
 		}
--- a/internal/controller/catalogsync/list.go
+++ b/internal/controller/catalogsync/list.go
@@ -23,6 +23,8 @@
 	if known := w.state.Era(); listing.Cursor.Era < known {
 		return errors.Wrapf(store.ErrUnavailable, "listing of era %d of the store, %d is known", listing.Cursor.Era, known)
 	}
+	documents := w.decodeListing(listing)
+	w.applyEvacuations(listing, documents)
 	mergeCheckpoints, err := w.checkpoints(ctx)
 	if err != nil {
 		return err
@@ -38,8 +40,8 @@
 	}
 	var upstreams []fleet.UpstreamRecord
 	assumed := w.assumedNaming()
-	for _, kv := range listing.KVs {
-		if upstream, ok := w.apply(kv, false, assumed); ok {
+	for i, kv := range listing.KVs {
+		if upstream, ok := w.merge(documents[i], kv, assumed); ok {
 			upstreams = append(upstreams, upstream)
 		}
 	}
@@ -100,7 +102,7 @@
 // applyRemovals applies the removals that are due.
 func (w *watcher) applyRemovals() {
 	for len(w.removals) > 0 && hasPassed(w.removals[0].due) {
-		if upstream, ok := w.apply(w.removals[0].document, true, naming{}); ok {
+		if upstream, ok := w.applyChange(store.Event{KV: w.removals[0].document, Deleted: true}); ok {
 			w.state.ApplyUpstream(upstream)
 		}
 		w.removals = w.removals[1:]
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -46,12 +46,14 @@
 	settledListingInterval = 1500 * time.Millisecond
 )
 
-// Document is a decoded document of the store. At most one of Config, Version and UpstreamID is set; none is set for a key that
+// Document is a decoded document of the store. At most one of Config, Version, Evacuation and UpstreamID is set; none is set for a key that
 // this node does not use.
 type Document struct {
 	Config *catalog.Config
 	// Version is a version of a model's weights that the operator has named for use.
 	Version *catalog.NamedVersion
+	// Evacuation is set for the key of an evacuation, also if the key was deleted.
+	Evacuation *Evacuation
 	// UpstreamID is the ID of the upstream that the document describes. Upstream is nil if the document was deleted or cannot be
 	// decoded.
 	UpstreamID string
@@ -95,6 +97,8 @@
 	startedAt         time.Time
 	// waitForPeers is the time after startedAt in which only a node that isActive selects lists the prefixes.
 	waitForPeers time.Duration
+	// dataCentres holds the names of all data centres, see WithDataCentres.
+	dataCentres []string
 	// readCheckpoints reads the checkpoints of the operator's documents; see WithCheckpoints. It may be nil.
 	readCheckpoints CheckpointReader
 
--- a/internal/controller/catalogsync/watcher.go
+++ b/internal/controller/catalogsync/watcher.go
@@ -93,17 +93,17 @@
 	}
 	w.recordSuccess()
 	var upstreams []fleet.UpstreamRecord
+	w.cursor = next
 	for _, event := range events {
 		if event.Deleted && w.prefix.HoldsUpstreams && !w.reannounceUntil.IsZero() {
 			w.removals = append(w.removals, delayedRemoval{document: event.KV, due: time.Now().Add(maxRemovalDelay)})
 			continue
 		}
-		if upstream, ok := w.apply(event.KV, event.Deleted, naming{at: time.Now()}); ok {
+		if upstream, ok := w.applyChange(event); ok {
 			upstreams = append(upstreams, upstream)
 		}
 	}
 	w.state.ApplyUpstreams(upstreams)
-	w.cursor = next
 	w.markFresh(w.prefix)
 	w.settleEarlierEras()
 	if len(events) > 0 && w.prefix.HoldsUpstreams {
@@ -128,13 +128,27 @@
 	return naming{at: w.startedAt.Add(-w.assumedVersionAge), assumed: true}
 }
 
-// apply decodes a document and merges it into the state, unless it describes an upstream: then it returns the record of the upstream, to be
-// merged together with others, and true. named is the time at which a model version was named.
-func (w *watcher) apply(kv store.KV, deleted bool, named naming) (fleet.UpstreamRecord, bool) {
+// decode decodes a document. It logs one that cannot be read.
+func (w *watcher) decode(kv store.KV, deleted bool) Document {
 	document, err := w.decoder.Decode(kv.Key, kv.Value, deleted)
 	if err != nil {
 		w.log.Info("document in the store cannot be read", "key", kv.Key, "revision", kv.ModRevision, "cause", err.Error())
 	}
+	return document
+}
+
+// applyChange decodes the document of a change and merges it, see merge.
+func (w *watcher) applyChange(event store.Event) (fleet.UpstreamRecord, bool) {
+	document := w.decode(event.KV, event.Deleted)
+	if document.Evacuation != nil {
+		w.applyEvacuation(*document.Evacuation, event)
+	}
+	return w.merge(document, event.KV, naming{at: time.Now()})
+}
+
+// merge merges a document into the state, unless it describes an upstream: then it returns the record of the upstream, to be merged together
+// with others, and true. Evacuations are merged separately. named is the time at which a model version was named.
+func (w *watcher) merge(document Document, kv store.KV, named naming) (fleet.UpstreamRecord, bool) {
 	switch {
 	case document.Config != nil:
 		if w.state.ApplyConfig(document.Config, kv.ModRevision) {
--- a/internal/directpath/metrics.go
+++ b/internal/directpath/metrics.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/link"
 )
 
@@ -32,3 +33,22 @@
 	}, frames, sizes)
 	return errors.Wrap(err, "directpath: register the counters of links")
 }
+
+// observeEvacuations registers a gauge of the evacuations that a node knows: 1 for a data centre that is evacuated, 0 for one that was.
+func observeEvacuations(meter metric.Meter, state *fleet.State) error {
+	gauge, err := meter.Int64ObservableGauge("pimentohead_evacuated")
+	if err != nil {
+		return errors.Wrap(err, "directpath: create the gauge of evacuations")
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for _, r := range state.Snapshot().Evacuations() {
+			active := int64(0)
+			if r.Active {
+				active = 1
+			}
+			o.ObserveInt64(gauge, active, metric.WithAttributes(attribute.String("data_centre", r.DataCentre)))
+		}
+		return nil
+	}, gauge)
+	return errors.Wrap(err, "directpath: register the gauge of evacuations")
+}
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -43,6 +43,8 @@
 // Node holds the settings that entries and agents share.
 type Node struct {
 	ID, DataCentre, Region string
+	// DataCentres are the names of all data centres, for log lines about others; optional.
+	DataCentres []string
 	// LinkAddress is the address on which an entry accepts links. SeedAddress is a second one, empty on entries that are not seeds.
 	// Agents accept no links and use neither.
 	LinkAddress, SeedAddress string
@@ -120,6 +122,9 @@
 	if err := observeTraffic(metrics.Meter, traffic); err != nil {
 		return nil, err
 	}
+	if err := observeEvacuations(metrics.Meter, c.state); err != nil {
+		return nil, err
+	}
 	cfg := mesh.Config{Self: c.self, Secret: n.Secret, Seeds: n.Seeds, State: c.state, Loads: c.loads, Log: n.Log, Leaving: leaving,
 		Traffic: traffic, StartWait: n.startWait()}
 	c.rateLimits = ratelimit.New(ratelimit.Config{Self: n.ID, Members: func() []string { return c.mesh.EntryIDs() }})
@@ -200,5 +205,5 @@
 // syncer returns the syncer that copies the configuration and the named versions from the store into the state of the node.
 func (c *components) syncer(decoder catalogsync.Decoder) *catalogsync.Syncer {
 	return catalogsync.New(c.Store, decoder, c.state, c.Log, c.mesh.ShouldWatchStore, c.assumedVersionAge()).WaitForPeers(c.startWait()).
-		WithCheckpoints(checkpoint.NewReader(c.Store, checkpointsPrefix, c.state, c.Log).Read)
+		WithDataCentres(c.DataCentres).WithCheckpoints(checkpoint.NewReader(c.Store, checkpointsPrefix, c.state, c.Log).Read)
 }
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -22,7 +23,8 @@
 	byAddress map[string]*catalog.Upstream
 	byID      map[string]*catalog.Upstream
 	// versions holds the named versions of each model, oldest first.
-	versions map[string][]VersionRecord
+	versions    map[string][]VersionRecord
+	evacuations map[string]EvacuationRecord
 }
 
 // ConfigVersion returns the version of the configuration, 0 if there is none.
@@ -101,7 +103,7 @@
 		Index: s.index, ConfigRevision: s.configRevision, ConfigAppliedAt: s.configAppliedAt,
 		UpstreamsComplete: s.upstreamsComplete,
 		byService:         map[string][]*catalog.Upstream{}, byAddress: map[string]*catalog.Upstream{},
-		byID: map[string]*catalog.Upstream{}, versions: map[string][]VersionRecord{},
+		byID: map[string]*catalog.Upstream{}, versions: map[string][]VersionRecord{}, evacuations: maps.Clone(s.evacuations),
 	}
 	for _, record := range s.upstreams {
 		u := record.Announcement
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -1,7 +1,7 @@
 // Package fleet holds a node's replica of the catalog and merges records from the store and from other nodes.
 //
 // Every record carries a number that orders it, so that records may arrive in any order and more than once. Configurations and model
-// versions are ordered by the operator's numbers, upstream records by the era of the store and the revision in it.
+// versions are ordered by the operator's numbers, records of upstreams and of evacuations by the era of the store and the revision in it.
 package fleet
 
 import (
@@ -27,14 +27,15 @@
 	AgeAssumed bool
 }
 
-// Change describes the effect of one merge: a new configuration with its revision, an upstream record, a version record or the record of a
-// checkpoint. Exactly one of the pointers is set.
+// Change describes the effect of one merge: a new configuration with its revision, an upstream record, a version record, the record of a
+// checkpoint or that of an evacuation. Exactly one of the pointers is set.
 type Change struct {
 	Config     *catalog.Config
 	Revision   int64
 	Upstream   *UpstreamRecord
 	Version    *VersionRecord
 	Checkpoint *CheckpointRecord
+	Evacuation *EvacuationRecord
 }
 
 // State holds the merged records of one node. It is safe for concurrent use.
@@ -50,6 +51,8 @@
 	upstreams         map[string]*upstreamState
 	versions          map[string][]VersionRecord
 	checkpoints       map[string]CheckpointRecord
+	evacuations       map[string]EvacuationRecord
+	evacuationsListed evacuationsListed
 	upToDateAt        time.Time
 	upstreamsComplete bool
 	// era is the highest era of the store that is known, if eraKnown is set. restoredAt is when a node that knew an earlier one learned of it,
@@ -71,7 +74,7 @@
 		now = time.Now
 	}
 	s := &State{now: now, upstreams: map[string]*upstreamState{}, versions: map[string][]VersionRecord{},
-		checkpoints: map[string]CheckpointRecord{}}
+		checkpoints: map[string]CheckpointRecord{}, evacuations: map[string]EvacuationRecord{}}
 	s.snap.Store(&Snapshot{})
 	return s
 }
--- a/internal/mesh/changes.go
+++ b/internal/mesh/changes.go
@@ -61,6 +61,8 @@
 			}
 		case c.Version != nil:
 			toEntries.Versions = append(toEntries.Versions, versionMessage(*c.Version))
+		case c.Evacuation != nil:
+			toEntries.Evacuations = append(toEntries.Evacuations, evacuationMessage(*c.Evacuation))
 		case c.Checkpoint != nil:
 			toEntries.Checkpoints = append(toEntries.Checkpoints, message.FleetCheckpoint(*c.Checkpoint))
 		}
@@ -84,7 +86,7 @@
 
 // isEmptyState reports whether a message carries no records. The version of the configuration is also in the messages with the staleness.
 func isEmptyState(msg *message.FleetState) bool {
-	return msg.Config == nil && len(msg.Upstreams) == 0 && len(msg.Versions) == 0 && len(msg.Checkpoints) == 0
+	return msg.Config == nil && len(msg.Upstreams) == 0 && len(msg.Versions) == 0 && len(msg.Checkpoints) == 0 && len(msg.Evacuations) == 0
 }
 
 // sendFullState sends the full state on all links, because changes were dropped.
--- a/internal/mesh/merge.go
+++ b/internal/mesh/merge.go
@@ -20,6 +20,7 @@
 	if msg.Era > 0 && state.ObserveEra(msg.Era) {
 		m.cfg.Log.Info("store was restored from an earlier copy", "era", msg.Era, "from", p.hello.NodeID)
 	}
+	m.mergeEvacuations(p, msg) // Before the configuration, with which the node may become ready.
 	if msg.Config == nil && msg.ConfigVersion > state.Snapshot().ConfigVersion() && isEntry(p) {
 		m.requestConfigLater(p, msg.ConfigVersion)
 	}
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -50,6 +50,9 @@
 		out.Upstreams = append(out.Upstreams, upstreamMessage(u))
 	}
 	out.Versions = versionMessages(versions)
+	for _, r := range m.cfg.State.Snapshot().Evacuations() {
+		out.Evacuations = append(out.Evacuations, evacuationMessage(r))
+	}
 	if to.Role == message.RoleEntry {
 		for _, c := range m.cfg.State.Checkpoints() {
 			out.Checkpoints = append(out.Checkpoints, message.FleetCheckpoint(c))
--- a/internal/message/fleet.go
+++ b/internal/message/fleet.go
@@ -22,6 +22,8 @@
 	Versions      []FleetVersion  `msgpack:"v,omitempty"`
 	// Checkpoints are the records of checkpoints of the sender. Only entries send and use them.
 	Checkpoints []FleetCheckpoint `msgpack:"cp,omitempty"`
+	// Evacuations are the records of data centres that are or were evacuated. Nodes of earlier releases ignore them.
+	Evacuations []FleetEvacuation `msgpack:"ev,omitempty"`
 	// Era is the highest era of the store that the sender knows, 0 if it knows none.
 	Era int64 `msgpack:"er,omitempty"`
 	// StalenessMillis is the time since the sender's state was last known to be up to date. HasStaleness reports whether it is
@@ -58,6 +60,20 @@
 	Era    int64  `msgpack:"er,omitempty"`
 }
 
+// FleetEvacuation is the record of a data centre that is evacuated, or was. Era, Revision, Observed and Written are as in
+// fleet.EvacuationRecord.
+type FleetEvacuation struct {
+	DataCentre string `msgpack:"dc"`
+	Active     bool   `msgpack:"a,omitempty"`
+	Era        int64  `msgpack:"er,omitempty"`
+	Revision   int64  `msgpack:"r"`
+	Observed   bool   `msgpack:"o,omitempty"`
+	Written    int64  `msgpack:"w,omitempty"`
+	// EndAgeMillis is the time since the sender learned of the end of the last evacuation. HasEnd reports whether it is set.
+	HasEnd       bool  `msgpack:"he,omitempty"`
+	EndAgeMillis int64 `msgpack:"ea,omitempty"`
+}
+
 // Members lists the nodes that the sender knows.
 type Members struct {
 	Members []Member `msgpack:"m"`
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -153,6 +153,8 @@
 	// Cursor is where to continue with polls. The listing may contain some later changes, but it lacks no earlier ones, so that polls from
 	// Cursor miss nothing.
 	Cursor Cursor
+	// HasUnreadable is set if items without a readable key or revision are not part of KVs.
+	HasUnreadable bool
 }
 
 // Cursor is a point in the history of the store. Revisions are comparable only within one era: each time the store is restored from an
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -171,7 +171,7 @@
 func (a *upstreamAttempt) outcome(res attemptResult) placement.Outcome {
 	switch {
 	case context.Cause(a.ctx) != nil && !res.final && !a.bodyOverdue, errors.Is(res.cause, errUnavailable),
-		errors.Is(res.cause, errVersionExpired), a.yielded:
+		errors.Is(res.cause, errEvacuated), errors.Is(res.cause, errVersionExpired), a.yielded:
 		return placement.Abandoned
 	case res.final && !a.serverError:
 		return placement.Succeeded
@@ -256,6 +256,10 @@
 		delete(x.tried, a.upstream.ID) // It counts as an upstream that pauses or leaves.
 		x.lastFailure = "upstream takes no requests"
 		return errUnavailable
+	case x.isEvacuated(a.upstream):
+		delete(x.tried, a.upstream.ID) // It counts as evacuated.
+		x.lastFailure = "data centre evacuated"
+		return errEvacuated
 	case x.engine != nil && a.untilVersionEnds() <= 0:
 		return errVersionExpired
 	default:
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -18,6 +18,9 @@
 		case status.Wait > 0:
 			out.addWait(upstreamsPause, status.Wait)
 			continue
+		case x.snapshot.Evacuated(u.DataCentre):
+			out.evacuated++
+			continue
 		case x.tried[u.ID]:
 			out.tried++
 			continue
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -29,7 +29,7 @@
 var (
 	// errSilentGoesOn means that the silent attempt goes on that the attempt could take over from.
 	errSilentGoesOn = errors.New("relay: the silent upstream goes on")
-	// errNotReady means that the upstream has begun to leave, or has left, before a connection to it opened.
+	// errNotReady means that the upstream has begun to leave, has left, or was evacuated before a connection to it opened.
 	errNotReady = errors.New("relay: upstream is not ready any more")
 )
 
@@ -86,7 +86,7 @@
 // isReady reports whether an upstream, which may have been selected long ago, still takes requests.
 func (x *exchange) isReady(u *catalog.Upstream) bool {
 	current := x.relay.cfg.State.Snapshot().ByID(u.ID)
-	return current != nil && current.State == catalog.Ready && !x.relay.availability.Status(processOf(u)).Leaving
+	return current != nil && current.State == catalog.Ready && !x.relay.availability.Status(processOf(u)).Leaving && !x.isEvacuated(u)
 }
 
 // track records an attempt at an upstream.
--- a/internal/relay/left_out.go
+++ b/internal/relay/left_out.go
@@ -32,6 +32,8 @@
 	// tried counts those that have been tried and do not pause, unqualified those that are no candidates, for example because of their
 	// version.
 	tried, unqualified int
+	// evacuated counts those in data centres that are evacuated.
+	evacuated int
 	// waiting counts those that take a request later. wait is the shortest time until one of them does, reason why that one does not
 	// take it now.
 	waiting int
@@ -61,6 +63,8 @@
 		d.Reason, d.RetryAfter = rateLimitReached, min(max(o.wait, minRefusalWait), maxRateLimitWait)
 	case o.unqualified > 0:
 		d.Reason = placement.NoVersion
+	case o.evacuated > 0 && o.tried == 0:
+		d.Reason = evacuated
 	}
 	return d
 }
