checkpoint: evacuations outlive a restore of the store and a restart of all nodes

Cause: after a restore from a copy without the operator's key, an evacuation was known in memory only, so that a restart of all nodes would have ended it.

Change: one entry keeps pimentohead/checkpoint/evacuation/DATACENTRE, also for evacuations that have ended, ordered by EvacuationRecord.Number. The reader merges it after the operator's keys and before the configuration.

--- a/internal/controller/checkpoint/document.go
+++ b/internal/controller/checkpoint/document.go
@@ -32,20 +32,26 @@
 // ErrMalformed means that a checkpoint cannot be decoded.
 var ErrMalformed = errors.New("checkpoint: malformed")
 
-// document is an operator's document of which a checkpoint is kept. Exactly one of config and version is set.
+// document is an operator's document of which a checkpoint is kept. Exactly one of config, version and evacuation is set.
 type document struct {
 	// key is the key of the checkpoint in the store.
-	key     string
-	config  *catalog.Config
-	version *catalog.NamedVersion
+	key        string
+	config     *catalog.Config
+	version    *catalog.NamedVersion
+	evacuation *fleet.EvacuationRecord
 }
 
-// number returns the operator's number by which documents of one key are ordered.
+// number returns the number by which documents of one key are ordered: the operator's or, of an evacuation, one that rises with the history of the
+// store.
 func (d document) number() int64 {
-	if d.config != nil {
+	switch {
+	case d.config != nil:
 		return d.config.Version
+	case d.evacuation != nil:
+		return d.evacuation.Number()
+	default:
+		return d.version.Version
 	}
-	return d.version.Version
 }
 
 // storedVersion is the value of the checkpoint of a model's version.
@@ -56,8 +62,11 @@
 
 // encode returns the value of the checkpoint.
 func (d document) encode() ([]byte, error) {
-	if d.config != nil {
+	switch {
+	case d.config != nil:
 		return message.PackConfig(d.config)
+	case d.evacuation != nil:
+		return encodeEvacuation(*d.evacuation)
 	}
 	value, err := json.Marshal(storedVersion(*d.version))
 	return value, errors.Wrap(err, "checkpoint: encode version")
@@ -66,13 +75,21 @@
 // decode decodes a checkpoint. It returns ErrMalformed if the key or the value is not that of a checkpoint.
 func decode(prefix string, kv store.KV) (document, error) {
 	d := document{key: kv.Key}
-	switch name := strings.TrimPrefix(kv.Key, prefix); {
+	name := strings.TrimPrefix(kv.Key, prefix)
+	dataCentre, isEvacuation := isEvacuationKey(name)
+	switch {
 	case name == configKey:
 		config, err := message.UnpackConfig(kv.Value)
 		if err != nil {
 			return d, errors.Mark(err, ErrMalformed)
 		}
 		d.config = config
+	case isEvacuation:
+		r, err := decodeEvacuation(dataCentre, kv)
+		if err != nil {
+			return d, err
+		}
+		d.evacuation = &r
 	case strings.HasPrefix(name, versionKeyPrefix):
 		var v storedVersion
 		if err := json.Unmarshal(kv.Value, &v); err != nil {
@@ -92,10 +109,10 @@
 	return d, nil
 }
 
-// newestDocuments returns the newest documents in a state, versions first: they are small, and the sooner they are stored the better.
+// newestDocuments returns the newest documents in a state, the configuration last: the others are small, and the sooner they are stored the better.
 func newestDocuments(prefix string, state *fleet.State) []document {
 	snap := state.Snapshot()
-	var out []document
+	out := evacuationDocuments(prefix, state)
 	for _, v := range snap.NewestVersions() {
 		out = append(out, document{key: prefix + versionKeyPrefix + v.Model, version: &v.NamedVersion})
 	}
@@ -119,6 +136,8 @@
 			log.Info("configuration in force", "version", d.config.Version, "revision", kv.ModRevision, "routes", len(d.config.Routes),
 				"from", "checkpoint")
 		}
+	case d.evacuation != nil:
+		state.ApplyEvacuation(*d.evacuation).Log(log)
 	case d.version != nil:
 		if newest, ok := state.Snapshot().NewestVersion(d.version.Model); ok && newest.Version >= d.version.Version {
 			return
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -50,6 +50,25 @@
 	}
 }
 
+const (
+	// maxNumberedEra and maxNumberedRevision bound what Number can express. A store that changes 1,000 times a second takes 70 years to reach
+	// the latter.
+	maxNumberedEra, revisionBits = 1<<20 - 1, 41
+	maxNumberedRevision          = 1<<revisionBits - 1
+)
+
+// Number returns a number that rises with the order of the records of a data centre, 0 if the era or the revision is out of range.
+func (r EvacuationRecord) Number() int64 {
+	if r.Era < 0 || r.Era > maxNumberedEra || r.Revision <= 0 || r.Revision > maxNumberedRevision {
+		return 0
+	}
+	number := (r.Era<<revisionBits | r.Revision) << 1
+	if !r.Active {
+		number++
+	}
+	return number
+}
+
 // lastWrite returns the revision of the last known write of the key, 0 if none is known.
 func (r EvacuationRecord) lastWrite() int64 {
 	if r.Active {
