--- a/internal/directpath/warmup.go
+++ b/internal/directpath/warmup.go
@@ -1,6 +1,8 @@
 package directpath
 
 import (
+	"time"
+
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/warmup"
 )
@@ -8,7 +10,8 @@
 // newWarmup returns the limiter of cold upstreams, which follows the list of upstreams.
 func (e *Entry) newWarmup() *warmup.Limiter {
 	limiter := warmup.New(warmup.Config{Settings: e.coldSettings, Entries: e.knownEntries, Overrun: e.cfg.ColdOverrun, Slack: e.cfg.ColdSlack,
-		Observe: e.observeColdness})
+		EvacuationEndedAt: func(dataCentre string) time.Time { return e.state.Snapshot().EvacuationEndedAt(dataCentre) },
+		Observe:           e.observeColdness})
 	e.state.Observe(func(c fleet.Change) {
 		if c.Upstream != nil {
 			limiter.Record(coldRecord(c.Upstream))
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -18,6 +18,9 @@
 		case status.Wait > 0:
 			out.addWait(upstreamsPause, status.Wait)
 			continue
+		case x.snapshot.Evacuated(u.DataCentre):
+			out.evacuated++
+			continue
 		case x.tried[u.ID]:
 			out.tried++
 			continue
@@ -38,6 +41,7 @@
 		}
 		list = append(list, c)
 	}
+	list = x.preferWarm(list, &out)
 	return list, out
 }
 
--- a/internal/relay/warmup.go
+++ b/internal/relay/warmup.go
@@ -23,28 +23,35 @@
 	return warmup.Upstream{ID: u.ID, StartedAtMillis: u.StartedAtMillis, Service: u.Service, DataCentre: u.DataCentre}
 }
 
-// mayUseCold reports whether the request may be sent to an upstream as far as its being cold is concerned. If not, wait is the time until this
-// entry has a permit for it. An entry that does not know the other entries uses cold upstreams only if the service has no warm one.
+// mayUseCold reports whether this entry has a permit for an upstream, or needs none. If not, wait is the time until it has one.
 func (x *exchange) mayUseCold(u *catalog.Upstream) (ok bool, wait time.Duration) {
-	limiter := x.relay.cfg.Warmup
-	if limiter == nil {
+	if x.relay.cfg.Warmup == nil {
 		return true, 0
 	}
-	ok, wait = limiter.Available(warmingUpstream(u))
-	if ok && !limiter.KnowsEntries() && limiter.IsCold(warmingUpstream(u)) && x.hasWarmUpstream() {
-		return false, minRefusalWait
-	}
-	return ok, wait
+	return x.relay.cfg.Warmup.Available(warmingUpstream(u))
 }
 
-// hasWarmUpstream reports whether the service has an upstream that is ready and warm.
-func (x *exchange) hasWarmUpstream() bool {
-	for _, u := range x.snapshot.Upstreams(x.service) {
-		if u.State == catalog.Ready && !x.relay.cfg.Warmup.IsCold(warmingUpstream(u)) {
-			return true
+// preferWarm leaves out the cold upstreams if a warm one can take the request, as long as this entry does not know the other entries: its share
+// of their rate is not known then.
+func (x *exchange) preferWarm(list []placement.Candidate, out *leftOut) []placement.Candidate {
+	limiter := x.relay.cfg.Warmup
+	if limiter == nil || limiter.KnowsEntries() {
+		return list
+	}
+	var warm []placement.Candidate
+	for _, c := range list {
+		if !limiter.IsCold(warmingUpstream(c.Upstream)) {
+			warm = append(warm, c)
 		}
 	}
-	return false
+	if len(warm) == 0 {
+		return list
+	}
+	for range len(list) - len(warm) {
+		out.addWait(coldUpstream, minRefusalWait)
+		out.cold++
+	}
+	return warm
 }
 
 // takePermit takes a permit for an upstream that is cold. It reports false if there is none left.
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -108,7 +108,12 @@
 
 // KnowsEntries reports whether this entry knows the other entries of the fleet.
 func (l *Limiter) KnowsEntries() bool {
-	_, known := l.entries.assumed(l.cfg.Now())
+	return l.entries.isKnown() || l.updateEntries()
+}
+
+// updateEntries updates the number of entries and reports whether they are known.
+func (l *Limiter) updateEntries() (known bool) {
+	_, known = l.entries.assumed(l.cfg.Now())
 	return known
 }
 
@@ -205,7 +210,7 @@
 // Sweep drops what is known of upstreams that are gone, and reports upstreams that have turned warm. It is to be called about once a second.
 func (l *Limiter) Sweep() {
 	now := l.cfg.Now()
-	l.entries.assumed(now)
+	l.updateEntries()
 	l.Cold()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/warmup/share.go
+++ b/internal/warmup/share.go
@@ -44,7 +44,14 @@
 	at    time.Time
 }
 
-// assumed returns the number of entries to assume, and whether the other entries are known.
+// isKnown reports whether the entries were known at the last update. Once they are, they stay known.
+func (e *entryCount) isKnown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.knownSince.IsZero()
+}
+
+// assumed updates and returns the number of entries to assume, and whether the other entries are known.
 func (e *entryCount) assumed(now time.Time) (count int, known bool) {
 	count, known = e.current()
 	e.mu.Lock()
