--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -171,7 +171,7 @@
 func (a *upstreamAttempt) outcome(res attemptResult) placement.Outcome {
 	switch {
 	case context.Cause(a.ctx) != nil && !res.final && !a.bodyOverdue, errors.Is(res.cause, errUnavailable),
-		errors.Is(res.cause, errRegionNotAllowed),
+		errors.Is(res.cause, errRegionNotAllowed), errors.Is(res.cause, errEvacuated),
 		errors.Is(res.cause, errVersionExpired), a.yielded:
 		return placement.Abandoned
 	case res.final && !a.serverError:
@@ -220,6 +220,7 @@
 	a.answerBegan = time.Now()
 	a.recordRateLimit(parsed)
 	a.recordLoad(parsed)
+	a.recordColdness(parsed)
 	a.recordAvailability(parsed, resp.StatusCode, sentAt)
 	a.idleTimeout, a.weights.served = parsed.IdleTimeout, parsed.Version
 	if parsed.NotRun {
@@ -261,8 +262,15 @@
 	case !a.mayBeSentTo():
 		x.lastFailure = "region not allowed" // It stays among those tried, so that attempts end if the configuration changes again and again.
 		return errRegionNotAllowed
+	case x.isEvacuated(a.upstream):
+		delete(x.tried, a.upstream.ID) // It counts as evacuated.
+		x.lastFailure = "data centre evacuated"
+		return errEvacuated
 	case x.engine != nil && a.untilVersionEnds() <= 0:
 		return errVersionExpired
+	case !x.renewPermit(a.upstream):
+		x.lastFailure = "upstream is cold"
+		return errors.WithStack(errNoPermit)
 	default:
 		return nil
 	}
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -24,6 +24,9 @@
 		case status.Wait > 0:
 			out.addWait(upstreamsPause, status.Wait)
 			continue
+		case x.snapshot.Evacuated(u.DataCentre):
+			out.evacuated++
+			continue
 		case x.tried[u.ID]:
 			out.tried++
 			continue
@@ -37,8 +40,14 @@
 			out.addWait(rateLimitReached, wait)
 			continue
 		}
+		if ok, wait := x.mayUseCold(u); !ok {
+			out.addWait(coldUpstream, wait)
+			out.cold++
+			continue
+		}
 		list = append(list, c)
 	}
+	list = x.preferWarm(list, &out)
 	return list, out
 }
 
@@ -56,7 +65,7 @@
 	known = known && isCurrentLoad(load, age, u)
 	if known {
 		c.Work = placement.Work{HasReport: true, Running: load.Active, Waiting: load.Queued, ReportAge: age, Slowdown: load.Slowdown}
-		c.Suspect = c.Suspect || load.Down || x.unresponsive(u, c.Local, age)
+		c.Suspect = x.seemsDown(u, load, c.Local, age) || c.Suspect
 	}
 	reported := now.Add(-age)
 	if !known {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -28,6 +28,8 @@
 	regionExclusions metric.Int64Counter
 	// unreadableLoads counts the responses whose load cannot be read.
 	unreadableLoads metric.Int64Counter
+	// coldAvoided counts the attempts that were placed while cold upstreams took no more requests.
+	coldAvoided metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -42,6 +44,7 @@
 		irregularStreams:    i.Counter("pimentohead_relay_irregular_streams"),
 		regionExclusions:    i.Counter("pimentohead_relay_region_exclusions"),
 		unreadableLoads:     i.Counter("pimentohead_relay_unreadable_loads"),
+		coldAvoided:         i.Counter("pimentohead_relay_cold_avoided"),
 	}
 	if err := i.Err(); err != nil {
 		return nil, errors.Wrap(err, "relay")
@@ -102,3 +105,11 @@
 	}
 	m.unreadableLoads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
+
+// RecordColdAvoided counts an attempt that was placed on another upstream while the given number of cold ones, if any, took no more requests.
+func (m *Metrics) RecordColdAvoided(service string, cold int) {
+	if m == nil || m.coldAvoided == nil || cold == 0 {
+		return
+	}
+	m.coldAvoided.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
