--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -83,11 +83,12 @@
 	return r.Active && !r.Observed && !end.Active && end.Era < r.Era && end.Written == r.Revision
 }
 
-// mergeEvacuations returns the record that holds if both are known, in whichever order they have arrived.
-func mergeEvacuations(a, b EvacuationRecord) EvacuationRecord {
-	earlier, later := a, b
-	if a.compare(b) >= 0 {
-		earlier, later = b, a
+// mergeEvacuations returns the record that holds if both are known, in whichever order they have arrived. It returns current if r says the same:
+// the times at which nodes learn of an end differ, and nodes that took them over would send them to each other without end.
+func mergeEvacuations(current, r EvacuationRecord) EvacuationRecord {
+	earlier, later := current, r
+	if current.compare(r) >= 0 {
+		earlier, later = r, current
 	}
 	switch {
 	case later.repeats(earlier):
@@ -160,7 +161,7 @@
 	next := r
 	if known {
 		next = mergeEvacuations(current, r)
-		if next.isSame(current) {
+		if next == current {
 			return EvacuationChange{EvacuationRecord: current}
 		}
 		next.EndedAt, next.Source = s.endOf(current, r, next), r.Source
@@ -170,13 +171,6 @@
 	return EvacuationChange{EvacuationRecord: next, Effect: effectOf(current, r, next)}
 }
 
-// isSame reports whether two records say the same. The times at which nodes learn of an end differ, so that they do not count: nodes would
-// send them to each other without end.
-func (r EvacuationRecord) isSame(other EvacuationRecord) bool {
-	other.EndedAt, other.Source = r.EndedAt, r.Source
-	return r == other
-}
-
 // endOf returns when this node learned of the end of the last evacuation, once next has replaced current because of r. An evacuation that this
 // node has missed ended when the other node says.
 func (s *State) endOf(current, r, next EvacuationRecord) time.Time {
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -52,6 +52,7 @@
 		"removal in a new era":                   {[]fleet.EvacuationRecord{written(1, 90), listed(2, 90), removed(2, 95)}, false},
 		"copy made before the removal":           {[]fleet.EvacuationRecord{listed(1, 90), withWrite(removed(1, 100), 90), listed(2, 90)}, false},
 		"new write at the revision of the lost":  {[]fleet.EvacuationRecord{listed(1, 90), removed(1, 100), written(2, 90)}, true},
+		"that write, read by both ways":          {[]fleet.EvacuationRecord{withWrite(removed(1, 100), 90), listed(2, 90), written(2, 90)}, true},
 		"copy holds a write that is not known":   {[]fleet.EvacuationRecord{written(1, 90), removed(1, 100), listed(2, 80)}, true},
 		"write after the copy":                   {[]fleet.EvacuationRecord{written(1, 90), withWrite(removed(1, 100), 90), listed(2, 90), written(2, 96)}, true},
 		"copy of an era before the previous one": {[]fleet.EvacuationRecord{written(1, 90), withWrite(removed(1, 100), 90), listed(3, 90)}, false},
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -82,21 +82,24 @@
 // Guards against a request that is sent over a connection which opens only after the data centre of its upstream was evacuated: it waits in the
 // upstream's queue of connections, and goes elsewhere.
 func TestRequestInQueueOfConnectionsOfEvacuatedUpstreamGoesElsewhere(t *testing.T) {
-	for _, path := range []string{"/order/1", "/search/1"} {
-		g := NewWithT(t)
-		near, far := serveUpstream(t, "near", listenLate(t, 400*time.Millisecond), respondOK), newUpstream(t, "far", respondOK)
-		e := newEntry(t, near)
-		result := make(chan callResult, 1)
-		go func() { result <- e.send(context.Background(), path, nil) }()
-		time.Sleep(200 * time.Millisecond) // The connection is in the queue, and no other upstream is known.
-		e.evacuate("z", true, 101)
-		e.moveTo("z2", far, 102)
-		var answer callResult
-		g.Eventually(result, "5s").Should(Receive(&answer))
-		g.Expect(answer.status).To(Equal(http.StatusOK))
-		time.Sleep(500 * time.Millisecond) // The first connection has opened.
-		g.Expect(near.requests()).To(BeEmpty())
-		g.Expect(far.requests()).To(HaveLen(1))
+	for _, path := range []string{"/search/1", "/stream/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			near := serveUpstream(t, "near", listenLate(t, 400*time.Millisecond), respondOK)
+			far := serveUpstream(t, "far", listenLate(t, 1300*time.Millisecond), respondOK)
+			e := newEntry(t, near)
+			result := make(chan callResult, 1)
+			go func() { result <- e.send(context.Background(), path, nil) }()
+			time.Sleep(200 * time.Millisecond) // The connection is in the queue, and no other upstream is known.
+			e.evacuate("z", true, 101)
+			e.moveTo("z2", far, 102)
+			var answer callResult
+			g.Eventually(result, "5s").Should(Receive(&answer))
+			g.Expect(near.requests()).To(BeEmpty(), "its connection has opened before that of the other one")
+			g.Expect(answer.status).To(Equal(http.StatusOK))
+			g.Expect(far.requests()).To(HaveLen(1))
+		})
 	}
 }
 
