placement, simulate: streams placed by the expected number of late ones

Cause: the predicted wait is one number. It does not know that an engine may turn slow after the placement, nor that a prompt delays all streams that run beside it. In a model of 40 engines that are slow in turns, 7.7 of 100 served streams were late, 14.3 of 100 with prompts of more than 2,200 tokens, and 40.5 of 100 in two bursts of the longest prompts. Entries that had the same reports chose the same engine.

Change: for routes with a pause limit whose upstreams are slow in turns, Choose rates each candidate by the mean wait over a distribution of the slowdown, the risk of a late first event and the number of other streams that the prompt makes late. It chooses at random among scores near the best, in the own data centre first, and refuses a request where more streams would be late than it serves, for a prompt of mean length. SlownessTable learns the distribution from load reports.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -79,6 +79,10 @@
 	// MustPlace is set when the request has already started and has to be continued at some upstream. It is then never refused
 	// because of a long wait.
 	MustPlace bool
+	// MaxPause is the longest pause between two events of a stream that counts as on time; 0 if the route has no limit. Slow describes the
+	// slow upstreams of the service. With both, the request is placed by the expected number of late streams, see Lateness.
+	MaxPause time.Duration
+	Slow     Slowness
 }
 
 // Decision is the result of Choose. Upstream is nil if the request is refused.
@@ -89,6 +93,8 @@
 	PredictedWait time.Duration
 	Work          Work
 	Local         bool
+	// Lateness is the expected effect at the same upstream, the zero value if it did not decide.
+	Lateness Lateness
 	// Reason and RetryAfter are set only if the request is refused.
 	Reason     Reason
 	RetryAfter time.Duration
@@ -104,6 +110,9 @@
 	if len(candidates) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: withJitter(unavailableRetryAfter)}
 	}
+	if q.weighsLateness() {
+		return chooseByLateness(&q, candidates)
+	}
 	best, wait := shortestWait(q, filterLocal(candidates))
 	if best.Upstream == nil || wait > time.Duration(float64(q.Target)*localTargetShare) {
 		best, wait = shortestWait(q, candidates)
--- a/internal/simulate/engine.go
+++ b/internal/simulate/engine.go
@@ -37,6 +37,8 @@
 	reportedAt                       time.Duration
 	// queueLimit bounds the number of waiting jobs.
 	queueLimit int
+	// slowdown is the factor by which a pass that starts now takes longer than normal.
+	slowdown float64
 }
 
 // enqueue adds a job to the queue and reports whether there was space for it.
@@ -70,24 +72,29 @@
 	if len(decoding) > 0 {
 		steps = e.spec.StepsPerPass
 	}
-	prefilled := e.prefill(float64(e.spec.PrefillChunkTokens * steps))
-	duration := time.Duration(prefilled / e.spec.PrefillTokensPerSecond * float64(time.Second))
+	prefilled, pairs := e.prefill(float64(e.spec.PrefillChunkTokens * steps))
+	duration := time.Duration(prefilled/e.spec.PrefillTokensPerSecond*float64(time.Second) +
+		pairs/1e6*float64(e.spec.PrefillTimePerMillionPairs))
 	// PassTime is the duration of StepsPerPass steps.
 	duration += time.Duration(float64(placement.PassTime(e.spec, float64(len(decoding)))) *
 		float64(steps) / float64(max(e.spec.StepsPerPass, 1)))
+	duration = time.Duration(float64(duration) * e.slowdown)
 	return duration, func(now time.Duration) { e.finishPass(decoding, now) }, true
 }
 
-// prefill prefills up to budget prompt tokens in the order of admission and returns the number of tokens prefilled.
-func (e *engine) prefill(budget float64) float64 {
+// prefill prefills up to budget prompt tokens in the order of admission. It returns the number of tokens prefilled and of pairs of one of
+// them and an earlier token of its prompt.
+func (e *engine) prefill(budget float64) (tokens, pairs float64) {
 	left := budget
 	for _, j := range e.running {
 		if n := min(j.promptRemaining, left); n > 0 {
+			earlier := max(j.req.prompt-j.promptRemaining, 0)
+			pairs += n * (earlier + n/2)
 			j.promptRemaining -= n
 			left -= n
 		}
 	}
-	return budget - left
+	return budget - left, pairs
 }
 
 // finishPass delivers one event of the answer to the request of each decoding job, completes finished answers and updates the reported
--- a/internal/simulate/entry.go
+++ b/internal/simulate/entry.go
@@ -5,6 +5,7 @@
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/placement"
 )
 
@@ -17,12 +18,18 @@
 	// peerWork holds the outstanding work that the other entries of the data centre have published.
 	peerWork *loadview.WorkTable
 	reports  map[*engine]report
+	slowness *placement.SlownessTable
 }
 
 // report is the latest load report of an engine that an entry has received.
 type report struct {
 	running, waiting int
 	sentAt           time.Duration
+	// slowdown is that of the engine at sentAt.
+	slowdown float64
+	// remote is set if the report comes from another data centre and has the work of the entries there in entryWork.
+	remote    bool
+	entryWork message.UpstreamWork
 }
 
 // candidates describes the available engines as the entry sees them: by their latest load reports, its own outstanding work and the
@@ -37,9 +44,12 @@
 		c := placement.Candidate{Upstream: &catalog.Upstream{ID: e.id, Slots: n.sim.scenario.Engine.Slots},
 			Local: e.dataCentre == n.dataCentre,
 			Work: placement.Work{HasReport: hasReport, Running: r.running, Waiting: r.waiting,
-				ReportAge: n.sim.now - r.sentAt, Slowdown: 1}}
+				ReportAge: n.sim.now - r.sentAt, Slowdown: r.slowdown, Remote: r.remote}}
 		n.tracker.AddOwnWork(&c.Work, e.id, rank, startTime.Add(r.sentAt))
 		others := n.peerWork.Total(e.id)
+		if r.remote {
+			others = r.entryWork
+		}
 		c.Work.OthersRunning, c.Work.OthersWaiting, c.Work.OthersTokens = others.Running, others.Waiting, float64(others.WaitingTokens)
 		out = append(out, c)
 	}
--- a/internal/simulate/request.go
+++ b/internal/simulate/request.go
@@ -26,9 +26,14 @@
 	attempts     int
 	firstEventAt time.Duration
 	lastEventAt  time.Duration
-	// late is set when the first event missed the target or a later one followed after more than maxEventGap.
-	late  bool
-	ended bool
+	// lateFirst is set when the first event missed the target, latePause when a later one followed after more than maxEventGap.
+	lateFirst, latePause bool
+	ended                bool
+	// found is the number of requests that the entry knew at the engine of the last placement.
+	found int
+	// predicted is the time to the first event that was predicted there, local is set if the engine is in the data centre of the entry.
+	predicted time.Duration
+	local     bool
 	// attempt is the present attempt at an engine, nil before the first.
 	attempt *placement.Attempt
 	entry   *entry
@@ -37,8 +42,9 @@
 // startAttempt sends the request to a random entry of the caller's data centre.
 func (r *request) startAttempt() {
 	r.attempts++
-	n := r.sim.rng.IntN(r.sim.scenario.EntriesPerDataCentre)
-	r.entry = r.sim.entries[r.dataCentre+n*r.sim.scenario.DataCentres]
+	dataCentres := r.sim.scenario.DataCentres
+	entries := (len(r.sim.entries) - r.dataCentre + dataCentres - 1) / dataCentres
+	r.entry = r.sim.entries[r.dataCentre+r.sim.rng.IntN(entries)*dataCentres]
 	timeout := max(firstEventTargets*r.kind.Target, minFirstEventTimeout)
 	r.sim.schedule(r.sim.now+timeout, func() {
 		if r.firstEventAt == 0 && !r.ended {
@@ -74,7 +80,9 @@
 	q := placement.Query{Engine: &s.scenario.Engine, PromptTokens: r.prompt, Target: r.kind.Target, Elapsed: s.now - r.arrivedAt,
 		Remaining: r.arrivedAt + r.kind.Deadline - s.now, MustPlace: resumed, Returning: r.attempts > 1,
 		MaxWait: r.entry.limiter.MaxWait(r.kind.Name, r.kind.Priority, s.shortestTarget())}
-	decision := placement.Choose(q, r.entry.candidates(r.rank()))
+	candidates := r.entry.candidates(r.rank())
+	q.MaxPause, q.Slow = r.kind.MaxPause, r.entry.slowness.Observe("model", candidates)
+	decision := placement.Choose(q, candidates)
 	if decision.Upstream == nil {
 		r.refuse(decision.RetryAfter)
 		return
@@ -88,6 +96,8 @@
 			r.refuse(time.Second)
 			return
 		}
+		r.found = max(decision.Work.OwnRunning+decision.Work.OthersRunning, decision.Work.Running+decision.Work.Waiting)
+		r.predicted, r.local = decision.PredictedWait, decision.Local
 		r.attempt = r.entry.tracker.Begin(e.id, r.rank(), r.prompt)
 		s.startPasses(e)
 	}
@@ -118,9 +128,9 @@
 	}
 	if r.firstEventAt == 0 {
 		r.firstEventAt = now
-		r.late = now-r.arrivedAt > r.kind.Target
+		r.lateFirst = now-r.arrivedAt > r.kind.Target
 	} else if now-r.lastEventAt > maxEventGap {
-		r.late = true
+		r.latePause = true
 	}
 	r.lastEventAt = now
 	r.attempt.RecordStart()
--- a/internal/simulate/result.go
+++ b/internal/simulate/result.go
@@ -38,6 +38,8 @@
 	Kinds map[string]*Outcomes
 	// Windows are the outcomes by kind of the requests that arrived in each window of two seconds.
 	Windows []map[string]*Outcomes
+	// Streams are all requests with their outcomes, in the order in which they ended.
+	Streams []Stream
 }
 
 // windowLength is the length of a window in Result.Windows.
@@ -79,11 +81,12 @@
 
 func (res *Result) recordAnswer(r *request) {
 	value := r.value()
+	res.recordStream(r, true)
 	res.update(r, func(s *Outcomes) {
 		if r.attempts == 1 {
 			s.AtFirstAttempt++
 		}
-		if r.late {
+		if r.lateFirst || r.latePause {
 			s.Late++
 			s.EarnedValue += value * r.kind.LateValueShare
 		} else {
@@ -95,10 +98,14 @@
 
 func (res *Result) recordRefusal(r *request) {
 	value := r.value()
+	res.recordStream(r, false)
 	res.update(r, func(s *Outcomes) { s.Refused++; s.EarnedValue -= value * refusalPenalty })
 }
 
-func (res *Result) recordFailure(r *request) { res.update(r, func(s *Outcomes) { s.Failed++ }) }
+func (res *Result) recordFailure(r *request) {
+	res.recordStream(r, false)
+	res.update(r, func(s *Outcomes) { s.Failed++ })
+}
 
 // Total returns the sum over all kinds.
 func (res *Result) Total() Outcomes { return sumOutcomes(res.Kinds) }
--- a/internal/simulate/run.go
+++ b/internal/simulate/run.go
@@ -33,8 +33,10 @@
 	// equal arrivals however the requests are placed.
 	rng     *rand.Rand
 	arrival map[string]*rand.Rand
-	now     time.Duration
-	events  eventQueue
+	// turns draws which engines are slow, independently of the placement.
+	turns  *rand.Rand
+	now    time.Duration
+	events eventQueue
 	// seq is the number of events scheduled so far.
 	seq     int
 	engines []*engine
@@ -52,7 +54,7 @@
 	// The second word of the seed makes rng independent of the arrivals of the kinds, whose second words are 1, 2 and so on.
 	// 0x9e3779b97f4a7c15 is 2^64 divided by the golden ratio.
 	s := &simulation{scenario: scenario, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), result: newResult(scenario),
-		arrival: map[string]*rand.Rand{}}
+		arrival: map[string]*rand.Rand{}, turns: rand.New(rand.NewPCG(seed, math.MaxUint64))}
 	s.build()
 	for i := range scenario.Kinds {
 		s.arrival[scenario.Kinds[i].Name] = rand.New(rand.NewPCG(seed, uint64(i)+1))
@@ -70,7 +72,8 @@
 	total := s.scenario.EnginesPerDataCentre*s.scenario.DataCentres + s.scenario.AddedEngines
 	for i := range total {
 		e := &engine{id: fmt.Sprintf("engine-%d", i), dataCentre: i % s.scenario.DataCentres, spec: &s.scenario.Engine,
-			queueLimit: engineQueueLimit}
+			queueLimit: engineQueueLimit, slowdown: 1}
+		s.scheduleTurns(e)
 		if i >= s.scenario.EnginesPerDataCentre*s.scenario.DataCentres {
 			e.availableAt = s.scenario.EnginesAddedAt
 		}
@@ -82,9 +85,10 @@
 			s.schedule(loadStart+s.scenario.Engine.LoadTime, func() { s.startPasses(e) })
 		}
 	}
-	for i := range s.scenario.EntriesPerDataCentre * s.scenario.DataCentres {
+	for i := range s.scenario.EntriesPerDataCentre*s.scenario.DataCentres + s.scenario.AddedEntries {
 		s.entries = append(s.entries, &entry{sim: s, dataCentre: i % s.scenario.DataCentres, tracker: placement.NewTracker(s.clock),
-			limiter: placement.NewPriorityLimiter(s.clock), peerWork: loadview.NewWorkTable(s.clock), reports: map[*engine]report{}})
+			limiter: placement.NewPriorityLimiter(s.clock), peerWork: loadview.NewWorkTable(s.clock), reports: map[*engine]report{},
+			slowness: placement.NewSlownessTable(s.clock, nil)})
 	}
 }
 
@@ -104,16 +108,59 @@
 
 // publishReports sends the load reports of all engines to all entries.
 func (s *simulation) publishReports() {
+	var work map[string]message.UpstreamWork
+	remoteDelay := remoteReportDelay
+	if s.scenario.Links.Remote > 0 {
+		remoteDelay, work = s.scenario.Links.Remote, s.workAtEngines()
+	}
 	for _, e := range s.engines {
-		r := report{running: e.reportedRunning, waiting: e.reportedWaiting, sentAt: s.now}
+		r := report{running: e.reportedRunning, waiting: e.reportedWaiting, sentAt: s.now, slowdown: e.slowdown}
+		remote := r
+		if work != nil {
+			remote.entryWork, remote.remote = work[e.id], true
+		}
 		for _, n := range s.entries {
 			if n.dataCentre == e.dataCentre {
-				n.reports[e] = r
+				s.schedule(s.now+s.scenario.Links.Local, func() { n.reports[e] = r })
 			} else {
-				s.schedule(s.now+remoteReportDelay, func() { n.reports[e] = r })
+				s.schedule(s.now+remoteDelay, func() { n.reports[e] = remote })
+			}
+		}
+	}
+}
+
+// workAtEngines returns the work that the entries of the data centre of each engine have in progress there.
+func (s *simulation) workAtEngines() map[string]message.UpstreamWork {
+	out := map[string]message.UpstreamWork{}
+	dataCentres := map[string]int{}
+	for _, e := range s.engines {
+		dataCentres[e.id] = e.dataCentre
+	}
+	for _, n := range s.entries {
+		for _, w := range n.tracker.Export() {
+			if dataCentres[w.ID] == n.dataCentre {
+				out[w.ID] = out[w.ID].Plus(w)
 			}
 		}
 	}
+	return out
+}
+
+// scheduleTurns makes an engine slow in turns from the start of the run.
+func (s *simulation) scheduleTurns(e *engine) {
+	turns := s.scenario.Slow
+	if turns.Interval <= 0 {
+		return
+	}
+	var turn func()
+	turn = func() {
+		e.slowdown = 1
+		if s.turns.Float64() < turns.Share {
+			e.slowdown = turns.Factor
+		}
+		s.schedule(s.now+turns.Interval, turn)
+	}
+	s.schedule(time.Duration(s.turns.Float64()*float64(turns.Interval)), turn)
 }
 
 // publishWork sends the outstanding work of each entry to the other entries of its data centre.
--- a/internal/simulate/scenario.go
+++ b/internal/simulate/scenario.go
@@ -21,6 +21,8 @@
 	// answer. Both count from the arrival.
 	Target   time.Duration
 	Deadline time.Duration
+	// MaxPause is the pause limit of the kind's route, as in catalog.Route; 0 for none.
+	MaxPause time.Duration
 	// Value is the mean value of an answer in time; LateValueShare is the fraction of it that a late answer earns.
 	Value, LateValueShare float64
 	// MeanPromptTokens and MeanAnswerTokens are the mean token counts of a prompt and of an answer.
@@ -49,12 +51,18 @@
 	DataCentres   int
 	// EnginesPerDataCentre and EntriesPerDataCentre are the numbers of engines and of entries in each data centre.
 	EnginesPerDataCentre, EntriesPerDataCentre int
+	// AddedEntries is the total number of additional entries, spread round-robin over the data centres.
+	AddedEntries int
 	// AddedEngines is the total number of additional engines, spread round-robin over the data centres. They have weights from
 	// EnginesAddedAt on.
 	AddedEngines   int
 	EnginesAddedAt time.Duration
 	// VersionSwapAt is when the engines start to load a new version, one at a time in each data centre; 0 means never.
 	VersionSwapAt time.Duration
+	// Slow makes engines slow in turns; the zero value leaves all at their normal speed.
+	Slow SlowTurns
+	// Links are the delays of load reports; the zero value selects those of the small site.
+	Links Links
 }
 
 // LargeModel returns the cost model of a 70-billion-parameter model on two accelerators, as a platform publishes it.
@@ -95,6 +103,8 @@
 		scenario.Bursts = []Burst{{Kind: "quote", From: 12 * time.Second, To: 16 * time.Second, Factor: 1.7}}
 	case "shortage": // No engines are added, and the load exceeds the capacity throughout.
 		scenario.AddedEngines = 0
+	case "uneven":
+		return LargeSite(), true
 	case "swap": // All engines load a new version, one at a time in each data centre.
 		scenario.Load, scenario.VersionSwapAt = 0.88, 20*time.Second
 	default:
@@ -104,4 +114,4 @@
 }
 
 // ScenarioNames are the names that NamedScenario accepts.
-var ScenarioNames = []string{"quiet", "flood", "urgent", "shortage", "swap"}
+var ScenarioNames = []string{"quiet", "flood", "urgent", "shortage", "swap", "uneven"}
