--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math"
 	"strings"
 	"time"
 
@@ -21,6 +20,7 @@
 		"took_ms", res.duration.Milliseconds(), "status", res.status, "config", x.snapshot.Index.Config.Version, "local", d.Local,
 		"waited_before_ms", x.priorWait.Milliseconds()}
 	values = append(values, workValues(d.Work)...)
+	values = append(values, latenessValues(d.Lateness)...)
 	if res.rateLimit >= 0 {
 		values = append(values, "rate_limit", res.rateLimit)
 	}
@@ -31,6 +31,7 @@
 	}
 	if x.route.Kind == catalog.Stream {
 		values = append(values, res.stream.values()...)
+		values = append(values, "longest_pause_ms", x.pauses.longest.Milliseconds())
 	}
 	if res.final {
 		log.Info("request answered", values...)
@@ -49,5 +50,5 @@
 	return []any{"load_known", w.HasReport, "load_age_ms", w.ReportAge.Milliseconds(), "running", w.Running, "waiting", w.Waiting,
 		"sent_since", w.SentSinceReport, "own_waiting", w.OwnWaiting, "own_tokens", int(w.OwnTokens),
 		"others_running", w.OthersRunning, "others_waiting", w.OthersWaiting, "others_tokens", int(w.OthersTokens),
-		"ahead", math.Round(w.AheadShare*100) / 100}
+		"ahead", twoDecimals(w.AheadShare), "slowdown", twoDecimals(w.Slowdown)}
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,8 @@
 	unanswered metric.Int64Counter
 	// irregularStreams counts the attempts at streams with an irregularity.
 	irregularStreams metric.Int64Counter
+	// streams counts the complete streams of routes with a pause limit by prompt length and by whether they were on time.
+	streams metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -36,6 +38,7 @@
 		availabilityChanges: i.Counter("pimentohead_relay_availability_changes"),
 		unanswered:          i.Counter("pimentohead_relay_unanswered"),
 		irregularStreams:    i.Counter("pimentohead_relay_irregular_streams"),
+		streams:             i.Counter("pimentohead_relay_streams"),
 	}
 	if err := i.Err(); err != nil {
 		return nil, errors.Wrap(err, "relay")
@@ -88,3 +91,12 @@
 	}
 	m.irregularStreams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("irregularity", irregularity)))
 }
+
+// RecordStream counts a complete stream of a route with a pause limit. prompt is the class of its prompt length, result whether its events
+// were on time.
+func (m *Metrics) RecordStream(prompt, result string) {
+	if m == nil || m.streams == nil {
+		return
+	}
+	m.streams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("prompt", prompt), attribute.String("result", result)))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,6 +88,8 @@
 	inProgress attemptTable
 	// durations holds how long requests took, to decide which ones can still be served during a shutdown.
 	durations durationTable
+	// slowness holds how often the upstreams of each service are slow.
+	slowness *placement.SlownessTable
 	// answering is cancelled by answerRequests, shutdown by endRequests.
 	answering, shutdown         context.Context
 	answerRequests, endRequests context.CancelFunc
@@ -105,6 +107,7 @@
 		cfg.Refusals = refusal.New(nil)
 	}
 	r := &Relay{cfg: cfg}
+	r.slowness = placement.NewSlownessTable(nil, r.logSlowness)
 	r.shutdown, r.endRequests = context.WithCancel(context.Background())
 	r.answering, r.answerRequests = context.WithCancel(r.shutdown)
 	r.availability = availability.New(availability.Config{Observe: r.observeAvailability})
@@ -157,6 +160,8 @@
 	timeToFirstEvent time.Duration
 	// events is the progress of a streamed response.
 	events streamProgress
+	// pauses holds the pauses between the events of a streamed response.
+	pauses streamPauses
 }
 
 // ServeHTTP implements http.Handler.
@@ -249,6 +254,7 @@
 		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.hasBegun() || x.possibleRuns > 0,
 		Returning: x.returning,
 		MaxWait:   x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
+	x.weighLateness(&q, list)
 	for {
 		d := placement.Choose(q, list)
 		if d.Upstream == nil {
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -32,13 +32,14 @@
 // respondFailure sends a final response that the entry itself generates, or aborts a response that has already started.
 // outcome is the Outcome of failureBody.
 func (x *exchange) respondFailure(status int, code, outcome string, retryAfter time.Duration) {
-	x.relay.cfg.Log.Info("request ended without an upstream response", "request", x.meta.ID, "status", status, "reason", code,
+	values := []any{"request", x.meta.ID, "status", status, "reason", code,
 		"outcome", outcome, "retry_after_ms", retryAfter.Milliseconds(), "after_ms", time.Since(x.received).Milliseconds(),
 		"waited_before_ms", x.priorWait.Milliseconds(), "rank", x.rank, "service", x.service,
 		"prompt_parts", strings.Join(x.meta.PromptParts, ","), "sends", x.sends, "runs", x.possibleRuns,
 		"begun", x.responseStarted.hasBegun(), "last", x.lastFailure,
 		"left_ms", time.Until(x.deadline).Milliseconds(), "predicted_ms", x.decision.PredictedWait.Milliseconds(),
-		"running", x.decision.Work.Running, "waiting", x.decision.Work.Waiting)
+		"running", x.decision.Work.Running, "waiting", x.decision.Work.Waiting}
+	x.relay.cfg.Log.Info("request ended without an upstream response", append(values, latenessValues(x.decision.Lateness)...)...)
 	x.recordOutcome(code, status)
 	if x.engine != nil && status == http.StatusServiceUnavailable {
 		x.relay.cfg.Refusals.Record(x.fingerprint(), time.Since(x.received)+x.priorWait)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -116,6 +116,7 @@
 		}
 	}
 	a.complete = true
+	x.recordLateness()
 	return attemptResult{final: true, outcome: "streamed", status: resp.StatusCode, timeToFirstEvent: timeToFirst}
 }
 
@@ -158,6 +159,9 @@
 		}
 		batch.after.version = max(batch.after.version, a.weights.ranOn())
 		x.events = batch.after
+		if batch.newEvents > 0 {
+			x.pauses.record(time.Now())
+		}
 		a.stream.last = x.events.lastID
 	}
 	return append(data[:0], data[batch.size:]...), batch.newEvents, batch.missing
