--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -189,6 +189,11 @@
 
 // newEntryWithCodec is newEntry with a codec.
 func newEntryWithCodec(t testing.TB, c codec, upstreams ...*upstream) *entry {
+	return newEntryWithLog(t, c, logr.Discard(), upstreams...)
+}
+
+// newEntryWithLog is newEntryWithCodec with a log.
+func newEntryWithLog(t testing.TB, c codec, log logr.Logger, upstreams ...*upstream) *entry {
 	state := fleet.NewState(nil)
 	targets := []catalog.Target{{Service: "s", Weight: 1}}
 	routes := []catalog.Route{
@@ -220,7 +225,7 @@
 	limiter := placement.NewPriorityLimiter(nil)
 	servedUntil := &atomic.Pointer[time.Time]{}
 	r := relay.New(relay.Config{Codec: c, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
-		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: h1.NewPool(), Log: logr.Discard(),
+		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: h1.NewPool(), Log: log,
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget: relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
 		ServedUntil: func() time.Time {
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,12 +31,21 @@
 // engineEntryWithCodec is engineEntry with a codec.
 func engineEntryWithCodec(t *testing.T, c codec) *entry {
 	e := newEntryWithCodec(t, c)
+	e.useEngine(t, 0)
+	return e
+}
+
+// useEngine makes the upstreams of an entry engines with one layer, and sets the pause limit of all routes.
+func (e *entry) useEngine(t *testing.T, maxPause time.Duration) {
 	config := *e.state.Snapshot().Index.Config
 	config.Version, config.Services = 2, []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 16, Layers: 1,
 		StepTime: time.Millisecond, StepsPerPass: 1, PrefillTokensPerSecond: 1e6, MeanPromptTokens: 100, MeanAnswerTokens: 10,
 		Models: []string{"m"}}}}
+	config.Routes = slices.Clone(config.Routes)
+	for i := range config.Routes {
+		config.Routes[i].MaxPause = maxPause
+	}
 	NewWithT(t).Expect(e.state.ApplyConfig(&config, 100)).To(BeTrue())
-	return e
 }
 
 // announce adds an upstream that has loaded a version, or changes the version of a known one.
