--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -201,6 +201,11 @@
 	return newEntryWithConfig(t, c, func(*relay.Config) {}, upstreams...)
 }
 
+// newEntryWithLog is newEntryWithCodec with a log.
+func newEntryWithLog(t testing.TB, c codec, log logr.Logger, upstreams ...*upstream) *entry {
+	return newEntryWithConfig(t, c, func(cfg *relay.Config) { cfg.Log = log }, upstreams...)
+}
+
 // newEntryWithConfig is newEntryWithCodec with changes to the configuration of the relay.
 func newEntryWithConfig(t testing.TB, c codec, edit func(*relay.Config), upstreams ...*upstream) *entry {
 	state := fleet.NewState(nil)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math"
 	"strings"
 	"time"
 
@@ -22,6 +21,7 @@
 		"waited_before_ms", x.priorWait.Milliseconds()}
 	values = append(values, workValues(d.Work)...)
 	values = append(values, x.regionValues(upstream)...)
+	values = append(values, latenessValues(d.Lateness)...)
 	if res.rateLimit >= 0 {
 		values = append(values, "rate_limit", res.rateLimit)
 	}
@@ -32,6 +32,7 @@
 	}
 	if x.route.Kind == catalog.Stream {
 		values = append(values, res.stream.values()...)
+		values = append(values, "longest_pause_ms", x.pauses.longest.Milliseconds())
 	}
 	if res.final {
 		log.Info("request answered", values...)
@@ -45,14 +46,11 @@
 		"silent_ms", res.silence.Milliseconds(), "left_ms", time.Until(x.deadline).Milliseconds())...)
 }
 
-// round returns a figure for a log line, with two decimals.
-func round(figure float64) float64 { return math.Round(figure*100) / 100 }
-
 // workValues returns the load of the selected upstream as log keys and values.
 func workValues(w placement.Work) []any {
 	return []any{"load_known", w.HasReport, "load_age_ms", w.ReportAge.Milliseconds(), "running", w.Running, "waiting", w.Waiting,
 		"sent_since", w.SentSinceReport, "own_waiting", w.OwnWaiting, "own_tokens", int(w.OwnTokens),
 		"others_running", w.OthersRunning, "others_waiting", w.OthersWaiting, "others_tokens", int(w.OthersTokens),
-		"ahead", round(w.AheadShare), "slowdown", round(max(w.Slowdown, 1)), "slowdown_from", w.SlowdownSource,
+		"ahead", twoDecimals(w.AheadShare), "slowdown", twoDecimals(max(w.Slowdown, 1)), "slowdown_from", w.SlowdownSource,
 		"slowdown_age_ms", w.SlowdownAge.Milliseconds()}
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -30,6 +30,8 @@
 	unreadableLoads metric.Int64Counter
 	// coldAvoided counts the attempts that were placed while cold upstreams took no more requests.
 	coldAvoided metric.Int64Counter
+	// streams counts the complete streams of routes with a pause limit by prompt length and by whether they were on time.
+	streams metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -45,6 +47,7 @@
 		regionExclusions:    i.Counter("pimentohead_relay_region_exclusions"),
 		unreadableLoads:     i.Counter("pimentohead_relay_unreadable_loads"),
 		coldAvoided:         i.Counter("pimentohead_relay_cold_avoided"),
+		streams:             i.Counter("pimentohead_relay_streams"),
 	}
 	if err := i.Err(); err != nil {
 		return nil, errors.Wrap(err, "relay")
@@ -113,3 +116,12 @@
 	}
 	m.coldAvoided.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
+
+// RecordStream counts a complete stream of a route with a pause limit. prompt is the class of its prompt length, result whether its events
+// were on time.
+func (m *Metrics) RecordStream(prompt, result string) {
+	if m == nil || m.streams == nil {
+		return
+	}
+	m.streams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("prompt", prompt), attribute.String("result", result)))
+}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -39,7 +39,9 @@
 		"begun", x.responseStarted.hasBegun(), "last", x.lastFailure,
 		"left_ms", time.Until(x.deadline).Milliseconds(), "predicted_ms", x.decision.PredictedWait.Milliseconds(),
 		"running", x.decision.Work.Running, "waiting", x.decision.Work.Waiting}
-	x.relay.cfg.Log.Info("request ended without an upstream response", append(values, x.regionValues(nil)...)...)
+	values = append(values, x.regionValues(nil)...)
+	values = append(values, latenessValues(x.decision.Lateness)...)
+	x.relay.cfg.Log.Info("request ended without an upstream response", values...)
 	x.recordOutcome(code, status)
 	if x.engine != nil && status == http.StatusServiceUnavailable {
 		x.relay.cfg.Refusals.Record(x.fingerprint(), time.Since(x.received)+x.priorWait)
