relay: bound the memory held for callers and upstreams that read slowly

Cause: the bodies of requests and buffered responses had no limit in sum, a caller that read nothing held its request for ever (writes had no deadline, nor had the read of a body), and the kernel held up to 3.9 MB for one caller and 3.6 MB for one upstream that read nothing. h1 also allocated a second buffer of the size of the body with each head.

Change: package membudget, a quarter of limits.memory_mb. Bodies that do not fit are refused (503, memory), responses that do not fit are forwarded as they arrive, incomplete events over 8 KiB count too. Writes are synchronous as before; the buffer of a stream is the kernel's send buffer, of which 64 KiB may be unread (8 KiB while the budget is exhausted). Reads of a body end at the deadline, writes without progress 1 s after it. Socket buffers are 64 KiB, connections of callers that read nothing end after 30 s, those to upstreams 2.5 s after a close. Metrics, a log line, and a design note.

Measured: go test of relay, h1, callerconn, directpath, membudget and platform pass. Without the mechanisms the tests fail: no deadline for writes (30 callers still in use), none for bodies (the test does not end), no extension for callers that read on, no limit of unread bytes (both stream tests), socket buffers by default (3,596,342 bytes for an upstream, bound 163,840).

--- a/cmd/pimentoheadd/platform.go
+++ b/cmd/pimentoheadd/platform.go
@@ -85,7 +85,7 @@
 		Node: node, CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, ReadyPath: platform.ReadyPath,
 		Decoder: platform.DocumentDecoder{}, Codec: platform.HeaderCodec{}, Origin: platform.NewOrigin(),
 		RetryBudgetRatio: s.Bounds.RetryBudgetRatio, RetryBudgetFixed: s.Bounds.RetryBudgetFixed,
-		RetryBudgetWindow: s.Bounds.RetryBudgetWindow,
+		RetryBudgetWindow: s.Bounds.RetryBudgetWindow, MemoryBytes: s.MemoryBytes,
 	})
 	if err != nil {
 		return err
--- a/internal/callerconn/tracker.go
+++ b/internal/callerconn/tracker.go
@@ -36,6 +36,9 @@
 	// limit returns the idle limit in force, 0 if there is none.
 	limit func() time.Duration
 
+	// limitBuffers is set by LimitBuffers.
+	limitBuffers bool
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	// closedIdle counts the connections without a request that the Tracker has closed.
@@ -66,6 +69,9 @@
 		return nil, acceptError{err}
 	}
 	c := newConn(nc)
+	if l.tracker.limitBuffers {
+		c.limitBuffers()
+	}
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
 	l.tracker.conns[c] = struct{}{}
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -17,6 +17,7 @@
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
 	"github.com/pimentohead/pimentohead/internal/controller/checkpoint"
 	"github.com/pimentohead/pimentohead/internal/h1"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/placement"
@@ -38,6 +39,8 @@
 	// the fixed number RetryBudgetFixed, as retries.
 	RetryBudgetRatio, RetryBudgetFixed float64
 	RetryBudgetWindow                  time.Duration
+	// MemoryBytes is the memory limit of the process, 0 if there is none. memoryShare of it is the budget for what callers send and read.
+	MemoryBytes int64
 }
 
 const (
@@ -54,6 +57,11 @@
 	drainFraction  = 0.92
 	// sweepInterval is the time between checks for idle connections.
 	sweepInterval = time.Second
+	// memoryShare is the fraction of MemoryBytes that may be held for callers. An entry uses 34 to 51 MB for itself, and the heap limit of
+	// the runtime is 0.6 of MemoryBytes: at 184 MB, budget and own use together stay below it.
+	memoryShare = 0.25
+	// unreadInterval is the time between measurements of what callers have not read.
+	unreadInterval = 250 * time.Millisecond
 )
 
 // Entry is the process that accepts the requests of callers and sends them to upstreams.
@@ -67,17 +75,23 @@
 	// servedUntil is when a leaving entry ends the requests in progress; nil before.
 	servedUntil atomic.Pointer[time.Time]
 	conns       *callerconn.Tracker
+	// memory is the budget for what is held for callers; nil without a memory limit.
+	memory *membudget.Budget
 }
 
 // NewEntry returns an entry. Run starts it.
 func NewEntry(cfg EntryConfig) (*Entry, error) {
-	e := &Entry{cfg: cfg, pool: h1.NewPool()}
+	e := &Entry{cfg: cfg, pool: h1.NewPool(), memory: membudget.New(int64(memoryShare * float64(cfg.MemoryBytes)))}
 	c, err := cfg.newComponents(message.RoleEntry, cfg.LinkAddress, cfg.Origin, e.leaving.Load, nil)
 	if err != nil {
 		return nil, err
 	}
 	e.components = c
 	e.conns = callerconn.NewTracker(e.idleLimit)
+	if e.memory != nil {
+		e.conns.LimitBuffers()
+		e.pool.LimitBuffers()
+	}
 	metrics, err := relay.NewMetrics(c.metrics.Meter)
 	if err != nil {
 		return nil, err
@@ -94,11 +108,11 @@
 		Codec: cfg.Codec, State: c.state, Loads: c.loads, PeerWork: c.peerWork, Tracker: c.tracker, Pool: e.pool,
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
 		RetryBudget:     e.budget,
-		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
+		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals, MemoryBudget: e.memory,
 		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
 		ServedUntil: e.endOfService,
 	})
-	return e, nil
+	return e, observeMemory(c.metrics.Meter, e.memory, e.relay.FullStreams)
 }
 
 // Run serves callers until ctx ends, then drains. It returns an error if a listener cannot be opened or serving callers fails.
@@ -124,7 +138,7 @@
 	checkpoints := checkpoint.NewWriter(checkpoint.WriterConfig{Store: e.Store, Prefix: checkpointsPrefix, State: e.state,
 		Position: e.mesh.Position, Log: e.Log, StartWait: e.startWait(), AssumedAge: e.assumedVersionAge()})
 	for _, run := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Decoder).Run, registry.announce, registry.discover, verdicts.run,
-		checkpoints.Run, e.sweep, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
+		checkpoints.Run, e.sweep, e.measureUnread, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
 		wg.Add(1)
 		go func() { defer wg.Done(); run(serveCtx) }()
 	}
@@ -224,6 +238,14 @@
 	}
 }
 
+// measureUnread counts what callers have not read towards the memory budget until ctx ends.
+func (e *Entry) measureUnread(ctx context.Context) {
+	for e.memory != nil && ctx.Err() == nil {
+		e.memory.SetUnread(e.conns.Unread())
+		pause.For(ctx, unreadInterval)
+	}
+}
+
 // idleLimit returns how long the connection of a caller may stay idle according to the configuration in force, 0 for no limit.
 func (e *Entry) idleLimit() time.Duration {
 	index := e.state.Snapshot().Index
--- a/internal/directpath/metrics.go
+++ b/internal/directpath/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/pimentohead/pimentohead/internal/link"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 )
 
 // observeTraffic registers counters of the frames and the bytes on all links, by direction and type of message.
@@ -32,3 +33,40 @@
 	}, frames, sizes)
 	return errors.Wrap(err, "directpath: register the counters of links")
 }
+
+// observeMemory registers the metrics of a memory budget. fullStreams returns the number of streams that wait for their callers to read, and
+// how often streams have begun to wait.
+func observeMemory(meter metric.Meter, budget *membudget.Budget, fullStreams func() (now, total int64)) error {
+	limit, err := meter.Int64ObservableGauge("pimentohead_memory_limit", metric.WithUnit("By"))
+	if err != nil {
+		return errors.Wrap(err, "directpath: create the gauge of the memory limit")
+	}
+	held, err := meter.Int64ObservableGauge("pimentohead_memory_held", metric.WithUnit("By"))
+	if err != nil {
+		return errors.Wrap(err, "directpath: create the gauge of held memory")
+	}
+	refusals, err := meter.Int64ObservableCounter("pimentohead_memory_refusals")
+	if err != nil {
+		return errors.Wrap(err, "directpath: create the counter of refused memory")
+	}
+	full, err := meter.Int64ObservableGauge("pimentohead_relay_full_streams")
+	if err != nil {
+		return errors.Wrap(err, "directpath: create the gauge of full streams")
+	}
+	waits, err := meter.Int64ObservableCounter("pimentohead_relay_full_stream_waits")
+	if err != nil {
+		return errors.Wrap(err, "directpath: create the counter of full streams")
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		usage := budget.Usage()
+		o.ObserveInt64(limit, usage.Limit)
+		o.ObserveInt64(held, usage.Reserved, metric.WithAttributes(attribute.String("kind", "buffers")))
+		o.ObserveInt64(held, usage.Unread, metric.WithAttributes(attribute.String("kind", "unread")))
+		o.ObserveInt64(refusals, usage.Refusals)
+		now, total := fullStreams()
+		o.ObserveInt64(full, now)
+		o.ObserveInt64(waits, total)
+		return nil
+	}, limit, held, refusals, full, waits)
+	return errors.Wrap(err, "directpath: register the metrics of memory")
+}
--- a/internal/directpath/metrics_test.go
+++ b/internal/directpath/metrics_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/link"
 	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/refusal"
@@ -51,3 +53,25 @@
 			`pimentohead_link_frames_total\{[^}]*direction="`+direction+`"[^}]*type="Heartbeat"[^}]*\} [1-9]`), direction)
 	}
 }
+
+// Guards against memory held for callers that no metric shows: nobody could tell why requests are refused.
+func TestMetricsShowMemoryHeldForCallers(t *testing.T) {
+	g := NewWithT(t)
+	metrics, err := telemetry.NewMetrics("test")
+	g.Expect(err).NotTo(HaveOccurred())
+	budget := membudget.New(1000)
+	budget.SetUnread(600)
+	held := budget.Reserve()
+	_, err = held.ReadAll(strings.NewReader("x"), 299)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = budget.Reserve().ReadAll(strings.NewReader("x"), 299)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(observeMemory(metrics.Meter, budget, func() (int64, int64) { return 2, 7 })).To(Succeed())
+	recorder := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{`pimentohead_memory_limit_bytes\S* 1000`, `pimentohead_memory_held_bytes\S*kind="buffers"\S* 300`,
+		`pimentohead_memory_held_bytes\S*kind="unread"\S* 600`, `pimentohead_memory_refusals_total\S* 1`,
+		`pimentohead_relay_full_streams\S* 2`, `pimentohead_relay_full_stream_waits_total\S* 7`} {
+		g.Expect(recorder.Body.String()).To(MatchRegexp(line))
+	}
+}
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -86,8 +86,11 @@
 	return &Conn{nc: nc, input: input, br: bufio.NewReaderSize(input, readBufferSize), addr: addr}
 }
 
-// Close closes the connection.
-func (c *Conn) Close() { _ = c.nc.Close() }
+// Close closes the connection. The kernel discards what an upstream does not read within tcpUserTimeout after that.
+func (c *Conn) Close() {
+	c.restoreAckTime()
+	_ = c.nc.Close()
+}
 
 // SilentFor returns the time since bytes last arrived, or since the connection was opened if none have arrived.
 func (c *Conn) SilentFor() time.Duration { return time.Since(c.input.lastInput) }
@@ -244,10 +247,10 @@
 	}
 }
 
-// encodeHead returns the request line and the headers, with capacity for the body.
+// encodeHead returns the request line and the headers, with capacity for a body that is written with them.
 func (c *Conn) encodeHead(req *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(req.Body)) // 1 KiB for the request line and the headers; the buffer grows if they are longer.
+	b.Grow(1024 + min(len(req.Body), maxInlineBody)) // 1 KiB for the request line and the headers; the buffer grows if they are longer.
 	b.WriteString(req.Method)
 	b.WriteByte(' ')
 	b.WriteString(req.Target)
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -30,21 +30,27 @@
 	mu     sync.Mutex
 	// idle maps an address to its idle connections, the most recently used last. It is guarded by mu.
 	idle map[string][]*Conn
+	// limitBuffers is set by LimitBuffers.
+	limitBuffers bool
 	// opened counts the connections opened since the pool was created. It is guarded by mu.
 	opened uint64
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{
-		idle: map[string][]*Conn{},
-		dialer: net.Dialer{
-			// Keep-alive probes detect the loss of the upstream while no sent bytes await acknowledgement, for example while a response
-			// is awaited.
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-			Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, tcpUserTimeout) },
+	p := &Pool{idle: map[string][]*Conn{}}
+	p.dialer = net.Dialer{
+		// Keep-alive probes detect the loss of the upstream while no sent bytes await acknowledgement, for example while a response
+		// is awaited.
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			if p.limitBuffers {
+				setBuffers(raw)
+			}
+			return setUserTimeout(raw, tcpUserTimeout)
 		},
 	}
+	return p
 }
 
 // Get returns a connection to addr. It reuses an idle connection unless forceNew is set. The error is marked ErrNotSent if no
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -1,15 +1,16 @@
 package relay
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 )
 
 // admit resolves the route, customer, rank, service and deadline of the request and reads its body. It refuses a request that cannot be
@@ -42,6 +43,7 @@
 			x.deadline = earlier(x.deadline, x.received.Add(limit))
 		}
 	}
+	x.limitWrites(x.deadline)
 	if !x.readBody(index.Config.Limits.MaxBodyBytes) {
 		return false
 	}
@@ -84,8 +86,9 @@
 // priority, see upstreamRank.
 const priorityLevels = 3
 
-// readBody reads the body, limited to limit bytes; 0 or less selects defaultMaxBody. It refuses a larger body and returns
-// false. If the caller's connection fails, it panics with http.ErrAbortHandler.
+// readBody reads the body, limited to limit bytes; 0 or less selects defaultMaxBody. It refuses a larger body, one that does not fit into the
+// memory budget, and one that has not arrived at the deadline of the request, and returns false then. If the caller's connection fails, it
+// panics with http.ErrAbortHandler.
 func (x *exchange) readBody(limit int) bool {
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -94,9 +97,26 @@
 		x.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.req.Body, int64(limit)))
+	if x.req.ContentLength == 0 {
+		x.body = []byte{}
+		return true
+	}
+	controller := http.NewResponseController(x.w)
+	_ = controller.SetReadDeadline(x.deadline) // A caller that does not send what it announced holds its part of the budget no longer.
+	body, err := x.bodyHeld.ReadAll(http.MaxBytesReader(x.w, x.req.Body, int64(limit)), int(x.req.ContentLength))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.body = []byte{} // The rest is not awaited: the read deadline stays.
+		x.refuse(http.StatusServiceUnavailable, "timeout", declinedRetryAfter)
+		return false
+	}
+	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, membudget.ErrExhausted):
+		x.bodyHeld.Release()
+		x.logMemory("body")
+		x.refuse(http.StatusServiceUnavailable, memoryCode, memoryRetryAfter)
+		return false
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return false
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -8,23 +8,32 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/membudget"
 )
 
 // maxBufferedResponse is the largest response that is read completely before it is forwarded, in bytes.
 const maxBufferedResponse = 512 << 10
 
 // forwardResponse forwards a response that is not a stream. Up to maxBufferedResponse bytes are read before anything is forwarded, so
-// that a server error or a truncated response can still be retried elsewhere.
+// that a server error or a truncated response can still be retried elsewhere. A response that does not fit into the memory budget is
+// forwarded as it arrives.
 func (a *upstreamAttempt) forwardResponse(resp *http.Response) attemptResult {
 	x := a.x
 	a.recordStart()
 	a.conn.SetReadTimeout(a.headTimeout())
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	held := x.relay.cfg.MemoryBudget.Reserve()
+	defer held.Release()
+	body, err := held.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1), x.expectedLength(resp))
+	whole := len(body) <= maxBufferedResponse
 	switch {
+	case errors.Is(err, membudget.ErrExhausted):
+		x.logMemory("response")
+		whole, err = false, nil
 	case err != nil:
 		a.bodyOverdue = errors.Is(context.Cause(x.ctx), errTimeout)
 		err = a.conn.ClassifyReadError(a.ctx, err)
-	case len(body) <= maxBufferedResponse && a.isCut():
+	case whole && a.isCut():
 		err = errCut
 	}
 	if err != nil {
@@ -44,7 +53,7 @@
 			cause: errors.Newf("relay: upstream answered %d", resp.StatusCode)}
 	}
 	x.leaveSilent()
-	a.complete = len(body) <= maxBufferedResponse
+	a.complete = whole
 	if !x.responseStarted.begin() && !a.complete {
 		return attemptResult{kind: mayHaveRun, cause: a.endedBefore(), status: resp.StatusCode} // The rest cannot be read any more.
 	}
@@ -53,10 +62,11 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.w.WriteHeader(resp.StatusCode)
-	if _, err = x.w.Write(body); err != nil {
+	if err = x.writeParts(body); err != nil {
 		return attemptResult{kind: mayHaveRun, cause: errors.Mark(err, errCallerGone), status: resp.StatusCode}
 	}
 	if !a.complete {
+		held.Release()
 		a.conn.SetReadTimeout(0)
 		if _, err = io.Copy(x.w, resp.Body); err == nil && a.isCut() {
 			err = errCut
@@ -70,6 +80,14 @@
 	return attemptResult{final: true, outcome: "answered", status: resp.StatusCode}
 }
 
+// expectedLength returns the length of the part of a response that is buffered, -1 if it is not known.
+func (x *exchange) expectedLength(resp *http.Response) int {
+	if resp.ContentLength < 0 || x.req.Method == http.MethodHead {
+		return -1
+	}
+	return int(min(resp.ContentLength, maxBufferedResponse))
+}
+
 // mayRetryServerError reports whether a server error of the upstream may be retried elsewhere. It takes a retry from the
 // budget if so.
 func (x *exchange) mayRetryServerError() bool {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/refusal"
@@ -37,6 +38,8 @@
 	answered func()
 	// checked, if not nil, is called when the relay asks how long the entry serves.
 	checked func()
+	// budget, if not nil, is the memory budget of the entry, which bounds the buffers of its sockets then.
+	budget *membudget.Budget
 }
 
 func (codec) ParseRequest(h http.Header) request.Metadata {
@@ -180,6 +183,7 @@
 	relay    *relay.Relay
 	// servedUntil is when the entry ends its requests because it shuts down; nil while it does not.
 	servedUntil *atomic.Pointer[time.Time]
+	conns       *callerconn.Tracker
 }
 
 // newEntry starts a relay with the given upstreams in its own data centre.
@@ -218,9 +222,9 @@
 	state.ApplyListing(fleet.Listing{Upstreams: list, Revision: 9})
 	loads, ledger, refusals := loadview.NewTable(nil), poison.New(nil), refusal.New(nil)
 	limiter := placement.NewPriorityLimiter(nil)
-	servedUntil := &atomic.Pointer[time.Time]{}
+	servedUntil, pool := &atomic.Pointer[time.Time]{}, h1.NewPool()
 	r := relay.New(relay.Config{Codec: c, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
-		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: h1.NewPool(), Log: logr.Discard(),
+		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: pool, Log: logr.Discard(), MemoryBudget: c.budget,
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget: relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
 		ServedUntil: func() time.Time {
@@ -233,13 +237,17 @@
 			return time.Time{}
 		}})
 	conns := callerconn.NewTracker(func() time.Duration { return 0 })
+	if c.budget != nil {
+		conns.LimitBuffers()
+		pool.LimitBuffers()
+	}
 	server := httptest.NewUnstartedServer(r)
 	server.Listener = conns.Listener(server.Listener)
 	server.Config.ConnState, server.Config.ConnContext = conns.ConnState, conns.ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
 	return &entry{url: server.URL, state: state, loads: loads, poison: ledger, refusals: refusals, limiter: limiter,
-		host: "h", relay: r, servedUntil: servedUntil}
+		host: "h", relay: r, servedUntil: servedUntil, conns: conns}
 }
 
 // callResult is the caller's view of a response.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -24,6 +24,9 @@
 	if res.rateLimit >= 0 {
 		values = append(values, "rate_limit", res.rateLimit)
 	}
+	if x.readerWait > 0 {
+		values = append(values, "reader_wait_ms", x.readerWait.Milliseconds())
+	}
 	if x.engine != nil {
 		values = append(values, "prompt_parts", strings.Join(x.meta.PromptParts, ","), "upstream_started", upstream.StartedAtMillis,
 			"answer_begun", res.answerBegun)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/poison"
@@ -68,8 +69,10 @@
 	RateLimits *ratelimit.Limiter
 	// Refusals recognises callers that come back after a refusal; nil selects a table of this entry alone.
 	Refusals *refusal.Table
-	Log      logr.Logger
-	Metrics  *Metrics
+	// MemoryBudget bounds the bytes that are held for callers; nil sets no limit.
+	MemoryBudget *membudget.Budget
+	Log          logr.Logger
+	Metrics      *Metrics
 	// DataCentre is the data centre of this entry.
 	DataCentre string
 	// VersionApplyWindow is the time after the naming of a version from which no request may start on older weights.
@@ -88,6 +91,7 @@
 	inProgress attemptTable
 	// durations holds how long requests took, to decide which ones can still be served during a shutdown.
 	durations durationTable
+	memory    memoryState
 	// answering is cancelled by answerRequests, shutdown by endRequests.
 	answering, shutdown         context.Context
 	answerRequests, endRequests context.CancelFunc
@@ -117,11 +121,13 @@
 
 // exchange is the state of one caller request.
 type exchange struct {
-	relay    *Relay
-	w        http.ResponseWriter
-	req      *http.Request
-	ctx      context.Context
-	body     []byte
+	relay *Relay
+	w     http.ResponseWriter
+	req   *http.Request
+	ctx   context.Context
+	body  []byte
+	// bodyHeld is the part of the memory budget that body takes.
+	bodyHeld *membudget.Reservation
 	meta     request.Metadata
 	route    *catalog.Route
 	service  string
@@ -157,13 +163,18 @@
 	timeToFirstEvent time.Duration
 	// events is the progress of a streamed response.
 	events streamProgress
+	// readerWait is how long the response waited for the caller to read.
+	readerWait time.Duration
 }
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	received := time.Now()
-	x := &exchange{relay: r, w: w, req: req, received: received, tried: map[string]bool{}, meta: r.cfg.Codec.ParseRequest(req.Header)}
+	x := &exchange{relay: r, w: w, req: req, received: received, tried: map[string]bool{}, meta: r.cfg.Codec.ParseRequest(req.Header),
+		bodyHeld: r.cfg.MemoryBudget.Reserve()}
+	defer x.bodyHeld.Release()
 	defer x.answerPanic()
+	x.limitWrites(received.Add(defaultDeadline))
 	if !x.admit() {
 		return
 	}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -53,6 +53,7 @@
 		x.relay.cfg.Log.Error(err, "response could not be encoded", "request", x.meta.ID)
 	}
 	x.discardBody()
+	x.limitWrites(time.Now())
 	x.setConnectionHeaders()
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -32,7 +32,8 @@
 // forwardStream forwards the events of a response as they arrive, complete events only.
 func (a *upstreamAttempt) forwardStream(resp *http.Response) attemptResult {
 	x := a.x
-	var pending []byte
+	pending, held := make([]byte, 0, pendingAllowance), x.relay.cfg.MemoryBudget.Reserve()
+	defer held.Release()
 	body, buf := a.conn.LineReader(resp.Body), make([]byte, streamReadSize)
 	awaitingFirst := true
 	a.lastRead, a.stalledSince = time.Now(), time.Now()
@@ -45,12 +46,15 @@
 		if a.replaced() {
 			return a.failStream(a.conn.ClassifyReadError(a.ctx, err), timeToFirst)
 		}
-		pending = append(pending, buf[:n]...)
+		var newEvents int
+		var memoryErr, forwardErr error
+		if pending, memoryErr = held.Append(pending, buf[:n]); memoryErr != nil {
+			x.logMemory("event")
+			return a.failStream(memoryErr, timeToFirst)
+		}
 		if n > 0 {
 			a.recordRead(time.Now())
 		}
-		var newEvents int
-		var forwardErr error
 		pending, newEvents, forwardErr = a.forwardEvents(resp, pending)
 		if newEvents > 0 {
 			a.stalledSince = time.Now()
@@ -165,6 +169,9 @@
 
 // write sends a part of a stream to the caller at once. Its errors are marked errCallerGone.
 func (x *exchange) write(text []byte) error {
+	if err := x.awaitReader(); err != nil {
+		return err
+	}
 	_, err := x.w.Write(text)
 	if err == nil {
 		err = http.NewResponseController(x.w).Flush()
