h1, engine, platform: a status below 100 is a malformed response

Cause: net/http parses a status of 000 to 099. h1 took it for an interim response and read the body as the next head; net/http's client takes it for final, and it is below the limits from which statuses are failures.

The own path's store client counts such a status as an unknown outcome of a write. engine reads at most two interim responses, as h1 does.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -3,9 +3,15 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/platform/bodyread"
 )
 
 // countingConn is a connection that counts its reads that returned bytes.
@@ -47,11 +53,12 @@
 	readsBefore uint64
 	// sent is set when the request took a connection, foreign when the response began before that.
 	sent, foreign bool
+	interim       interimCounter
 }
 
 // hooks returns the hooks by which net/http reports to t.
 func (t *requestTrace) hooks() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: t.gotConn, GotFirstResponseByte: t.gotFirstResponseByte}
+	return &httptrace.ClientTrace{GotConn: t.gotConn, GotFirstResponseByte: t.gotFirstResponseByte, Got1xxResponse: t.interim.add}
 }
 
 func (t *requestTrace) gotConn(info httptrace.GotConnInfo) {
@@ -76,12 +83,35 @@
 	return t.sent
 }
 
-// closeForeign reports whether the response is not that of the request. If so, it closes the connection.
-func (t *requestTrace) closeForeign() bool {
+// check returns an error if the response is not that of the request or has no valid status. It closes the connection then, as what follows on
+// it may be anything.
+func (t *requestTrace) check(resp *http.Response) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	err := bodyread.CheckStatus(resp)
 	if t.foreign {
+		err = errors.WithStack(ErrForeignResponse)
+	}
+	if err == nil {
+		return nil
+	}
+	if t.conn != nil {
 		_ = t.conn.Close()
 	}
-	return t.foreign
+	_ = resp.Body.Close()
+	return err
+}
+
+// maxInterimResponses is the number of interim responses to one request that are read before its response.
+const maxInterimResponses = 2
+
+// interimCounter counts the interim responses to one request. The zero value is ready for use.
+type interimCounter struct{ n atomic.Int32 }
+
+// add is a Got1xxResponse hook. An error ends the request.
+func (c *interimCounter) add(status int, _ textproto.MIMEHeader) error {
+	if c.n.Add(1) > maxInterimResponses {
+		return errors.Newf("engine: more than %d interim responses, the last with status %d", maxInterimResponses, status)
+	}
+	return nil
 }
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pimentohead/pimentohead/internal/platform/bodyread"
 	"github.com/pimentohead/pimentohead/internal/swap"
 )
 
@@ -86,6 +87,8 @@
 
 // doControl sends a control request or a health check, and returns the status code and the body of the response.
 func (u *Upstream) doControl(ctx context.Context, method, path string, payload []byte) (int, []byte, error) {
+	var interim interimCounter
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: interim.add})
 	req, err := http.NewRequestWithContext(ctx, method, u.cfg.BaseURL+path, bytes.NewReader(payload))
 	if err != nil {
 		return 0, nil, errors.Mark(err, ErrControl)
@@ -101,6 +104,9 @@
 		return 0, nil, errors.Mark(classify(ctx, errors.Wrapf(err, "engine: %s", path)), ErrControl)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err = bodyread.CheckStatus(resp); err != nil {
+		return 0, nil, errors.Mark(errors.Wrapf(err, "engine: %s", path), ErrControl)
+	}
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxControlResponseBytes+1))
 	if err != nil {
 		return 0, nil, errors.Mark(classify(ctx, errors.Wrapf(err, "engine: %s", path)), ErrControl)
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -126,9 +126,8 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	resp, err := u.requests.RoundTrip(req)
-	if err == nil && trace.closeForeign() {
-		_ = resp.Body.Close()
-		err = errors.WithStack(ErrForeignResponse)
+	if err == nil {
+		err = trace.check(resp)
 	}
 	if err != nil {
 		idle.stop()
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pimentohead/pimentohead/internal/platform/bodyread"
 )
 
 // Errors of a Conn.
@@ -140,6 +142,9 @@
 		headBytes = c.input.remaining
 		c.input.removeLimit()
 		_ = c.nc.SetReadDeadline(deadline)
+		if err = bodyread.CheckStatus(resp); err != nil {
+			return nil, c.classifyError(ctx, err, "read head") // What follows may be anything.
+		}
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
--- a/internal/platform/bodyread/bodyread.go
+++ b/internal/platform/bodyread/bodyread.go
@@ -1,10 +1,11 @@
-// Package bodyread reads HTTP response bodies with limits on the size, the rate and the time without progress. It also has the limit on
+// Package bodyread reads HTTP response bodies with limits on the size, the rate and the time without progress. It also has the limits on
 // response heads.
 package bodyread
 
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,9 @@
 // MaxHeadBytes is the value for http.Transport.MaxResponseHeaderBytes, whose default is 10 MiB. It also bounds interim responses.
 const MaxHeadBytes = 64 << 10
 
+// ErrInvalidStatus means that the status of a response is below 100.
+var ErrInvalidStatus = errors.New("response with a status below 100")
+
 // Errors of ReadAll.
 var (
 	// ErrStalled means that too few bytes arrived within IdleTimeout.
@@ -82,3 +86,12 @@
 		return err
 	}
 }
+
+// CheckStatus returns ErrInvalidStatus for a response with a status below 100. net/http accepts such a status as final, but no server sends one
+// on purpose, and it is below the limits from which statuses count as failures.
+func CheckStatus(resp *http.Response) error {
+	if resp.StatusCode < http.StatusContinue {
+		return errors.Wrapf(ErrInvalidStatus, "status %03d", resp.StatusCode)
+	}
+	return nil
+}
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -189,14 +189,15 @@
 	var detail etcdjson.ErrorResponse
 	_ = json.Unmarshal(body, &detail) // The message stays empty if the body has another format.
 	err := errors.Newf("store: %s: status %d: %s", path, status, detail.Message)
+	failed := status >= http.StatusInternalServerError || status < http.StatusContinue // net/http accepts a status of 000.
 	switch {
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 		return errors.Mark(err, ErrUnavailable)
 	case detail.Code == etcdjson.CodeNotFound:
 		return errors.Mark(err, ErrLeaseNotFound)
-	case status >= http.StatusInternalServerError && kind == writeCall:
+	case failed && kind == writeCall:
 		return errors.Mark(err, ErrAmbiguous)
-	case status >= http.StatusInternalServerError:
+	case failed:
 		return errors.Mark(err, ErrUnavailable)
 	default:
 		return errors.Mark(err, ErrRejected)
