relay: wait for readers of streams only with a memory budget

Cause: the limit of 64 KiB that a stream may have unread also applied to deployments whose settings have no limit of memory.

Change: without a budget only the kernel limits it, as before. A test that the deadline for the writes of a response ends with it.

--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -102,9 +102,10 @@
 	return nil
 }
 
-// hasFullBuffer reports whether no more of a stream is written before the caller has read.
+// hasFullBuffer reports whether no more of a stream is written before the caller has read. Without a memory budget, only the kernel limits that.
 func (x *exchange) hasFullBuffer() bool {
-	return callerconn.Unread(x.req.Context()) > unreadLimit(x.relay.cfg.MemoryBudget.Exhausted())
+	budget := x.relay.cfg.MemoryBudget
+	return budget != nil && callerconn.Unread(x.req.Context()) > unreadLimit(budget.Exhausted())
 }
 
 // unreadLimit returns how many bytes of a stream may wait for its caller.
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -282,3 +282,21 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(body)).To(Equal((first + rest)[8*kib:]))
 }
+
+// Guards against the deadline for the writes of a response that still applies to what is sent on its connection later.
+func TestDeadlineForWritesEndsWithTheResponse(t *testing.T) {
+	g := NewWithT(t)
+	e := newEntry(t, newUpstream(t, "u1", respondOK))
+	nc := slowCaller(t, e, "/order/", "body")
+	input := bufio.NewReader(nc)
+	resp, err := http.ReadResponse(input, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	time.Sleep(2200 * time.Millisecond) // The deadline is 1 s, its grace another one.
+	_, _ = io.WriteString(nc, "GET / HTTP/1.1\r\nno header\r\n\r\n")
+	resp, err = http.ReadResponse(input, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+}
