pimentoctl: explain-placement shows where a request would go now

Cause: why an upstream gets no request could be seen only from the log lines of requests that were sent or refused.

Change: entries answer GET /debug/placement on their metrics address, from the code that places requests: the candidates of each service of the route, and for each upstream the reason for which a request would be refused if it were the only one. So a reason that is added to candidates and leftOut.refusal shows without a change here. Nothing is taken or counted. place is split into choices, which takes nothing, and the selection; candidates gets the list of upstreams as a parameter (candidatesAmong).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -162,6 +162,18 @@
 	Draining
 )
 
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	default:
+		return "unknown"
+	}
+}
+
 // Upstream is an announcement of one upstream, an element of the list of upstreams.
 type Upstream struct {
 	// ID identifies the upstream. It usually, but not always, changes when the upstream restarts.
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -36,7 +36,7 @@
 func commands() []command {
 	return []command{
 		initCommand(), generateCommand(), explainCommand(), explainRequestCommand(), validateCommand(), diffCommand(), submitCommand(),
-		statusCommand(), rolloutCommand(), drainCommand(), historyCommand(), keyCommand(),
+		statusCommand(), rolloutCommand(), drainCommand(), historyCommand(), keyCommand(), explainPlacementCommand(),
 	}
 }
 
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -112,6 +112,7 @@
 		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
 		ServedUntil: e.endOfService,
 	})
+	c.explanations = e.relay.ExplanationHandler(cfg.ID)
 	return e, observeMemory(c.metrics.Meter, e.memory, e.relay.FullStreams)
 }
 
--- a/internal/directpath/metrics_test.go
+++ b/internal/directpath/metrics_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -17,6 +19,7 @@
 	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/mesh"
 	"github.com/pimentohead/pimentohead/internal/message"
+	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/refusal"
 	"github.com/pimentohead/pimentohead/internal/telemetry"
 )
@@ -75,3 +78,39 @@
 		g.Expect(recorder.Body.String()).To(MatchRegexp(line))
 	}
 }
+
+// Guards against explanations of placements that no address serves, and against an agent that fails because it has none.
+func TestExplanationsAreServedBesideTheMetrics(t *testing.T) {
+	for role, explanations := range map[string]http.Handler{"entry": http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.FormValue("host"))
+	}), "agent": nil} {
+		t.Run(role, func(t *testing.T) {
+			g := NewWithT(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			address := l.Addr().String()
+			_ = l.Close()
+			metrics, err := telemetry.NewMetrics("test")
+			g.Expect(err).NotTo(HaveOccurred())
+			c := &components{Node: Node{MetricsAddress: address, Log: logr.Discard()}, metrics: metrics, explanations: explanations}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go c.serveMetrics(ctx)
+			get := func(path string) string {
+				resp, err := http.Get("http://" + address + path)
+				if err != nil {
+					return ""
+				}
+				defer func() { _ = resp.Body.Close() }()
+				text, _ := io.ReadAll(resp.Body)
+				return string(text)
+			}
+			g.Eventually(func() string { return get("/metrics") }, "3s").Should(ContainSubstring("# HELP"))
+			if explanations != nil {
+				g.Expect(get(placement.ExplanationPath + "?host=h")).To(Equal("h"))
+			} else {
+				g.Expect(get(placement.ExplanationPath)).To(ContainSubstring("not found"))
+			}
+		})
+	}
+}
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -100,6 +100,8 @@
 	mesh     *mesh.Mesh
 	cache    *chunkcache.Cache
 	metrics  *telemetry.Metrics
+	// explanations answers where requests would be sent; nil for an agent.
+	explanations http.Handler
 }
 
 // newComponents creates the components of a node. address is the address that the node announces: its link address for an entry,
@@ -177,7 +179,7 @@
 	return nil, errors.Wrapf(lastErr, "directpath: listen on %s", address)
 }
 
-// serveMetrics serves /metrics until ctx ends. A failure is only logged, as the node works without metrics.
+// serveMetrics serves /metrics, and the explanations of an entry, until ctx ends. A failure is only logged, as the node works without metrics.
 func (c *components) serveMetrics(ctx context.Context) {
 	l, err := listen(ctx, c.MetricsAddress)
 	if err != nil {
@@ -186,6 +188,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", c.metrics.Handler())
+	if c.explanations != nil {
+		mux.Handle("GET "+placement.ExplanationPath, c.explanations)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	if err := server.Serve(l); err != nil && ctx.Err() == nil {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -33,8 +33,19 @@
 		return false
 	}
 	x.rank = x.effectiveRank(index)
-	x.service = x.route.PickService(rand.Float64())
-	if s := index.Service(x.service); s != nil {
+	x.useService(x.route.PickService(rand.Float64()))
+	x.limitWrites(x.deadline)
+	if !x.readBody(index.Config.Limits.MaxBodyBytes) {
+		return false
+	}
+	x.recognise()
+	return true
+}
+
+// useService sets the service, its engine and the deadline of the request.
+func (x *exchange) useService(service string) {
+	x.service, x.engine = service, nil
+	if s := x.snapshot.Index.Service(service); s != nil {
 		x.engine = s.Engine
 	}
 	x.deadline = x.received.Add(defaultDeadline)
@@ -43,12 +54,6 @@
 			x.deadline = earlier(x.deadline, x.received.Add(limit))
 		}
 	}
-	x.limitWrites(x.deadline)
-	if !x.readBody(index.Config.Limits.MaxBodyBytes) {
-		return false
-	}
-	x.recognise()
-	return true
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -10,7 +10,12 @@
 
 // candidates returns the upstreams that can take the request, and what is known of the others.
 func (x *exchange) candidates(now time.Time) (list []placement.Candidate, out leftOut) {
-	for _, u := range x.snapshot.Upstreams(x.service) {
+	return x.candidatesAmong(x.snapshot.Upstreams(x.service), now)
+}
+
+// candidatesAmong is candidates for some upstreams of the service. It takes and changes nothing, see Relay.Explain.
+func (x *exchange) candidatesAmong(upstreams []*catalog.Upstream, now time.Time) (list []placement.Candidate, out leftOut) {
+	for _, u := range upstreams {
 		status := x.relay.availability.Status(processOf(u))
 		switch {
 		case u.State != catalog.Ready || status.Leaving:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -252,14 +252,7 @@
 
 // place selects the upstream for the next attempt, or returns a refusal. The request is taken from what the upstream takes.
 func (x *exchange) place() placement.Decision {
-	now := time.Now()
-	x.snapshot = x.relay.cfg.State.Snapshot()
-	list, out := x.candidates(now)
-	list = x.avoidInterruptions(x.avoidOlderWeights(list), now)
-	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
-		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.hasBegun() || x.possibleRuns > 0,
-		Returning: x.returning,
-		MaxWait:   x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
+	q, list, out := x.choices(time.Now())
 	for {
 		d := placement.Choose(q, list)
 		if d.Upstream == nil {
@@ -275,6 +268,18 @@
 	}
 }
 
+// choices returns what package placement selects an upstream from, and what is known of the upstreams that are no candidates. It takes nothing.
+func (x *exchange) choices(now time.Time) (q placement.Query, list []placement.Candidate, out leftOut) {
+	x.snapshot = x.relay.cfg.State.Snapshot()
+	list, out = x.candidates(now)
+	list = x.avoidInterruptions(x.avoidOlderWeights(list), now)
+	q = placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
+		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.hasBegun() || x.possibleRuns > 0,
+		Returning: x.returning,
+		MaxWait:   x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
+	return q, list, out
+}
+
 // placeOrWait is place, but waits for an upstream for a response that has begun: ending the request would end the response, while an upstream
 // may be about to come back, or to have loaded a version.
 func (x *exchange) placeOrWait() placement.Decision {
