membudget: no larger buffer than the data may be long

Cause: the buffer for data of unknown length doubled beyond its limit: a chunked body of 4 MiB took 8 MiB, and 12 MiB while it was copied. Without a budget, a body took the memory that its length announced before it arrived.

Change: ReadAll gets the largest length. Without a budget, the first buffer is 64 KiB at most.

--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -36,7 +37,7 @@
 			if caller%2 == 0 {
 				expected = -1
 			}
-			read, err := held.ReadAll(iotest.OneByteReader(bytes.NewReader(body)), expected)
+			read, err := held.ReadAll(iotest.OneByteReader(bytes.NewReader(body)), expected, 64*kib)
 			usage := budget.Usage()
 			if usage.Reserved > limit {
 				t.Errorf("%d bytes are reserved", usage.Reserved)
@@ -54,7 +55,7 @@
 	budget.SetUnread(0)
 	g.Expect(budget.Usage().Reserved).To(BeZero())
 	held := budget.Reserve()
-	_, err := held.ReadAll(strings.NewReader("x"), limit-1)
+	_, err := held.ReadAll(strings.NewReader("x"), limit-1, limit)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(budget.Exhausted()).To(BeTrue())
 }
@@ -65,7 +66,7 @@
 	budget := membudget.New(10 * kib)
 	budget.SetUnread(4 * kib)
 	source := strings.NewReader(strings.Repeat("x", 8*kib))
-	_, err := budget.Reserve().ReadAll(source, 8*kib)
+	_, err := budget.Reserve().ReadAll(source, 8*kib, 8*kib)
 	g.Expect(errors.Is(err, membudget.ErrExhausted)).To(BeTrue())
 	g.Expect(source.Len()).To(Equal(8 * kib))
 	g.Expect(budget.Usage()).To(Equal(membudget.Usage{Limit: 10 * kib, Unread: 4 * kib, Refusals: 1}))
@@ -81,7 +82,7 @@
 	}
 	source := bytes.NewReader(text)
 	held := budget.Reserve()
-	read, err := held.ReadAll(source, -1)
+	read, err := held.ReadAll(source, -1, 64*kib)
 	g.Expect(errors.Is(err, membudget.ErrExhausted)).To(BeTrue())
 	rest, _ := io.ReadAll(source)
 	g.Expect(append(read, rest...)).To(Equal(text))
@@ -105,12 +106,15 @@
 	g.Expect(buf).To(HaveLen(kib + 1))
 }
 
-// Guards against a failure of a deployment without a limit of memory.
+// Guards against a failure of a deployment without a limit of memory, and against memory for what a sender announces and does not send.
 func TestNoLimit(t *testing.T) {
 	g := NewWithT(t)
 	budget := membudget.New(0)
 	held := budget.Reserve()
-	read, err := held.ReadAll(strings.NewReader("text"), -1)
+	read, err := held.ReadAll(strings.NewReader("text"), -1, kib)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(read)).To(Equal("text"))
+	read, err = held.ReadAll(strings.NewReader("text"), math.MaxInt, math.MaxInt)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(read)).To(Equal("text"))
 	held.Release()
@@ -123,7 +127,22 @@
 func TestFailureOfTheSourceIsReturned(t *testing.T) {
 	g := NewWithT(t)
 	source := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(io.ErrUnexpectedEOF))
-	read, err := membudget.New(kib<<4).Reserve().ReadAll(source, 10)
+	read, err := membudget.New(kib<<4).Reserve().ReadAll(source, 10, 10)
 	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	g.Expect(string(read)).To(Equal("part"))
 }
+
+// Guards against a buffer of twice the largest body: data of unknown length that reaches its limit takes no more than that.
+func TestBufferIsNoLargerThanTheLimitOfTheData(t *testing.T) {
+	g := NewWithT(t)
+	const most = 64 * kib
+	budget := membudget.New(kib << 10)
+	for _, size := range []int{0, 1, most - 1, most} {
+		held := budget.Reserve()
+		read, err := held.ReadAll(bytes.NewReader(make([]byte, size)), -1, most)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(read).To(HaveLen(size))
+		g.Expect(budget.Usage().Reserved).To(BeNumerically("<=", most+1))
+		held.Release()
+	}
+}
--- a/internal/membudget/reservation.go
+++ b/internal/membudget/reservation.go
@@ -2,12 +2,17 @@
 
 import (
 	"io"
+	"math"
 
 	"github.com/cockroachdb/errors"
 )
 
-// firstBuffer is the size of the first buffer for data of unknown length, in bytes.
-const firstBuffer = 4 << 10
+const (
+	// firstBuffer is the size of the first buffer for data of unknown length, in bytes.
+	firstBuffer = 4 << 10
+	// unlimitedFirstBuffer bounds the first buffer without a budget, in bytes: a sender may announce much and send nothing.
+	unlimitedFirstBuffer = 64 << 10
+)
 
 // Reservation is the part of a budget that one body or response holds. It is not safe for concurrent use.
 type Reservation struct {
@@ -38,18 +43,22 @@
 	return append(next, data...), nil
 }
 
-// ReadAll reads from source until its end into a buffer within the budget. expected is the length of the data, negative if it is unknown. On
-// a failure it returns what it has read before; the error is ErrExhausted if the next part does not fit. With a known length, nothing is read
-// unless all of it fits.
-func (r *Reservation) ReadAll(source io.Reader, expected int) ([]byte, error) {
-	size := firstBuffer
+// ReadAll reads from source until its end into a buffer within the budget. expected is the length of the data, negative if it is unknown; most
+// is the length that source does not exceed, so that no larger buffer is taken. On a failure it returns what it has read before; the error is
+// ErrExhausted if the next part does not fit. With a known length, nothing is read unless all of it fits.
+func (r *Reservation) ReadAll(source io.Reader, expected, most int) ([]byte, error) {
+	most = min(most, math.MaxInt/2)
+	size := min(firstBuffer, most+1) // The last read, which finds the end, needs space too.
 	if expected >= 0 {
-		size = expected + 1 // The last read, which finds the end, needs space too.
+		size = min(expected, most) + 1
+	}
+	if r.budget == nil {
+		size = min(size, unlimitedFirstBuffer)
 	}
 	buf, err := r.resize(nil, size)
 	for err == nil {
 		if len(buf) == cap(buf) {
-			if buf, err = r.resize(buf, 2*cap(buf)); err != nil {
+			if buf, err = r.resize(buf, max(min(2*cap(buf), most+1), cap(buf)+1)); err != nil {
 				break
 			}
 		}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -108,7 +108,7 @@
 	}
 	controller := http.NewResponseController(x.w)
 	_ = controller.SetReadDeadline(x.deadline) // A caller that does not send what it announced holds its part of the budget no longer.
-	body, err := x.bodyHeld.ReadAll(http.MaxBytesReader(x.w, x.req.Body, int64(limit)), int(x.req.ContentLength))
+	body, err := x.bodyHeld.ReadAll(http.MaxBytesReader(x.w, x.req.Body, int64(limit)), int(x.req.ContentLength), limit)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		x.body = []byte{} // The rest is not awaited: the read deadline stays.
 		x.refuse(http.StatusServiceUnavailable, "timeout", declinedRetryAfter)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -24,7 +24,8 @@
 	a.conn.SetReadTimeout(a.headTimeout())
 	held := x.relay.cfg.MemoryBudget.Reserve()
 	defer held.Release()
-	body, err := held.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1), x.expectedLength(resp))
+	const most = maxBufferedResponse + 1
+	body, err := held.ReadAll(io.LimitReader(resp.Body, most), x.expectedLength(resp), most)
 	whole := len(body) <= maxBufferedResponse
 	switch {
 	case errors.Is(err, membudget.ErrExhausted):
