--- a/cmd/pimentoheadd/platform.go
+++ b/cmd/pimentoheadd/platform.go
@@ -89,6 +89,7 @@
 		RetryBudgetRatio: s.Bounds.RetryBudgetRatio, RetryBudgetFixed: s.Bounds.RetryBudgetFixed,
 		RetryBudgetWindow: s.Bounds.RetryBudgetWindow, Regions: s.RegionByDataCentre,
 		ColdOverrun: s.Bounds.ColdOverrun, ColdSlack: s.Bounds.ColdSlack,
+		MemoryBytes: s.MemoryBytes,
 	})
 	if err != nil {
 		return err
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohead/pimentohead/internal/controller/checkpoint"
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/placement"
@@ -45,6 +46,8 @@
 	// In any one second, all entries together may send ColdOverrun times the rate that the configuration gives for a cold upstream, plus
 	// ColdSlack requests.
 	ColdOverrun, ColdSlack float64
+	// MemoryBytes is the memory limit of the process, 0 if there is none. memoryShare of it is the budget for what callers send and read.
+	MemoryBytes int64
 }
 
 const (
@@ -61,6 +64,11 @@
 	drainFraction  = 0.92
 	// sweepInterval is the time between checks for idle connections.
 	sweepInterval = time.Second
+	// memoryShare is the fraction of MemoryBytes that may be held for callers. An entry uses 34 to 51 MB for itself, and the heap limit of
+	// the runtime is 0.6 of MemoryBytes: at 184 MB, budget and own use together stay below it.
+	memoryShare = 0.25
+	// unreadInterval is the time between measurements of what callers have not read.
+	unreadInterval = 250 * time.Millisecond
 )
 
 // Entry is the process that accepts the requests of callers and sends them to upstreams.
@@ -77,17 +85,23 @@
 	// servedUntil is when a leaving entry ends the requests in progress; nil before.
 	servedUntil atomic.Pointer[time.Time]
 	conns       *callerconn.Tracker
+	// memory is the budget for what is held for callers; nil without a memory limit.
+	memory *membudget.Budget
 }
 
 // NewEntry returns an entry. Run starts it.
 func NewEntry(cfg EntryConfig) (*Entry, error) {
-	e := &Entry{cfg: cfg, pool: h1.NewPool()}
+	e := &Entry{cfg: cfg, pool: h1.NewPool(), memory: membudget.New(int64(memoryShare * float64(cfg.MemoryBytes)))}
 	c, err := cfg.newComponents(message.RoleEntry, cfg.LinkAddress, cfg.Origin, e.leaving.Load, nil)
 	if err != nil {
 		return nil, err
 	}
 	e.components = c
 	e.conns = callerconn.NewTracker(e.idleLimit)
+	if e.memory != nil {
+		e.conns.LimitBuffers()
+		e.pool.LimitBuffers()
+	}
 	metrics, err := relay.NewMetrics(c.metrics.Meter)
 	if err != nil {
 		return nil, err
@@ -109,10 +123,11 @@
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
 		RetryBudget:     e.budget,
 		Poison:          c.poison, RateLimits: c.rateLimits, Warmup: e.warmup, Refusals: c.refusals, Observed: loadview.NewObservedTable(nil),
-		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, Regions: cfg.Regions, VersionApplyWindow: cfg.VersionApply,
+		MemoryBudget: e.memory, Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, Regions: cfg.Regions, VersionApplyWindow: cfg.VersionApply,
 		ServedUntil: e.endOfService,
 	})
-	return e, nil
+	c.explanations = e.relay.ExplanationHandler(cfg.ID)
+	return e, observeMemory(c.metrics.Meter, e.memory, e.relay.FullStreams)
 }
 
 // Run serves callers until ctx ends, then drains. It returns an error if a listener cannot be opened or serving callers fails.
@@ -138,7 +153,7 @@
 	checkpoints := checkpoint.NewWriter(checkpoint.WriterConfig{Store: e.Store, Prefix: checkpointsPrefix, State: e.state,
 		Position: e.mesh.Position, Log: e.Log, StartWait: e.startWait(), AssumedAge: e.assumedVersionAge()})
 	for _, run := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Decoder).Run, registry.announce, registry.discover, verdicts.run,
-		checkpoints.Run, e.sweep, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
+		checkpoints.Run, e.sweep, e.measureUnread, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
 		wg.Add(1)
 		go func() { defer wg.Done(); run(serveCtx) }()
 	}
@@ -239,6 +254,14 @@
 	}
 }
 
+// measureUnread counts what callers have not read towards the memory budget until ctx ends.
+func (e *Entry) measureUnread(ctx context.Context) {
+	for e.memory != nil && ctx.Err() == nil {
+		e.memory.SetUnread(e.conns.Unread())
+		pause.For(ctx, unreadInterval)
+	}
+}
+
 // idleLimit returns how long the connection of a caller may stay idle according to the configuration in force, 0 for no limit.
 func (e *Entry) idleLimit() time.Duration {
 	index := e.state.Snapshot().Index
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -11,7 +11,12 @@
 
 // candidates returns the upstreams that can take the request, and what is known of the others.
 func (x *exchange) candidates(now time.Time) (list []placement.Candidate, out leftOut) {
-	for _, u := range x.snapshot.Upstreams(x.service) {
+	return x.candidatesAmong(x.snapshot.Upstreams(x.service), now)
+}
+
+// candidatesAmong is candidates for some upstreams of the service. It takes and changes nothing, see Relay.Explain.
+func (x *exchange) candidatesAmong(upstreams []*catalog.Upstream, now time.Time) (list []placement.Candidate, out leftOut) {
+	for _, u := range upstreams {
 		status := x.relay.availability.Status(processOf(u))
 		if reason := x.checkRegion(u, x.snapshot); reason != residency.Allowed {
 			out.excluded, out.exclusion = out.excluded+1, reason
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/poison"
@@ -74,8 +75,10 @@
 	Warmup *warmup.Limiter
 	// Refusals recognises callers that come back after a refusal; nil selects a table of this entry alone.
 	Refusals *refusal.Table
-	Log      logr.Logger
-	Metrics  *Metrics
+	// MemoryBudget bounds the bytes that are held for callers; nil sets no limit.
+	MemoryBudget *membudget.Budget
+	Log          logr.Logger
+	Metrics      *Metrics
 	// DataCentre is the data centre of this entry.
 	DataCentre string
 	// Regions maps each data centre to its region. If it is empty, routes and customers are not restricted to regions.
@@ -98,6 +101,7 @@
 	durations durationTable
 	// slowness holds how often the upstreams of each service are slow.
 	slowness *placement.SlownessTable
+	memory   memoryState
 	// answering is cancelled by answerRequests, shutdown by endRequests.
 	answering, shutdown         context.Context
 	answerRequests, endRequests context.CancelFunc
@@ -133,11 +137,13 @@
 
 // exchange is the state of one caller request.
 type exchange struct {
-	relay    *Relay
-	w        http.ResponseWriter
-	req      *http.Request
-	ctx      context.Context
-	body     []byte
+	relay *Relay
+	w     http.ResponseWriter
+	req   *http.Request
+	ctx   context.Context
+	body  []byte
+	// bodyHeld is the part of the memory budget that body takes.
+	bodyHeld *membudget.Reservation
 	meta     request.Metadata
 	route    *catalog.Route
 	service  string
@@ -181,13 +187,18 @@
 	events streamProgress
 	// pauses holds the pauses between the events of a streamed response.
 	pauses streamPauses
+	// readerWait is how long the response waited for the caller to read.
+	readerWait time.Duration
 }
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	received := time.Now()
-	x := &exchange{relay: r, w: w, req: req, received: received, tried: map[string]bool{}, meta: r.cfg.Codec.ParseRequest(req.Header)}
+	x := &exchange{relay: r, w: w, req: req, received: received, tried: map[string]bool{}, meta: r.cfg.Codec.ParseRequest(req.Header),
+		bodyHeld: r.cfg.MemoryBudget.Reserve()}
+	defer x.bodyHeld.Release()
 	defer x.answerPanic()
+	x.limitWrites(received.Add(defaultDeadline))
 	if !x.admit() {
 		return
 	}
@@ -265,16 +276,8 @@
 
 // place selects the upstream for the next attempt, or returns a refusal. The request is taken from what the upstream takes.
 func (x *exchange) place() placement.Decision {
-	now := time.Now()
-	x.snapshot = x.relay.cfg.State.Snapshot()
-	list, out := x.candidates(now)
+	q, list, out := x.choices(time.Now())
 	x.exclusion = out.exclusion
-	list = x.avoidInterruptions(x.avoidOlderWeights(list), now)
-	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
-		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.hasBegun() || x.possibleRuns > 0,
-		Returning: x.returning,
-		MaxWait:   x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
-	x.weighLateness(&q, list)
 	for {
 		d := placement.Choose(q, list)
 		if d.Upstream == nil {
@@ -291,6 +294,19 @@
 	}
 }
 
+// choices returns what package placement selects an upstream from, and what is known of the upstreams that are no candidates. It takes nothing.
+func (x *exchange) choices(now time.Time) (q placement.Query, list []placement.Candidate, out leftOut) {
+	x.snapshot = x.relay.cfg.State.Snapshot()
+	list, out = x.candidates(now)
+	list = x.avoidInterruptions(x.avoidOlderWeights(list), now)
+	q = placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
+		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.hasBegun() || x.possibleRuns > 0,
+		Returning: x.returning,
+		MaxWait:   x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
+	x.weighLateness(&q, list)
+	return q, list, out
+}
+
 // placeOrWait is place, but waits for an upstream for a response that has begun: ending the request would end the response, while an upstream
 // may be about to come back, or to have loaded a version.
 func (x *exchange) placeOrWait() placement.Decision {
