--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -70,8 +70,14 @@
 	MaxAttempts int
 	// Targets are the services that run the requests. It has one element unless requests are split by weight.
 	Targets []Target
+	// AllowedRegions are the regions in which the requests may run; an empty list sets no restriction. See UnreadableRegion.
+	AllowedRegions []string `msgpack:",omitempty"`
 }
 
+// UnreadableRegion is the only element of a list of allowed regions in which no element can be read. It is the name of no region, so that
+// the list allows none. An empty list would lift the restriction.
+const UnreadableRegion = ""
+
 // MayRepeat reports whether a request that may have run already can be sent again.
 func (r *Route) MayRepeat() bool { return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable) }
 
@@ -90,6 +96,10 @@
 	Engine *Engine
 	// Origin is set only for a service that serves weights.
 	Origin *Origin
+	// ColdStart is how long an upstream is cold after its start. While it is cold it takes ColdPerSecond requests a second from all
+	// entries together; 0 sets no limit. See package warmup.
+	ColdStart     time.Duration `msgpack:",omitempty"`
+	ColdPerSecond float64       `msgpack:",omitempty"`
 }
 
 // Engine holds the published performance figures of a model engine. An engine works in passes, in which it prefills prompts and
@@ -151,6 +161,8 @@
 	// Priority replaces the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// AllowedRegions are as in Route. Where both the route and the customer have a list, both apply.
+	AllowedRegions []string `msgpack:",omitempty"`
 }
 
 // State is the state that an upstream announces.
@@ -162,6 +174,18 @@
 	Draining
 )
 
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	default:
+		return "unknown"
+	}
+}
+
 // Upstream is an announcement of one upstream, an element of the list of upstreams.
 type Upstream struct {
 	// ID identifies the upstream. It usually, but not always, changes when the upstream restarts.
@@ -179,8 +203,15 @@
 	// Sequence counts the announcements since the start. It identifies an outdated announcement that arrives late.
 	Sequence int64 `msgpack:"Beat"`
 	Models   []LoadedLayers
+	// ColdLeft is how long the upstream stays cold from when the announcement was made, 0 if it is warm or says nothing about it, and
+	// UnreadableColdLeft if that cannot be read.
+	ColdLeft time.Duration `msgpack:",omitempty"`
 }
 
+// UnreadableColdLeft is the ColdLeft of an announcement that names a time which cannot be right. It says neither that the upstream is cold
+// nor that it is warm.
+const UnreadableColdLeft time.Duration = -1
+
 // LoadedLayers is the range of layers of a model version that an upstream has loaded.
 type LoadedLayers struct {
 	Model   string
--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -17,11 +17,14 @@
 	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
 	"github.com/pimentohead/pimentohead/internal/controller/checkpoint"
 	"github.com/pimentohead/pimentohead/internal/h1"
+	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/message"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/relay"
 	"github.com/pimentohead/pimentohead/internal/request"
+	"github.com/pimentohead/pimentohead/internal/warmup"
 )
 
 // EntryConfig holds the settings of an entry.
@@ -38,6 +41,13 @@
 	// the fixed number RetryBudgetFixed, as retries.
 	RetryBudgetRatio, RetryBudgetFixed float64
 	RetryBudgetWindow                  time.Duration
+	// Regions maps each data centre to its region. If it is empty, routes and customers are not restricted to regions.
+	Regions map[string]string
+	// In any one second, all entries together may send ColdOverrun times the rate that the configuration gives for a cold upstream, plus
+	// ColdSlack requests.
+	ColdOverrun, ColdSlack float64
+	// MemoryBytes is the memory limit of the process, 0 if there is none. memoryShare of it is the budget for what callers send and read.
+	MemoryBytes int64
 }
 
 const (
@@ -54,6 +64,11 @@
 	drainFraction  = 0.92
 	// sweepInterval is the time between checks for idle connections.
 	sweepInterval = time.Second
+	// memoryShare is the fraction of MemoryBytes that may be held for callers. An entry uses 34 to 51 MB for itself, and the heap limit of
+	// the runtime is 0.6 of MemoryBytes: at 184 MB, budget and own use together stay below it.
+	memoryShare = 0.25
+	// unreadInterval is the time between measurements of what callers have not read.
+	unreadInterval = 250 * time.Millisecond
 )
 
 // Entry is the process that accepts the requests of callers and sends them to upstreams.
@@ -63,21 +78,30 @@
 	pool    *h1.Pool
 	relay   *relay.Relay
 	budget  *relay.RetryBudget
+	warmup  *warmup.Limiter
 	leaving atomic.Bool
+	// entriesListed is set once the entries in the store have been listed.
+	entriesListed atomic.Bool
 	// servedUntil is when a leaving entry ends the requests in progress; nil before.
 	servedUntil atomic.Pointer[time.Time]
 	conns       *callerconn.Tracker
+	// memory is the budget for what is held for callers; nil without a memory limit.
+	memory *membudget.Budget
 }
 
 // NewEntry returns an entry. Run starts it.
 func NewEntry(cfg EntryConfig) (*Entry, error) {
-	e := &Entry{cfg: cfg, pool: h1.NewPool()}
+	e := &Entry{cfg: cfg, pool: h1.NewPool(), memory: membudget.New(int64(memoryShare * float64(cfg.MemoryBytes)))}
 	c, err := cfg.newComponents(message.RoleEntry, cfg.LinkAddress, cfg.Origin, e.leaving.Load, nil)
 	if err != nil {
 		return nil, err
 	}
 	e.components = c
 	e.conns = callerconn.NewTracker(e.idleLimit)
+	if e.memory != nil {
+		e.conns.LimitBuffers()
+		e.pool.LimitBuffers()
+	}
 	metrics, err := relay.NewMetrics(c.metrics.Meter)
 	if err != nil {
 		return nil, err
@@ -90,15 +114,20 @@
 	if !cfg.FirstStart {
 		e.budget.AfterPredecessor()
 	}
+	e.warmup = e.newWarmup()
+	if err := observeCold(c.metrics.Meter, e.warmup.Cold); err != nil {
+		return nil, err
+	}
 	e.relay = relay.New(relay.Config{
 		Codec: cfg.Codec, State: c.state, Loads: c.loads, PeerWork: c.peerWork, Tracker: c.tracker, Pool: e.pool,
 		PriorityLimiter: placement.NewPriorityLimiter(nil),
 		RetryBudget:     e.budget,
-		Poison:          c.poison, RateLimits: c.rateLimits, Refusals: c.refusals,
-		Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, VersionApplyWindow: cfg.VersionApply,
+		Poison:          c.poison, RateLimits: c.rateLimits, Warmup: e.warmup, Refusals: c.refusals, Observed: loadview.NewObservedTable(nil),
+		MemoryBudget: e.memory, Log: cfg.Log, Metrics: metrics, DataCentre: cfg.DataCentre, Regions: cfg.Regions, VersionApplyWindow: cfg.VersionApply,
 		ServedUntil: e.endOfService,
 	})
-	return e, nil
+	c.explanations = e.relay.ExplanationHandler(cfg.ID)
+	return e, observeMemory(c.metrics.Meter, e.memory, e.relay.FullStreams)
 }
 
 // Run serves callers until ctx ends, then drains. It returns an error if a listener cannot be opened or serving callers fails.
@@ -119,12 +148,12 @@
 	var wg sync.WaitGroup
 	prefetcher := &prefetcher{state: e.state, cache: e.cache, linkWait: linkWaitTime}
 	registry := &registry{store: e.Store, lister: e.Store, state: e.state, mesh: e.mesh, self: e.self, ledger: e.poison, log: e.Log,
-		onFirst: e.budget.WithoutPredecessor, startWait: e.startWait()}
+		onFirst: e.budget.WithoutPredecessor, onListed: func() { e.entriesListed.Store(true) }, startWait: e.startWait()}
 	verdicts := &verdictWriter{store: e.Store, state: e.state, mesh: e.mesh, ledger: e.poison, log: e.Log}
 	checkpoints := checkpoint.NewWriter(checkpoint.WriterConfig{Store: e.Store, Prefix: checkpointsPrefix, State: e.state,
 		Position: e.mesh.Position, Log: e.Log, StartWait: e.startWait(), AssumedAge: e.assumedVersionAge()})
 	for _, run := range []func(context.Context){e.mesh.Run, e.syncer(e.cfg.Decoder).Run, registry.announce, registry.discover, verdicts.run,
-		checkpoints.Run, e.sweep, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
+		checkpoints.Run, e.sweep, e.measureUnread, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
 		wg.Add(1)
 		go func() { defer wg.Done(); run(serveCtx) }()
 	}
@@ -211,11 +240,12 @@
 	return mux
 }
 
-// sweep closes idle connections to upstreams and from callers until ctx ends.
+// sweep closes idle connections to upstreams and from callers, and updates what is known of cold upstreams, until ctx ends.
 func (e *Entry) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, sweepInterval)
 		e.pool.CloseExpired()
+		e.warmup.Sweep()
 		before := e.conns.ClosedIdle()
 		e.conns.CloseExpired()
 		if closed := e.conns.ClosedIdle() - before; closed > 0 {
@@ -224,6 +254,14 @@
 	}
 }
 
+// measureUnread counts what callers have not read towards the memory budget until ctx ends.
+func (e *Entry) measureUnread(ctx context.Context) {
+	for e.memory != nil && ctx.Err() == nil {
+		e.memory.SetUnread(e.conns.Unread())
+		pause.For(ctx, unreadInterval)
+	}
+}
+
 // idleLimit returns how long the connection of a caller may stay idle according to the configuration in force, 0 for no limit.
 func (e *Entry) idleLimit() time.Duration {
 	index := e.state.Snapshot().Index
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -43,6 +43,8 @@
 // Node holds the settings that entries and agents share.
 type Node struct {
 	ID, DataCentre, Region string
+	// DataCentres are the names of all data centres, for log lines about others; optional.
+	DataCentres []string
 	// LinkAddress is the address on which an entry accepts links. SeedAddress is a second one, empty on entries that are not seeds.
 	// Agents accept no links and use neither.
 	LinkAddress, SeedAddress string
@@ -100,6 +102,8 @@
 	mesh     *mesh.Mesh
 	cache    *chunkcache.Cache
 	metrics  *telemetry.Metrics
+	// explanations answers where requests would be sent; nil for an agent.
+	explanations http.Handler
 }
 
 // newComponents creates the components of a node. address is the address that the node announces: its link address for an entry,
@@ -120,6 +124,9 @@
 	if err := observeTraffic(metrics.Meter, traffic); err != nil {
 		return nil, err
 	}
+	if err := observeEvacuations(metrics.Meter, c.state); err != nil {
+		return nil, err
+	}
 	cfg := mesh.Config{Self: c.self, Secret: n.Secret, Seeds: n.Seeds, State: c.state, Loads: c.loads, Log: n.Log, Leaving: leaving,
 		Traffic: traffic, StartWait: n.startWait()}
 	c.rateLimits = ratelimit.New(ratelimit.Config{Self: n.ID, Members: func() []string { return c.mesh.EntryIDs() }})
@@ -177,7 +184,7 @@
 	return nil, errors.Wrapf(lastErr, "directpath: listen on %s", address)
 }
 
-// serveMetrics serves /metrics until ctx ends. A failure is only logged, as the node works without metrics.
+// serveMetrics serves /metrics, and the explanations of an entry, until ctx ends. A failure is only logged, as the node works without metrics.
 func (c *components) serveMetrics(ctx context.Context) {
 	l, err := listen(ctx, c.MetricsAddress)
 	if err != nil {
@@ -186,6 +193,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", c.metrics.Handler())
+	if c.explanations != nil {
+		mux.Handle("GET "+placement.ExplanationPath, c.explanations)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	if err := server.Serve(l); err != nil && ctx.Err() == nil {
@@ -200,5 +210,5 @@
 // syncer returns the syncer that copies the configuration and the named versions from the store into the state of the node.
 func (c *components) syncer(decoder catalogsync.Decoder) *catalogsync.Syncer {
 	return catalogsync.New(c.Store, decoder, c.state, c.Log, c.mesh.ShouldWatchStore, c.assumedVersionAge()).WaitForPeers(c.startWait()).
-		WithCheckpoints(checkpoint.NewReader(c.Store, checkpointsPrefix, c.state, c.Log).Read)
+		WithDataCentres(c.DataCentres).WithCheckpoints(checkpoint.NewReader(c.Store, checkpointsPrefix, c.state, c.Log).Read)
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -79,6 +79,10 @@
 	// MustPlace is set when the request has already started and has to be continued at some upstream. It is then never refused
 	// because of a long wait.
 	MustPlace bool
+	// MaxPause is the longest pause between two events of a stream that counts as on time; 0 if the route has no limit. Slow describes the
+	// slow upstreams of the service. With both, the request is placed by the expected number of late streams, see Lateness.
+	MaxPause time.Duration
+	Slow     Slowness
 }
 
 // Decision is the result of Choose. Upstream is nil if the request is refused.
@@ -89,6 +93,8 @@
 	PredictedWait time.Duration
 	Work          Work
 	Local         bool
+	// Lateness is the expected effect at the same upstream, the zero value if it did not decide.
+	Lateness Lateness
 	// Reason and RetryAfter are set only if the request is refused.
 	Reason     Reason
 	RetryAfter time.Duration
@@ -104,11 +110,14 @@
 	if len(candidates) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: withJitter(unavailableRetryAfter)}
 	}
+	if q.weighsLateness() {
+		return chooseByLateness(&q, candidates)
+	}
 	best, wait := shortestWait(q, filterLocal(candidates))
 	if best.Upstream == nil || wait > time.Duration(float64(q.Target)*localTargetShare) {
 		best, wait = shortestWait(q, candidates)
 	}
-	if limit := waitLimit(q); !q.MustPlace && waitForMeanPrompt(q, wait) > limit && !underHalfFull(q, best) {
+	if limit := waitLimit(q); !q.MustPlace && admissionWait(q, best, wait) > limit && !underHalfFull(q, best) {
 		return Decision{PredictedWait: wait, Work: best.Work, Local: best.Local, Reason: NoCapacity,
 			RetryAfter: withJitter(min(max(wait-limit, minRetryAfter), maxRetryAfter))}
 	}
@@ -197,12 +206,10 @@
 // targetWait returns the longest predicted wait with which a request meets its target if no time has passed yet.
 func targetWait(q Query) time.Duration { return time.Duration(float64(q.Target) * maxTargetShare) }
 
-// predict returns the predicted time to the first event at a candidate. For a service without an engine it grows linearly from
-// plainServiceTime at an idle upstream to twice that when all slots are in use, and beyond.
+// predict returns the predicted time to the first event at a candidate, or to the answer of a service without an engine.
 func predict(q Query, c Candidate) time.Duration {
 	if q.Engine == nil {
-		return time.Duration(float64(plainServiceTime) *
-			(1 + float64(max(c.Work.OwnRunning, c.Work.Running))/float64(max(c.Upstream.Slots, 1))))
+		return predictPlain(c)
 	}
 	return PredictFirstEvent(q.Engine, c.Work, q.PromptTokens)
 }
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -1,15 +1,17 @@
 package relay
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/membudget"
+	"github.com/pimentohead/pimentohead/internal/residency"
 )
 
 // admit resolves the route, customer, rank, service and deadline of the request and reads its body. It refuses a request that cannot be
@@ -31,9 +33,21 @@
 		x.refuse(http.StatusUnauthorized, "unknown-key", 0)
 		return false
 	}
+	x.regions = residency.NewRule(x.relay.cfg.Regions, index, x.route, index.Customer(x.meta.Key))
 	x.rank = x.effectiveRank(index)
-	x.service = x.route.PickService(rand.Float64())
-	if s := index.Service(x.service); s != nil {
+	x.useService(x.route.PickService(rand.Float64()))
+	x.limitWrites(x.deadline)
+	if !x.readBody(index.Config.Limits.MaxBodyBytes) {
+		return false
+	}
+	x.recognise()
+	return true
+}
+
+// useService sets the service, its engine and the deadline of the request.
+func (x *exchange) useService(service string) {
+	x.service, x.engine = service, nil
+	if s := x.snapshot.Index.Service(service); s != nil {
 		x.engine = s.Engine
 	}
 	x.deadline = x.received.Add(defaultDeadline)
@@ -42,11 +56,6 @@
 			x.deadline = earlier(x.deadline, x.received.Add(limit))
 		}
 	}
-	if !x.readBody(index.Config.Limits.MaxBodyBytes) {
-		return false
-	}
-	x.recognise()
-	return true
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -84,8 +93,9 @@
 // priority, see upstreamRank.
 const priorityLevels = 3
 
-// readBody reads the body, limited to limit bytes; 0 or less selects defaultMaxBody. It refuses a larger body and returns
-// false. If the caller's connection fails, it panics with http.ErrAbortHandler.
+// readBody reads the body, limited to limit bytes; 0 or less selects defaultMaxBody. It refuses a larger body, one that does not fit into the
+// memory budget, and one that has not arrived at the deadline of the request, and returns false then. If the caller's connection fails, it
+// panics with http.ErrAbortHandler.
 func (x *exchange) readBody(limit int) bool {
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -94,9 +104,26 @@
 		x.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.req.Body, int64(limit)))
+	if x.req.ContentLength == 0 {
+		x.body = []byte{}
+		return true
+	}
+	controller := http.NewResponseController(x.w)
+	_ = controller.SetReadDeadline(x.deadline) // A caller that does not send what it announced holds its part of the budget no longer.
+	body, err := x.bodyHeld.ReadAll(http.MaxBytesReader(x.w, x.req.Body, int64(limit)), int(x.req.ContentLength), limit)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.body = []byte{} // The rest is not awaited: the read deadline stays.
+		x.refuse(http.StatusServiceUnavailable, "timeout", declinedRetryAfter)
+		return false
+	}
+	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, membudget.ErrExhausted):
+		x.bodyHeld.Release()
+		x.logMemory("body")
+		x.refuse(http.StatusServiceUnavailable, memoryCode, memoryRetryAfter)
+		return false
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return false
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -6,18 +6,32 @@
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/loadview"
 	"github.com/pimentohead/pimentohead/internal/placement"
+	"github.com/pimentohead/pimentohead/internal/residency"
 )
 
 // candidates returns the upstreams that can take the request, and what is known of the others.
 func (x *exchange) candidates(now time.Time) (list []placement.Candidate, out leftOut) {
-	for _, u := range x.snapshot.Upstreams(x.service) {
+	return x.candidatesAmong(x.snapshot.Upstreams(x.service), now)
+}
+
+// candidatesAmong is candidates for some upstreams of the service. It takes and changes nothing, see Relay.Explain.
+func (x *exchange) candidatesAmong(upstreams []*catalog.Upstream, now time.Time) (list []placement.Candidate, out leftOut) {
+	for _, u := range upstreams {
 		status := x.relay.availability.Status(processOf(u))
+		if reason := x.checkRegion(u, x.snapshot); reason != residency.Allowed {
+			out.excluded, out.exclusion = out.excluded+1, reason
+			continue
+		}
+		out.allowed++
 		switch {
 		case u.State != catalog.Ready || status.Leaving:
 			continue
 		case status.Wait > 0:
 			out.addWait(upstreamsPause, status.Wait)
 			continue
+		case x.snapshot.Evacuated(u.DataCentre):
+			out.evacuated++
+			continue
 		case x.tried[u.ID]:
 			out.tried++
 			continue
@@ -31,8 +45,14 @@
 			out.addWait(rateLimitReached, wait)
 			continue
 		}
+		if ok, wait := x.mayUseCold(u); !ok {
+			out.addWait(coldUpstream, wait)
+			out.cold++
+			continue
+		}
 		list = append(list, c)
 	}
+	list = x.preferWarm(list, &out)
 	return list, out
 }
 
@@ -50,12 +70,13 @@
 	known = known && isCurrentLoad(load, age, u)
 	if known {
 		c.Work = placement.Work{HasReport: true, Running: load.Active, Waiting: load.Queued, ReportAge: age, Slowdown: load.Slowdown}
-		c.Suspect = c.Suspect || load.Down || x.unresponsive(u, c.Local, age)
+		c.Suspect = x.seemsDown(u, load, c.Local, age) || c.Suspect
 	}
 	reported := now.Add(-age)
 	if !known {
 		reported = time.Time{}
 	}
+	reported = x.addObservation(&c.Work, u, now, reported)
 	x.relay.cfg.Tracker.AddOwnWork(&c.Work, u.ID, x.rank, reported)
 	peers := x.relay.cfg.PeerWork.Total(u.ID)
 	if !c.Local {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -22,6 +23,7 @@
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/refusal"
@@ -37,6 +39,8 @@
 	answered func()
 	// checked, if not nil, is called when the relay asks how long the entry serves.
 	checked func()
+	// budget, if not nil, is the memory budget of the entry, which bounds the buffers of its sockets then.
+	budget *membudget.Budget
 }
 
 func (codec) ParseRequest(h http.Header) request.Metadata {
@@ -63,9 +67,15 @@
 	}
 	pause, _ := time.ParseDuration(h.Get("Pause"))
 	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
-	return request.Response{ID: h.Get("Id"), Leaving: h.Get("Leaving") != "", RetryAfter: pause, Signed: h.Get("Stamp") != "", NotRun: h.Get("Not-Run") != "",
-		Misdirected: status == http.StatusMisdirectedRequest, Instance: h.Get("Instance"), RateLimit: limit, HasRateLimit: err == nil,
-		RateLimitUnreadable: err != nil && h.Get("Limit") != ""}
+	load := request.Response{}
+	if _, err := fmt.Sscanf(h.Get("Load"), "%d,%d,%d,%g", &load.Running, &load.Waiting, &load.Slots, &load.Slowdown); err != nil {
+		load = request.Response{UnreadableLoad: h.Get("Load")}
+	}
+	load.HasLoad = load.UnreadableLoad == "" && h.Get("Load") != ""
+	return request.Response{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown, HasLoad: load.HasLoad,
+		UnreadableLoad: load.UnreadableLoad, ID: h.Get("Id"), Leaving: h.Get("Leaving") != "", RetryAfter: pause, Signed: h.Get("Stamp") != "",
+		NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Instance: h.Get("Instance"), RateLimit: limit,
+		HasRateLimit: err == nil, RateLimitUnreadable: err != nil && h.Get("Limit") != ""}
 }
 
 func (codec) SetRefusalHeaders(h http.Header, _ string, retryAfter time.Duration) {
@@ -75,8 +85,10 @@
 // upstream is a scripted server that records the requests it receives.
 type upstream struct {
 	id, addr string
-	mu       sync.Mutex
-	received []*http.Request
+	// dataCentre is the data centre of the upstream; empty selects that of the entry.
+	dataCentre string
+	mu         sync.Mutex
+	received   []*http.Request
 }
 
 func (u *upstream) requests() []*http.Request {
@@ -180,6 +192,7 @@
 	relay    *relay.Relay
 	// servedUntil is when the entry ends its requests because it shuts down; nil while it does not.
 	servedUntil *atomic.Pointer[time.Time]
+	conns       *callerconn.Tracker
 }
 
 // newEntry starts a relay with the given upstreams in its own data centre.
@@ -189,6 +202,16 @@
 
 // newEntryWithCodec is newEntry with a codec.
 func newEntryWithCodec(t testing.TB, c codec, upstreams ...*upstream) *entry {
+	return newEntryWithConfig(t, c, func(*relay.Config) {}, upstreams...)
+}
+
+// newEntryWithLog is newEntryWithCodec with a log.
+func newEntryWithLog(t testing.TB, c codec, log logr.Logger, upstreams ...*upstream) *entry {
+	return newEntryWithConfig(t, c, func(cfg *relay.Config) { cfg.Log = log }, upstreams...)
+}
+
+// newEntryWithConfig is newEntryWithCodec with changes to the configuration of the relay.
+func newEntryWithConfig(t testing.TB, c codec, edit func(*relay.Config), upstreams ...*upstream) *entry {
 	state := fleet.NewState(nil)
 	targets := []catalog.Target{{Service: "s", Weight: 1}}
 	routes := []catalog.Route{
@@ -213,14 +236,14 @@
 	var list []fleet.UpstreamRecord
 	for i, u := range upstreams {
 		list = append(list, fleet.UpstreamRecord{ID: u.id, Revision: int64(2 + i), Announcement: &catalog.Upstream{ID: u.id, Service: "s",
-			Address: u.addr, DataCentre: "z", State: catalog.Ready, Slots: 6}})
+			Address: u.addr, DataCentre: cmp.Or(u.dataCentre, "z"), State: catalog.Ready, Slots: 6}})
 	}
 	state.ApplyListing(fleet.Listing{Upstreams: list, Revision: 9})
 	loads, ledger, refusals := loadview.NewTable(nil), poison.New(nil), refusal.New(nil)
 	limiter := placement.NewPriorityLimiter(nil)
-	servedUntil := &atomic.Pointer[time.Time]{}
-	r := relay.New(relay.Config{Codec: c, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
-		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: h1.NewPool(), Log: logr.Discard(),
+	servedUntil, pool := &atomic.Pointer[time.Time]{}, h1.NewPool()
+	cfg := relay.Config{Codec: c, State: state, Loads: loads, Poison: ledger, Refusals: refusals, PeerWork: loadview.NewWorkTable(nil),
+		Tracker: placement.NewTracker(nil), PriorityLimiter: limiter, Pool: pool, Log: logr.Discard(), MemoryBudget: c.budget,
 		DataCentre: "z", VersionApplyWindow: 8 * time.Second,
 		RetryBudget: relay.NewRetryBudget(0.2, 100, 10*time.Second, func() int { return 1 }, nil),
 		ServedUntil: func() time.Time {
@@ -231,15 +254,21 @@
 				return *until
 			}
 			return time.Time{}
-		}})
+		}}
+	edit(&cfg)
+	r := relay.New(cfg)
 	conns := callerconn.NewTracker(func() time.Duration { return 0 })
+	if c.budget != nil {
+		conns.LimitBuffers()
+		pool.LimitBuffers()
+	}
 	server := httptest.NewUnstartedServer(r)
 	server.Listener = conns.Listener(server.Listener)
 	server.Config.ConnState, server.Config.ConnContext = conns.ConnState, conns.ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
 	return &entry{url: server.URL, state: state, loads: loads, poison: ledger, refusals: refusals, limiter: limiter,
-		host: "h", relay: r, servedUntil: servedUntil}
+		host: "h", relay: r, servedUntil: servedUntil, conns: conns}
 }
 
 // callResult is the caller's view of a response.
--- a/internal/relay/left_out.go
+++ b/internal/relay/left_out.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/pimentohead/pimentohead/internal/placement"
+	"github.com/pimentohead/pimentohead/internal/residency"
 )
 
-// Reasons for which a request is refused while all upstreams that could take it have reached their rate limits or have asked for a pause.
+// Reasons for which a request is refused while all upstreams that could take it have reached their rate limits or have asked for a pause. See
+// also coldUpstream.
 const (
 	rateLimitReached placement.Reason = "rate-limit"
 	upstreamsPause   placement.Reason = "upstreams-pause"
@@ -17,7 +19,8 @@
 const (
 	// minRefusalWait is the shortest Retry-After sent with these reasons.
 	minRefusalWait = 300 * time.Millisecond
-	// maxRateLimitWait bounds the Retry-After sent with rateLimitReached. Shares change with demand, so that a long wait means little.
+	// maxRateLimitWait bounds the Retry-After sent with rateLimitReached and coldUpstream. Shares change with demand and upstreams turn warm, so
+	// that a long wait means little.
 	maxRateLimitWait = 1900 * time.Millisecond
 	// maxPauseWait bounds the Retry-After sent with upstreamsPause to the longest that callers observe.
 	maxPauseWait = 10 * time.Second
@@ -27,16 +30,24 @@
 	pauseWaitDoublings = 8
 )
 
-// leftOut describes the ready upstreams that cannot take a request.
+// leftOut describes the upstreams that cannot take a request.
 type leftOut struct {
+	// allowed counts the upstreams of the service, ready or not, in regions that the request may use. excluded counts those in other regions,
+	// exclusion is the reason for the last of them.
+	allowed, excluded int
+	exclusion         residency.Reason
 	// tried counts those that have been tried and do not pause, unqualified those that are no candidates, for example because of their
 	// version.
 	tried, unqualified int
+	// evacuated counts those in data centres that are evacuated.
+	evacuated int
 	// waiting counts those that take a request later. wait is the shortest time until one of them does, reason why that one does not
 	// take it now.
 	waiting int
-	wait    time.Duration
-	reason  placement.Reason
+	// cold counts those of them that are cold.
+	cold   int
+	wait   time.Duration
+	reason placement.Reason
 }
 
 // addWait counts an upstream that may get a request after wait.
@@ -51,6 +62,8 @@
 func (o *leftOut) refusal(d placement.Decision) placement.Decision {
 	switch {
 	case d.Reason != placement.NoUpstream:
+	case o.allowed == 0 && o.excluded > 0:
+		d.Reason = noAllowedRegion
 	case o.waiting > 0 && o.reason == upstreamsPause:
 		wait := o.wait + spreadAfterPause(rand.Float64())
 		if o.tried+o.unqualified > 0 {
@@ -58,9 +71,11 @@
 		}
 		d.Reason, d.RetryAfter = upstreamsPause, min(max(wait, minRefusalWait), maxPauseWait)
 	case o.waiting > 0:
-		d.Reason, d.RetryAfter = rateLimitReached, min(max(o.wait, minRefusalWait), maxRateLimitWait)
+		d.Reason, d.RetryAfter = o.reason, min(max(o.wait, minRefusalWait), maxRateLimitWait)
 	case o.unqualified > 0:
 		d.Reason = placement.NoVersion
+	case o.evacuated > 0 && o.tried == 0:
+		d.Reason = evacuated
 	}
 	return d
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math"
 	"strings"
 	"time"
 
@@ -21,9 +20,14 @@
 		"took_ms", res.duration.Milliseconds(), "status", res.status, "config", x.snapshot.Index.Config.Version, "local", d.Local,
 		"waited_before_ms", x.priorWait.Milliseconds()}
 	values = append(values, workValues(d.Work)...)
+	values = append(values, x.regionValues(upstream)...)
+	values = append(values, latenessValues(d.Lateness)...)
 	if res.rateLimit >= 0 {
 		values = append(values, "rate_limit", res.rateLimit)
 	}
+	if x.readerWait > 0 {
+		values = append(values, "reader_wait_ms", x.readerWait.Milliseconds())
+	}
 	if x.engine != nil {
 		values = append(values, "prompt_parts", strings.Join(x.meta.PromptParts, ","), "upstream_started", upstream.StartedAtMillis,
 			"answer_begun", res.answerBegun)
@@ -31,6 +35,7 @@
 	}
 	if x.route.Kind == catalog.Stream {
 		values = append(values, res.stream.values()...)
+		values = append(values, "longest_pause_ms", x.pauses.longest.Milliseconds())
 	}
 	if res.final {
 		log.Info("request answered", values...)
@@ -49,5 +54,6 @@
 	return []any{"load_known", w.HasReport, "load_age_ms", w.ReportAge.Milliseconds(), "running", w.Running, "waiting", w.Waiting,
 		"sent_since", w.SentSinceReport, "own_waiting", w.OwnWaiting, "own_tokens", int(w.OwnTokens),
 		"others_running", w.OthersRunning, "others_waiting", w.OthersWaiting, "others_tokens", int(w.OthersTokens),
-		"ahead", math.Round(w.AheadShare*100) / 100}
+		"ahead", twoDecimals(w.AheadShare), "slowdown", twoDecimals(max(w.Slowdown, 1)), "slowdown_from", w.SlowdownSource,
+		"slowdown_age_ms", w.SlowdownAge.Milliseconds()}
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,14 @@
 	unanswered metric.Int64Counter
 	// irregularStreams counts the attempts at streams with an irregularity.
 	irregularStreams metric.Int64Counter
+	// regionExclusions counts the requests that were kept from upstreams because of their regions.
+	regionExclusions metric.Int64Counter
+	// unreadableLoads counts the responses whose load cannot be read.
+	unreadableLoads metric.Int64Counter
+	// coldAvoided counts the attempts that were placed while cold upstreams took no more requests.
+	coldAvoided metric.Int64Counter
+	// streams counts the complete streams of routes with a pause limit by prompt length and by whether they were on time.
+	streams metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a relay.
@@ -36,6 +44,10 @@
 		availabilityChanges: i.Counter("pimentohead_relay_availability_changes"),
 		unanswered:          i.Counter("pimentohead_relay_unanswered"),
 		irregularStreams:    i.Counter("pimentohead_relay_irregular_streams"),
+		regionExclusions:    i.Counter("pimentohead_relay_region_exclusions"),
+		unreadableLoads:     i.Counter("pimentohead_relay_unreadable_loads"),
+		coldAvoided:         i.Counter("pimentohead_relay_cold_avoided"),
+		streams:             i.Counter("pimentohead_relay_streams"),
 	}
 	if err := i.Err(); err != nil {
 		return nil, errors.Wrap(err, "relay")
@@ -88,3 +100,28 @@
 	}
 	m.irregularStreams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("irregularity", irregularity)))
 }
+
+// RecordUnreadableLoad counts a response of a service whose load cannot be read.
+func (m *Metrics) RecordUnreadableLoad(service string) {
+	if m == nil || m.unreadableLoads == nil {
+		return
+	}
+	m.unreadableLoads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
+// RecordColdAvoided counts an attempt that was placed on another upstream while the given number of cold ones, if any, took no more requests.
+func (m *Metrics) RecordColdAvoided(service string, cold int) {
+	if m == nil || m.coldAvoided == nil || cold == 0 {
+		return
+	}
+	m.coldAvoided.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
+// RecordStream counts a complete stream of a route with a pause limit. prompt is the class of its prompt length, result whether its events
+// were on time.
+func (m *Metrics) RecordStream(prompt, result string) {
+	if m == nil || m.streams == nil {
+		return
+	}
+	m.streams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("prompt", prompt), attribute.String("result", result)))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,12 +18,15 @@
 	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/h1"
 	"github.com/pimentohead/pimentohead/internal/loadview"
+	"github.com/pimentohead/pimentohead/internal/membudget"
 	"github.com/pimentohead/pimentohead/internal/pause"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/ratelimit"
 	"github.com/pimentohead/pimentohead/internal/refusal"
 	"github.com/pimentohead/pimentohead/internal/request"
+	"github.com/pimentohead/pimentohead/internal/residency"
+	"github.com/pimentohead/pimentohead/internal/warmup"
 )
 
 const (
@@ -67,12 +70,20 @@
 	Poison *poison.Ledger
 	// RateLimits keeps the requests of all entries within the rates that upstreams name; nil selects a limiter of this entry alone.
 	RateLimits *ratelimit.Limiter
+	// Observed holds the loads that upstreams state in their responses; nil ignores them.
+	Observed *loadview.ObservedTable
+	// Warmup keeps the requests of all entries within the rate of upstreams that are cold; nil sets no limit.
+	Warmup *warmup.Limiter
 	// Refusals recognises callers that come back after a refusal; nil selects a table of this entry alone.
 	Refusals *refusal.Table
-	Log      logr.Logger
-	Metrics  *Metrics
+	// MemoryBudget bounds the bytes that are held for callers; nil sets no limit.
+	MemoryBudget *membudget.Budget
+	Log          logr.Logger
+	Metrics      *Metrics
 	// DataCentre is the data centre of this entry.
 	DataCentre string
+	// Regions maps each data centre to its region. If it is empty, routes and customers are not restricted to regions.
+	Regions map[string]string
 	// VersionApplyWindow is the time after the naming of a version from which no request may start on older weights.
 	VersionApplyWindow time.Duration
 	// ServedUntil returns the time at which a process that is shutting down ends the requests in progress, and the zero time otherwise.
@@ -89,6 +100,9 @@
 	inProgress attemptTable
 	// durations holds how long requests took, to decide which ones can still be served during a shutdown.
 	durations durationTable
+	// slowness holds how often the upstreams of each service are slow.
+	slowness *placement.SlownessTable
+	memory   memoryState
 	// answering is cancelled by answerRequests, shutdown by endRequests.
 	answering, shutdown         context.Context
 	answerRequests, endRequests context.CancelFunc
@@ -106,9 +120,15 @@
 		cfg.Refusals = refusal.New(nil)
 	}
 	r := &Relay{cfg: cfg}
+	r.slowness = placement.NewSlownessTable(nil, r.logSlowness)
 	r.shutdown, r.endRequests = context.WithCancel(context.Background())
 	r.answering, r.answerRequests = context.WithCancel(r.shutdown)
 	r.availability = availability.New(availability.Config{Observe: r.observeAvailability})
+	cfg.State.Observe(func(change fleet.Change) {
+		if change.Config != nil {
+			r.logRestrictions(change.Config)
+		}
+	})
 	cfg.Poison.ObserveVerdicts(func(verdicts []poison.Verdict) {
 		r.logVerdicts(verdicts)
 		r.inProgress.endPoisoned(verdicts)
@@ -118,16 +138,20 @@
 
 // exchange is the state of one caller request.
 type exchange struct {
-	relay    *Relay
-	w        http.ResponseWriter
-	req      *http.Request
-	ctx      context.Context
-	body     []byte
+	relay *Relay
+	w     http.ResponseWriter
+	req   *http.Request
+	ctx   context.Context
+	body  []byte
+	// bodyHeld is the part of the memory budget that body takes.
+	bodyHeld *membudget.Reservation
 	meta     request.Metadata
 	route    *catalog.Route
 	service  string
 	engine   *catalog.Engine
 	customer string
+	// regions is the rule on the regions in which the request may run.
+	regions  residency.Rule
 	rank     int
 	snapshot *fleet.Snapshot
 	received time.Time
@@ -140,6 +164,8 @@
 	// sends counts the attempts that reached an upstream, possibleRuns those that may have run.
 	sends, possibleRuns int
 	tried               map[string]bool
+	// permits holds the permits that were taken for cold upstreams, by the ID of the upstream.
+	permits map[string]warmup.Permit
 	// fingerprintValue caches fingerprint.
 	fingerprintValue uint64
 	// subjectList caches subjects. suspected is set when the upstream of an attempt may have ended because of the request.
@@ -150,6 +176,8 @@
 	// lastFailure describes the most recent failure, for logs, lastSilence is the time without a byte from the upstream at its end.
 	lastFailure string
 	lastSilence time.Duration
+	// exclusion is why the request may not run on an upstream that the last placement found in a region that is not allowed.
+	exclusion residency.Reason
 	// decision is the placement decision that refused the request, if there is one.
 	decision placement.Decision
 	// responseStarted is decided when the head of the response is sent to the caller, or when a shutdown ends the request before that.
@@ -158,13 +186,20 @@
 	timeToFirstEvent time.Duration
 	// events is the progress of a streamed response.
 	events streamProgress
+	// pauses holds the pauses between the events of a streamed response.
+	pauses streamPauses
+	// readerWait is how long the response waited for the caller to read.
+	readerWait time.Duration
 }
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	received := time.Now()
-	x := &exchange{relay: r, w: w, req: req, received: received, tried: map[string]bool{}, meta: r.cfg.Codec.ParseRequest(req.Header)}
+	x := &exchange{relay: r, w: w, req: req, received: received, tried: map[string]bool{}, meta: r.cfg.Codec.ParseRequest(req.Header),
+		bodyHeld: r.cfg.MemoryBudget.Reserve()}
+	defer x.bodyHeld.Release()
 	defer x.answerPanic()
+	x.limitWrites(received.Add(defaultDeadline))
 	if !x.admit() {
 		return
 	}
@@ -242,14 +277,8 @@
 
 // place selects the upstream for the next attempt, or returns a refusal. The request is taken from what the upstream takes.
 func (x *exchange) place() placement.Decision {
-	now := time.Now()
-	x.snapshot = x.relay.cfg.State.Snapshot()
-	list, out := x.candidates(now)
-	list = x.avoidInterruptions(x.avoidOlderWeights(list), now)
-	q := placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
-		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.hasBegun() || x.possibleRuns > 0,
-		Returning: x.returning,
-		MaxWait:   x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
+	q, list, out := x.choices(time.Now())
+	x.exclusion = out.exclusion
 	for {
 		d := placement.Choose(q, list)
 		if d.Upstream == nil {
@@ -257,6 +286,7 @@
 		}
 		reason, ok := x.take(d.Upstream)
 		if ok {
+			x.relay.cfg.Metrics.RecordColdAvoided(x.service, out.cold)
 			return d
 		}
 		// Another request has taken the last one meanwhile.
@@ -265,6 +295,19 @@
 	}
 }
 
+// choices returns what package placement selects an upstream from, and what is known of the upstreams that are no candidates. It takes nothing.
+func (x *exchange) choices(now time.Time) (q placement.Query, list []placement.Candidate, out leftOut) {
+	x.snapshot = x.relay.cfg.State.Snapshot()
+	list, out = x.candidates(now)
+	list = x.avoidInterruptions(x.avoidOlderWeights(list), now)
+	q = placement.Query{Engine: x.engine, PromptTokens: float64(x.meta.PromptTokens), Target: x.route.LatencyTarget,
+		Elapsed: now.Sub(x.received) + x.priorWait, Remaining: x.deadline.Sub(now), MustPlace: x.responseStarted.hasBegun() || x.possibleRuns > 0,
+		Returning: x.returning,
+		MaxWait:   x.relay.cfg.PriorityLimiter.MaxWait(x.trafficClass(), x.route.Priority, x.snapshot.Index.ShortestLatencyTarget(x.service))}
+	x.weighLateness(&q, list)
+	return q, list, out
+}
+
 // placeOrWait is place, but waits for an upstream for a response that has begun: ending the request would end the response, while an upstream
 // may be about to come back, or to have loaded a version.
 func (x *exchange) placeOrWait() placement.Decision {
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -32,13 +32,16 @@
 // respondFailure sends a final response that the entry itself generates, or aborts a response that has already started.
 // outcome is the Outcome of failureBody.
 func (x *exchange) respondFailure(status int, code, outcome string, retryAfter time.Duration) {
-	x.relay.cfg.Log.Info("request ended without an upstream response", "request", x.meta.ID, "status", status, "reason", code,
+	values := []any{"request", x.meta.ID, "status", status, "reason", code,
 		"outcome", outcome, "retry_after_ms", retryAfter.Milliseconds(), "after_ms", time.Since(x.received).Milliseconds(),
 		"waited_before_ms", x.priorWait.Milliseconds(), "rank", x.rank, "service", x.service,
 		"prompt_parts", strings.Join(x.meta.PromptParts, ","), "sends", x.sends, "runs", x.possibleRuns,
 		"begun", x.responseStarted.hasBegun(), "last", x.lastFailure,
 		"left_ms", time.Until(x.deadline).Milliseconds(), "predicted_ms", x.decision.PredictedWait.Milliseconds(),
-		"running", x.decision.Work.Running, "waiting", x.decision.Work.Waiting)
+		"running", x.decision.Work.Running, "waiting", x.decision.Work.Waiting}
+	values = append(values, x.regionValues(nil)...)
+	values = append(values, latenessValues(x.decision.Lateness)...)
+	x.relay.cfg.Log.Info("request ended without an upstream response", values...)
 	x.recordOutcome(code, status)
 	if x.engine != nil && status == http.StatusServiceUnavailable {
 		x.relay.cfg.Refusals.Record(x.fingerprint(), time.Since(x.received)+x.priorWait)
@@ -53,6 +56,7 @@
 		x.relay.cfg.Log.Error(err, "response could not be encoded", "request", x.meta.ID)
 	}
 	x.discardBody()
+	x.limitWrites(time.Now())
 	x.setConnectionHeaders()
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
@@ -99,6 +103,9 @@
 // failPlacement responds to a request for which no upstream was selected.
 func (x *exchange) failPlacement(d placement.Decision) {
 	code := string(d.Reason)
+	if d.Reason == noAllowedRegion {
+		x.relay.cfg.Metrics.RecordRegionExclusion(stagePlacement, string(x.exclusion))
+	}
 	if x.possibleRuns > 0 || x.responseStarted.hasBegun() {
 		x.respondFailure(http.StatusBadGateway, code, "unknown", 0)
 		return
