chunkcache: versions are read side by side again

Cause: completing the older version first delays the newest one by as much as it gains: agents stage one version at a time over their narrow link.

--- a/internal/chunkcache/cache.go
+++ b/internal/chunkcache/cache.go
@@ -342,11 +342,7 @@
 // 0 while the manifest is missing, the time is zero before the first chunk. A version that is not cached is added, which can evict
 // another one.
 func (c *Cache) Progress(model string, number int64) (share float64, lastChunkAt time.Time) {
-	return c.getOrAddVersion(model, number).progress()
-}
-
-// progress implements Cache.Progress for one version.
-func (v *cachedVersion) progress() (share float64, lastChunkAt time.Time) {
+	v := c.getOrAddVersion(model, number)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(v.digests) == 0 {
--- a/internal/chunkcache/fetch.go
+++ b/internal/chunkcache/fetch.go
@@ -118,9 +118,6 @@
 func (c *Cache) fetchFromOrigin(ctx context.Context, v *cachedVersion, chunk int, origin catalog.Origin) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*peerTimeout)
 	defer cancel()
-	if chunk != message.WholeManifest {
-		c.awaitOlder(ctx, v)
-	}
 	digests, data, err := c.readOrigin(ctx, v, chunk, origin)
 	if err != nil {
 		return err
--- a/internal/chunkcache/originaccess.go
+++ b/internal/chunkcache/originaccess.go
@@ -42,8 +42,6 @@
 	// pause is the last pause, 0 after a response; pausedUntil is when it ends.
 	pause       time.Duration
 	pausedUntil time.Time
-	// unreachableAt is when a read last had no response, zero if none has.
-	unreachableAt time.Time
 }
 
 func newOriginAccess() *originAccess { return &originAccess{places: semaphore.NewWeighted(readUnits)} }
@@ -81,11 +79,7 @@
 func (a *originAccess) recordResult(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
-	if errors.Is(err, ErrOriginUnreachable) {
-		a.unreachableAt = now
-	}
-	switch {
+	switch now := time.Now(); {
 	case !errors.Is(err, ErrOriginUnreachable):
 		a.pause, a.pausedUntil = 0, time.Time{}
 	case now.After(a.pausedUntil): // Reads that fail at the same time count once.
@@ -93,10 +87,3 @@
 		a.pausedUntil = now.Add(a.pause/2 + rand.N(a.pause/2))
 	}
 }
-
-// lastUnreachable returns when a read last had no response, the zero time if none has.
-func (a *originAccess) lastUnreachable() time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.unreachableAt
-}
