soak: evacuations of data centres

Cause: evacuations were tested against stand-ins within one process only.

Change: `go run ./soak -evacuations` evacuates random data centres beside callers, each with a fault: an entry there restarts while the store is away, all nodes restart, the store is restored from a copy without the key, or both.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -58,12 +58,14 @@
 
 // runOptions are the options of a run. Faults are injected for length. The scale multiplies the nodes and servers of each data centre and
 // the callers. Logs of a run with findings are copied to a directory below logDir unless that is empty. With lateWrites, the faults are late
-// writes to the store and restarts of all nodes.
+// writes to the store and restarts of all nodes, with evacuations those of data centres.
 type runOptions struct {
 	length     time.Duration
 	scale      int
 	logDir     string
 	lateWrites bool
+	// evacuations excludes lateWrites.
+	evacuations bool
 }
 
 // runSeed runs one seed. It returns the findings and a summary of the run.
@@ -72,6 +74,9 @@
 	if options.lateWrites {
 		injectFaults, bounds = (*checker).runLateWrites, fleetBounds{versionMS: versionApplyMS, contactMS: contactTime.Milliseconds()}
 	}
+	if options.evacuations {
+		injectFaults, bounds = (*checker).runEvacuations, fleetBounds{versionMS: versionApplyMS, contactMS: contactTime.Milliseconds()}
+	}
 	fleet, err := newTestFleet(options.scale, bounds)
 	if err != nil {
 		return nil, "", err
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// evacuationSeed is the seed of a run with evacuations.
+const evacuationSeed = 1
+
+// Guards against requests to an evacuated data centre while entries restart, the store is away or restored from a copy without the key, and all
+// processes are restarted; and against a data centre that is not used again.
+func TestEvacuatedDataCentreGetsNoRequests(t *testing.T) {
+	findings, summary, err := runSeed(evacuationSeed, runOptions{scale: 1, evacuations: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range findings {
+		t.Error(f)
+	}
+	t.Log(summary)
+}
+
 // lateWriteSeeds are the seeds of runs with late writes to the store.
 var lateWriteSeeds = []uint64{1, 2}
 
