--- a/internal/controller/checkpoint/reader.go
+++ b/internal/controller/checkpoint/reader.go
@@ -26,9 +26,10 @@
 
 // Read lists the checkpoints, records in the state that they are stored, and returns a function that merges them. It implements
 // catalogsync.CheckpointReader. Read itself records them because the operator's documents are merged before the returned function is called: without
-// the records, the Writer would store those documents again. It also merges evacuations at once: they have to be known before the configuration, with
-// which the node may become ready, and after the operator's keys, which the caller has merged. Checkpoints that cannot be decoded are logged and skipped. Read returns ErrUnavailable
-// if the listing is of an earlier era than the state knows, and the error of the store if it cannot be read.
+// the records, the Writer would store those documents again. It also merges evacuations at once: they have to be known before the configuration,
+// with which the node may become ready, and after the operator's keys, which the caller has merged. Checkpoints that cannot be decoded are logged
+// and skipped. Read returns ErrUnavailable if the listing is of an earlier era than the state knows, and the error of the store if it cannot be
+// read.
 func (r *Reader) Read(ctx context.Context) (merge func(namedAt time.Time), err error) {
 	listing, err := r.lister.List(ctx, r.prefix)
 	if err != nil {
