--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -109,6 +109,8 @@
 	EvacuationEnded
 	// EvacuationRepeated means that a restored store holds a write whose removal is known. It does not begin the evacuation again.
 	EvacuationRepeated
+	// EvacuationIgnored means that the node holds maxEvacuations records, all of evacuations in force.
+	EvacuationIgnored
 )
 
 // EvacuationChange is the record of a data centre after a merge, and what the merge has changed.
@@ -127,6 +129,8 @@
 		message = "evacuation of data centre ended"
 	case EvacuationRepeated:
 		message = "evacuation of data centre not begun again, the restored store holds a write that was removed"
+	case EvacuationIgnored:
+		message = "evacuation of data centre ignored, too many are in force"
 	default:
 		return
 	}
@@ -151,8 +155,8 @@
 // applyEvacuation is ApplyEvacuation. The caller holds mu.
 func (s *State) applyEvacuation(r EvacuationRecord) EvacuationChange {
 	current, known := s.evacuations[r.DataCentre]
-	if !known && len(s.evacuations) >= maxEvacuations {
-		return EvacuationChange{EvacuationRecord: r}
+	if !known && len(s.evacuations) >= maxEvacuations && !s.dropEndedEvacuation() {
+		return EvacuationChange{EvacuationRecord: r, Effect: EvacuationIgnored}
 	}
 	if s.wasUnlisted(r, current) {
 		r = EvacuationRecord{DataCentre: r.DataCentre, Era: s.evacuationsListed.era, Revision: s.evacuationsListed.revision, Written: r.Revision,
@@ -171,6 +175,20 @@
 	return EvacuationChange{EvacuationRecord: next, Effect: effectOf(current, r, next)}
 }
 
+// dropEndedEvacuation drops the record of the evacuation that ended first in the history of the store. It returns false if all are in force. The
+// caller holds mu.
+func (s *State) dropEndedEvacuation() bool {
+	oldest, found := EvacuationRecord{}, false
+	for _, r := range s.evacuations {
+		order := cmp.Or(cmp.Compare(r.Era, oldest.Era), cmp.Compare(r.Revision, oldest.Revision))
+		if !r.Active && (!found || order < 0) {
+			oldest, found = r, true
+		}
+	}
+	delete(s.evacuations, oldest.DataCentre)
+	return found
+}
+
 // endOf returns when this node learned of the end of the last evacuation, once next has replaced current because of r. An evacuation that this
 // node has missed ended when the other node says.
 func (s *State) endOf(current, r, next EvacuationRecord) time.Time {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -270,6 +270,10 @@
 		return errVersionExpired
 	case !x.renewPermit(a.upstream):
 		x.lastFailure = "upstream is cold"
+		if !x.permitExpired {
+			x.permitExpired = true
+			delete(x.tried, a.upstream.ID) // It counts as a cold upstream without a permit. Once only, so that attempts end.
+		}
 		return errors.WithStack(errNoPermit)
 	default:
 		return nil
--- a/internal/relay/availability.go
+++ b/internal/relay/availability.go
@@ -39,7 +39,7 @@
 	x.relay.availability.RecordResult(process, sentAt, served)
 }
 
-// take takes a request to an upstream from its rate limit, from what it takes after a pause and from what it takes while it is cold. It
+// take reserves one request at an upstream: from its allowance after a pause, from its rate limit and from its permits while it is cold. It
 // reports false and the reason if there is none left.
 func (x *exchange) take(u *catalog.Upstream) (reason placement.Reason, ok bool) {
 	if !x.relay.availability.Take(processOf(u)) {
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -14,7 +14,8 @@
 	return x.candidatesAmong(x.snapshot.Upstreams(x.service), now)
 }
 
-// candidatesAmong is candidates for some upstreams of the service. It takes and changes nothing, see Relay.Explain.
+// candidatesAmong is candidates for some upstreams of the service. It takes no permits, see Relay.Explain. An
+// upstream that its load shows as down is presumed cold.
 func (x *exchange) candidatesAmong(upstreams []*catalog.Upstream, now time.Time) (list []placement.Candidate, out leftOut) {
 	for _, u := range upstreams {
 		status := x.relay.availability.Status(processOf(u))
@@ -26,12 +27,12 @@
 		switch {
 		case u.State != catalog.Ready || status.Leaving:
 			continue
-		case status.Wait > 0:
-			out.addWait(upstreamsPause, status.Wait)
-			continue
 		case x.snapshot.Evacuated(u.DataCentre):
 			out.evacuated++
 			continue
+		case status.Wait > 0:
+			out.addWait(upstreamsPause, status.Wait)
+			continue
 		case x.tried[u.ID]:
 			out.tried++
 			continue
--- a/internal/relay/evacuation.go
+++ b/internal/relay/evacuation.go
@@ -13,7 +13,10 @@
 // errEvacuated is the cause of an attempt that was not sent because the data centre of its upstream has been evacuated meanwhile.
 var errEvacuated = errors.New("relay: data centre of the upstream is evacuated")
 
-// isEvacuated reports whether the data centre of an upstream, which may have been selected long ago, is evacuated now.
+// isEvacuated reports whether the data centre of an upstream, which may have been selected long ago, is evacuated now. The process at its address
+// may have announced another data centre since.
 func (x *exchange) isEvacuated(u *catalog.Upstream) bool {
-	return x.relay.cfg.State.Snapshot().Evacuated(u.DataCentre)
+	snapshot := x.relay.cfg.State.Snapshot()
+	listed := snapshot.ByAddress(u.Address)
+	return snapshot.Evacuated(u.DataCentre) || listed != nil && snapshot.Evacuated(listed.DataCentre)
 }
--- a/internal/relay/explanation.go
+++ b/internal/relay/explanation.go
@@ -11,6 +11,7 @@
 	"github.com/pimentohead/pimentohead/internal/catalog"
 	"github.com/pimentohead/pimentohead/internal/placement"
 	"github.com/pimentohead/pimentohead/internal/request"
+	"github.com/pimentohead/pimentohead/internal/residency"
 )
 
 // unknownCustomer is the reason in an explanation for a customer that the configuration does not name.
@@ -45,6 +46,7 @@
 		result.Refused = "unknown-key"
 		return result
 	}
+	x.regions = residency.NewRule(r.cfg.Regions, index, x.route, index.Customer(x.meta.Key))
 	x.rank = x.effectiveRank(index)
 	result.Customer, result.Rank = x.customer, x.rank
 	if x.poisoned() {
--- a/internal/relay/region_test.go
+++ b/internal/relay/region_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -66,6 +67,16 @@
 	g.Expect(totalRequests(home, away, unknown)).To(Equal(served))
 }
 
+// Guards against an explanation that names an upstream in a region that is not allowed.
+func TestExplanationKeepsToAllowedRegions(t *testing.T) {
+	g := NewWithT(t)
+	e := newRegionalEntry(t, codec{}, newUpstream(t, "u2", respondOK).in("y"))
+	e.restrict([]string{"home"}, nil)
+	r := explain(t, e, url.Values{"host": {"h"}, "path": {"/look/"}, "customer": {"tailor"}})
+	g.Expect(r.Services[0].Selected).To(BeEmpty())
+	g.Expect(r.Services[0].Reason).To(BeEquivalentTo("no-allowed-region"))
+}
+
 // Guards against retries, hedged connections and takeovers in another region while the upstream in the allowed one declines, accepts no
 // connection or is silent, and against a refusal that names the region then.
 func TestNoPathLeavesTheRegions(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -166,6 +166,8 @@
 	tried               map[string]bool
 	// permits holds the permits that were taken for cold upstreams, by the ID of the upstream.
 	permits map[string]warmup.Permit
+	// permitExpired is set once a permit has expired before the request was sent.
+	permitExpired bool
 	// fingerprintValue caches fingerprint.
 	fingerprintValue uint64
 	// subjectList caches subjects. suspected is set when the upstream of an attempt may have ended because of the request.
--- a/internal/residency/residency.go
+++ b/internal/residency/residency.go
@@ -53,7 +53,7 @@
 	return r
 }
 
-// Update takes the lists of the configuration in force. Route and customer are looked up by name. One that no longer exists keeps the
+// Update replaces the lists in force by those of index. Route and customer are looked up by name. One that no longer exists keeps the
 // lists that it had.
 func (r *Rule) Update(index *catalog.Index) {
 	if index == nil || index == r.inForce {
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -215,7 +215,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, s := range l.states {
-		if !s.missingAt.IsZero() && now.Sub(s.missingAt) > missingRetention {
+		// A late attempt may begin the state of an upstream again that is gone; no removal follows for that one.
+		unlisted := !s.hasRecord && now.Sub(s.seenAt) > missingRetention
+		if unlisted || !s.missingAt.IsZero() && now.Sub(s.missingAt) > missingRetention {
 			delete(l.states, id)
 		}
 	}
--- a/internal/warmup/share.go
+++ b/internal/warmup/share.go
@@ -18,7 +18,7 @@
 	// deviations is the number of standard deviations above the mean up to which the sum of the permits of all entries in one second has to
 	// stay below the limit. A sum above it has a probability of about 1 in 10,000.
 	deviations = 4
-	// minPart is the smallest part of the rate that is used, however low the limit is.
+	// minPart is the smallest part of the rate that is used. With a very low limit the sum may then exceed it; a part of 0 would serve nothing.
 	minPart = 0.02
 	// maxInterval bounds the time between two permits of an entry.
 	maxInterval = time.Hour
--- a/internal/warmup/state.go
+++ b/internal/warmup/state.go
@@ -7,21 +7,21 @@
 
 // Causes of coldness. Those after CauseStart are presumed: nothing says that the upstream is cold.
 const (
-	// CauseReported is a record of the upstream, or a response.
+	// CauseReported: a record or a response of the upstream says so.
 	CauseReported Cause = "reported"
-	// CauseStart is the start time of the upstream.
+	// CauseStart: the start time of the upstream says so.
 	CauseStart Cause = "started"
-	// CauseDiscovered is an upstream that this entry did not know.
+	// CauseDiscovered: this entry did not know the upstream before.
 	CauseDiscovered Cause = "discovered"
-	// CauseRestarted is a process with another start time.
+	// CauseRestarted: the upstream has another start time than before.
 	CauseRestarted Cause = "restarted"
-	// CauseMissing is an upstream that was missing from the list.
+	// CauseMissing: the upstream was missing from the list.
 	CauseMissing Cause = "missing"
-	// CauseUnreachable is an upstream that did not answer.
+	// CauseUnreachable: the upstream did not answer.
 	CauseUnreachable Cause = "unreachable"
-	// CauseDown is an upstream that its agent reported as down.
+	// CauseDown: the agent of the upstream reported it as down.
 	CauseDown Cause = "down"
-	// CauseEvacuated is an upstream whose data centre was evacuated.
+	// CauseEvacuated: the data centre of the upstream was evacuated.
 	CauseEvacuated Cause = "evacuated"
 )
 
@@ -122,7 +122,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stateOf(u).presume(l.cfg.Now(), cause)
+	if s := l.stateOf(u); s.upstream.StartedAtMillis == u.StartedAtMillis { // Otherwise it concerns an earlier process.
+		s.presume(l.cfg.Now(), cause)
+	}
 }
 
 // stateOf returns the state of an upstream. A process that is not known yet, because the record about it is being merged, counts as
