--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -29,12 +30,14 @@
 	body             string
 	headers          map[string]string
 	deadlineMS       int
+	// key is the API key; empty selects that of the tenant t.
+	key string
 }
 
 // head returns the request as it is sent.
 func (c call) bytes() string {
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Pimentohead-Attempt-Id: %s\r\nX-Pimentohead-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		c.method, c.path, requestHost, c.id, c.deadlineMS, apiKey)
+		c.method, c.path, requestHost, c.id, c.deadlineMS, cmp.Or(c.key, apiKey))
 	for name, value := range c.headers {
 		text += name + ": " + value + "\r\n"
 	}
