catalog, fleet: the log says whether a configuration requires keys

What operators saw: after a change of the configuration, requests with unknown keys ran. The lines "configuration in force" named the version and the number of routes only, so that they could not tell a configuration that opens its routes from one that was not put in force.

Change: one function logs the line for all three sources (store, checkpoint, peer), with the number of customers and requires_key. The decision itself is now a method of catalog.Config; it is the same as before.

No behaviour changes, so there is no test.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -226,6 +226,9 @@
 	Version int64
 }
 
+// RequiresKey reports whether requests on routes that are not public need the API key of a customer.
+func (c *Config) RequiresKey() bool { return len(c.Customers) > 0 }
+
 // Service returns the service with the given name, or nil.
 func (c *Config) Service(name string) *Service {
 	for i := range c.Services {
--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -65,9 +65,6 @@
 // CustomersNamed is described at RoutesNamed.
 func (x *Index) CustomersNamed(name string) []*Customer { return x.customersByName[name] }
 
-// HasCustomers reports whether any customer is configured. If so, requests to routes that are not public need a key.
-func (x *Index) HasCustomers() bool { return len(x.Config.Customers) > 0 }
-
 // Service returns the service with the given name, or nil.
 func (x *Index) Service(name string) *Service { return x.byService[name] }
 
--- a/internal/controller/catalogsync/watcher.go
+++ b/internal/controller/catalogsync/watcher.go
@@ -155,8 +155,7 @@
 	switch {
 	case document.Config != nil:
 		if w.state.ApplyConfig(document.Config, kv.ModRevision) {
-			w.log.Info("configuration in force", "version", document.Config.Version, "revision", kv.ModRevision,
-				"routes", len(document.Config.Routes), "from", "store")
+			fleet.LogConfig(w.log, document.Config, kv.ModRevision, "store")
 		} else if index := w.state.Snapshot().Index; index != nil && index.Config.Version != document.Config.Version {
 			w.log.Info("configuration not put in force", "version", document.Config.Version, "era", kv.Era, "revision", kv.ModRevision,
 				"version_in_force", index.Config.Version, "revision_in_force", w.state.Snapshot().ConfigRevision)
--- a/internal/controller/checkpoint/document.go
+++ b/internal/controller/checkpoint/document.go
@@ -133,8 +133,7 @@
 	switch {
 	case d.config != nil:
 		if state.ApplyConfig(d.config, kv.ModRevision) {
-			log.Info("configuration in force", "version", d.config.Version, "revision", kv.ModRevision, "routes", len(d.config.Routes),
-				"from", "checkpoint")
+			fleet.LogConfig(log, d.config, kv.ModRevision, "checkpoint")
 		}
 	case d.evacuation != nil:
 		state.ApplyEvacuation(*d.evacuation).Log(log)
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pimentohead/pimentohead/internal/catalog"
+	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/message"
 )
 
@@ -74,8 +75,7 @@
 		m.versionFromLocalEntry.Store(config.Version)
 	}
 	if m.cfg.State.ApplyConfig(config, msg.ConfigRevision) {
-		m.cfg.Log.Info("configuration in force", "version", config.Version, "revision", msg.ConfigRevision,
-			"routes", len(config.Routes), "from", p.hello.NodeID)
+		fleet.LogConfig(m.cfg.Log, config, msg.ConfigRevision, p.hello.NodeID)
 	}
 }
 
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -66,7 +66,7 @@
 }
 
 // authorise resolves the customer from the API key. It reports whether the request is allowed: with a known key, on a public
-// route, or if no customers are configured.
+// route, or if the configuration requires no key.
 func (x *exchange) authorise(index *catalog.Index) bool {
 	if x.meta.Key != "" {
 		if c := index.Customer(x.meta.Key); c != nil {
@@ -74,7 +74,7 @@
 			return true
 		}
 	}
-	return x.route.Public || !index.HasCustomers()
+	return x.route.Public || !index.Config.RequiresKey()
 }
 
 // effectiveRank returns the scheduling rank, from 0, the most urgent, to 8. Requests rank by the priority of the customer, or of the
