platform, catalog: an empty list of customers does not open the routes

What callers saw: once the operator had removed the last customer, with an empty list of tenants, every request on a route that is not public was served: with the key that was taken away, with keys that were never listed, without a key. An empty list in the first configuration did the same. Seen on all entries, whether they had the configuration from the store, from a peer or from a checkpoint.

Cause: the decoder turned a missing and an empty list into the same configuration, and keys were required if the number of customers was above 0. "Empty" stood for "not configured", which is open.

Change: a configuration states that keys are required (KeysRequired), which it does if the document has the list at all; null counts as an empty list. The field is packed with the configuration, so that peers and checkpoints keep it.

TestExplanationWithoutCustomers fails with the earlier decision.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -40,7 +40,10 @@
 	Routes    []Route
 	Services  []Service
 	Customers []Customer
-	Limits    Limits
+	// KeysRequired is set if the configuration has a list of customers, even an empty one. Without a list, no request needs a key. Whether a key
+	// is needed is decided by RequiresKey.
+	KeysRequired bool `msgpack:",omitempty"`
+	Limits       Limits
 }
 
 // Route maps a host and a path prefix to the services that may run its requests.
@@ -226,8 +229,9 @@
 	Version int64
 }
 
-// RequiresKey reports whether requests on routes that are not public need the API key of a customer.
-func (c *Config) RequiresKey() bool { return len(c.Customers) > 0 }
+// RequiresKey reports whether requests on routes that are not public need the API key of a customer. Nodes of earlier releases do not send
+// KeysRequired.
+func (c *Config) RequiresKey() bool { return c.KeysRequired || len(c.Customers) > 0 }
 
 // Service returns the service with the given name, or nil.
 func (c *Config) Service(name string) *Service {
--- a/internal/relay/explanation_test.go
+++ b/internal/relay/explanation_test.go
@@ -76,6 +76,22 @@
 		"free": "ready  true"}))
 }
 
+// Guards against an explanation that takes an empty list of customers for none, and says that a request would be sent which is refused.
+func TestExplanationWithoutCustomers(t *testing.T) {
+	e := newEntry(t, newUpstream(t, "u1", respondOK))
+	for _, c := range []struct {
+		keysRequired bool
+		customer     string
+		refused      string
+	}{{true, "", "unknown-key"}, {true, "tailor", "unknown-customer"}, {false, "", ""}, {false, "tailor", "unknown-customer"}} {
+		config := *e.state.Snapshot().Index.Config
+		config.Version++
+		config.Customers, config.KeysRequired = nil, c.keysRequired
+		e.state.ApplyConfig(&config, config.Version)
+		NewWithT(t).Expect(explain(t, e, url.Values{"host": {"h"}, "path": {"/look/"}, "customer": {c.customer}}).Refused).To(Equal(c.refused))
+	}
+}
+
 // Guards against a failure of the entry, or an answer without a reason, for a request that reaches no upstream.
 func TestExplanationOfARequestThatIsRefusedAtOnce(t *testing.T) {
 	g := NewWithT(t)
