residency: settings without regions do not lift the restrictions of requests

What callers saw: an entry whose settings name no region of any data centre ran requests with allowed_regions anywhere.

In allowed regions and hard-load, a data centre whose region is unknown is not allowed for a restricted request.

Change: the rule holds whatever the settings say, so that restricted requests are refused at once with no-allowed-region if no region is known. Requests without a list are not affected. The log field "applied" is gone; all regions of the lists are in "unmatched" then.

Test: TestLaterConfigurations asserted that the rule is off without regions ("off"). That check is replaced by the contrary for two data centres, and by one that unrestricted requests go on; it fails on the earlier code. The tests of residency, relay and directpath pass.

--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -41,7 +41,7 @@
 	// the fixed number RetryBudgetFixed, as retries.
 	RetryBudgetRatio, RetryBudgetFixed float64
 	RetryBudgetWindow                  time.Duration
-	// Regions maps each data centre to its region. If it is empty, routes and customers are not restricted to regions.
+	// Regions maps each data centre to its region. Requests that are restricted to regions run in no data centre that it lacks.
 	Regions map[string]string
 	// In any one second, all entries together may send ColdOverrun times the rate that the configuration gives for a cold upstream, plus
 	// ColdSlack requests.
--- a/internal/relay/region.go
+++ b/internal/relay/region.go
@@ -76,7 +76,7 @@
 		return
 	}
 	r.cfg.Log.Info("configuration restricts regions", "version", c.Version, "routes", s.Routes, "customers", s.Customers,
-		"unmatched", strings.Join(s.Unmatched, ","), "applied", len(r.cfg.Regions) > 0)
+		"unmatched", strings.Join(s.Unmatched, ","))
 }
 
 // RecordRegionExclusion counts a restricted request that was refused (stage "placement"), or not sent to the upstream selected for it (stage
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,7 +82,7 @@
 	Metrics      *Metrics
 	// DataCentre is the data centre of this entry.
 	DataCentre string
-	// Regions maps each data centre to its region. If it is empty, routes and customers are not restricted to regions.
+	// Regions maps each data centre to its region. Requests that are restricted to regions run in no data centre that it lacks.
 	Regions map[string]string
 	// VersionApplyWindow is the time after the naming of a version from which no request may start on older weights.
 	VersionApplyWindow time.Duration
--- a/internal/residency/residency.go
+++ b/internal/residency/residency.go
@@ -27,7 +27,7 @@
 
 // Rule holds the regions that one request may use. The zero Rule allows all data centres. It is not safe for concurrent use.
 type Rule struct {
-	// regions maps each data centre to its region; empty disables the rule.
+	// regions maps each data centre to its region. A data centre without one is not allowed for a restricted request.
 	regions         map[string]string
 	route, customer restriction
 	// inForce is the configuration from which the lists in force were taken last.
@@ -43,8 +43,8 @@
 	inForce  [][]string
 }
 
-// NewRule returns the rule for a request that is admitted under the configuration index. regions maps each data centre to its region; if it is
-// empty, the rule allows all data centres. customer is nil for a request without one.
+// NewRule returns the rule for a request that is admitted under the configuration index. regions maps each data centre to its region. customer is
+// nil for a request without one.
 func NewRule(regions map[string]string, index *catalog.Index, route *catalog.Route, customer *catalog.Customer) Rule {
 	r := Rule{regions: regions, inForce: index, route: restriction{name: route.Name, admitted: route.AllowedRegions}}
 	if customer != nil {
@@ -76,7 +76,7 @@
 
 // Restricted reports whether the rule may exclude a data centre.
 func (r *Rule) Restricted() bool {
-	return len(r.regions) > 0 && (r.route.restricted() || r.customer.restricted())
+	return r.route.restricted() || r.customer.restricted()
 }
 
 // Check returns Allowed if the request may run in a data centre, otherwise the reason why not.
--- a/internal/residency/residency_test.go
+++ b/internal/residency/residency_test.go
@@ -25,7 +25,8 @@
 }
 
 // Guards against a wrong reason, against a request that gains a region by a later configuration, against a name that loses its list when it is
-// removed, and against a rule without regions in the settings. Load covered: configurations that change while requests are in progress.
+// removed, and against settings without regions that lift the restrictions of requests. Load covered: configurations that change while requests
+// are in progress.
 func TestLaterConfigurations(t *testing.T) {
 	g := NewWithT(t)
 	rule := newRule(configure(nil, nil))
@@ -43,8 +44,12 @@
 	g.Expect(rule.Check("dc-1")).To(Equal(residency.OutsideRoute), "two routes have the name")
 
 	index := configure([]string{"east"}, nil)
-	off := residency.NewRule(nil, index, index.RoutesNamed("r")[0], nil)
-	g.Expect(off.Check("dc-2")).To(Equal(residency.Allowed))
+	unmapped := residency.NewRule(nil, index, index.RoutesNamed("r")[0], nil)
+	g.Expect(unmapped.Check("dc-1")).To(Equal(residency.UnknownRegion))
+	g.Expect(unmapped.Check("dc-2")).To(Equal(residency.UnknownRegion))
+	index = configure(nil, nil)
+	unrestricted := residency.NewRule(nil, index, index.RoutesNamed("r")[0], nil)
+	g.Expect(unrestricted.Check("dc-2")).To(Equal(residency.Allowed))
 }
 
 // Guards against lists after which a rule allows what one that applies excludes, or excludes what all allow, and against lists that are lost on
