catalog: an empty text in a list of keys is no key

What callers saw: on public routes, requests without a key had the priority and the allowed regions of a customer in whose list of keys there is an empty text. On other routes they were refused, by a check in package relay. Read, then shown by the test; the operators' store may refuse such a list.

Cause: a missing key is the empty text in the metadata of a request, and the index held the empty text as a key like any other.

Change: the index holds no empty key, so that each look-up agrees; the check in relay.authorise is not needed any more.

Test: TestEmptyKeyNamesNoCustomer fails on the earlier code; the tests of catalog pass, and those of relay on routes, regions and explanations.

--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -36,7 +36,9 @@
 	for i := range c.Customers {
 		x.customersByName[c.Customers[i].Name] = append(x.customersByName[c.Customers[i].Name], &c.Customers[i])
 		for _, key := range c.Customers[i].Keys {
-			x.byKey[key] = &c.Customers[i]
+			if key != "" { // The key of a request without one.
+				x.byKey[key] = &c.Customers[i]
+			}
 		}
 	}
 	for i := range c.Services {
@@ -56,7 +58,7 @@
 	return best
 }
 
-// Customer returns the owner of an API key, or nil.
+// Customer returns the owner of an API key, or nil. No customer owns the empty key, which stands for a request without a key.
 func (x *Index) Customer(key string) *Customer { return x.byKey[key] }
 
 // RoutesNamed and CustomersNamed return all routes and customers with a name. The slices must not be changed.
--- a/internal/catalog/index_test.go
+++ b/internal/catalog/index_test.go
@@ -22,6 +22,15 @@
 	g.Expect(x.Route("c.example", "/x/")).To(BeNil())
 }
 
+// Guards against requests without a key that count as those of a customer because an empty text is among its keys: they would get its priority
+// and its regions on public routes.
+func TestEmptyKeyNamesNoCustomer(t *testing.T) {
+	g := NewWithT(t)
+	x := catalog.NewIndex(&catalog.Config{Customers: []catalog.Customer{{Name: "t", Keys: []string{"", "k"}}}})
+	g.Expect(x.Customer("")).To(BeNil())
+	g.Expect(x.Customer("k").Name).To(Equal("t"))
+}
+
 // Guards against a split that ignores the weights or finds no service at the upper end of the range.
 func TestSplitFollowsWeights(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -68,11 +68,9 @@
 // authorise resolves the customer from the API key. It reports whether the request is allowed: with a known key, on a public
 // route, or if the configuration requires no key.
 func (x *exchange) authorise(index *catalog.Index) bool {
-	if x.meta.Key != "" {
-		if c := index.Customer(x.meta.Key); c != nil {
-			x.customer = c.Name
-			return true
-		}
+	if c := index.Customer(x.meta.Key); c != nil {
+		x.customer = c.Name
+		return true
 	}
 	return x.route.Public || !index.Config.RequiresKey()
 }
