soak: lists of customers that become empty, null or missing

The soak knew no permissions: each configuration listed the customer, and any 401 was a finding. So it could not see the fault of "platform, catalog: an empty list of customers does not open the routes".

Change: go run ./soak -keys changes the list of customers beside callers with a listed key, with one that was never listed and without one, on public and other routes, over kept connections. Entries are killed, stopped in turn, paused and reloaded, the store is away or restored, all nodes restart. A request may run only if a configuration that may be in force at its entry accepts its key, and may be rejected only if one does not. All configurations of the soak have a public route now. One seed of 20 s runs in the tests.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -27,6 +27,8 @@
 	// request's own ID and 0 unless the caller resumes a stream.
 	streamID string
 	after    int
+	// key is the API key that the request carries, empty for none.
+	key      string
 	path     string
 	entry    int
 	status   int
@@ -108,7 +110,7 @@
 // send sends one request to an entry and returns the result.
 func (cl *caller) send(entry int, path string, pauses sendPauses) callResult {
 	id := cl.checker.nextID()
-	return cl.sendRequest(callResult{id: id, streamID: id, path: path, entry: entry}, pauses)
+	return cl.sendRequest(callResult{id: id, streamID: id, key: callerKey, path: path, entry: entry}, pauses)
 }
 
 // sendRequest sends the request that a result describes and fills in the rest.
@@ -155,7 +157,7 @@
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "soak: create request")
 	}
-	platform.SetCallerHeaders(req.Header, r.id, callerKey, "m", requestTimeout)
+	platform.SetCallerHeaders(req.Header, r.id, r.key, "m", requestTimeout)
 	if r.after > 0 {
 		req.Header.Set("Last-Event-Id", strconv.Itoa(r.after))
 	}
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -33,7 +33,7 @@
 	longestStall time.Duration
 	// judged counts the statements of servers that were checked.
 	judged judgedStatements
-	// boundedRequests counts the requests for which a version of the model or of the configuration was required.
+	// boundedRequests counts the requests for which a version of the model or of the configuration was required, or whose key had to be refused.
 	boundedRequests int
 	losses          lossCounts
 	streams         streamCounts
@@ -58,14 +58,14 @@
 
 // runOptions are the options of a run. Faults are injected for length. The scale multiplies the nodes and servers of each data centre and
 // the callers. Logs of a run with findings are copied to a directory below logDir unless that is empty. With lateWrites, the faults are late
-// writes to the store and restarts of all nodes, with evacuations those of data centres.
+// writes to the store and restarts of all nodes, with evacuations those of data centres, with keys changes of the customers.
 type runOptions struct {
 	length     time.Duration
 	scale      int
 	logDir     string
 	lateWrites bool
-	// evacuations excludes lateWrites.
-	evacuations bool
+	// evacuations excludes lateWrites, and keys both.
+	evacuations, keys bool
 }
 
 // runSeed runs one seed. It returns the findings and a summary of the run.
@@ -77,6 +77,9 @@
 	if options.evacuations {
 		injectFaults, bounds = (*checker).runEvacuations, fleetBounds{versionMS: versionApplyMS, contactMS: contactTime.Milliseconds()}
 	}
+	if options.keys {
+		injectFaults, bounds = (*checker).runKeys, fleetBounds{versionMS: versionApplyMS, contactMS: contactTime.Milliseconds()}
+	}
 	fleet, err := newTestFleet(options.scale, bounds)
 	if err != nil {
 		return nil, "", err
--- a/soak/config.go
+++ b/soak/config.go
@@ -24,6 +24,8 @@
 	moved, split bool
 	// spareKey adds an API key that no caller uses, manyRoutes routes that no caller uses.
 	spareKey, manyRoutes bool
+	// customers is the list of customers.
+	customers customerList
 }
 
 // configChange is one kind of change of the configuration. Applied again, it is undone.
@@ -57,7 +59,7 @@
 	if c.spareKey {
 		keys = append(keys, spareKey)
 	}
-	return map[string]any{"version": version,
+	config := map[string]any{"version": version,
 		"limits": map[string]any{"idle_timeout_ms": idle},
 		"routes": c.routes(version),
 		"services": []any{
@@ -66,8 +68,9 @@
 				"models": []any{map[string]any{"name": "m", "warm_s": 0.02}}}},
 			map[string]any{"name": "desk"},
 			map[string]any{"name": "stock"},
-			map[string]any{"name": "weights", "origin": originAddress, "zone": dataCentreName(0), "link_mbps": 100}},
-		"tenants": []any{map[string]any{"name": "t", "api_keys": keys}}}
+			map[string]any{"name": "weights", "origin": originAddress, "zone": dataCentreName(0), "link_mbps": 100}}}
+	c.customers.addTo(config, keys)
+	return config
 }
 
 // routes returns the routes of a version of the configuration.
@@ -98,6 +101,7 @@
 	add("slow", "/slow/", "non_idempotent", "desk", 1)
 	add("look", "/look/", "idempotent", "desk", 2)
 	add("parts", "/parts/", "idempotent", "desk", 2)
+	add("public", publicPath, "idempotent", "desk", 2)["public"] = true
 	add("newest", configPath(version), "idempotent", "desk", 2)
 	if c.manyRoutes {
 		for i := range addedRoutes {
--- a/soak/main.go
+++ b/soak/main.go
@@ -6,6 +6,7 @@
 //	go run ./soak -first 7 -seeds 1    repeats one run; add -logs DIR to keep its logs when it fails
 //	go run ./soak -late-writes         late writes to the store and restarts of all nodes instead of the mix of faults
 //	go run ./soak -evacuations         evacuations of data centres instead of the mix of faults
+//	go run ./soak -keys                lists of customers that become empty, null or missing instead of the mix of faults
 //	go run ./soak -scale 8             a run of 64 instead of 8 processes and with 96 instead of 12 callers
 package main
 
@@ -35,6 +36,7 @@
 	scale := flags.Int("scale", 1, "`factor` of the number of processes (8), servers (6) and callers (12)")
 	lateWrites := flags.Bool("late-writes", false, "late writes to the store and restarts of all nodes instead of the mix of faults")
 	evacuations := flags.Bool("evacuations", false, "evacuations of data centres instead of the mix of faults")
+	keys := flags.Bool("keys", false, "lists of customers that become empty, null or missing instead of the mix of faults")
 	logs := flags.String("logs", "", "`directory` for the logs of failed runs; empty keeps none")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
@@ -43,7 +45,7 @@
 	failed := 0
 	for seed := *first; seed < *first+uint64(max(*seeds, 0)); seed++ {
 		findings, summary, err := runSeed(seed, runOptions{length: *length, scale: max(*scale, 1), logDir: *logs, lateWrites: *lateWrites,
-			evacuations: *evacuations})
+			evacuations: *evacuations, keys: *keys})
 		switch {
 		case err != nil:
 			fmt.Printf("seed %d could not be run: %v\n", seed, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,6 +54,25 @@
 	t.Log(summary)
 }
 
+// keySeed and keyLength are the seed and the length of a run with changes of the customers.
+const (
+	keySeed   = 1
+	keyLength = 20 * time.Second
+)
+
+// Guards against requests without a listed key that run once the list of customers is empty, and against requests that are rejected while routes are
+// open or public, while entries are killed, stopped and paused and the store is away or restored.
+func TestOnlyListedKeysAreAccepted(t *testing.T) {
+	findings, summary, err := runSeed(keySeed, runOptions{length: keyLength, scale: 1, keys: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range findings {
+		t.Error(f)
+	}
+	t.Log(summary)
+}
+
 // lateWriteSeeds are the seeds of runs with late writes to the store.
 var lateWriteSeeds = []uint64{1, 2}
 
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -46,7 +46,7 @@
 			return
 		}
 		time.Sleep(randomTime(rng, minResumptionPause, resumptionPauseSpread))
-		next := callResult{id: cl.checker.nextID(), streamID: r.streamID, after: r.received(), path: path,
+		next := callResult{id: cl.checker.nextID(), streamID: r.streamID, after: r.received(), key: r.key, path: path,
 			entry: rng.IntN(len(cl.checker.fleet.entries))}
 		r = cl.sendRequest(next, sendPauses{})
 	}
