relay, poison: answers to a whole request count against a verdict on it

Cause: the end of an upstream counts against the whole request and against the parts of its prompt, but answers counted for the parts only, and for the whole request only if an earlier attempt of the same request had broken. An order has one attempt.

Change: each answer that proves that its upstream has survived counts for the whole request too. Answers to requests have a cache of their own, so that requests which are not repeated displace no parts. A deadly request never has an answer, so that its verdict takes as many crashes as before.

TestOrderThatIsAnsweredIsNotRefused and TestAnswersToRequestsDisplaceNoParts fail before. TestAnsweredRequestIsNotRefused passes before: the ledger counts such answers, it did not get them.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -24,9 +24,12 @@
 	maxCrashes = 256
 	// maxAttempts bounds the attempts that are kept for one crash. Model servers run at most a few dozen at the same time.
 	maxAttempts = 64
-	// maxSubjects bounds the subjects that one attempt may name, maxCleared those whose last answer is remembered.
+	// maxSubjects bounds the subjects that one attempt may name.
 	maxSubjects = 64
-	maxCleared  = 20000
+	// maxClearedParts and maxClearedRequests bound the parts and the whole requests whose last answer is remembered. Most requests are
+	// answered once and are not repeated, so they must not displace parts.
+	maxClearedParts    = 20000
+	maxClearedRequests = 5000
 )
 
 // PartSubject returns the subject of a part of prompts.
@@ -81,7 +84,8 @@
 	// sequence is the number of the last statement about an answer.
 	sequence uint64
 	crashes  map[process]*crash
-	cleared  *lru.Cache[string, *clearance]
+	// clearedParts and clearedRequests hold the last answers, see cleared.
+	clearedParts, clearedRequests *lru.Cache[string, *clearance]
 	// lastCrash maps the subjects of crashes to the time of the newest crash that involved them.
 	lastCrash map[string]time.Time
 	// stored maps the keys of verdicts that were read from durable storage to their ends.
@@ -106,16 +110,30 @@
 	if now == nil {
 		now = time.Now
 	}
-	cleared, err := lru.New[string, *clearance](maxCleared)
-	if err != nil {
-		panic(err) // The size is a positive constant.
-	}
-	l := &Ledger{now: now, origin: rand.Uint64() | 1, crashes: map[process]*crash{}, cleared: cleared, lastCrash: map[string]time.Time{},
-		stored: map[string]storedVerdict{}, disprovedAt: map[string]time.Time{}}
+	l := &Ledger{now: now, origin: rand.Uint64() | 1, crashes: map[process]*crash{}, clearedParts: newClearances(maxClearedParts),
+		clearedRequests: newClearances(maxClearedRequests), lastCrash: map[string]time.Time{}, stored: map[string]storedVerdict{},
+		disprovedAt: map[string]time.Time{}}
 	l.current.Store(&verdictSet{})
 	return l
 }
 
+// newClearances returns an empty cache. size is a positive constant.
+func newClearances(size int) *lru.Cache[string, *clearance] {
+	cache, err := lru.New[string, *clearance](size)
+	if err != nil {
+		panic(err)
+	}
+	return cache
+}
+
+// cleared returns the cache of the last answers to subjects of the same kind. The caller holds mu.
+func (l *Ledger) cleared(subject string) *lru.Cache[string, *clearance] {
+	if isPart(subject) {
+		return l.clearedParts
+	}
+	return l.clearedRequests
+}
+
 // Observe registers a function that receives evidence to be sent to other entries. It is called with the ledger locked and must neither
 // block nor call the ledger.
 func (l *Ledger) Observe(observer func(*message.CrashEvidence)) {
@@ -146,10 +164,10 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	for _, s := range subjects {
-		if c, ok := l.cleared.Get(s); ok {
+		if c, ok := l.cleared(s).Get(s); ok {
 			c.at = now
 		} else {
-			l.cleared.Add(s, &clearance{at: now})
+			l.cleared(s).Add(s, &clearance{at: now})
 		}
 	}
 	if len(l.crashes) == 0 {
@@ -242,10 +260,10 @@
 	if received.Subject == "" || now.Sub(at) >= Retention || received.Origin == l.origin {
 		return false
 	}
-	c, ok := l.cleared.Get(received.Subject)
+	c, ok := l.cleared(received.Subject).Get(received.Subject)
 	if !ok {
 		c = &clearance{}
-		l.cleared.Add(received.Subject, c)
+		l.cleared(received.Subject).Add(received.Subject, c)
 	}
 	if received.Origin != 0 {
 		if c.received[received.Origin] >= received.Seq {
@@ -291,7 +309,7 @@
 func (l *Ledger) share(news *message.CrashEvidence, subjects []string) {
 	now := l.now()
 	for _, s := range subjects {
-		c, ok := l.cleared.Peek(s)
+		c, ok := l.cleared(s).Peek(s)
 		if !ok || !c.at.After(c.sharedAt) {
 			continue
 		}
@@ -328,7 +346,7 @@
 		}
 	}
 	for s := range subjects {
-		if c, ok := l.cleared.Peek(s); ok && now.Sub(c.at) < Retention {
+		if c, ok := l.cleared(s).Peek(s); ok && now.Sub(c.at) < Retention {
 			out.Cleared = append(out.Cleared, message.ClearedSubject{Subject: s, AgeMillis: now.Sub(c.at).Milliseconds()})
 		}
 	}
@@ -350,7 +368,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range subjects {
-		if _, answered := l.cleared.Peek(s); answered {
+		if _, answered := l.cleared(s).Peek(s); answered {
 			continue
 		}
 		if _, crashed := l.lastCrash[s]; crashed || isPart(s) {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -188,6 +188,52 @@
 	g.Expect(refused(l, "other")).To(BeFalse())
 }
 
+// crashedRequest returns an attempt of a request without parts that was in progress when upstream u ended.
+func crashedRequest(u int, request string) message.CrashedAttempt {
+	return message.CrashedAttempt{Upstream: fmt.Sprint("u", u), Request: fmt.Sprint("try", u), Subjects: parts(request), Begun: true}
+}
+
+// Guards against a request that is repeated and answered, and is refused because upstreams have ended under it for other causes: nothing could
+// disprove that verdict. Answers count whether they come between the crashes or before them, at any entry.
+func TestAnsweredRequestIsNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	between, c := newLedger()
+	before, other := poison.New(c.now), poison.New(c.now)
+	deliver := connect(c, time.Millisecond, before, other)
+	before.Clear(parts("same"))
+	for i := range 3 {
+		c.advance(7 * time.Second)
+		between.Record(crashedRequest(i, "same"))
+		other.Record(crashedRequest(i, "same"))
+		c.advance(time.Second)
+		between.Clear(parts("same"))
+		deliver()
+	}
+	for _, l := range []*poison.Ledger{between, before, other} {
+		g.Expect(refused(l, "same")).To(BeFalse())
+	}
+	for i := range 5 {
+		other.Record(crashedRequest(3+i, "same"))
+	}
+	deliver()
+	g.Expect(refused(other, "same")).To(BeTrue(), "it crashes upstreams since")
+	g.Expect(refused(before, "same")).To(BeTrue())
+}
+
+// Guards against answers to requests that are not repeated, which displace those to parts.
+func TestAnswersToRequestsDisplaceNoParts(t *testing.T) {
+	l, c := newLedger()
+	l.Clear(parts("", "part"))
+	for i := range 30000 {
+		l.Clear(parts(fmt.Sprint("own", i)))
+	}
+	c.advance(time.Second)
+	for i := range 3 {
+		l.Record(crashed(fmt.Sprint("u", i), fmt.Sprint("r", i), "part"))
+	}
+	NewWithT(t).Expect(refused(l, "next", "part")).To(BeFalse())
+}
+
 // connect passes the news of each ledger to the other ones, and counts the messages. delay is added to the clock for each.
 func connect(c *clock, delay time.Duration, ledgers ...*poison.Ledger) (deliver func() int) {
 	type mail struct {
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -88,7 +88,7 @@
 // disproved reports whether all subjects of a stored verdict have had an answer after it was reached. The caller holds mu.
 func (l *Ledger) disproved(s storedVerdict) bool {
 	for _, subject := range s.verdict.Subjects {
-		answer, ok := l.cleared.Peek(subject)
+		answer, ok := l.cleared(subject).Peek(subject)
 		if !ok || !answer.at.After(s.until.Add(-Retention)) {
 			return false
 		}
@@ -164,7 +164,7 @@
 			continue
 		}
 		for _, s := range c.candidates() {
-			if answer, ok := l.cleared.Peek(s); ok && now.Sub(answer.at) < Retention {
+			if answer, ok := l.cleared(s).Peek(s); ok && now.Sub(answer.at) < Retention {
 				counts.answered[s] = true
 				if !c.at.After(answer.at) {
 					continue
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -29,21 +29,15 @@
 // subjects returns what the request may share with other requests that crash upstreams.
 func (x *exchange) subjects() []string {
 	if x.subjectList == nil {
-		x.subjectList = append(x.partSubjects(),
+		for _, id := range x.meta.SharedParts() {
+			x.subjectList = append(x.subjectList, poison.PartSubject(id))
+		}
+		x.subjectList = append(x.subjectList,
 			poison.RequestSubject(quarantine.Fingerprint(x.customer, x.target()+" "+x.promptKey(), x.body)))
 	}
 	return x.subjectList
 }
 
-// partSubjects returns the subjects of the parts of the prompt that other requests share.
-func (x *exchange) partSubjects() []string {
-	var out []string
-	for _, id := range x.meta.SharedParts() {
-		out = append(out, poison.PartSubject(id))
-	}
-	return out
-}
-
 // poisoned reports whether the request is refused because requests of its kind crash upstreams.
 func (x *exchange) poisoned() bool {
 	ledger := x.relay.cfg.Poison
@@ -63,11 +57,7 @@
 		return
 	}
 	a.proven = true
-	proven := a.x.partSubjects()
-	if a.x.suspected {
-		proven = a.x.subjects()
-	}
-	a.x.relay.cfg.Poison.Clear(proven)
+	a.x.relay.cfg.Poison.Clear(a.subjects)
 }
 
 // checkCrash examines an attempt that has ended with a broken connection, or with a response that isCut. If the process of the upstream has
@@ -82,7 +72,6 @@
 	if a.isPlannedExit() || a.proven {
 		return nil
 	}
-	x.suspected = true
 	begun := x.route.Kind != catalog.Stream || !a.answerBegan.IsZero()
 	return x.relay.endings.check(x.relay, a.upstream, message.CrashedAttempt{Upstream: a.upstream.ID,
 		StartedAtMillis: a.upstream.StartedAtMillis, Request: x.meta.ID, Subjects: x.subjects(), Begun: begun})
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -132,6 +132,38 @@
 	g.Expect(e.poison.Export()).To(BeNil())
 }
 
+// Guards against an order that callers repeat, is answered each time, and is refused for minutes because upstreams ended under it for other causes.
+func TestOrderThatIsAnsweredIsNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	const crashes = 3
+	var upstreams []*upstream
+	for i := range crashes + 1 {
+		m := &mortalUpstream{}
+		m.upstream, m.listener = listenUpstream(t, fmt.Sprint("m", i), func(nc net.Conn, req *http.Request) {
+			if req.Header.Get("Crash") != "" {
+				_ = nc.Close()
+				m.end()
+				return
+			}
+			respondOK(nc, req)
+		})
+		upstreams = append(upstreams, m.upstream)
+	}
+	e := newEntry(t, upstreams...)
+	for i := range crashes {
+		g.Expect(e.send(context.Background(), "/order/same", nil).status).To(Equal(http.StatusOK), "before crash %d", i)
+		e.send(context.Background(), "/order/same", func(r *http.Request) { r.Header.Set("Crash", "1") })
+		g.Eventually(func() int {
+			if evidence := e.poison.Export(); evidence != nil {
+				return len(evidence.Crashes)
+			}
+			return 0
+		}, "5s").Should(Equal(i+1), "crashes that are known")
+	}
+	g.Expect(e.poison.Verdicts()).To(BeEmpty())
+	g.Expect(e.send(context.Background(), "/order/same", nil).status).To(Equal(http.StatusOK))
+}
+
 // Guards against the end of an upstream that was leaving being blamed on the requests that were still running there.
 func TestPlannedExitIsNoCrash(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -170,9 +170,8 @@
 	permitExpired bool
 	// fingerprintValue caches fingerprint.
 	fingerprintValue uint64
-	// subjectList caches subjects. suspected is set when the upstream of an attempt may have ended because of the request.
+	// subjectList caches subjects.
 	subjectList []string
-	suspected   bool
 	// silent is the newest attempt whose upstream is silent while others try to take over from it; nil if there is none.
 	silent *upstreamAttempt
 	// lastFailure describes the most recent failure, for logs, lastSilence is the time without a byte from the upstream at its end.
