stall, mesh, catalogsync: a version read after a stall counts as named earlier

Cause: an entry took the time at which it read the record, less the age that the sender states, for the time of the naming. What arrives during a stall lies unread, and neither figure contains that time. Stalls that end the links are corrected by the records on new links, shorter ones not.

The log line has unread_ms.

--- a/internal/controller/catalogsync/fakes_test.go
+++ b/internal/controller/catalogsync/fakes_test.go
@@ -188,12 +188,16 @@
 // startSyncer runs a Syncer until the test ends and returns the state that it keeps up to date.
 func startSyncer(t *testing.T, m *memoryStore, active func() bool) *fleet.State {
 	state := fleet.NewState(nil)
-	syncer := catalogsync.New(m, testDecoder{}, state, logr.Discard(), active, testVersionAge)
+	runSyncer(t, catalogsync.New(m, testDecoder{}, state, logr.Discard(), active, testVersionAge))
+	return state
+}
+
+// runSyncer runs a syncer until the end of the test.
+func runSyncer(t *testing.T, syncer *catalogsync.Syncer) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); syncer.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return state
 }
 
 func alwaysActive() bool { return true }
--- a/internal/controller/catalogsync/sync.go
+++ b/internal/controller/catalogsync/sync.go
@@ -101,6 +101,8 @@
 	waitForPeers time.Duration
 	// dataCentres holds the names of all data centres, see WithDataCentres.
 	dataCentres []string
+	// readDelay returns how long an answer that is read now may have lain unread; see WithReadDelay.
+	readDelay func() time.Duration
 	// readCheckpoints reads the checkpoints of the operator's documents; see WithCheckpoints. It may be nil.
 	readCheckpoints CheckpointReader
 
@@ -120,7 +122,14 @@
 	assumedVersionAge time.Duration,
 ) *Syncer {
 	return &Syncer{lister: lister, decoder: decoder, state: state, log: log, isActive: isActive, assumedVersionAge: assumedVersionAge,
-		startedAt: time.Now(), freshness: map[string]freshness{}}
+		startedAt: time.Now(), freshness: map[string]freshness{}, readDelay: func() time.Duration { return 0 }}
+}
+
+// WithReadDelay sets the function that returns how long an answer of the store that is read now may have lain unread, see package stall, and
+// returns the Syncer. It has to be called before Run.
+func (s *Syncer) WithReadDelay(delay func() time.Duration) *Syncer {
+	s.readDelay = delay
+	return s
 }
 
 // WaitForPeers sets the time after the start in which the Syncer lists the prefixes only while isActive returns true, and returns the Syncer.
--- a/internal/controller/catalogsync/sync_test.go
+++ b/internal/controller/catalogsync/sync_test.go
@@ -6,8 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
+	"github.com/pimentohead/pimentohead/internal/controller/catalogsync"
+	"github.com/pimentohead/pimentohead/internal/fleet"
 	"github.com/pimentohead/pimentohead/internal/platform/store"
 )
 
@@ -114,6 +117,24 @@
 	})
 }
 
+// Guards against a node that stood still while a version was named and takes the time at which it reads the change for the time of the naming.
+func TestVersionReadAfterAStallIsAssumedToBeOlder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const delay = 900 * time.Millisecond
+		m, state := newMemoryStore(), fleet.NewState(nil)
+		runSyncer(t, catalogsync.New(m, testDecoder{}, state, logr.Discard(), alwaysActive, testVersionAge).
+			WithReadDelay(func() time.Duration { return delay }))
+		g.Eventually(func() bool { _, known := state.Staleness(); return known }, "2s").Should(BeTrue())
+		named := time.Now()
+		m.put("conf/weights", "2")
+		g.Eventually(namedVersion(state), "2s").Should(Equal(int64(2)))
+		v, _ := state.Snapshot().NewestVersion("m")
+		g.Expect(v.AgeAssumed).To(BeTrue())
+		g.Expect(v.NamedAt).To(BeTemporally("~", named.Add(-delay), 100*time.Millisecond))
+	})
+}
+
 // Guards against a rollout that is cut short because the node that watches the store had to list it again: the version was named after
 // the state was last up to date.
 func TestVersionFoundByALaterListingIsNotAssumedToBeOld(t *testing.T) {
--- a/internal/controller/catalogsync/watcher.go
+++ b/internal/controller/catalogsync/watcher.go
@@ -128,6 +128,13 @@
 	return naming{at: w.startedAt.Add(-w.assumedVersionAge), assumed: true}
 }
 
+// observedNaming returns the time at which a version that a change names was named. If the change may have lain unread while this node stood still,
+// that is the earliest possible time, and is assumed.
+func (w *watcher) observedNaming() naming {
+	delay := w.readDelay()
+	return naming{at: time.Now().Add(-delay), assumed: delay > 0}
+}
+
 // decode decodes a document. It logs one that cannot be read.
 func (w *watcher) decode(kv store.KV, deleted bool) Document {
 	document, err := w.decoder.Decode(kv.Key, kv.Value, deleted)
@@ -146,7 +153,7 @@
 	if document.Evacuation != nil {
 		w.applyEvacuation(*document.Evacuation, event)
 	}
-	return w.merge(document, event.KV, naming{at: time.Now()})
+	return w.merge(document, event.KV, w.observedNaming())
 }
 
 // merge merges a document into the state, unless it describes an upstream: then it returns the record of the upstream, to be merged together
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -27,6 +27,7 @@
 	"github.com/pimentohead/pimentohead/internal/poison"
 	"github.com/pimentohead/pimentohead/internal/ratelimit"
 	"github.com/pimentohead/pimentohead/internal/refusal"
+	"github.com/pimentohead/pimentohead/internal/stall"
 	"github.com/pimentohead/pimentohead/internal/telemetry"
 )
 
@@ -102,6 +103,8 @@
 	mesh     *mesh.Mesh
 	cache    *chunkcache.Cache
 	metrics  *telemetry.Metrics
+	// stalls notices when an entry stood still. It does not run on agents.
+	stalls *stall.Detector
 	// explanations answers where requests would be sent; nil for an agent.
 	explanations http.Handler
 }
@@ -116,7 +119,8 @@
 		return nil, err
 	}
 	c := &components{Node: n, state: fleet.NewState(nil), loads: loadview.NewTable(nil), peerWork: loadview.NewWorkTable(nil),
-		tracker: placement.NewTracker(nil), poison: poison.New(nil), refusals: refusal.New(nil), metrics: metrics}
+		tracker: placement.NewTracker(nil), poison: poison.New(nil), refusals: refusal.New(nil), metrics: metrics,
+		stalls: stall.New(nil)}
 	c.self = message.Hello{NodeID: n.ID, Role: role, DataCentre: n.DataCentre, Region: n.Region,
 		Incarnation: uint64(time.Now().UnixNano())}
 	c.self.Address = address
@@ -128,7 +132,7 @@
 		return nil, err
 	}
 	cfg := mesh.Config{Self: c.self, Secret: n.Secret, Seeds: n.Seeds, State: c.state, Loads: c.loads, Log: n.Log, Leaving: leaving,
-		Traffic: traffic, StartWait: n.startWait()}
+		Traffic: traffic, StartWait: n.startWait(), ReadDelay: c.stalls.ReadDelay}
 	c.rateLimits = ratelimit.New(ratelimit.Config{Self: n.ID, Members: func() []string { return c.mesh.EntryIDs() }})
 	if role == message.RoleEntry {
 		cfg.RateLimits, cfg.Refusals = c.rateLimits, c.refusals
@@ -210,5 +214,5 @@
 // syncer returns the syncer that copies the configuration and the named versions from the store into the state of the node.
 func (c *components) syncer(decoder catalogsync.Decoder) *catalogsync.Syncer {
 	return catalogsync.New(c.Store, decoder, c.state, c.Log, c.mesh.ShouldWatchStore, c.assumedVersionAge()).WaitForPeers(c.startWait()).
-		WithDataCentres(c.DataCentres).WithCheckpoints(checkpoint.NewReader(c.Store, checkpointsPrefix, c.state, c.Log).Read)
+		WithDataCentres(c.DataCentres).WithReadDelay(c.stalls.ReadDelay).WithCheckpoints(checkpoint.NewReader(c.Store, checkpointsPrefix, c.state, c.Log).Read)
 }
--- a/internal/mesh/merge.go
+++ b/internal/mesh/merge.go
@@ -56,19 +56,21 @@
 	return u.Era
 }
 
-// mergeVersion merges a version record of another node. It logs versions that are new to this node, and ages that were only assumed
-// before.
+// mergeVersion merges a version record of another node. If the record may have lain unread while this node stood still, its age is the longest
+// possible one and counts as assumed. It logs versions that are new to this node, and ages that were only assumed before.
 func (m *Mesh) mergeVersion(p *peer, v message.FleetVersion) {
 	state := m.cfg.State
 	before, _ := state.Snapshot().NewestVersion(v.Model)
+	delay := m.cfg.ReadDelay()
+	age, assumed := time.Duration(v.AgeMillis)*time.Millisecond+delay, v.AgeAssumed || delay > 0
 	record := fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: v.Model, Version: v.Version}, Revision: v.Revision,
-		NamedAt: time.Now().Add(-time.Duration(v.AgeMillis) * time.Millisecond), AgeAssumed: v.AgeAssumed}
+		NamedAt: time.Now().Add(-age), AgeAssumed: assumed}
 	if state.ApplyVersion(record) {
-		m.cfg.Log.Info("model version named", "model", v.Model, "version", v.Version, "age_ms", v.AgeMillis,
-			"age_assumed", v.AgeAssumed, "from", p.hello.NodeID)
+		m.cfg.Log.Info("model version named", "model", v.Model, "version", v.Version, "age_ms", age.Milliseconds(),
+			"age_assumed", assumed, "unread_ms", delay.Milliseconds(), "from", p.hello.NodeID)
 		return
 	}
-	if before.Version == v.Version && before.AgeAssumed && !v.AgeAssumed {
+	if before.Version == v.Version && before.AgeAssumed && !assumed {
 		m.cfg.Log.Info("age of model version known", "model", v.Model, "version", v.Version, "age_ms", v.AgeMillis,
 			"assumed_age_ms", time.Since(before.NamedAt).Milliseconds(), "from", p.hello.NodeID)
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -56,6 +56,8 @@
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// StartWait is the time after the start in which the node waits for links before it reads the store. Default 0.
 	StartWait time.Duration
+	// ReadDelay returns how long a message that is read now may have lain unread, see package stall. Default: 0 at all times.
+	ReadDelay func() time.Duration
 }
 
 // Mesh maintains the links of one node and exchanges state over them. It is safe for concurrent use.
@@ -108,6 +110,9 @@
 
 // New returns a Mesh. Run starts it.
 func New(cfg Config) *Mesh {
+	if cfg.ReadDelay == nil {
+		cfg.ReadDelay = func() time.Duration { return 0 }
+	}
 	m := &Mesh{
 		cfg: cfg, startedAt: time.Now(),
 		linkCfg: link.Config{Secret: cfg.Secret, HeartbeatInterval: heartbeatInterval, SilenceTimeout: silenceTimeout,
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -50,6 +50,8 @@
 	network *network
 	// startWait is the time in which the node waits for links before it reads the store.
 	startWait time.Duration
+	// readDelay is how long each message may have lain unread.
+	readDelay time.Duration
 }
 
 // startNode runs a node until the test ends or its stop function is called. Entries listen on a free port.
@@ -71,7 +73,7 @@
 	cfg := mesh.Config{Self: message.Hello{NodeID: o.id, Role: o.role, DataCentre: o.dataCentre, Region: o.dataCentre, Address: n.addr,
 		Incarnation: uint64(time.Now().UnixNano())}, Secret: []byte("sixteen byte key"), Seeds: o.seeds, State: n.state, Loads: n.loads,
 		Log: logr.Discard(), ServeWeights: o.serveWeights, Traffic: n.traffic,
-		StartWait: o.startWait}
+		StartWait: o.startWait, ReadDelay: func() time.Duration { return o.readDelay }}
 	if o.network != nil {
 		cfg.DialContext = o.network.dialer(o.id)
 	}
@@ -341,6 +343,26 @@
 	g.Eventually(agent.LinkedEntryCount, "450ms", "10ms").Should(Equal(1))
 }
 
+// Guards against an entry that stood still while a version was named and takes the time at which it reads of that for the time of the naming, and
+// against its assumption replacing what the others know.
+func TestVersionReadAfterAStallIsAssumedToBeOlder(t *testing.T) {
+	g := NewWithT(t)
+	const delay = 900 * time.Millisecond
+	a := entryNode(t, "a", "z1")
+	b := startNode(t, options{id: "b", dataCentre: "z1", role: message.RoleEntry, seeds: []string{a.addr}, readDelay: delay})
+	g.Eventually(b.LinkedEntryCount, "3s").Should(Equal(1))
+	named := time.Now()
+	a.state.ApplyVersion(fleet.VersionRecord{NamedVersion: catalog.NamedVersion{Model: "m", Version: 2}, Revision: 11, NamedAt: named})
+	g.Eventually(func() bool { _, ok := b.state.Snapshot().NewestVersion("m"); return ok }, "2s").Should(BeTrue())
+	v, _ := b.state.Snapshot().NewestVersion("m")
+	g.Expect(v.NamedAt).To(BeTemporally("<=", named.Add(-delay/2)))
+	g.Expect(v.AgeAssumed).To(BeTrue())
+	time.Sleep(300 * time.Millisecond) // b tells a.
+	v, _ = a.state.Snapshot().NewestVersion("m")
+	g.Expect(v.NamedAt).To(BeTemporally("==", named))
+	g.Expect(v.AgeAssumed).To(BeFalse())
+}
+
 // Guards against entries that have all restarted and assume an age for a version although agents know when it was named.
 func TestAgentTellsEntriesTheAgeOfAVersion(t *testing.T) {
 	g := NewWithT(t)
