--- a/internal/directpath/entry.go
+++ b/internal/directpath/entry.go
@@ -152,8 +152,8 @@
 	verdicts := &verdictWriter{store: e.Store, state: e.state, mesh: e.mesh, ledger: e.poison, log: e.Log}
 	checkpoints := checkpoint.NewWriter(checkpoint.WriterConfig{Store: e.Store, Prefix: checkpointsPrefix, State: e.state,
 		Position: e.mesh.Position, Log: e.Log, StartWait: e.startWait(), AssumedAge: e.assumedVersionAge()})
-	for _, run := range []func(context.Context){e.stalls.Run, e.mesh.Run, e.syncer(e.cfg.Decoder).Run, registry.announce, registry.discover, verdicts.run,
-		checkpoints.Run, e.sweep, e.measureUnread, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
+	for _, run := range []func(context.Context){e.stalls.Run, e.mesh.Run, e.syncer(e.cfg.Decoder).Run, registry.announce, registry.discover,
+		verdicts.run, checkpoints.Run, e.sweep, e.measureUnread, e.serveMetrics, prefetcher.prefetchManifests, prefetcher.prefetchChunks} {
 		wg.Add(1)
 		go func() { defer wg.Done(); run(serveCtx) }()
 	}
--- a/internal/directpath/node.go
+++ b/internal/directpath/node.go
@@ -214,5 +214,6 @@
 // syncer returns the syncer that copies the configuration and the named versions from the store into the state of the node.
 func (c *components) syncer(decoder catalogsync.Decoder) *catalogsync.Syncer {
 	return catalogsync.New(c.Store, decoder, c.state, c.Log, c.mesh.ShouldWatchStore, c.assumedVersionAge()).WaitForPeers(c.startWait()).
-		WithDataCentres(c.DataCentres).WithReadDelay(c.stalls.ReadDelay).WithCheckpoints(checkpoint.NewReader(c.Store, checkpointsPrefix, c.state, c.Log).Read)
+		WithDataCentres(c.DataCentres).WithReadDelay(c.stalls.ReadDelay).
+		WithCheckpoints(checkpoint.NewReader(c.Store, checkpointsPrefix, c.state, c.Log).Read)
 }
