stall: the test reads its clock without a race

go test -race reported that TestStallDelaysWhatIsReadAfterIt changes the time of its clock while Run reads it. Only the test shared that variable; it is atomic now.

--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -1,6 +1,7 @@
 package stall_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,24 +16,24 @@
 func TestStallDelaysWhatIsReadAfterIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		var stood time.Duration // The time for which the process has not run, in which no timer of this test elapses.
-		d := stall.New(func() time.Time { return time.Now().Add(stood) })
+		var stood atomic.Int64 // The time for which the process has not run, in which no timer of this test elapses.
+		d := stall.New(func() time.Time { return time.Now().Add(time.Duration(stood.Load())) })
 		g.Expect(d.ReadDelay()).To(BeZero())
-		stood += time.Hour
+		stood.Add(int64(time.Hour))
 		go d.Run(t.Context())
 		time.Sleep(time.Second)
 		g.Expect(d.ReadDelay()).To(BeZero(), "it has just started")
-		stood += 200 * time.Millisecond
+		stood.Add(int64(200 * time.Millisecond))
 		g.Expect(d.ReadDelay()).To(BeZero(), "a busy instance")
 		time.Sleep(time.Second)
-		stood += 880 * time.Millisecond
+		stood.Add(int64(880 * time.Millisecond))
 		g.Expect(d.ReadDelay()).To(BeNumerically("~", 930*time.Millisecond, 50*time.Millisecond))
 		time.Sleep(300 * time.Millisecond)
-		stood += 400 * time.Millisecond
+		stood.Add(int64(400 * time.Millisecond))
 		g.Expect(d.ReadDelay()).To(BeNumerically("~", 1380*time.Millisecond, 100*time.Millisecond))
 		time.Sleep(time.Second)
 		g.Expect(d.ReadDelay()).To(BeZero(), "what had arrived has been read")
-		stood += time.Second
+		stood.Add(int64(time.Second))
 		time.Sleep(150 * time.Millisecond)
 		g.Expect(d.ReadDelay()).To(BeNumerically("~", 1050*time.Millisecond, 50*time.Millisecond), "noticed by Run")
 	})
